--- a/core/cell/request.go
+++ b/core/cell/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"primrosegw/core/fault"
+	"primrosegw/core/stream"
 )
 
 // Kind is the sort of a cell error.
@@ -83,17 +84,9 @@
 	ResumeText   string `cbor:"resume_text"`
 }
 
-// Chunk is a piece of an answer.
-type Chunk struct {
-	// Offset counts the tokens of the answer before this piece.
-	Offset int    `cbor:"offset"`
-	Tokens int    `cbor:"tokens"`
-	Text   string `cbor:"text"`
-	// Data is the engine's JSON payload of this piece.
-	Data []byte `cbor:"data"`
-	// Finish is the engine's reason for ending, empty before the last piece.
-	Finish string `cbor:"finish"`
-}
+// Chunk is a piece of an answer. The last piece has a Finish: an answer that
+// ends without one was cut.
+type Chunk = stream.Chunk
 
 // Call is one attempt at a request on one backend server.
 type Call struct {
