--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,55 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/retry"
+)
+
+// Guards against retries that multiply the load of a failing cell.
+func TestBudgetIsAShareOfSuccesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := retry.New(retry.Options{Share: 0.2, Reserve: 3})
+		spent := 0
+		for range 100 {
+			budget.Earn()
+			for budget.Spend() {
+				spent++
+			}
+		}
+		require.InDelta(t, 3+20, spent, 1)
+	})
+}
+
+// Guards against a cell without successes that can never retry again.
+func TestBudgetRefillsWithTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := retry.New(retry.Options{Reserve: 1, PerSecond: 2})
+		require.True(t, budget.Spend())
+		require.False(t, budget.Spend())
+		time.Sleep(500 * time.Millisecond)
+		require.True(t, budget.Spend())
+	})
+}
+
+// Guards against retries in step, and against delays without a bound.
+func TestDelay(t *testing.T) {
+	backoff := retry.Backoff{Base: 20 * time.Millisecond, Ceiling: time.Second, Random: rand.New(rand.NewPCG(1, 2))}
+	for attempt, longest := range map[int]time.Duration{
+		1: 20 * time.Millisecond, 2: 40 * time.Millisecond, 5: 320 * time.Millisecond, 50: time.Second,
+	} {
+		seen := make(map[time.Duration]bool)
+		for range 50 {
+			delay := backoff.Delay(attempt)
+			require.GreaterOrEqual(t, delay, longest/2)
+			require.LessOrEqual(t, delay, longest)
+			seen[delay] = true
+		}
+		require.Greater(t, len(seen), 10)
+	}
+}
