--- a/core/health/health.go
+++ b/core/health/health.go
@@ -290,20 +290,26 @@
 	return 1 - (1-share)*math.Exp(-age.Seconds()/hintLife.Seconds())
 }
 
-// Probe reports whether a weighted-down server should get one call now, to see
-// whether it is well again, and counts that call as sent.
-func (health *Health) Probe(name string) bool {
+// ProbeDue reports whether a weighted-down server should get one call now, to
+// see whether it is well again.
+func (health *Health) ProbeDue(name string) bool {
 	server := health.servers[name]
 	now := time.Now()
 	if server == nil || server.load.Leaving || now.Before(server.blocked) {
 		return false
 	}
-	if !server.probation && (health.Weight(name) >= probeBelow || now.Sub(server.observed) < health.options.ProbeInterval) {
-		return false
-	}
 	if now.Sub(server.probed) < health.options.ProbeInterval {
 		return false
 	}
-	server.probed = now
-	return true
+	if server.probation {
+		return true
+	}
+	return now.Sub(server.observed) >= health.options.ProbeInterval && health.Weight(name) < probeBelow
+}
+
+// Probed records that a server got its probe.
+func (health *Health) Probed(name string) {
+	if server := health.servers[name]; server != nil {
+		server.probed = time.Now()
+	}
 }
