core/cell: add the full scheduler

Cause: the first cell queued by tier and relayed; it neither resumed, hedged, preempted nor told apart what was run. Change: each call is driven by the goroutine of Serve, each attempt by one of its own; the queue, the slots and the estimates are under one mutex. Options.Switches turns each mechanism off. Conclusion: an answer that ends without a finish reason counts as cut.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -1,63 +1,113 @@
 package cell
 
 import (
-	"cmp"
-	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"primrosegw/core/event"
-	"primrosegw/core/fault"
+	"primrosegw/core/health"
+	"primrosegw/core/length"
+	"primrosegw/core/poison"
+	"primrosegw/core/queue"
+	"primrosegw/core/retry"
 )
 
-// Options configures a cell.
-type Options struct {
-	// Name identifies the cell in summaries and logs.
-	Name string
-	// Servers are the cell's backend servers at the start.
-	Servers []Server
-	// Logger receives one event for each decision; nil: none is written.
-	Logger *event.Logger
-}
-
 // Cell schedules calls on the backend servers of one pool in one failure
 // domain. It is safe for concurrent use.
+//
+// Each call is driven by the goroutine that called Serve: it handles the call's
+// grants, chunks, ends and timers one at a time. Each attempt has a goroutine
+// that runs the backend and sends messages to the call. The queue, the slots
+// and the estimates are shared and guarded by one mutex; dispatch runs under it
+// whenever one of them changes.
 type Cell struct {
 	options Options
 
-	mutex   sync.Mutex
-	servers []*server
-	waiting []*call
-	closed  bool
-}
-
-// server is a backend server with its occupied slots.
-type server struct {
-	Server
-	running int
-	// removed: the last update did not list the server.
-	removed bool
+	mutex    sync.Mutex
+	servers  []*server
+	health   *health.Health
+	queue    *queue.Queue[*call]
+	lengths  *length.Estimator
+	retries  *retry.Budget
+	hedges   *retry.Budget
+	backoff  retry.Backoff
+	suspects []*call
+	copies   map[uint64]int
+	proven   *memory
+	// present is the time of the last call of each class.
+	present map[string]time.Time
+	// queued is the expected work queued of each class, in tokens.
+	queued map[string]float64
+	// recheck runs dispatch again when a weight may have changed; nil: not set.
+	recheck  *time.Timer
+	sequence uint64
+	stats    Stats
+	closed   bool
 }
 
-// call is a request that waits for a slot.
-type call struct {
-	request Request
-	// assigned receives the server that the call was given, nil when the cell
-	// closed first.
-	assigned chan *server
+// Stats counts what a cell did since New.
+type Stats struct {
+	// Calls counts calls to Serve, Completed those with a whole answer.
+	Calls     int
+	Completed int
+	// Dispatched counts attempts.
+	Dispatched int
+	Shed       int
+	Preempted  int
+	Hedged     int
+	// HedgesWon counts hedges that gave the first token.
+	HedgesWon int
+	// Resumed counts attempts that replaced one that broke.
+	Resumed int
+	Refused int
+	Stalled int
+	Crashed int
+	// Unknown counts calls whose callers were told that they may have run.
+	Unknown int
+	Poison  int
+	Probed  int
+	// Tokens counts tokens delivered, Wasted those generated and not delivered.
+	Tokens int
+	Wasted int
 }
 
 // New returns a cell with the given servers.
 func New(options Options) *Cell {
-	if options.Logger == nil {
-		options.Logger = event.Discard()
+	options = withDefaults(options)
+	cell := &Cell{
+		options: options,
+		health:  health.New(options.Health),
+		lengths: length.New(length.Options{}),
+		retries: retry.New(retry.Options{
+			Share: options.RetryShare, Reserve: retry.DefaultReserve, PerSecond: retry.DefaultPerSecond,
+		}),
+		hedges:  retry.New(retry.Options{Share: options.HedgeShare, Reserve: hedgeReserve}),
+		backoff: retry.Backoff{Base: retry.DefaultBase, Ceiling: retry.DefaultCeiling, Random: options.Random},
+		copies:  make(map[uint64]int),
+		proven:  newMemory(provenCapacity),
+		present: make(map[string]time.Time),
+		queued:  make(map[string]float64),
 	}
-	cell := &Cell{options: options}
+	cell.queue = queue.New[*call](cell.queueOptions())
 	cell.Update(options.Servers)
 	return cell
 }
 
+// queueOptions returns the queue's options. Without the minimum share a class
+// gains so little that it is never owed a dispatch.
+func (cell *Cell) queueOptions() queue.Options {
+	options := queue.Options{Capacity: cell.options.Capacity, MinimumShares: cell.options.MinimumShares}
+	if cell.options.Switches.DisableMinimumShare {
+		options.MinimumShares = nil
+		options.DefaultShare = 1e-12
+	}
+	return options
+}
+
 // Update replaces the cell's backend servers. A server that is no longer listed
 // finishes what it runs and gets nothing new.
 func (cell *Cell) Update(servers []Server) {
@@ -65,196 +115,152 @@
 	defer cell.mutex.Unlock()
 	known := make(map[string]*server, len(cell.servers))
 	for _, server := range cell.servers {
-		server.removed = true
+		server.Leaving = true
 		known[server.Name] = server
 	}
 	updated := make([]*server, 0, len(servers))
+	names := make([]string, 0, len(servers))
 	for _, wanted := range servers {
 		entry, found := known[wanted.Name]
 		if !found {
-			entry = &server{}
+			entry = &server{cached: newMemory(affinityCapacity)}
 		}
 		entry.Server = wanted
-		entry.removed = false
 		updated = append(updated, entry)
+		names = append(names, wanted.Name)
 	}
 	cell.servers = updated
+	cell.health.Update(names)
+	cell.log(event.CellServers, logrus.Fields{"servers": strings.Join(names, " ")})
 	cell.dispatch()
 }
 
-// Close hands queued work back with the kind Closed. Work that was dispatched
-// goes on to its end.
-func (cell *Cell) Close() {
+// SetShares replaces the minimum shares of the classes.
+func (cell *Cell) SetShares(shares map[string]float64) {
 	cell.mutex.Lock()
 	defer cell.mutex.Unlock()
-	cell.closed = true
-	for _, call := range cell.waiting {
-		call.assigned <- nil
-	}
-	cell.waiting = nil
+	cell.options.MinimumShares = shares
+	cell.queue.SetShares(cell.queueOptions().MinimumShares)
 }
 
-// Summary returns the cell's load.
-func (cell *Cell) Summary() Summary {
+// Report takes a load report of a backend server.
+func (cell *Cell) Report(server string, load health.Load) {
+	cell.mutex.Lock()
+	defer cell.mutex.Unlock()
+	cell.health.Report(server, load)
+	cell.dispatch()
+}
+
+// Cached takes a backend server's cache events: prompt prefixes that it holds
+// now and prefixes that it dropped. They are a hint for the choice of a server.
+func (cell *Cell) Cached(name string, stored, dropped []uint64) {
 	cell.mutex.Lock()
 	defer cell.mutex.Unlock()
-	summary := Summary{Cell: cell.options.Name, Queued: len(cell.waiting), At: time.Now()}
 	for _, server := range cell.servers {
-		if server.Leaving {
+		if server.Name != name {
 			continue
 		}
-		summary.Slots += server.Slots
-		summary.Free += max(0, server.Slots-server.running)
-	}
-	return summary
-}
-
-// Serve runs a request on a backend server and hands each piece of the answer
-// to emit, in order. Serve calls emit from its own goroutine and never after
-// it has returned. The outcome is valid with an error too; its Run is true.
-func (cell *Cell) Serve(ctx context.Context, request Request, emit func(Chunk) error) (Outcome, error) {
-	outcome := Outcome{Run: NotRun}
-	if !request.Deadline.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, request.Deadline)
-		defer cancel()
-	}
-	for {
-		server, err := cell.wait(ctx, request)
-		if err != nil {
-			return outcome, err
+		for _, prefix := range stored {
+			server.cached.add(prefix)
 		}
-		outcome.Attempts++
-		outcome.Server = server.Name
-		err = generate(ctx, server, request, &outcome, emit)
-		cell.release(server)
-		if outcome.Tokens == 0 && fault.Is(err, Refused) {
-			continue
+		for _, prefix := range dropped {
+			server.cached.remove(prefix)
 		}
-		return settle(ctx, outcome, err)
-	}
-}
-
-// generate runs one attempt and relays its chunks.
-func generate(ctx context.Context, server *server, request Request, outcome *Outcome, emit func(Chunk) error) error {
-	call := Call{
-		Request: request, Attempt: outcome.Attempts, Version: server.Version,
-		ResumeTokens: request.ResumeTokens, ResumeText: request.ResumeText,
-	}
-	return server.Backend.Generate(ctx, call, func(chunk Chunk) error {
-		outcome.Tokens += chunk.Tokens
-		outcome.Finish = chunk.Finish
-		return emit(chunk)
-	})
-}
-
-// settle turns the end of the last attempt into the outcome.
-func settle(ctx context.Context, outcome Outcome, err error) (Outcome, error) {
-	outcome.Run = Ran
-	if err == nil {
-		return outcome, nil
-	}
-	if ctx.Err() != nil {
-		return outcome, gone("cell.Serve", ctx.Err())
-	}
-	if fault.Is(err, Rejected) {
-		outcome.Run = NotRun
-		return outcome, err
 	}
-	outcome.Run = RunUnknown
-	return outcome, fault.Wrap("cell.Serve", Unknown, err)
 }
 
-// gone returns the error for a call whose context ended.
-func gone(op string, err error) error {
-	if err == context.DeadlineExceeded {
-		return fault.Wrap(op, Expired, err)
+// Close hands queued work back with the kind Closed. Work that was dispatched
+// goes on to its end.
+func (cell *Cell) Close() {
+	cell.mutex.Lock()
+	defer cell.mutex.Unlock()
+	if cell.closed {
+		return
 	}
-	return fault.Wrap(op, Gone, err)
-}
-
-// wait queues a request until a server has a free slot for it.
-func (cell *Cell) wait(ctx context.Context, request Request) (*server, error) {
-	call := &call{request: request, assigned: make(chan *server, 1)}
-	if err := cell.enqueue(call); err != nil {
-		return nil, err
+	cell.closed = true
+	handed := 0
+	for _, item := range cell.queue.Drain() {
+		call := item.Value
+		cell.unqueued(call)
+		if call.fresh() {
+			call.grants <- grant{err: closed()}
+			handed++
+			continue
+		}
+		// The call ran before: it goes on here.
+		cell.requeue(call)
 	}
-	select {
-	case server := <-call.assigned:
-		if server == nil {
-			return nil, fault.New("cell.Serve", Closed, "the cell is closed")
+	for _, call := range slices.Clone(cell.suspects) {
+		if call.fresh() {
+			cell.removeSuspect(call)
+			call.grants <- grant{err: closed()}
+			handed++
 		}
-		return server, nil
-	case <-ctx.Done():
-		cell.abandon(call)
-		return nil, gone("cell.Serve", ctx.Err())
 	}
+	cell.log(event.CellClosed, logrus.Fields{"handed_back": handed, "queued": cell.queue.Len()})
 }
 
-// enqueue puts a call in the queue.
-func (cell *Cell) enqueue(waiting *call) error {
+// Summary returns the cell's load.
+func (cell *Cell) Summary() Summary {
 	cell.mutex.Lock()
 	defer cell.mutex.Unlock()
-	if cell.closed {
-		return fault.New("cell.Serve", Closed, "the cell is closed")
+	now := time.Now()
+	summary := Summary{Cell: cell.options.Name, Queued: cell.queue.Len() + len(cell.suspects), At: now}
+	for _, server := range cell.servers {
+		slots := cell.slots(server)
+		summary.Slots += slots
+		if server.open() {
+			summary.Free += max(0, slots-len(server.attempts))
+		}
 	}
-	position, _ := slices.BinarySearchFunc(cell.waiting, waiting, func(a, b *call) int {
-		// Equal calls keep their order of arrival.
-		return cmp.Or(cmp.Compare(a.request.Tier, b.request.Tier), a.request.FirstToken.Compare(b.request.FirstToken), -1)
-	})
-	cell.waiting = slices.Insert(cell.waiting, position, waiting)
-	cell.dispatch()
-	return nil
+	for index := range summary.WaitMs {
+		wait := cell.wait(index+1, now.Add(time.Hour), "")
+		summary.WaitMs[index] = uint32(min(wait.Milliseconds(), 1<<31))
+	}
+	return summary
 }
 
-// abandon takes a call out of the queue, or frees the slot it was given.
-func (cell *Cell) abandon(call *call) {
+// Stats returns the counts so far.
+func (cell *Cell) Stats() Stats {
 	cell.mutex.Lock()
-	position := slices.Index(cell.waiting, call)
-	if position >= 0 {
-		cell.waiting = slices.Delete(cell.waiting, position, position+1)
-	}
-	cell.mutex.Unlock()
-	if position >= 0 {
-		return
-	}
-	if server := <-call.assigned; server != nil {
-		cell.release(server)
-	}
+	defer cell.mutex.Unlock()
+	return cell.stats
 }
 
-// release frees a slot.
-func (cell *Cell) release(server *server) {
+// Review withdraws running copies of requests that have become suspects. The
+// daemon calls it after it has merged records of other hosts.
+func (cell *Cell) Review() {
 	cell.mutex.Lock()
 	defer cell.mutex.Unlock()
-	server.running--
-	cell.dispatch()
+	cell.review()
 }
 
-// dispatch gives free slots to the head of the queue. The mutex is held.
-func (cell *Cell) dispatch() {
-	for len(cell.waiting) > 0 {
-		server := cell.choose()
-		if server == nil {
-			return
+// review withdraws running copies of suspects. The mutex is held.
+func (cell *Cell) review() {
+	if cell.options.Switches.DisablePoison {
+		return
+	}
+	for _, server := range cell.servers {
+		for _, attempt := range server.attempts {
+			call := attempt.call
+			if attempt.alone || attempt.yielding || !call.request.Idempotent {
+				continue
+			}
+			if cell.options.Suspects.Verdict(call.request.Fingerprint) == poison.Free {
+				continue
+			}
+			attempt.yielding = true
+			attempt.cancel(errWithdrawn)
+			cell.log(event.CellWithdrawn, attempt.fields())
 		}
-		server.running++
-		cell.waiting[0].assigned <- server
-		cell.waiting = cell.waiting[1:]
 	}
 }
 
-// choose returns the server with the largest share of free slots, nil if none
-// has a free slot.
-func (cell *Cell) choose() *server {
-	var best *server
-	for _, server := range cell.servers {
-		if server.Leaving || server.running >= server.Slots {
-			continue
-		}
-		if best == nil || server.running*best.Slots < best.running*server.Slots {
-			best = server
-		}
+// log writes an event of the cell. The mutex may be held.
+func (cell *Cell) log(event event.Event, fields logrus.Fields) {
+	if !cell.options.Logger.Enabled(event) {
+		return
 	}
-	return best
+	fields["cell"] = cell.options.Name
+	cell.options.Logger.Log(event, fields)
 }
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -29,7 +29,7 @@
 				return ctx.Err()
 			case <-time.After(interval):
 			}
-			if err := emit(cell.Chunk{Offset: offset, Tokens: 1, Text: call.Request.ID + " "}); err != nil {
+			if err := emit(cell.Chunk{Offset: offset, Tokens: 1, Text: call.Request.ID + " ", Finish: finish(offset, count)}); err != nil {
 				return err
 			}
 		}
@@ -73,3 +73,11 @@
 		<-ended
 	})
 }
+
+// finish returns the finish reason of a token.
+func finish(offset, count int) string {
+	if offset == count-1 {
+		return "stop"
+	}
+	return ""
+}
--- /dev/null
+++ b/core/cell/suspect.go
@@ -0,0 +1,226 @@
+package cell
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"primrosegw/core/event"
+	"primrosegw/core/fault"
+	"primrosegw/core/poison"
+)
+
+// Suspects. A request that was on an engine when it died runs alone from then
+// on, under a claim that is exclusive among all hosts. It waits apart from the
+// queue, because it needs a whole server: the cell stops giving new work to one
+// server and lets it drain.
+
+// crashed records the loss of a server in the suspects, and withdraws other
+// running copies of the request. All attempts that a server ran when it died
+// record the same loss. The mutex is held.
+func (cell *Cell) crashed(attempt *attempt) []poison.Record {
+	server := attempt.server
+	if attempt.serial > server.lost {
+		server.lost = cell.sequence
+		server.loss = xxhash.Sum64String(fmt.Sprint(cell.options.Name, "/", server.Name, "/", time.Now().UnixNano()))
+	}
+	cell.stats.Crashed++
+	attempt.crash = server.loss
+	fields := attempt.fields()
+	fields["loss"] = server.loss
+	cell.log(event.CellCrashed, fields)
+	if cell.options.Switches.DisablePoison {
+		return nil
+	}
+	records := cell.options.Suspects.Crash(attempt.call.request.Fingerprint, server.loss)
+	cell.review()
+	return records
+}
+
+// convict gives the claim on a suspect back after it crashed a server, and
+// refuses the call when that was the second one.
+func (call *call) convict(attempt *attempt) error {
+	if attempt.crash == 0 {
+		return nil
+	}
+	if call.claimed {
+		call.unclaim(poison.Result{Crash: attempt.crash})
+	}
+	if call.cell.suspicion(&call.request) == poison.Refuse {
+		return call.poisoned()
+	}
+	return nil
+}
+
+// poisoned returns the error of a request that is not run again.
+func (call *call) poisoned() error {
+	cell := call.cell
+	cell.mutex.Lock()
+	defer cell.mutex.Unlock()
+	cell.stats.Poison++
+	cell.log(event.CellPoison, logrus.Fields{
+		"request_id": call.request.ID, "workspace": call.request.Workspace, "fingerprint": call.request.Fingerprint,
+	})
+	detail := fmt.Sprintf("the request crashed %d backend servers and is not run again for %s", poison.RefusedFrom, poison.Life)
+	return fault.New("cell.Serve", Poison, detail)
+}
+
+// enterAlone claims a suspect and puts it among those that wait for a server of
+// their own. While the claim is held elsewhere, or its owner cannot be reached,
+// the call waits.
+func (call *call) enterAlone() error {
+	if !call.claimed {
+		grant, err := call.cell.options.Claims.Claim(call.ctx, call.request.Fingerprint, call.holder(), call.claimUntil())
+		if err == nil && grant.Verdict == poison.Refuse {
+			return call.poisoned()
+		}
+		if err != nil || !grant.Granted {
+			call.retryAt = time.Now().Add(claimInterval)
+			return nil
+		}
+		call.claimed = true
+	}
+	return call.cell.enqueueSuspect(call)
+}
+
+// holder identifies the call among all hosts.
+func (call *call) holder() string { return call.cell.options.Name + "/" + call.id }
+
+func (call *call) claimUntil() time.Time {
+	if call.request.Deadline.IsZero() {
+		return time.Now().Add(claimTime)
+	}
+	return call.request.Deadline
+}
+
+// unclaim gives the claim back.
+func (call *call) unclaim(result poison.Result) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(call.ctx), releaseTimeout)
+	defer cancel()
+	call.claimed = false
+	// A claim that cannot be given back ends by itself.
+	_ = call.cell.options.Claims.Release(ctx, call.request.Fingerprint, call.holder(), result)
+}
+
+// release ends what the call means to the suspects: a request that ran to its
+// end is not the cause of the crashes that it was held to.
+func (call *call) release(err error) {
+	if call.claimed {
+		call.unclaim(poison.Result{Completed: err == nil})
+	}
+	if err != nil || call.cell.suspicion(&call.request) != poison.Alone {
+		return
+	}
+	if record, changed := call.cell.options.Suspects.Clear(call.request.Fingerprint); changed {
+		call.cell.options.Announce([]poison.Record{record})
+	}
+}
+
+// enqueueSuspect puts a call among the suspects, in the order of tiers and
+// targets.
+func (cell *Cell) enqueueSuspect(waiting *call) error {
+	cell.mutex.Lock()
+	defer cell.mutex.Unlock()
+	if cell.closed && waiting.fresh() {
+		return closed()
+	}
+	if waiting.enqueued.IsZero() {
+		waiting.enqueued = time.Now()
+	}
+	waiting.suspected = true
+	position, _ := slices.BinarySearchFunc(cell.suspects, waiting, func(a, b *call) int {
+		order := cmp.Or(cmp.Compare(a.request.Tier, b.request.Tier), a.request.FirstToken.Compare(b.request.FirstToken))
+		return cmp.Or(order, -1)
+	})
+	cell.suspects = slices.Insert(cell.suspects, position, waiting)
+	cell.dispatch()
+	return nil
+}
+
+// removeSuspect takes a call from among the suspects.
+func (cell *Cell) removeSuspect(call *call) {
+	if !call.suspected {
+		return
+	}
+	call.suspected = false
+	if position := slices.Index(cell.suspects, call); position >= 0 {
+		cell.suspects = slices.Delete(cell.suspects, position, position+1)
+	}
+}
+
+// isolate starts the suspects for which a server has been drained.
+func (cell *Cell) isolate(now time.Time) {
+	for _, call := range slices.Clone(cell.suspects) {
+		server := cell.quarters(call, now)
+		if server == nil || len(server.attempts) > 0 {
+			continue
+		}
+		cell.removeSuspect(call)
+		attempt := cell.newAttempt(call, server, now)
+		attempt.alone = true
+		call.grants <- grant{attempt: attempt}
+		fields := attempt.fields()
+		fields["waited_ms"] = now.Sub(call.enqueued).Milliseconds()
+		cell.log(event.CellSuspect, fields)
+	}
+}
+
+// quarters returns the server that is kept free for a suspect, and chooses one
+// if the suspect has none.
+func (cell *Cell) quarters(call *call, now time.Time) *server {
+	for _, server := range cell.servers {
+		if server.alone != call {
+			continue
+		}
+		if cell.slots(server) > 0 {
+			return server
+		}
+		server.alone = nil
+	}
+	chosen := cell.emptiest(call)
+	if chosen == nil || !cell.mayIsolate(call, chosen, now) {
+		return nil
+	}
+	chosen.alone = call
+	return chosen
+}
+
+// emptiest returns the open server with the fewest running calls.
+func (cell *Cell) emptiest(call *call) *server {
+	var chosen *server
+	for _, server := range cell.servers {
+		if !server.open() || cell.slots(server) == 0 {
+			continue
+		}
+		better := chosen == nil || len(server.attempts) < len(chosen.attempts)
+		if better || chosen == call.avoid && len(server.attempts) == len(chosen.attempts) {
+			chosen = server
+		}
+	}
+	return chosen
+}
+
+// mayIsolate reports whether a suspect may take a server out of ordinary work:
+// up to a quarter of the servers, or any idle one while nothing is queued. Work
+// of a higher tier goes first until the suspect has waited for long.
+func (cell *Cell) mayIsolate(call *call, chosen *server, now time.Time) bool {
+	if len(chosen.attempts) == 0 && cell.queue.Len() == 0 {
+		return true
+	}
+	higher, _ := cell.queue.Ahead(call.request.Tier-1, time.Time{})
+	if higher > 0 && now.Sub(call.enqueued) < firmAfter {
+		return false
+	}
+	taken := 0
+	for _, server := range cell.servers {
+		if server.alone != nil {
+			taken++
+		}
+	}
+	return taken < max(1, len(cell.servers)/4)
+}
