--- a/core/cell/attempt.go
+++ b/core/cell/attempt.go
@@ -64,9 +64,10 @@
 // newAttempt gives a call a slot. The mutex is held.
 func (cell *Cell) newAttempt(call *call, server *server, now time.Time) *attempt {
 	cell.sequence++
+	call.attempts++
 	attempt := &attempt{
 		call: call, server: server, backend: server.Backend, version: server.Version,
-		serial: cell.sequence, offset: call.answer.Tokens(), dispatched: now, idle: now,
+		serial: cell.sequence, number: call.attempts, offset: call.answer.Tokens(), dispatched: now, idle: now,
 	}
 	attempt.ctx, attempt.cancel = context.WithCancelCause(call.ctx)
 	server.attempts = append(server.attempts, attempt)
@@ -84,7 +85,6 @@
 func (call *call) start(attempt *attempt) {
 	call.outcome.Attempts++
 	call.outcome.Server = attempt.server.Name
-	attempt.number = call.outcome.Attempts
 	call.live = append(call.live, attempt)
 	call.cell.limit(attempt)
 	value := Call{
--- a/core/cell/call.go
+++ b/core/cell/call.go
@@ -70,6 +70,7 @@
 	avoid       *server
 	relief      *attempt
 	preemptions int
+	attempts    int
 	lost        int
 }
 
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -220,6 +220,14 @@
 	return summary
 }
 
+// Running returns the number of occupied slots.
+func (cell *Cell) Running() int {
+	cell.mutex.Lock()
+	defer cell.mutex.Unlock()
+	running, _ := cell.remaining()
+	return running
+}
+
 // Stats returns the counts so far.
 func (cell *Cell) Stats() Stats {
 	cell.mutex.Lock()
@@ -237,16 +245,14 @@
 
 // review withdraws running copies of suspects. The mutex is held.
 func (cell *Cell) review() {
-	if cell.options.Switches.DisablePoison {
-		return
-	}
 	for _, server := range cell.servers {
 		for _, attempt := range server.attempts {
-			call := attempt.call
-			if attempt.alone || attempt.yielding || !call.request.Idempotent {
+			request := &attempt.call.request
+			verdict := cell.suspicion(request)
+			if verdict == poison.Free || verdict == poison.Alone && attempt.alone {
 				continue
 			}
-			if cell.options.Suspects.Verdict(call.request.Fingerprint) == poison.Free {
+			if attempt.yielding || !request.Idempotent {
 				continue
 			}
 			attempt.yielding = true
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -260,10 +260,6 @@
 		}
 	default:
 	}
-	for _, server := range cell.servers {
-		if server.alone == call && len(server.attempts) == 0 {
-			server.alone = nil
-		}
-	}
+	cell.unreserve(call)
 	cell.dispatch()
 }
--- a/core/cell/outcome.go
+++ b/core/cell/outcome.go
@@ -161,6 +161,8 @@
 		return call.poisoned()
 	case verdict == poison.Alone:
 		return call.enterAlone()
+	case call.claimed:
+		call.unclaim(poison.Result{})
 	}
 	return call.cell.enqueue(call)
 }
--- a/core/cell/suspect.go
+++ b/core/cell/suspect.go
@@ -153,11 +153,30 @@
 	}
 }
 
-// isolate starts the suspects for which a server has been drained.
+// unreserve gives up the server that is kept free for a call.
+func (cell *Cell) unreserve(call *call) {
+	for _, server := range cell.servers {
+		running := slices.ContainsFunc(server.attempts, func(attempt *attempt) bool { return attempt.alone })
+		if server.alone == call && !running {
+			server.alone = nil
+		}
+	}
+}
+
+// isolate starts the suspects for which a server has been drained, once no other
+// copy of the request runs in the cell: that copy may be about to crash a server
+// too. Calls that are no longer suspects, or are refused now, go back to their
+// goroutines.
 func (cell *Cell) isolate(now time.Time) {
 	for _, call := range slices.Clone(cell.suspects) {
+		if cell.suspicion(&call.request) != poison.Alone {
+			cell.removeSuspect(call)
+			cell.unreserve(call)
+			call.grants <- grant{}
+			continue
+		}
 		server := cell.quarters(call, now)
-		if server == nil || len(server.attempts) > 0 {
+		if server == nil || len(server.attempts) > 0 || cell.copies[call.request.Fingerprint] > 0 {
 			continue
 		}
 		cell.removeSuspect(call)
