--- /dev/null
+++ b/io/engine/backend.go
@@ -0,0 +1,196 @@
+// Package engine talks to a model engine: calls for text over the OpenAI-style
+// HTTP interface, load reports, cache events and orders.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dghubble/sling"
+
+	"primrosegw/core/cell"
+	"primrosegw/core/fault"
+)
+
+const (
+	// connectTimeout bounds the connection set-up to an engine.
+	connectTimeout = time.Second
+	// crashProbeTimeout bounds the check whether an engine that broke a stream
+	// still accepts connections.
+	crashProbeTimeout = 300 * time.Millisecond
+	// maximumErrorBytes bounds what is read of an engine's error answer.
+	maximumErrorBytes = 16 << 10
+	// maximumEventBytes bounds one server-sent event of an engine.
+	maximumEventBytes = 1 << 20
+	// idleConnections is the number of connections kept open to one engine.
+	idleConnections = 64
+)
+
+// Backend runs calls on one engine. It implements cell.Backend.
+type Backend struct {
+	address string
+	client  *http.Client
+}
+
+// NewClient returns the HTTP client for engines. One client serves them all.
+func NewClient() *http.Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		DisableCompression:  true,
+	}}
+}
+
+// New returns the backend of the engine at an address such as
+// http://10.0.0.7:8000.
+func New(address string, client *http.Client) *Backend {
+	return &Backend{address: address, client: client}
+}
+
+// Generate implements cell.Backend.
+func (backend *Backend) Generate(ctx context.Context, call cell.Call, emit func(cell.Chunk) error) error {
+	request, err := backend.request(ctx, call)
+	if err != nil {
+		return err
+	}
+	response, err := backend.client.Do(request)
+	if err != nil {
+		return backend.classify(ctx, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return refusal(response)
+	}
+	reader := answer{offset: call.ResumeTokens, emit: emit}
+	if err := reader.read(response.Body); err != nil {
+		return backend.classify(ctx, err)
+	}
+	return nil
+}
+
+// resume tells an engine what the caller already has of an answer.
+type resume struct {
+	Tokens int    `json:"tokens"`
+	Text   string `json:"text"`
+}
+
+func (backend *Backend) request(ctx context.Context, call cell.Call) (*http.Request, error) {
+	const op = "engine.request"
+	body, err := Body(call)
+	if err != nil {
+		return nil, err
+	}
+	path := "/v1/completions"
+	if call.Request.Chat {
+		path = "/v1/chat/completions"
+	}
+	request, err := sling.New().Base(backend.address).Post(path).
+		Body(bytes.NewReader(body)).
+		Set("Content-Type", "application/json").
+		Set("X-Request-Id", call.Request.ID).
+		Set("X-Attempt", strconv.Itoa(call.Attempt)).
+		Request()
+	if err != nil {
+		return nil, fault.Wrap(op, cell.Rejected, err)
+	}
+	return request.WithContext(ctx), nil
+}
+
+// Body returns the caller's body with the fields that the router sets.
+func Body(call cell.Call) ([]byte, error) {
+	const op = "engine.body"
+	fields := make(map[string]any)
+	raw := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(call.Request.Body, &raw); err != nil {
+		return nil, fault.Wrap(op, cell.Rejected, err)
+	}
+	for name, value := range raw {
+		fields[name] = value
+	}
+	fields["stream"] = true
+	fields["stream_options"] = map[string]bool{"include_usage": true}
+	fields["priority"] = call.Request.Priority
+	fields["request_id"] = call.Request.ID
+	if call.Version != "" {
+		fields["version"] = call.Version
+	}
+	if call.ResumeTokens > 0 {
+		fields["resume"] = resume{Tokens: call.ResumeTokens, Text: call.ResumeText}
+	}
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return nil, fault.Wrap(op, cell.Rejected, err)
+	}
+	return body, nil
+}
+
+// refusal turns an engine's error status into an error. Overload statuses mean
+// that the call was not run; other client errors mean that it never will be.
+func refusal(response *http.Response) error {
+	const op = "engine.generate"
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maximumErrorBytes))
+	detail := fmt.Sprintf("status %d: %s", response.StatusCode, bytes.TrimSpace(text))
+	switch status := response.StatusCode; {
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable,
+		status == http.StatusNotFound, status == http.StatusConflict:
+		return fault.New(op, cell.Refused, detail)
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		return fault.New(op, cell.Rejected, detail)
+	default:
+		return fault.New(op, cell.Broken, detail)
+	}
+}
+
+// classify says what a transport error means for the call.
+func (backend *Backend) classify(ctx context.Context, err error) error {
+	const op = "engine.generate"
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	var known *cell.Error
+	if errors.As(err, &known) {
+		if known.Kind == cell.Broken && !backend.accepts() {
+			return fault.Wrap(op, cell.Crashed, err)
+		}
+		return err
+	}
+	if dialing(err) {
+		return fault.Wrap(op, cell.Refused, err)
+	}
+	if !backend.accepts() {
+		return fault.Wrap(op, cell.Crashed, err)
+	}
+	return fault.Wrap(op, cell.Broken, err)
+}
+
+// dialing reports whether the error came before any byte of the call was sent.
+func dialing(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+// accepts reports whether the engine's process still takes connections. A time
+// out says nothing: a frozen engine is not a crashed one.
+func (backend *Backend) accepts() bool {
+	address, err := url.Parse(backend.address)
+	if err != nil {
+		return true
+	}
+	connection, err := net.DialTimeout("tcp", address.Host, crashProbeTimeout)
+	if err != nil {
+		return !errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = connection.Close()
+	return true
+}
