--- /dev/null
+++ b/io/etcd/wire.go
@@ -0,0 +1,86 @@
+package etcd
+
+// The messages of the published JSON gateway that the client uses: 64-bit
+// integers are strings and bytes are base64.
+
+type header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+type pair struct {
+	Key      []byte `json:"key"`
+	Created  int64  `json:"create_revision,string"`
+	Modified int64  `json:"mod_revision,string"`
+	Value    []byte `json:"value"`
+	Lease    int64  `json:"lease,string"`
+}
+
+type rangeRequest struct {
+	Key []byte `json:"key"`
+	End []byte `json:"range_end,omitempty"`
+}
+
+type rangeReply struct {
+	Header header `json:"header"`
+	Pairs  []pair `json:"kvs"`
+}
+
+type compare struct {
+	Result   string `json:"result"`
+	Target   string `json:"target"`
+	Key      []byte `json:"key"`
+	Modified int64  `json:"mod_revision,string"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+type operation struct {
+	Put    *putRequest   `json:"request_put,omitempty"`
+	Delete *rangeRequest `json:"request_delete_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []operation `json:"success"`
+}
+
+type txnReply struct {
+	Header    header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+}
+
+type leaseMessage struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string,omitempty"`
+}
+
+type keepAliveReply struct {
+	Result leaseMessage `json:"result"`
+}
+
+type watchRequest struct {
+	Create createRequest `json:"create_request"`
+}
+
+type createRequest struct {
+	Key   []byte `json:"key"`
+	End   []byte `json:"range_end"`
+	Start int64  `json:"start_revision,string,omitempty"`
+}
+
+type watchReply struct {
+	Result struct {
+		Created   bool  `json:"created"`
+		Canceled  bool  `json:"canceled"`
+		Compacted int64 `json:"compact_revision,string"`
+		Events    []struct {
+			Type string `json:"type"`
+			Pair pair   `json:"kv"`
+		} `json:"events"`
+	} `json:"result"`
+	Error any `json:"error"`
+}
