--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,251 @@
+// Package daemon assembles an entry host from its parts.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"primrosegw/core/event"
+	"primrosegw/core/fault"
+	"primrosegw/core/host"
+	"primrosegw/core/member"
+	"primrosegw/core/store"
+	"primrosegw/io/config"
+	"primrosegw/io/engine"
+	"primrosegw/io/entry"
+	"primrosegw/io/keys"
+	"primrosegw/io/link"
+	"primrosegw/io/meter"
+)
+
+// Kind is the sort of a daemon error.
+type Kind string
+
+// The kinds of daemon errors.
+const (
+	// Unbound: an address could not be listened on.
+	Unbound Kind = "unbound"
+	// Aborted: the host was ended with requests in flight.
+	Aborted Kind = "aborted"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Options are the dependencies of a Daemon.
+type Options struct {
+	Settings config.Settings
+	Keys     *keys.Keys
+	Logger   *event.Logger
+	// Store is the platform's key-value service.
+	Store store.Store
+	// Random is the source of random choices, seeded by the caller.
+	Random *rand.Rand
+}
+
+// Daemon is one entry host.
+type Daemon struct {
+	settings  config.Settings
+	keys      *keys.Keys
+	logger    *event.Logger
+	meter     *meter.Meter
+	self      host.Host
+	directory directory
+	cells     *cells
+	loads     *loads
+	engines   *http.Client
+	store     store.Store
+	random    *lockedRandom
+
+	link    *link.Link
+	members *member.Member
+
+	entryListener net.Listener
+	adminListener net.Listener
+}
+
+// New returns a host that listens on its addresses; Run serves them. It fails
+// with Unbound.
+func New(options Options) (*Daemon, error) {
+	settings := options.Settings
+	daemon := &Daemon{
+		settings: settings,
+		keys:     options.Keys,
+		logger:   options.Logger,
+		meter:    meter.New(),
+		self:     describe(settings.Host),
+		loads:    newLoads(),
+		engines:  engine.NewClient(),
+		store:    options.Store,
+		random:   &lockedRandom{random: options.Random},
+	}
+	daemon.cells = newCells(daemon.buildCell)
+	if err := daemon.listen(); err != nil {
+		daemon.close()
+		return nil, err
+	}
+	members, err := member.New(daemon.memberOptions())
+	if err != nil {
+		daemon.close()
+		return nil, fault.Wrap("daemon.new", Unbound, err)
+	}
+	daemon.members = members
+	return daemon, nil
+}
+
+func describe(settings config.Host) host.Host {
+	return host.Host{
+		Name: settings.Name, Region: settings.Region, FailureDomain: settings.FailureDomain,
+		LinkAddress: settings.LinkAddress, EntryAddress: settings.EntryAddress, State: host.Alive,
+	}
+}
+
+// listen opens all addresses. Ports given as 0 are chosen by the system, and
+// the host tells others the chosen ones.
+func (daemon *Daemon) listen() error {
+	const op = "daemon.listen"
+	var err error
+	daemon.entryListener, err = net.Listen("tcp", daemon.self.EntryAddress)
+	if err != nil {
+		return &Error{Op: op, Kind: Unbound, Field: "host.entry_address", Err: err}
+	}
+	daemon.self.EntryAddress = daemon.entryListener.Addr().String()
+	if address := daemon.settings.Host.AdminAddress; address != "" {
+		daemon.adminListener, err = net.Listen("tcp", address)
+		if err != nil {
+			return &Error{Op: op, Kind: Unbound, Field: "host.admin_address", Err: err}
+		}
+	}
+	daemon.link, err = link.New(link.Options{
+		Address: daemon.self.LinkAddress, TLS: daemon.keys.LinkConfig(), Handlers: daemon.handlers(),
+	})
+	if err != nil {
+		return &Error{Op: op, Kind: Unbound, Field: "host.link_address", Err: err}
+	}
+	daemon.self.LinkAddress = daemon.link.Address()
+	return nil
+}
+
+func (daemon *Daemon) close() {
+	if daemon.entryListener != nil {
+		_ = daemon.entryListener.Close()
+	}
+	if daemon.adminListener != nil {
+		_ = daemon.adminListener.Close()
+	}
+	if daemon.link != nil {
+		daemon.link.Close()
+	}
+	daemon.meter.Close()
+}
+
+// Host returns this host with the addresses it listens on.
+func (daemon *Daemon) Host() host.Host { return daemon.self }
+
+// AdminAddress returns the operators' address, empty if there is none.
+func (daemon *Daemon) AdminAddress() string {
+	if daemon.adminListener == nil {
+		return ""
+	}
+	return daemon.adminListener.Addr().String()
+}
+
+// Signals steer a running host.
+type Signals struct {
+	// Drain makes the host leave after its requests have ended.
+	Drain <-chan struct{}
+	// Abort makes it leave at once.
+	Abort <-chan struct{}
+}
+
+// Run serves until the host has drained, the context ends or an address fails.
+// It fails with Aborted when requests were cut off.
+func (daemon *Daemon) Run(ctx context.Context, signals Signals) error {
+	background, stop := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for _, loop := range daemon.loops() {
+		group.Go(func() { loop(background) })
+	}
+	servers := []*http.Server{daemon.entryServer()}
+	listeners := []net.Listener{daemon.entryListener}
+	if daemon.adminListener != nil {
+		servers = append(servers, daemon.adminServer())
+		listeners = append(listeners, daemon.adminListener)
+	}
+	failed := make(chan error, len(servers))
+	for index, server := range servers {
+		group.Go(func() { failed <- daemon.serve(server, listeners[index]) })
+	}
+	daemon.directory.taking.Store(true)
+	daemon.logger.Log(event.HostStarted(), logrus.Fields{
+		"entry_address": daemon.self.EntryAddress, "link_address": daemon.self.LinkAddress,
+		"admin_address": daemon.AdminAddress(), "failure_domain": daemon.self.FailureDomain,
+	})
+	err := daemon.wait(ctx, signals, servers, failed)
+	stop()
+	daemon.close()
+	group.Wait()
+	daemon.logger.Log(event.HostStopped(), logrus.Fields{})
+	return err
+}
+
+func (daemon *Daemon) serve(server *http.Server, listener net.Listener) error {
+	var err error
+	if daemon.keys.Entry() {
+		server.TLSConfig = daemon.keys.EntryConfig()
+		err = server.ServeTLS(listener, "", "")
+	} else {
+		err = server.Serve(listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fault.Wrap("daemon.serve", Unbound, err)
+}
+
+// wait blocks until the host is told to leave, then lets its requests end.
+func (daemon *Daemon) wait(ctx context.Context, signals Signals, servers []*http.Server, failed <-chan error) error {
+	select {
+	case err := <-failed:
+		daemon.shut(servers)
+		return err
+	case <-ctx.Done():
+		return daemon.abort(servers)
+	case <-signals.Abort:
+		return daemon.abort(servers)
+	case <-signals.Drain:
+		return daemon.drain(ctx, signals, servers)
+	}
+}
+
+func (daemon *Daemon) entryServer() *http.Server {
+	limits := daemon.settings.Limits
+	callers := entry.New(entry.Options{
+		Router:    daemon,
+		Directory: &daemon.directory,
+		Hosts:     daemon,
+		Limiter:   daemon.limiter,
+		Ledger:    daemon.ledger,
+		Services:  daemon.services,
+		Logger:    daemon.logger,
+		Meter:     daemon.meter,
+		Limits: entry.Limits{
+			BodyBytes:    limits.BodyBytes,
+			BodyTimeout:  time.Duration(limits.BodyTimeoutMs) * time.Millisecond,
+			WriteTimeout: time.Duration(limits.WriteTimeoutMs) * time.Millisecond,
+		},
+	})
+	return &http.Server{
+		Handler:           callers.Handler(),
+		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
+		MaxHeaderBytes:    limits.HeaderBytes,
+		ErrorLog:          nil,
+	}
+}
--- /dev/null
+++ b/io/daemon/message.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"time"
+
+	"primrosegw/core/cell"
+	"primrosegw/core/fault"
+)
+
+// The names of messages between hosts.
+const (
+	messageForward = "forward"
+	messageProbe   = "probe"
+	messageMember  = "member"
+)
+
+// maximumHops bounds how often a request is passed on between hosts whose
+// views of the membership differ. A host at the last hop serves the request
+// whoever owns the cell.
+const maximumHops = 2
+
+// forward asks a cell's owner to run a request.
+type forward struct {
+	Cell    string       `cbor:"cell"`
+	Hops    int          `cbor:"hops"`
+	Request cell.Request `cbor:"request"`
+	// LeftMs is the time left until the caller's deadline, in milliseconds.
+	// Hosts' clocks may differ, so no instant crosses a link.
+	LeftMs int64 `cbor:"left_ms"`
+	// FirstTokenMs is the time left until the target for the first token.
+	FirstTokenMs int64 `cbor:"first_token_ms"`
+}
+
+// frame is one answer to a forward. Exactly one of its parts is set; a frame
+// without any says that the request still waits or runs.
+type frame struct {
+	// Request tells the frames of one request from those of another.
+	Request string      `cbor:"request"`
+	Chunk   *cell.Chunk `cbor:"chunk"`
+	Final   *final      `cbor:"final"`
+}
+
+// final ends the answer to a forward.
+type final struct {
+	Outcome cell.Outcome `cbor:"outcome"`
+	Kind    cell.Kind    `cbor:"kind"`
+	Text    string       `cbor:"text"`
+	Summary cell.Summary `cbor:"summary"`
+}
+
+// probe asks a cell's owner for its load.
+type probe struct {
+	Cell string `cbor:"cell"`
+}
+
+// prepare turns instants into spans for the way over a link.
+func prepare(name string, hops int, request cell.Request) forward {
+	return forward{
+		Cell: name, Hops: hops, Request: request,
+		LeftMs:       time.Until(request.Deadline).Milliseconds(),
+		FirstTokenMs: time.Until(request.FirstToken).Milliseconds(),
+	}
+}
+
+// request turns spans back into instants of this host's clock.
+func (forward forward) request() cell.Request {
+	request := forward.Request
+	now := time.Now()
+	request.Arrived = now
+	request.Deadline = now.Add(time.Duration(forward.LeftMs) * time.Millisecond)
+	request.FirstToken = now.Add(time.Duration(forward.FirstTokenMs) * time.Millisecond)
+	return request
+}
+
+// err turns a final frame back into the owner's error.
+func (final final) err() error {
+	if final.Kind == "" {
+		return nil
+	}
+	return fault.New("cell.serve", final.Kind, final.Text)
+}
--- /dev/null
+++ b/io/daemon/router.go
@@ -0,0 +1,259 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"primrosegw/core/cell"
+	"primrosegw/core/event"
+	"primrosegw/core/fault"
+	"primrosegw/core/host"
+	"primrosegw/core/route"
+)
+
+const (
+	// maximumTries bounds the cells and owners that one request is sent to.
+	maximumTries = 6
+	// summaryBound is the age past which a remote cell is asked for its load
+	// before it is sent work.
+	summaryBound = time.Second
+	// probeTimeout bounds that question. A cell that does not answer in this
+	// time is chosen by what is known.
+	probeTimeout = 50 * time.Millisecond
+)
+
+// passage follows one request through the cells it is sent to.
+type passage struct {
+	daemon  *Daemon
+	request cell.Request
+	emit    func(cell.Chunk) error
+	// tokens and text are what the caller has of the answer.
+	tokens int
+	text   strings.Builder
+	// tried are the cells and owners that the request was sent to in vain.
+	tried map[string]bool
+	total cell.Outcome
+}
+
+/*
+Generate implements entry.Router. A request is sent to one cell after another
+until one of them ends it. What happens next depends on how a try ended:
+
+  - The owner was not reached, or it answered that the request was not run: the
+    next cell or owner is tried.
+  - The owner was lost after it had the request, or its engines broke the stream:
+    idempotent work goes to the next cell with the tokens that the caller already
+    has, other work ends with "unknown".
+  - Anything else ends the request.
+*/
+func (daemon *Daemon) Generate(ctx context.Context, request cell.Request, emit func(cell.Chunk) error) (cell.Outcome, error) {
+	passage := &passage{daemon: daemon, request: request, emit: emit, tried: make(map[string]bool)}
+	passage.total.Run = cell.NotRun
+	var last error
+	for range maximumTries {
+		decision, err := passage.choose(ctx)
+		if err != nil {
+			daemon.logger.Log(event.RouteNone(), logrus.Fields{"request": request.ID, "model": request.Model, "error": err.Error()})
+			return passage.total, passage.exhausted(last, err)
+		}
+		last = passage.send(ctx, decision)
+		if last == nil || !passage.again(ctx, last) {
+			return passage.total, passage.settle(last)
+		}
+		daemon.logger.Log(event.RouteFailed(), logrus.Fields{
+			"request": request.ID, "cell": decision.Chosen.Cell, "owner": decision.Chosen.Owner.Name,
+			"tokens": passage.tokens, "error": last.Error(),
+		})
+	}
+	return passage.total, passage.settle(last)
+}
+
+// send runs the request at the chosen cell.
+func (passage *passage) send(ctx context.Context, decision route.Decision) error {
+	daemon := passage.daemon
+	chosen := decision.Chosen
+	request := passage.request
+	request.ResumeTokens = passage.tokens
+	request.ResumeText = passage.text.String()
+	passage.tried[tryKey(chosen)] = true
+	var outcome cell.Outcome
+	var err error
+	if chosen.Owner.Name == daemon.self.Name {
+		outcome, err = daemon.serveHere(ctx, chosen.Cell, maximumHops, request, passage.take)
+	} else {
+		outcome, err = daemon.forward(ctx, chosen.Owner, prepare(chosen.Cell, 1, request), passage.take)
+	}
+	passage.add(outcome)
+	return err
+}
+
+// take hands a chunk to the caller. The caller gets each token once and in
+// order: a piece that it has already is dropped, and a gap ends the try.
+func (passage *passage) take(chunk cell.Chunk) error {
+	if chunk.Offset < passage.tokens {
+		return nil
+	}
+	if chunk.Offset > passage.tokens {
+		return fault.New("daemon.take", cell.Broken, "the stream has a gap")
+	}
+	passage.tokens += chunk.Tokens
+	passage.text.WriteString(chunk.Text)
+	return passage.emit(chunk)
+}
+
+// add sums up the outcomes of the tries.
+func (passage *passage) add(outcome cell.Outcome) {
+	passage.total.Attempts += outcome.Attempts
+	passage.total.Wasted += outcome.Wasted
+	passage.total.Tokens = passage.tokens
+	passage.total.RetryAfter = outcome.RetryAfter
+	if outcome.Server != "" {
+		passage.total.Server = outcome.Server
+	}
+	if outcome.Finish != "" {
+		passage.total.Finish = outcome.Finish
+	}
+	if outcome.Run != cell.NotRun && passage.total.Run != cell.Ran {
+		passage.total.Run = outcome.Run
+	}
+}
+
+// again reports whether the request may go to another cell or owner.
+func (passage *passage) again(ctx context.Context, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	var failed *lost
+	if errors.As(err, &failed) {
+		return !failed.delivered || passage.request.Idempotent
+	}
+	switch kindOf(err) {
+	case cell.Closed, cell.Refused:
+		return passage.total.Run == cell.NotRun || passage.request.Idempotent
+	case cell.Broken, cell.Crashed, cell.Stalled:
+		return passage.request.Idempotent
+	default:
+		return false
+	}
+}
+
+// settle turns the last try's error into the caller's.
+func (passage *passage) settle(err error) error {
+	var failed *lost
+	if !errors.As(err, &failed) {
+		return err
+	}
+	if !failed.delivered && passage.total.Run == cell.NotRun {
+		return fault.Wrap("daemon.generate", cell.Refused, err)
+	}
+	passage.total.Run = cell.RunUnknown
+	return fault.Wrap("daemon.generate", cell.Unknown, err)
+}
+
+// exhausted is the error when no cell is left to try: the last try's, if there
+// was one, as it tells more.
+func (passage *passage) exhausted(last, none error) error {
+	if last != nil {
+		return passage.settle(last)
+	}
+	return fault.Wrap("daemon.generate", cell.Refused, none)
+}
+
+// choose picks the next cell and logs the decision.
+func (passage *passage) choose(ctx context.Context) (route.Decision, error) {
+	daemon := passage.daemon
+	candidates := passage.candidates()
+	decision, err := daemon.pick(passage.request, candidates)
+	if err != nil {
+		return route.Decision{}, err
+	}
+	chosen := decision.Chosen
+	remote := chosen.FailureDomain != daemon.self.FailureDomain
+	if remote && (!chosen.Known || chosen.Age > summaryBound) {
+		daemon.probe(ctx, candidates)
+		decision, err = daemon.pick(passage.request, passage.candidates())
+		if err != nil {
+			return route.Decision{}, err
+		}
+		chosen = decision.Chosen
+	}
+	daemon.logger.Log(event.RouteChosen(), logrus.Fields{
+		"request": passage.request.ID, "tier": passage.request.Tier, "cell": chosen.Cell, "owner": chosen.Owner.Name,
+		"over": decision.Over, "reason": decision.Reason, "summary_age_ms": chosen.Age.Milliseconds(),
+		"resume_tokens": passage.tokens,
+	})
+	daemon.meter.Count("route_decisions", "reason", decision.Reason, 1)
+	return decision, nil
+}
+
+// candidates lists the cells of the request's model with what is known of each.
+func (passage *passage) candidates() []route.Candidate {
+	daemon := passage.daemon
+	view := daemon.directory.current.Load()
+	if view == nil {
+		return nil
+	}
+	pool := view.pools[passage.request.Model]
+	var candidates []route.Candidate
+	for _, plan := range view.cells {
+		if plan.Pool.Name != pool.Name {
+			continue
+		}
+		candidate := route.Candidate{Cell: plan.Name, FailureDomain: plan.FailureDomain}
+		for _, owner := range host.Rank(plan.Name, daemon.ownersOf(plan)) {
+			candidate.Owner = owner
+			if !passage.tried[tryKey(candidate)] {
+				break
+			}
+		}
+		if candidate.Owner.Name == "" {
+			continue
+		}
+		candidate.Failed = passage.tried[tryKey(candidate)]
+		daemon.know(&candidate)
+		candidate.PrefixMatch = daemon.prefixMatch(plan, passage.request)
+		candidates = append(candidates, candidate)
+	}
+	return candidates
+}
+
+func tryKey(candidate route.Candidate) string {
+	return candidate.Cell + "\x00" + candidate.Owner.Name
+}
+
+// know fills in the candidate's load: exact for this host's own cells, as last
+// heard for others.
+func (daemon *Daemon) know(candidate *route.Candidate) {
+	if candidate.Owner.Name == daemon.self.Name {
+		candidate.Summary = daemon.cells.summary(candidate.Cell)
+		candidate.Known = candidate.Summary.Cell != ""
+		return
+	}
+	candidate.Summary, candidate.Age, candidate.Known = daemon.loads.get(candidate.Cell)
+}
+
+// probe asks the owners of cells whose load is not known well enough.
+func (daemon *Daemon) probe(ctx context.Context, candidates []route.Candidate) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answers := make(chan cell.Summary, len(candidates))
+	asked := 0
+	for _, candidate := range candidates {
+		if candidate.Failed || candidate.Owner.Name == daemon.self.Name || candidate.Known && candidate.Age <= summaryBound {
+			continue
+		}
+		asked++
+		go func() {
+			var summary cell.Summary
+			_ = daemon.link.Ask(ctx, candidate.Owner.LinkAddress, messageProbe, probe{Cell: candidate.Cell}, &summary)
+			answers <- summary
+		}()
+	}
+	for range asked {
+		daemon.loads.record(<-answers)
+	}
+}
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -28,7 +28,7 @@
 	}
 	answer := newAnswer(writer, parsed, entry.options.Limits.WriteTimeout)
 	defer func() { release(answer.tokens) }()
-	entry.options.Logger.Log(event.RequestReceived, logrus.Fields{
+	entry.options.Logger.Log(event.RequestReceived(), logrus.Fields{
 		"request": parsed.request.ID, "workspace": parsed.workspace.Name, "class": parsed.class.Name,
 		"model": parsed.request.Model, "prompt_tokens": parsed.request.PromptTokens, "stream": parsed.stream,
 	})
@@ -100,8 +100,8 @@
 		logged["error"] = err.Error()
 	}
 	if status == statusClientGone {
-		entry.options.Logger.Log(event.CallerGone, logged)
+		entry.options.Logger.Log(event.CallerGone(), logged)
 		return
 	}
-	entry.options.Logger.Log(event.RequestDone, logged)
+	entry.options.Logger.Log(event.RequestDone(), logged)
 }
--- a/io/entry/problem.go
+++ b/io/entry/problem.go
@@ -67,7 +67,7 @@
 
 // refuse answers a request that was not routed.
 func (entry *Entry) refuse(writer http.ResponseWriter, request *http.Request, problem problem) {
-	entry.options.Logger.Log(event.RequestRefused, logrus.Fields{
+	entry.options.Logger.Log(event.RequestRefused(), logrus.Fields{
 		"method": request.Method, "path": request.URL.Path, "status": problem.status,
 		"type": problem.kind, "param": problem.param,
 	})
--- /dev/null
+++ b/io/plain/service.go
@@ -0,0 +1,204 @@
+// Package plain calls the plain services that stand beside the engines.
+package plain
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dghubble/sling"
+
+	"primrosegw/core/fault"
+	"primrosegw/core/retry"
+	"primrosegw/core/spec"
+)
+
+// Kind is the sort of a plain error.
+type Kind string
+
+// The kinds of plain errors.
+const (
+	// Refused: no address of the service took the call; it was not run.
+	Refused Kind = "refused"
+	// Broken: the call may have run, but its answer was lost.
+	Broken Kind = "broken"
+	// Oversized: the answer is larger than is passed on.
+	Oversized Kind = "oversized"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// maximumAnswerBytes bounds an answer that is passed on.
+	maximumAnswerBytes = 4 << 20
+	connectTimeout     = time.Second
+	// maximumTries bounds the tries of one call over all addresses.
+	maximumTries = 4
+)
+
+// Call is one call of a service.
+type Call struct {
+	Method string
+	// Path is the part after the service's name, without a leading slash.
+	Path   string
+	Query  string
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is what the service said.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// URL is the address that answered.
+	URL string
+	// Tries counts the addresses asked.
+	Tries int
+}
+
+// Options are the dependencies of a Service.
+type Options struct {
+	// Retries is the budget that all calls share.
+	Retries *retry.Budget
+	Backoff retry.Backoff
+}
+
+// Service calls plain services. It is safe for concurrent use.
+type Service struct {
+	options Options
+	client  *http.Client
+	// turn spreads calls over a service's addresses.
+	turn atomic.Uint64
+}
+
+// New returns a client for plain services.
+func New(options Options) *Service {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &Service{options: options, client: &http.Client{
+		Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Do sends a call to one address of a service. Calls with a repeatable method
+// are sent again after a broken connection or an overload status; others only
+// when they certainly were not run. Errors are Refused, Broken and Oversized.
+func (service *Service) Do(ctx context.Context, target spec.Service, call Call) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(target.TimeoutMs)*time.Millisecond)
+	defer cancel()
+	repeatable := slices.Contains(target.RepeatableMethods, call.Method)
+	first := service.turn.Add(1)
+	var answer Answer
+	var err error
+	for try := range maximumTries {
+		address := target.URLs[(first+uint64(try))%uint64(len(target.URLs))]
+		answer, err = service.once(ctx, address, call)
+		answer.Tries = try + 1
+		if !again(answer, err, repeatable) || !service.wait(ctx, try) {
+			break
+		}
+	}
+	if err == nil {
+		service.options.Retries.Earn()
+	}
+	return answer, err
+}
+
+// again reports whether a call may and should be sent once more.
+func again(answer Answer, err error, repeatable bool) bool {
+	switch {
+	case fault.Is(err, Refused):
+		return true
+	case fault.Is(err, Broken):
+		return repeatable
+	case err != nil:
+		return false
+	default:
+		overloaded := answer.Status == http.StatusServiceUnavailable || answer.Status == http.StatusBadGateway
+		return repeatable && overloaded
+	}
+}
+
+// wait spends one retry and waits for its backoff.
+func (service *Service) wait(ctx context.Context, try int) bool {
+	if !service.options.Retries.Spend() {
+		return false
+	}
+	timer := time.NewTimer(service.options.Backoff.Delay(try + 1))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (service *Service) once(ctx context.Context, address string, call Call) (Answer, error) {
+	const op = "plain.do"
+	target := strings.TrimSuffix(address, "/") + "/" + call.Path
+	if call.Query != "" {
+		target += "?" + call.Query
+	}
+	request, err := sling.New().Method(call.Method).Set("Accept", "*/*").Body(bytes.NewReader(call.Body)).
+		Path(target).Request()
+	if err != nil {
+		return Answer{URL: address}, fault.Wrap(op, Refused, err)
+	}
+	copyHeader(request.Header, call.Header)
+	response, err := service.client.Do(request.WithContext(ctx))
+	if err != nil {
+		return Answer{URL: address}, classify(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes+1))
+	if err != nil {
+		return Answer{URL: address}, fault.Wrap(op, Broken, err)
+	}
+	if len(body) > maximumAnswerBytes {
+		return Answer{URL: address}, fault.New(op, Oversized, "the answer is larger than 4 MiB")
+	}
+	return Answer{Status: response.StatusCode, Header: passed(response.Header), Body: body, URL: address}, nil
+}
+
+// classify tells a call that never left from one that may have run.
+func classify(err error) error {
+	const op = "plain.do"
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return fault.Wrap(op, Refused, err)
+	}
+	return fault.Wrap(op, Broken, err)
+}
+
+// passedHeaders lists the headers that go through in either direction. Keys of
+// callers and headers of one connection do not.
+func passedHeaders() []string {
+	return []string{
+		"Accept", "Accept-Language", "Content-Type", "Content-Language", "Etag", "If-Match", "If-None-Match",
+		"Last-Modified", "Location", "Cache-Control", "Idempotency-Key", "X-Request-Id", "Retry-After",
+	}
+}
+
+func passed(header http.Header) http.Header {
+	kept := make(http.Header)
+	copyHeader(kept, header)
+	return kept
+}
+
+func copyHeader(to, from http.Header) {
+	for _, name := range passedHeaders() {
+		if values := from.Values(name); len(values) > 0 {
+			to[name] = slices.Clone(values)
+		}
+	}
+}
