--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -236,8 +236,10 @@
 		answers := all(model, newCall("a", "harmless", 100), newCall("b", "a <poison> b", 5))
 		assert.True(t, fault.Is(answers[0].err, cell.Crashed))
 		assert.True(t, fault.Is(answers[1].err, cell.Crashed))
-		time.Sleep(time.Second)
-		require.NoError(t, generate(t.Context(), model, newCall("c", "fine", 5)).err)
+		time.Sleep(999 * time.Millisecond)
+		assert.True(t, fault.Is(generate(t.Context(), model, newCall("c", "fine", 5)).err, cell.Refused))
+		time.Sleep(2 * time.Millisecond)
+		require.NoError(t, generate(t.Context(), model, newCall("d", "fine", 5)).err)
 		assert.Equal(t, 1, model.Stats().Crashes)
 	})
 }
