--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"primrosegw/core/spec"
 	"primrosegw/io/keys"
 )
 
@@ -13,10 +14,13 @@
 	// HostList is where the platform lists live and leaving hosts.
 	HostList HostList `json:"host_list,omitzero"`
 	// Seeds are hosts to find the others by.
-	Seeds  []Host     `json:"seeds,omitempty"`
-	TLS    keys.Files `json:"tls"`
-	Limits Limits     `json:"limits,omitzero"`
-	Log    Log        `json:"log,omitzero"`
+	Seeds []Host `json:"seeds,omitempty"`
+	// Operators may call this host before a document is in force. After that
+	// the document's operators may.
+	Operators []spec.Operator `json:"operators,omitempty"`
+	TLS       keys.Files      `json:"tls"`
+	Limits    Limits          `json:"limits,omitzero"`
+	Log       Log             `json:"log,omitzero"`
 }
 
 // Host names a host and its addresses, all by IP number.
@@ -81,6 +85,12 @@
 	DefaultLevel             = "info"
 )
 
+// Filled returns the settings with the defaults filled in.
+func (settings Settings) Filled() Settings {
+	settings.fill()
+	return settings
+}
+
 func (settings *Settings) fill() {
 	orDefault(&settings.KeyValue.TimeoutMs, DefaultKeyValueTimeoutMs)
 	orDefault(&settings.KeyValue.CallsPerSecond, DefaultCallsPerSecond)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -8,6 +8,7 @@
 
 	"primrosegw/core/cell"
 	"primrosegw/core/event"
+	"primrosegw/core/limit"
 	"primrosegw/core/spec"
 	"primrosegw/io/meter"
 )
@@ -47,13 +48,6 @@
 	Entries() ([]Address, time.Duration)
 }
 
-// Limiter applies the limits of a workspace.
-type Limiter interface {
-	// Acquire admits one request. The returned function frees what it holds and
-	// records the tokens served.
-	Acquire(workspace spec.Workspace) (release func(tokens int), err error)
-}
-
 // Limits bound what one caller may take.
 type Limits struct {
 	BodyBytes    int64
@@ -66,12 +60,13 @@
 	Router    Router
 	Directory Directory
 	Hosts     Hosts
-	Limiter   Limiter
-	Ledger    Ledger
-	Services  Services
-	Logger    *event.Logger
-	Meter     *meter.Meter
-	Limits    Limits
+	// Limiter applies the limits of workspaces.
+	Limiter  *limit.Limiter
+	Ledger   Ledger
+	Services Services
+	Logger   *event.Logger
+	Meter    *meter.Meter
+	Limits   Limits
 }
 
 // Entry serves callers.
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -9,6 +9,7 @@
 
 	"primrosegw/core/cell"
 	"primrosegw/core/event"
+	"primrosegw/core/ledger"
 	"primrosegw/core/limit"
 	"primrosegw/io/meter"
 )
@@ -21,13 +22,14 @@
 		return
 	}
 	writer.Header().Set(HeaderRequestID, parsed.request.ID)
-	release, err := entry.options.Limiter.Acquire(parsed.workspace)
+	permit, err := entry.options.Limiter.Acquire(parsed.workspace.Name)
 	if err != nil {
 		entry.refuse(writer, request, limited(err))
 		return
 	}
 	answer := newAnswer(writer, parsed, entry.options.Limits.WriteTimeout)
-	defer func() { release(answer.tokens) }()
+	defer permit.Release()
+	defer func() { permit.Debit(answer.tokens) }()
 	entry.options.Logger.Log(event.RequestReceived(), logrus.Fields{
 		"request": parsed.request.ID, "workspace": parsed.workspace.Name, "class": parsed.class.Name,
 		"model": parsed.request.Model, "prompt_tokens": parsed.request.PromptTokens, "stream": parsed.stream,
@@ -40,26 +42,23 @@
 // generate runs a request, once at most if it has an idempotency key.
 func (entry *Entry) generate(ctx context.Context, parsed parsed, answer *answer) {
 	var outcome cell.Outcome
-	run := func(ctx context.Context) (record, error) {
+	run := func(ctx context.Context) (ledger.Outcome, cell.Run, error) {
 		var err error
 		outcome, err = entry.options.Router.Generate(ctx, parsed.request, answer.emit)
-		if err == nil {
-			return record{status: http.StatusOK, body: []byte(answer.text.String()), finish: answer.finish}, nil
-		}
-		return record{notRun: outcome.Run == cell.NotRun}, err
+		return answer.recorded(), outcome.Run, err
 	}
 	var err error
 	if parsed.idempotency == "" {
-		_, err = run(ctx)
+		_, outcome.Run, err = run(ctx)
 	} else {
-		err = entry.once(ctx, parsed, answer, run)
+		outcome.Run, err = entry.once(ctx, parsed.key(), run, answer.replay)
 	}
 	status := http.StatusOK
 	if err == nil {
 		err = answer.end()
 	}
 	if err != nil {
-		problem := entry.explain(outcome, err)
+		problem := describe(outcome, err)
 		status = problem.status
 		outcome.Run = problem.run
 		answer.fail(problem)
--- a/io/entry/problem.go
+++ b/io/entry/problem.go
@@ -13,6 +13,9 @@
 
 	"primrosegw/core/cell"
 	"primrosegw/core/event"
+	"primrosegw/core/fault"
+	"primrosegw/core/ledger"
+	"primrosegw/io/plain"
 )
 
 // problem is an error as callers see it.
@@ -82,51 +85,86 @@
 		result.run = cell.RunUnknown
 	}
 	result.status, result.kind = status(err)
+	if fault.Is(err, Running) {
+		result.retryAfter = runningRetry
+	}
+	if field := faultField(err); field != "" {
+		result.param = field
+	}
 	return result
 }
 
+// faultField returns the input field that an error of the ledger names.
+func faultField(err error) string {
+	var found *ledger.Error
+	if errors.As(err, &found) && found.Field != "" {
+		return HeaderIdempotency
+	}
+	return ""
+}
+
+// status returns the HTTP status and the type of an error.
 func status(err error) (int, string) {
-	if errors.Is(err, context.Canceled) {
+	switch {
+	case errors.Is(err, context.Canceled):
 		return statusClientGone, "caller_gone"
-	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	case errors.Is(err, context.DeadlineExceeded):
 		return http.StatusGatewayTimeout, "deadline_exceeded"
 	}
-	var found *cell.Error
-	if !errors.As(err, &found) {
-		return http.StatusInternalServerError, "internal_error"
+	if kind := fault.KindOf[cell.Kind](err); kind != "" {
+		return cellStatus(kind)
+	}
+	if kind := fault.KindOf[ledger.Kind](err); kind != "" {
+		return ledgerStatus(kind)
+	}
+	if kind := fault.KindOf[Kind](err); kind != "" {
+		return onceStatus(kind)
 	}
-	statuses := map[cell.Kind]int{
-		cell.Shed:     http.StatusTooManyRequests,
-		cell.Refused:  http.StatusServiceUnavailable,
-		cell.Closed:   http.StatusServiceUnavailable,
-		cell.Rejected: http.StatusBadRequest,
-		cell.Expired:  http.StatusGatewayTimeout,
-		cell.Poison:   http.StatusUnprocessableEntity,
-		cell.Gone:     statusClientGone,
-		cell.Broken:   http.StatusBadGateway,
-		cell.Crashed:  http.StatusBadGateway,
-		cell.Stalled:  http.StatusBadGateway,
-		cell.Unknown:  http.StatusBadGateway,
+	if kind := fault.KindOf[plain.Kind](err); kind == plain.Refused {
+		return http.StatusServiceUnavailable, "unavailable"
 	}
-	kinds := map[cell.Kind]string{
-		cell.Shed:     "overloaded",
-		cell.Refused:  "unavailable",
-		cell.Closed:   "unavailable",
-		cell.Rejected: "invalid_request_error",
-		cell.Expired:  "deadline_exceeded",
-		cell.Poison:   "request_crashes_backend_servers",
-		cell.Gone:     "caller_gone",
+	return http.StatusBadGateway, "backend_server_lost"
+}
+
+func cellStatus(kind cell.Kind) (int, string) {
+	switch kind {
+	case cell.Shed:
+		return http.StatusTooManyRequests, "overloaded"
+	case cell.Refused, cell.Closed:
+		return http.StatusServiceUnavailable, "unavailable"
+	case cell.Rejected:
+		return http.StatusBadRequest, "invalid_request_error"
+	case cell.Expired:
+		return http.StatusGatewayTimeout, "deadline_exceeded"
+	case cell.Poison:
+		return http.StatusUnprocessableEntity, "request_crashes_backend_servers"
+	case cell.Gone:
+		return statusClientGone, "caller_gone"
+	default:
+		return http.StatusBadGateway, "backend_server_lost"
 	}
-	code, ok := statuses[found.Kind]
-	if !ok {
-		code = http.StatusInternalServerError
+}
+
+func ledgerStatus(kind ledger.Kind) (int, string) {
+	switch kind {
+	case ledger.Mismatch:
+		return http.StatusUnprocessableEntity, "idempotency_key_reused"
+	case ledger.Invalid:
+		return http.StatusBadRequest, "invalid_request_error"
+	default:
+		return http.StatusServiceUnavailable, "ledger_unavailable"
 	}
-	kind, ok := kinds[found.Kind]
-	if !ok {
-		kind = "backend_server_lost"
+}
+
+func onceStatus(kind Kind) (int, string) {
+	switch kind {
+	case Running, Begun:
+		return http.StatusConflict, string(kind)
+	case Late:
+		return http.StatusServiceUnavailable, string(kind)
+	default:
+		return http.StatusGone, string(kind)
 	}
-	return code, kind
 }
 
 func writeJSON(writer http.ResponseWriter, status int, value any) {
--- /dev/null
+++ b/io/entry/service.go
@@ -0,0 +1,210 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"path"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"primrosegw/core/cell"
+	"primrosegw/core/event"
+	"primrosegw/core/fault"
+	"primrosegw/core/ledger"
+	"primrosegw/core/spec"
+	"primrosegw/io/meter"
+	"primrosegw/io/plain"
+)
+
+// Services calls plain services.
+type Services interface {
+	Do(ctx context.Context, target spec.Service, call plain.Call) (plain.Answer, error)
+}
+
+// visit is one call of a plain service after its checks.
+type visit struct {
+	id          string
+	workspace   spec.Workspace
+	class       spec.Class
+	service     spec.Service
+	call        plain.Call
+	idempotency string
+	arrived     time.Time
+}
+
+// serveService forwards a call to a plain service by its path.
+func (entry *Entry) serveService(writer http.ResponseWriter, request *http.Request) {
+	visit, found := entry.parseService(writer, request)
+	if found != nil {
+		entry.refuse(writer, request, *found)
+		return
+	}
+	writer.Header().Set(HeaderRequestID, visit.id)
+	permit, err := entry.options.Limiter.Acquire(visit.workspace.Name)
+	if err != nil {
+		entry.refuse(writer, request, limited(err))
+		return
+	}
+	defer permit.Release()
+	deadline := visit.arrived.Add(time.Duration(visit.class.DeadlineMs) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(request.Context(), deadline)
+	defer cancel()
+	entry.visit(ctx, writer, visit)
+}
+
+// parseService checks a call of a plain service.
+func (entry *Entry) parseService(writer http.ResponseWriter, request *http.Request) (visit, *problem) {
+	workspace, found := entry.authenticate(request)
+	if found != nil {
+		return visit{}, found
+	}
+	service, ok := entry.options.Directory.Service(request.PathValue("name"))
+	if !ok {
+		return visit{}, &problem{
+			status: http.StatusNotFound, kind: "service_not_found", param: "name", run: cell.NotRun,
+			message: "found " + request.PathValue("name") + ", which the document does not declare",
+		}
+	}
+	class, ok := entry.options.Directory.Class(service.Class)
+	if !ok || !slices.Contains(workspace.Classes, service.Class) {
+		return visit{}, &problem{
+			status: http.StatusForbidden, kind: "permission_error", param: "name", run: cell.NotRun,
+			message: "the workspace has no access to class " + service.Class,
+		}
+	}
+	key := request.Header.Get(HeaderIdempotency)
+	repeatable := slices.Contains(service.RepeatableMethods, request.Method)
+	if found := checkIdempotency(key, repeatable); found != nil {
+		return visit{}, found
+	}
+	id, found := requestID(request)
+	if found != nil {
+		return visit{}, found
+	}
+	body, found := entry.readBody(writer, request)
+	if found != nil {
+		return visit{}, found
+	}
+	header := request.Header.Clone()
+	header.Set(HeaderRequestID, id)
+	return visit{
+		id: id, workspace: workspace, class: class, service: service, idempotency: key, arrived: time.Now(),
+		call: plain.Call{
+			Method: request.Method, Path: strings.TrimPrefix(path.Clean("/"+request.PathValue("path")), "/"),
+			Query: request.URL.RawQuery, Header: header, Body: body,
+		},
+	}, nil
+}
+
+// visit runs a call of a plain service, once at most if it has an idempotency
+// key and its method may not be repeated.
+func (entry *Entry) visit(ctx context.Context, writer http.ResponseWriter, visit visit) {
+	var answer plain.Answer
+	run := func(ctx context.Context) (ledger.Outcome, cell.Run, error) {
+		var err error
+		answer, err = entry.options.Services.Do(ctx, visit.service, visit.call)
+		entry.logService(visit, answer, err)
+		return recordedService(answer), ranService(err), err
+	}
+	replay := func(outcome ledger.Outcome) error {
+		if outcome.Trimmed {
+			return fault.New("entry.replay", Large, "the call ran, but its answer was too large to keep")
+		}
+		answer = plain.Answer{Status: outcome.Status, Body: outcome.Body, Header: make(http.Header)}
+		for name, value := range outcome.Headers {
+			answer.Header.Set(name, value)
+		}
+		answer.Header.Set(HeaderReplayed, "true")
+		return nil
+	}
+	var ran cell.Run
+	var err error
+	if visit.idempotency == "" || slices.Contains(visit.service.RepeatableMethods, visit.call.Method) {
+		_, ran, err = run(ctx)
+	} else {
+		ran, err = entry.once(ctx, visit.key(), run, replay)
+	}
+	entry.answerService(writer, visit, answer, ran, err)
+}
+
+// key names a call in the ledger. The path and the method belong to it, so that
+// a key used for another call is found out.
+func (visit visit) key() ledger.Key {
+	digest := sha256.New()
+	for _, part := range []string{visit.service.Name, visit.call.Method, visit.call.Path, visit.call.Query} {
+		_, _ = digest.Write([]byte(part))
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(visit.call.Body)
+	return ledger.Key{
+		Workspace: visit.workspace.Name, Idempotency: visit.idempotency, BodyHash: [32]byte(digest.Sum(nil)),
+	}
+}
+
+func recordedService(answer plain.Answer) ledger.Outcome {
+	outcome := ledger.Outcome{Status: answer.Status, Body: answer.Body, Headers: make(map[string]string)}
+	for name := range answer.Header {
+		outcome.Headers[name] = answer.Header.Get(name)
+	}
+	return outcome
+}
+
+// ranService says whether a call of a plain service was run.
+func ranService(err error) cell.Run {
+	switch {
+	case err == nil, fault.Is(err, plain.Oversized):
+		return cell.Ran
+	case fault.Is(err, plain.Refused):
+		return cell.NotRun
+	default:
+		return cell.RunUnknown
+	}
+}
+
+func (entry *Entry) answerService(writer http.ResponseWriter, visit visit, answer plain.Answer, ran cell.Run, err error) {
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(entry.options.Limits.WriteTimeout))
+	status := answer.Status
+	if err != nil {
+		problem := describe(cell.Outcome{Run: ran}, err)
+		status = problem.status
+		problem.write(writer)
+	} else {
+		for name, values := range answer.Header {
+			writer.Header()[name] = values
+		}
+		writer.Header().Set(HeaderRequestID, visit.id)
+		writer.WriteHeader(answer.Status)
+		_, _ = writer.Write(answer.Body)
+	}
+	entry.options.Meter.Answered(meter.Answer{
+		Class: visit.class.Name, Status: status, Run: string(ran), Attempts: answer.Tries,
+		FirstToken: time.Since(visit.arrived),
+	})
+	logged := logrus.Fields{
+		"request": visit.id, "workspace": visit.workspace.Name, "class": visit.class.Name,
+		"service": visit.service.Name, "status": status, "run": ran, "attempts": answer.Tries,
+	}
+	if err != nil {
+		logged["error"] = err.Error()
+	}
+	entry.options.Logger.Log(event.RequestDone(), logged)
+}
+
+func (entry *Entry) logService(visit visit, answer plain.Answer, err error) {
+	reason := "next_in_turn"
+	if answer.Tries > 1 {
+		reason = "earlier_address_failed"
+	}
+	fields := logrus.Fields{
+		"request": visit.id, "service": visit.service.Name, "chosen": answer.URL,
+		"over": visit.service.URLs, "reason": reason, "tries": answer.Tries,
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	entry.options.Logger.Log(event.ServiceChosen(), fields)
+}
--- a/io/keys/keys.go
+++ b/io/keys/keys.go
@@ -67,9 +67,29 @@
 	return keys, nil
 }
 
+// Of returns TLS material that is held in memory only, for hosts that run in
+// one process. Callers are served without TLS, and Reload changes nothing.
+func Of(authority []byte, pair Pair) (*Keys, error) {
+	const op = "keys.of"
+	certificate, err := tls.X509KeyPair(pair.Certificate, pair.Key)
+	if err != nil {
+		return nil, fault.Wrap(op, Invalid, err)
+	}
+	loaded := &material{authority: x509.NewCertPool(), host: certificate}
+	if !loaded.authority.AppendCertsFromPEM(authority) {
+		return nil, fault.Field(op, Invalid, "authority", "it holds no certificate")
+	}
+	keys := &Keys{}
+	keys.material.Store(loaded)
+	return keys, nil
+}
+
 // Reload reads the files again. On an error the material in use stays.
 func (keys *Keys) Reload() error {
 	const op = "keys.reload"
+	if keys.files.Authority == "" {
+		return nil
+	}
 	authority, err := os.ReadFile(keys.files.Authority)
 	if err != nil {
 		return &Error{Op: op, Kind: Unreadable, Field: "tls.authority", Err: err}
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/dghubble/sling"
 
 	"primrosegw/core/fault"
 	"primrosegw/core/retry"
@@ -149,13 +148,13 @@
 	if call.Query != "" {
 		target += "?" + call.Query
 	}
-	request, err := sling.New().Method(call.Method).Set("Accept", "*/*").Body(bytes.NewReader(call.Body)).
-		Path(target).Request()
+	// sling has no call for an arbitrary method, so the request is made by hand.
+	request, err := http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
 	if err != nil {
 		return Answer{URL: address}, fault.Wrap(op, Refused, err)
 	}
 	copyHeader(request.Header, call.Header)
-	response, err := service.client.Do(request.WithContext(ctx))
+	response, err := service.client.Do(request)
 	if err != nil {
 		return Answer{URL: address}, classify(err)
 	}
