--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -25,6 +25,7 @@
 		LinkRefused(),
 		DocumentApplied(),
 		DocumentRejected(),
+		OperatorRefused(),
 	}
 }
 
@@ -122,3 +123,8 @@
 func DocumentRejected() Event {
 	return Event{1401, "document_rejected", logrus.ErrorLevel, "document", "A generation's document did not pass the checks and was not applied."}
 }
+
+// OperatorRefused: an operator's call had no valid key.
+func OperatorRefused() Event {
+	return Event{1500, "operator_refused", logrus.WarnLevel, "admin", "An operator's call had no valid key."}
+}
--- a/io/daemon/cells.go
+++ b/io/daemon/cells.go
@@ -61,13 +61,16 @@
 // update gives each open cell its servers of a new document. A cell that the
 // document no longer has, or that another host owns, is closed: what it queued
 // goes back to its entry hosts and what it runs goes on to its end.
-func (cells *cells) update(servers func(name string) ([]cell.Server, bool), owned func(name string) bool) {
+func (cells *cells) update(
+	servers func(name string) ([]cell.Server, bool), owned func(name string) bool, shares map[string]float64,
+) {
 	cells.mutex.Lock()
 	defer cells.mutex.Unlock()
 	for name, open := range cells.open {
 		listed, ok := servers(name)
 		if ok && owned(name) {
 			open.Update(listed)
+			open.SetShares(shares)
 			continue
 		}
 		open.Close()
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -14,8 +14,14 @@
 
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
+	"primrosegw/core/heads"
 	"primrosegw/core/host"
+	"primrosegw/core/ledger"
+	"primrosegw/core/limit"
 	"primrosegw/core/member"
+	"primrosegw/core/poison"
+	"primrosegw/core/retry"
+	"primrosegw/core/route"
 	"primrosegw/core/store"
 	"primrosegw/io/config"
 	"primrosegw/io/engine"
@@ -23,6 +29,7 @@
 	"primrosegw/io/keys"
 	"primrosegw/io/link"
 	"primrosegw/io/meter"
+	"primrosegw/io/plain"
 )
 
 // Kind is the sort of a daemon error.
@@ -64,8 +71,19 @@
 	store     store.Store
 	random    *lockedRandom
 
-	link    *link.Link
-	members *member.Member
+	chooser *route.Router
+	limiter *limit.Limiter
+
+	link     *link.Link
+	members  *member.Member
+	ledger   *once
+	services *plain.Service
+	heads    *heads.Client
+	recent   recent
+	suspects *poison.Registry
+	// forwards counts the requests that other hosts sent here.
+	forwards sync.WaitGroup
+	inForce  inForce
 
 	entryListener net.Listener
 	adminListener net.Listener
@@ -85,21 +103,46 @@
 		engines:  engine.NewClient(),
 		store:    options.Store,
 		random:   &lockedRandom{random: options.Random},
+		chooser:  route.New(route.Options{}),
+		limiter:  limit.New(limit.Options{}),
+		suspects: poison.New(poison.Options{}),
 	}
 	daemon.cells = newCells(daemon.buildCell)
 	if err := daemon.listen(); err != nil {
 		daemon.close()
 		return nil, err
 	}
-	members, err := member.New(daemon.memberOptions())
-	if err != nil {
+	if err := daemon.build(); err != nil {
 		daemon.close()
 		return nil, fault.Wrap("daemon.new", Unbound, err)
 	}
-	daemon.members = members
 	return daemon, nil
 }
 
+// build makes the parts that need this host's addresses.
+func (daemon *Daemon) build() error {
+	var err error
+	if daemon.members, err = member.New(daemon.memberOptions()); err != nil {
+		return err
+	}
+	local, err := ledger.New(ledger.Options{
+		Store: daemon.store, Environment: daemon.settings.Environment, Logger: daemon.logger,
+	})
+	if err != nil {
+		return err
+	}
+	daemon.ledger = &once{daemon: daemon, local: local}
+	daemon.heads, err = heads.New(heads.Options{
+		Store: daemon.store, Environment: daemon.settings.Environment, Log: daemon.logger,
+		Random: rand.New(daemon.random),
+	})
+	if err != nil {
+		return err
+	}
+	daemon.services = plain.New(plain.Options{Retries: retry.New(retry.Options{})})
+	return nil
+}
+
 func describe(settings config.Host) host.Host {
 	return host.Host{
 		Name: settings.Name, Region: settings.Region, FailureDomain: settings.FailureDomain,
@@ -143,12 +186,21 @@
 	if daemon.link != nil {
 		daemon.link.Close()
 	}
+	if daemon.ledger != nil {
+		daemon.ledger.local.Close()
+	}
 	daemon.meter.Close()
 }
 
 // Host returns this host with the addresses it listens on.
 func (daemon *Daemon) Host() host.Host { return daemon.self }
 
+// Ready reports whether a document is in force and the host takes work.
+func (daemon *Daemon) Ready() bool { return daemon.directory.Ready() }
+
+// Alive returns the hosts that this host sees alive.
+func (daemon *Daemon) Alive() []host.Host { return daemon.members.Alive() }
+
 // AdminAddress returns the operators' address, empty if there is none.
 func (daemon *Daemon) AdminAddress() string {
 	if daemon.adminListener == nil {
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -133,13 +133,20 @@
 	if len(alive) > 0 {
 		daemon.limiter.SetShare(1 / float64(len(alive)))
 	}
-	daemon.cells.update(daemon.serversOf, func(name string) bool {
-		owner, known := daemon.owner(name)
-		return known && owner.Name == daemon.self.Name
-	})
+	var shares map[string]float64
+	if view := daemon.directory.current.Load(); view != nil {
+		shares = view.shares()
+	}
+	daemon.cells.update(daemon.serversOf, daemon.owns, shares)
 	daemon.meter.Gauge("hosts", "state", "alive", float64(len(alive)))
 }
 
+// owns reports whether this host owns a cell.
+func (daemon *Daemon) owns(name string) bool {
+	owner, known := daemon.owner(name)
+	return known && owner.Name == daemon.self.Name
+}
+
 // followHostList reads the platform's list of hosts.
 func (daemon *Daemon) followHostList(ctx context.Context) {
 	if daemon.settings.HostList.URL == "" {
--- a/io/daemon/message.go
+++ b/io/daemon/message.go
@@ -9,9 +9,13 @@
 
 // The names of messages between hosts.
 const (
-	messageForward = "forward"
-	messageProbe   = "probe"
-	messageMember  = "member"
+	messageForward  = "forward"
+	messageProbe    = "probe"
+	messageMember   = "member"
+	messageLedger   = "ledger"
+	messageClaim    = "claim"
+	messageSuspects = "suspects"
+	messageRecords  = "records"
 )
 
 // maximumHops bounds how often a request is passed on between hosts whose
--- a/io/daemon/place.go
+++ b/io/daemon/place.go
@@ -21,8 +21,12 @@
 			defer daemon.forwards.Done()
 			daemon.serveForward(ctx, stream)
 		},
-		messageProbe:  daemon.serveProbe,
-		messageMember: daemon.serveMember,
+		messageProbe:    daemon.serveProbe,
+		messageMember:   daemon.serveMember,
+		messageLedger:   daemon.serveLedger,
+		messageClaim:    daemon.serveClaim,
+		messageSuspects: daemon.serveSuspects,
+		messageRecords:  daemon.serveRecords,
 	}
 }
 
@@ -35,7 +39,7 @@
 
 // pick chooses among candidates with this host's random source.
 func (daemon *Daemon) pick(request cell.Request, candidates []route.Candidate) (route.Decision, error) {
-	return route.Choose(request, daemon.self.FailureDomain, candidates, rand.New(daemon.random))
+	return daemon.chooser.Choose(request, daemon.self.FailureDomain, candidates, rand.New(daemon.random))
 }
 
 // owner returns the host that owns a cell. Hosts of the cell's failure domain
@@ -70,7 +74,23 @@
 	if !ok {
 		return nil, false
 	}
-	return cell.New(cell.Options{Name: name, Servers: servers, Logger: daemon.logger}), true
+	view := daemon.directory.current.Load()
+	limits := view.document.Limits
+	return cell.New(cell.Options{
+		Name: name, Servers: servers, Logger: daemon.logger, Capacity: limits.QueuedPerCell,
+		MinimumShares: view.shares(), RetryShare: limits.RetryShare, HedgeShare: limits.HedgeShare,
+		Suspects: daemon.suspects, Claims: &claims{daemon: daemon}, Announce: daemon.announce,
+		Random: rand.New(rand.NewPCG(daemon.random.Uint64(), daemon.random.Uint64())),
+	}), true
+}
+
+// shares returns the minimum share of each class.
+func (view *view) shares() map[string]float64 {
+	shares := make(map[string]float64, len(view.classes))
+	for name, class := range view.classes {
+		shares[name] = class.MinimumShare
+	}
+	return shares
 }
 
 // serversOf returns the servers of a cell that may get work: those that the
@@ -84,7 +104,7 @@
 	if !ok {
 		return nil, false
 	}
-	version := view.versions(plan.Pool)[0]
+	version := plan.Pool.Versions[0].Name
 	servers := make([]cell.Server, 0, len(plan.Servers))
 	for _, listed := range plan.Servers {
 		servers = append(servers, cell.Server{
--- a/io/daemon/router.go
+++ b/io/daemon/router.go
@@ -18,9 +18,6 @@
 const (
 	// maximumTries bounds the cells and owners that one request is sent to.
 	maximumTries = 6
-	// summaryBound is the age past which a remote cell is asked for its load
-	// before it is sent work.
-	summaryBound = time.Second
 	// probeTimeout bounds that question. A cell that does not answer in this
 	// time is chosen by what is known.
 	probeTimeout = 50 * time.Millisecond
@@ -53,6 +50,7 @@
 func (daemon *Daemon) Generate(ctx context.Context, request cell.Request, emit func(cell.Chunk) error) (cell.Outcome, error) {
 	passage := &passage{daemon: daemon, request: request, emit: emit, tried: make(map[string]bool)}
 	passage.total.Run = cell.NotRun
+	daemon.recent.add(request)
 	var last error
 	for range maximumTries {
 		decision, err := passage.choose(ctx)
@@ -172,8 +170,7 @@
 		return route.Decision{}, err
 	}
 	chosen := decision.Chosen
-	remote := chosen.FailureDomain != daemon.self.FailureDomain
-	if remote && (!chosen.Known || chosen.Age > summaryBound) {
+	if decision.Probe {
 		daemon.probe(ctx, candidates)
 		decision, err = daemon.pick(passage.request, passage.candidates())
 		if err != nil {
@@ -183,10 +180,10 @@
 	}
 	daemon.logger.Log(event.RouteChosen(), logrus.Fields{
 		"request": passage.request.ID, "tier": passage.request.Tier, "cell": chosen.Cell, "owner": chosen.Owner.Name,
-		"over": decision.Over, "reason": decision.Reason, "summary_age_ms": chosen.Age.Milliseconds(),
+		"over": decision.Over, "reason": decision.Reason, "wait_ms": decision.Wait.Milliseconds(), "summary_age_ms": chosen.Age.Milliseconds(),
 		"resume_tokens": passage.tokens,
 	})
-	daemon.meter.Count("route_decisions", "reason", decision.Reason, 1)
+	daemon.meter.Count("route_decisions", "reason", string(decision.Reason), 1)
 	return decision, nil
 }
 
@@ -243,7 +240,7 @@
 	answers := make(chan cell.Summary, len(candidates))
 	asked := 0
 	for _, candidate := range candidates {
-		if candidate.Failed || candidate.Owner.Name == daemon.self.Name || candidate.Known && candidate.Age <= summaryBound {
+		if candidate.Failed || candidate.Owner.Name == daemon.self.Name || candidate.Known && candidate.Age <= route.DefaultProbeAge {
 			continue
 		}
 		asked++
--- a/io/daemon/view.go
+++ b/io/daemon/view.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync/atomic"
 
+	"primrosegw/core/limit"
 	"primrosegw/core/spec"
 )
 
@@ -15,7 +16,6 @@
 type view struct {
 	generation uint64
 	document   spec.Document
-	recalled   []string
 	classes    map[string]spec.Class
 	services   map[string]spec.Service
 	// workspaces and operators are found by the hash of a key.
@@ -35,10 +35,10 @@
 	Servers       []spec.BackendServer
 }
 
-// newView indexes a document.
-func newView(generation uint64, document spec.Document, recalled []string) *view {
+// newView indexes a document from which recalled versions have been taken out.
+func newView(generation uint64, document spec.Document) *view {
 	view := &view{
-		generation: generation, document: document, recalled: recalled,
+		generation: generation, document: document,
 		classes:    make(map[string]spec.Class),
 		services:   make(map[string]spec.Service),
 		workspaces: make(map[string]spec.Workspace),
@@ -66,16 +66,15 @@
 	return view
 }
 
+// addPools indexes the pools that have a version left outside all recalled lots.
 func (view *view) addPools() {
 	for _, pool := range view.document.Pools {
-		if len(view.versions(pool)) == 0 {
+		if len(pool.Versions) == 0 {
 			continue
 		}
 		view.pools[pool.Model] = pool
 		for _, adapter := range pool.Adapters {
-			if !slices.Contains(view.recalled, adapter.Lot) {
-				view.pools[adapter.Name] = pool
-			}
+			view.pools[adapter.Name] = pool
 		}
 		view.addCells(pool)
 	}
@@ -85,18 +84,6 @@
 	slices.Sort(view.models)
 }
 
-// versions lists the versions of a pool that may get traffic: those outside
-// all recalled lots.
-func (view *view) versions(pool spec.Pool) []string {
-	var versions []string
-	for _, version := range pool.Versions {
-		if version.Lot == "" || !slices.Contains(view.recalled, version.Lot) {
-			versions = append(versions, version.Name)
-		}
-	}
-	return versions
-}
-
 // find looks a key up by its hash. The comparison takes the same time whatever
 // the key is.
 func find[T any](entries map[string]T, key string) (T, bool) {
@@ -162,3 +149,16 @@
 func (directory *directory) Ready() bool {
 	return directory.current.Load() != nil && directory.taking.Load()
 }
+
+// limits returns the limits of each workspace.
+func (view *view) limits() map[string]limit.Limit {
+	limits := make(map[string]limit.Limit, len(view.document.Workspaces))
+	for _, workspace := range view.document.Workspaces {
+		limits[workspace.Name] = limit.Limit{
+			RequestsPerSecond: workspace.RequestsPerSecond,
+			TokensPerSecond:   workspace.TokensPerSecond,
+			InFlight:          workspace.InFlight,
+		}
+	}
+	return limits
+}
