--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -67,6 +67,7 @@
 	directory directory
 	cells     *cells
 	loads     *loads
+	affinity  *affinity
 	engines   *http.Client
 	store     store.Store
 	random    *lockedRandom
@@ -100,6 +101,7 @@
 		meter:    meter.New(),
 		self:     describe(settings.Host),
 		loads:    newLoads(),
+		affinity: newAffinity(),
 		engines:  engine.NewClient(),
 		store:    options.Store,
 		random:   &lockedRandom{random: options.Random},
--- a/io/daemon/router.go
+++ b/io/daemon/router.go
@@ -86,6 +86,9 @@
 		outcome, err = daemon.forward(ctx, chosen.Owner, prepare(chosen.Cell, 1, request), passage.take)
 	}
 	passage.add(outcome)
+	if passage.tokens > 0 {
+		daemon.affinity.store(chosen.Cell, passage.request.Prefixes)
+	}
 	return err
 }
 
@@ -195,6 +198,7 @@
 		return nil
 	}
 	pool := view.pools[passage.request.Model]
+	matches := daemon.affinity.match(passage.request.Prefixes)
 	var candidates []route.Candidate
 	for _, plan := range view.cells {
 		if plan.Pool.Name != pool.Name {
@@ -212,7 +216,7 @@
 		}
 		candidate.Failed = passage.tried[tryKey(candidate)]
 		daemon.know(&candidate)
-		candidate.PrefixMatch = daemon.prefixMatch(plan, passage.request)
+		candidate.PrefixMatch = matches[plan.Name]
 		candidates = append(candidates, candidate)
 	}
 	return candidates
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"primrosegw/core/cell"
+	"primrosegw/core/prefix"
 	"primrosegw/core/spec"
 )
 
@@ -29,16 +30,8 @@
 	HeaderReplayed = "X-Primrose-Replayed"
 )
 
-const (
-	// bytesPerToken is the usual mean for prompts; engines count exactly.
-	bytesPerToken = 4
-	// prefixBlockBytes is the length of prompt that one prefix hash adds.
-	prefixBlockBytes = 512
-	// maximumPrefixes bounds the prefix hashes of one request.
-	maximumPrefixes = 32
-	// maximumIDBytes bounds ids and idempotency keys that callers choose.
-	maximumIDBytes = 128
-)
+// maximumIDBytes bounds ids and idempotency keys that callers choose.
+const maximumIDBytes = 128
 
 // fields is what the router reads of a caller's body. All other fields go to
 // the engine as they are.
@@ -230,9 +223,9 @@
 }
 
 func (fields *fields) request(id string, workspace spec.Workspace, class spec.Class, body []byte) cell.Request {
-	prompt := fields.Messages
-	if len(prompt) == 0 {
-		prompt = fields.Prompt
+	prompt := prefix.Prompt(fields.Prompt)
+	if len(fields.Messages) > 0 {
+		prompt = prefix.Chat(fields.Messages)
 	}
 	return cell.Request{
 		ID:           id,
@@ -242,9 +235,9 @@
 		Tier:         class.Tier,
 		Priority:     class.Priority,
 		Weight:       workspace.Weight,
-		PromptTokens: 1 + len(prompt)/bytesPerToken,
+		PromptTokens: 1 + len(prompt)/prefix.BytesPerToken,
 		MaxTokens:    fields.bound(class.MaximumTokens),
-		Prefixes:     prefixes(*fields.Model, prompt),
+		Prefixes:     prefix.Hashes(prompt),
 		Fingerprint:  fingerprint(workspace.Name, body),
 		Idempotent:   class.Idempotent,
 		Body:         body,
@@ -265,21 +258,6 @@
 	return bound
 }
 
-// prefixes hashes the prompt's first block, its first two blocks and so on,
-// the way engines key their prefix caches.
-func prefixes(model string, prompt []byte) []uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(model)
-	hashes := make([]uint64, 0, maximumPrefixes)
-	for len(prompt) >= prefixBlockBytes && len(hashes) < maximumPrefixes {
-		_, _ = digest.Write(prompt[:prefixBlockBytes])
-		hashes = append(hashes, digest.Sum64())
-		prompt = prompt[prefixBlockBytes:]
-	}
-	return hashes
-}
-
 // fingerprint identifies a request that its caller sends again.
 func fingerprint(workspace string, body []byte) uint64 {
 	var digest xxhash.Digest
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -23,11 +24,14 @@
 
 // New returns the metrics of a host.
 func New() *Meter {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// Each host has a registry of its own: several may run in one process.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "primrosegw",
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:          "primrosegw",
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportInterval)
 	return &Meter{scope: scope, closer: closer, reporter: reporter}
 }
