--- a/bench/cost_test.go
+++ b/bench/cost_test.go
@@ -3,10 +3,15 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"primrosegw/core/cell"
+	"primrosegw/core/host"
 	"primrosegw/core/queue"
+	"primrosegw/core/route"
+	"primrosegw/core/spec"
 )
 
 // start is the instant at which the benchmarks' clocks begin.
@@ -58,3 +63,100 @@
 		items.Charge(spare.Class, spare.Workspace, int(spare.Cost))
 	}
 }
+
+// routeCandidates returns cells spread over 12 failure domains, with summaries
+// of owners that have a number of engines each. The own failure domain is loaded
+// past the target, so that the choice goes through all rules.
+func routeCandidates(cells, engines int) []route.Candidate {
+	candidates := make([]route.Candidate, cells)
+	for index := range candidates {
+		wait := uint32(600 + index)
+		if index%12 != 0 {
+			wait = uint32(index)
+		}
+		candidates[index] = route.Candidate{
+			Cell: fmt.Sprint("cell-", index), FailureDomain: fmt.Sprint("domain-", index%12),
+			Owner: host.Host{Name: fmt.Sprint("host-", index), State: host.Alive}, Known: true,
+			Summary: cell.Summary{Slots: 8 * engines, Free: index % (8 * engines), WaitMs: [6]uint32{wait, wait, wait}},
+			Age:     time.Duration(index) * time.Millisecond, PrefixMatch: index * 10,
+		}
+	}
+	return candidates
+}
+
+// BenchmarkRoute measures one choice by the number of cells that serve a model
+// and the number of engines of a cell.
+func BenchmarkRoute(b *testing.B) {
+	for _, cells := range []int{8, 24, 72, 220} {
+		for _, engines := range []int{1, 4, 16} {
+			b.Run(fmt.Sprintf("cells=%d/engines=%d", cells, engines), func(b *testing.B) {
+				benchmarkRoute(b, routeCandidates(cells, engines))
+			})
+		}
+	}
+}
+
+func benchmarkRoute(b *testing.B, candidates []route.Candidate) {
+	router := route.New(route.Options{})
+	random := rand.New(rand.NewPCG(1, 2))
+	request := cell.Request{
+		Tier: 1, PromptTokens: 1000,
+		FirstToken: time.Now().Add(530 * time.Millisecond), Deadline: time.Now().Add(time.Minute),
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := router.Choose(request, "domain-0", candidates, random); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkPrefixes measures the match of a prompt of 16 prefixes against a full
+// index, and the intake of one cache event.
+func BenchmarkPrefixes(b *testing.B) {
+	prefixes := route.NewPrefixes(0)
+	sequence := uint64(0)
+	apply := func() {
+		sequence++
+		event := route.CacheEvent{Sequence: sequence, Stored: true, Prefix: sequence, Tokens: 64}
+		prefixes.Apply(fmt.Sprint("cell-", sequence%8), []route.CacheEvent{event})
+	}
+	for range route.DefaultPrefixes {
+		apply()
+	}
+	b.Run("match", func(b *testing.B) {
+		hashes := make([]uint64, 16)
+		for index := range hashes {
+			hashes[index] = uint64(index * 1000)
+		}
+		var matches []route.Match
+		b.ReportAllocs()
+		for b.Loop() {
+			matches = prefixes.Match(hashes, matches[:0])
+		}
+	})
+	b.Run("apply", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			apply()
+		}
+	})
+}
+
+// BenchmarkCells measures the division of all servers into cells, which runs
+// when a document comes into force.
+func BenchmarkCells(b *testing.B) {
+	var pools []spec.Pool
+	var servers []spec.BackendServer
+	for index := range 1400 {
+		pool, failureDomain := fmt.Sprint("pool-", index%18), fmt.Sprint("domain-", index/18%12)
+		if index < 18 {
+			pools = append(pools, spec.Pool{Name: pool})
+		}
+		servers = append(servers, spec.BackendServer{Name: fmt.Sprint("engine-", index), Pool: pool, FailureDomain: failureDomain})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		route.Cells(pools, servers)
+	}
+}
