--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -85,7 +85,7 @@
 // Trial proves a document.
 func (client *Client) Trial(ctx context.Context, document []byte, reason string) (Changed, error) {
 	var changed Changed
-	request := client.sling().Post("/admin/trial?reason=" + url.QueryEscape(reason)).
+	request := client.sling().Post("/admin/trial?reason="+url.QueryEscape(reason)).
 		Body(bytes.NewReader(document)).Set("Content-Type", "application/json")
 	return changed, client.call(ctx, request, &changed)
 }
--- a/io/demo/world_test.go
+++ b/io/demo/world_test.go
@@ -47,9 +47,9 @@
 
 func question(text string) openai.ChatCompletionRequest {
 	return openai.ChatCompletionRequest{
-		Model:     demo.ModelSketch,
-		Messages:  []openai.ChatCompletionMessage{{Role: "user", Content: text}},
-		MaxTokens: 40,
+		Model:               demo.ModelSketch,
+		Messages:            []openai.ChatCompletionMessage{{Role: "user", Content: text}},
+		MaxCompletionTokens: 40,
 	}
 }
 
