--- a/core/heads/client.go
+++ b/core/heads/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -59,10 +60,11 @@
 }
 
 // Client changes the heads of one environment on behalf of operators. It keeps
-// no state. Its methods must not be called at the same time, because Random is
-// shared.
+// no state between calls. Its methods may be called at the same time.
 type Client struct {
 	options Options
+	// mutex guards options.Random.
+	mutex sync.Mutex
 }
 
 // New returns a client. It fails with Invalid, naming the option.
@@ -226,7 +228,10 @@
 // describe returns the change of an order with a token of its own.
 func (client *Client) describe(order order) Change {
 	now := time.Now().UTC()
-	token := fmt.Sprintf("%s-%x-%016x", client.options.Host, now.UnixNano(), client.options.Random.Uint64())
+	client.mutex.Lock()
+	number := client.options.Random.Uint64()
+	client.mutex.Unlock()
+	token := fmt.Sprintf("%s-%x-%016x", client.options.Host, now.UnixNano(), number)
 	return Change{Operator: order.operator, Reason: order.reason, At: now, Token: token}
 }
 
