core/cell: clear servers for suspects of higher tiers

Cause: in a trial with a crash every 4 s a tier 2 call waited 12.95 s for its first token: the servers that suspects may have were draining or ran long ones. Change: a suspect takes the server that is expected to be empty first, preempts its lower-tier work when its first token is at risk, and takes the place of a lower-tier suspect that runs alone.

--- a/core/cell/preempt.go
+++ b/core/cell/preempt.go
@@ -32,6 +32,11 @@
 		return
 	}
 	call.relief = victim
+	cell.preempt(victim, call, now)
+}
+
+// preempt takes an attempt's slot back for a call.
+func (cell *Cell) preempt(victim *attempt, call *call, now time.Time) {
 	victim.yielding = true
 	victim.call.preemptions++
 	victim.cancel(errPreempted)
@@ -68,8 +73,13 @@
 
 // preemptible reports whether an attempt may give up its slot for a call.
 func (cell *Cell) preemptible(attempt *attempt, call *call, now time.Time) bool {
+	return !attempt.alone && cell.mayYield(attempt, call, now)
+}
+
+// mayYield is preemptible for suspects that run alone too.
+func (cell *Cell) mayYield(attempt *attempt, call *call, now time.Time) bool {
 	request := &attempt.call.request
-	if request.Tier <= call.request.Tier || !request.Idempotent || attempt.yielding || attempt.alone {
+	if request.Tier <= call.request.Tier || !request.Idempotent || attempt.yielding {
 		return false
 	}
 	return cell.remaining(attempt, now) > nearlyDone
--- a/core/cell/suspect.go
+++ b/core/cell/suspect.go
@@ -176,6 +176,9 @@
 			continue
 		}
 		server := cell.quarters(call, now)
+		if server == nil {
+			cell.evict(call, now)
+		}
 		if server == nil || len(server.attempts) > 0 || cell.copies[call.request.Fingerprint] > 0 {
 			continue
 		}
@@ -201,27 +204,70 @@
 		}
 		server.alone = nil
 	}
-	chosen := cell.emptiest(call)
+	chosen, drained := cell.soonestEmpty(call, now)
 	if chosen == nil || !cell.mayIsolate(call, chosen, now) {
 		return nil
 	}
 	chosen.alone = call
+	if target := call.request.FirstToken; !target.IsZero() && now.Add(drained+cell.firstToken()).After(target) {
+		cell.clearOut(chosen, call, now)
+	}
 	return chosen
 }
 
-// emptiest returns the open server with the fewest running calls.
-func (cell *Cell) emptiest(call *call) *server {
+// evict preempts a suspect of a lower tier that has a server for itself, when
+// the first token of the call is at risk: a long one would hold the few servers
+// that suspects may have for all its length.
+func (cell *Cell) evict(call *call, now time.Time) {
+	target := call.request.FirstToken
+	if cell.options.Switches.DisablePreempt || target.IsZero() || now.Add(cell.firstToken()+reliefMargin).Before(target) {
+		return
+	}
+	if call.relief != nil && !call.relief.freed {
+		return
+	}
+	for _, server := range cell.servers {
+		for _, attempt := range server.attempts {
+			if attempt.alone && cell.mayYield(attempt, call, now) {
+				call.relief = attempt
+				cell.preempt(attempt, call, now)
+				return
+			}
+		}
+	}
+}
+
+// clearOut preempts the lower-tier work of a server that is kept free for a
+// suspect whose first token is at risk.
+func (cell *Cell) clearOut(server *server, call *call, now time.Time) {
+	if cell.options.Switches.DisablePreempt {
+		return
+	}
+	for _, attempt := range server.attempts {
+		if cell.preemptible(attempt, call, now) {
+			cell.preempt(attempt, call, now)
+		}
+	}
+}
+
+// soonestEmpty returns the open server whose calls are expected to end first,
+// and when. The server on which the suspect was lost before comes last.
+func (cell *Cell) soonestEmpty(call *call, now time.Time) (*server, time.Duration) {
 	var chosen *server
+	var soonest time.Duration
 	for _, server := range cell.servers {
 		if !server.open() || cell.slots(server) == 0 {
 			continue
 		}
-		better := chosen == nil || len(server.attempts) < len(chosen.attempts)
-		if better || chosen == call.avoid && len(server.attempts) == len(chosen.attempts) {
-			chosen = server
+		drained := time.Duration(0)
+		for _, attempt := range server.attempts {
+			drained = max(drained, cell.remaining(attempt, now))
+		}
+		if chosen == nil || drained < soonest || chosen == call.avoid && drained == soonest {
+			chosen, soonest = server, drained
 		}
 	}
-	return chosen
+	return chosen, soonest
 }
 
 // mayIsolate reports whether a suspect may take a server out of ordinary work:
