core/cell: stop suspects from evicting each other without end

Change: a suspect evicts only when it would get the server, and once in 5 s. health.Gap is computed with the comparison of the servers.

--- a/core/cell/call.go
+++ b/core/cell/call.go
@@ -63,12 +63,14 @@
 	lateAt    time.Time
 
 	// The fields below are guarded by the cell's mutex.
-	queued      bool
-	suspected   bool
-	enqueued    time.Time
-	cost        float64
-	avoid       *server
-	relief      *attempt
+	queued    bool
+	suspected bool
+	enqueued  time.Time
+	cost      float64
+	avoid     *server
+	relief    *attempt
+	// evicted is when the call last took the place of another suspect.
+	evicted     time.Time
 	preemptions int
 	attempts    int
 	lost        int
--- a/core/cell/failure_test.go
+++ b/core/cell/failure_test.go
@@ -11,6 +11,7 @@
 
 	"primrosegw/core/cell"
 	"primrosegw/core/fault"
+	"primrosegw/core/poison"
 )
 
 const (
@@ -244,3 +245,34 @@
 		requireIdle(t, subject)
 	})
 }
+
+// Guards against suspects of different tiers that take a server from each other
+// without end, while work that no server suits holds one of them back (change:
+// let evict ignore outranked).
+func TestSuspectsOfTwoTiers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		suspects := poison.New(poison.Options{})
+		suspects.Crash(1, 100)
+		suspects.Crash(2, 200)
+		engines := []*engine{newEngine(first, gap), newEngine(first, gap), newEngine(first, gap), newEngine(first, gap)}
+		subject := cell.New(cell.Options{Servers: servers(4, engines...), Suspects: suspects})
+		var answers []*answer
+		send := func(id string, tier, fingerprint, tokens int) {
+			answers = append(answers, ask(t.Context(), subject, cell.Request{
+				ID: id, Tier: tier, Fingerprint: uint64(fingerprint), MaxTokens: tokens, Idempotent: true,
+				FirstToken: time.Now().Add(first),
+			}))
+		}
+		for copies := range 3 {
+			send(fmt.Sprint("copy", copies), 1, 7, 1000)
+		}
+		send("low", 4, 1, 400)
+		time.Sleep(6 * time.Second)
+		send("high", 2, 2, 10)
+		for _, answer := range answers {
+			answer.requireWhole(t)
+		}
+		require.LessOrEqual(t, subject.Stats().Preempted, 1)
+		requireIdle(t, subject)
+	})
+}
--- a/core/cell/suspect.go
+++ b/core/cell/suspect.go
@@ -223,13 +223,15 @@
 	if cell.options.Switches.DisablePreempt || target.IsZero() || now.Add(cell.firstToken()+reliefMargin).Before(target) {
 		return
 	}
-	if call.relief != nil && !call.relief.freed {
+	// A call that would not get the server leaves it alone, or the two would take
+	// it from each other without end.
+	if cell.outranked(call, now) || now.Sub(call.evicted) < firmAfter {
 		return
 	}
 	for _, server := range cell.servers {
 		for _, attempt := range server.attempts {
 			if attempt.alone && cell.mayYield(attempt, call, now) {
-				call.relief = attempt
+				call.evicted = now
 				cell.preempt(attempt, call, now)
 				return
 			}
@@ -270,6 +272,13 @@
 	return chosen, soonest
 }
 
+// outranked reports whether a suspect has to let queued work of a higher tier go
+// first.
+func (cell *Cell) outranked(call *call, now time.Time) bool {
+	higher, _ := cell.queue.Ahead(call.request.Tier-1, time.Time{})
+	return higher > 0 && now.Sub(call.enqueued) < firmAfter
+}
+
 // mayIsolate reports whether a suspect may take a server out of ordinary work:
 // up to a quarter of the servers, or any idle one while nothing is queued. Work
 // of a higher tier goes first until the suspect has waited for long.
@@ -277,8 +286,7 @@
 	if len(chosen.attempts) == 0 && cell.queue.Len() == 0 {
 		return true
 	}
-	higher, _ := cell.queue.Ahead(call.request.Tier-1, time.Time{})
-	if higher > 0 && now.Sub(call.enqueued) < firmAfter {
+	if cell.outranked(call, now) {
 		return false
 	}
 	taken := 0
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -90,6 +90,8 @@
 	// changes counts observations since the servers were compared at compared.
 	changes  int
 	compared time.Time
+	// gap is the usual time between tokens at the last comparison.
+	gap time.Duration
 }
 
 // server is what is known about one backend server.
@@ -272,6 +274,8 @@
 	for name, server := range health.servers {
 		server.speed = health.speed(name, server)
 	}
+	gap := health.peers("", func(peer *server) average { return peer.gap })
+	health.gap = time.Duration(gap * float64(time.Second))
 }
 
 // speed returns the peers' usual time divided by the server's when the server
--- a/core/health/pace.go
+++ b/core/health/pace.go
@@ -90,8 +90,8 @@
 // Gap returns the usual time between tokens in the cell, 0 when none was
 // observed.
 func (health *Health) Gap() time.Duration {
-	gap := health.peers("", func(peer *server) average { return peer.gap })
-	return time.Duration(gap * float64(time.Second))
+	health.compare(time.Now())
+	return health.gap
 }
 
 // GapLimit returns the silence between tokens that counts as a stall: the floor
