core/place, core/route: cover the counts within one plan and the room of cells

Change: Two placement cases (failure domains in turn, a server given away in the same plan) and TestCellsRoom. Pop's comment says that it may ask about an item more than once.

--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -128,6 +128,14 @@
 			state.Pools[0].Demand = [place.Tiers]float64{1, 0, 0, 12}
 			state.Pools[1].Demand = [place.Tiers]float64{1, 0, 0, 5}
 		}, []string{"load c sketch@v2 demand"}},
+		{"each failure domain of the other pool in turn", state(sketch("s", "y"), ledger("a", "x"), ledger("b", "x"), ledger("c", "y"), ledger("d", "y")), func(state *place.State) {
+			state.Pools[0].Demand = [place.Tiers]float64{1, 0, 0, 20}
+			state.Pools[1].Demand[3] = 2
+		}, []string{"load a sketch@v2 demand", "load c sketch@v2 demand"}},
+		{"what a pool gave away in this plan no longer counts", state(ledger("b", "x"), ledger("c", "x"), only(empty("e", "x"), "ledger")), func(state *place.State) {
+			state.Pools[0].Demand[0] = 1
+			state.Pools[1].Demand = [place.Tiers]float64{1, 0, 0, 12}
+		}, []string{"load b sketch@v2 minimum_servers", "load e ledger@v1 demand"}},
 		{"a pool without servers gets one at once", state(empty("a", "x"), empty("b", "x")), func(state *place.State) {
 			state.Pools[0].Demand[3] = 30
 			state.Trends = nil
@@ -187,7 +195,7 @@
 	})
 }
 
-// loading, leaving, small and adapted return a changed server.
+// loading, leaving, small, only and adapted return a changed server.
 func loading(server place.Server) place.Server {
 	server.Loading = true
 	return server
@@ -203,6 +211,11 @@
 	return server
 }
 
+func only(server place.Server, pool string) place.Server {
+	server.Pools = []string{pool}
+	return server
+}
+
 func adapted(server place.Server, adapter spec.Adapter) place.Server {
 	server.Adapters = append(server.Adapters, adapter)
 	return server
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -198,7 +198,8 @@
 
 // Pop removes and returns the next item for which eligible holds, and counts its
 // cost in advance for its workspace. It passes over items whose deadline has
-// passed; Expired removes those. Of each class it considers the first items of
+// passed; Expired removes those. It may ask about an item more than once, and
+// eligible must not change the queue. Of each class it considers the first items of
 // several workspaces only (scanLimit), for short and for long items apart.
 func (queue *Queue[T]) Pop(now time.Time, eligible func(*Item[T]) bool) (Item[T], bool) {
 	filter := filter[T]{now: now.UnixNano(), eligible: eligible}
--- a/core/route/cells_test.go
+++ b/core/route/cells_test.go
@@ -80,3 +80,19 @@
 		require.LessOrEqual(t, moved(homes(before), homes(after)), limit)
 	})
 }
+
+// TestCellsRoom guards against cells without room, in which one removed server
+// moves others from cell to cell in a chain.
+func TestCellsRoom(t *testing.T) {
+	pools := []spec.Pool{{Name: "p"}}
+	for count := 17; count < 110; count += 2 {
+		all := servers("p", "d", count)
+		before := route.Cells(pools, all)
+		for gone := 0; gone < count; gone += 5 {
+			after := route.Cells(pools, append(all[:gone:gone], all[gone+1:]...))
+			if len(before) == len(after) {
+				require.LessOrEqual(t, moved(homes(before), homes(after)), 1, "%d servers", count)
+			}
+		}
+	}
+}
