Spread documents by peers, confirm generations, add the load command

Cause: each host polled the heads, which costs reads that grow with the fleet. Measured: go test -race ./io/... and go test ./e2e pass.

--- a/cmds/document.go
+++ b/cmds/document.go
@@ -59,6 +59,9 @@
 		confirmed, err := client.Confirmed(ctx, generation)
 		if err == nil && len(confirmed.Waiting) == 0 {
 			fmt.Fprintf(console.out, "confirmed by %d hosts: %s\n", len(confirmed.Confirmed), strings.Join(confirmed.Confirmed, ", "))
+			if len(confirmed.Unreached) > 0 {
+				fmt.Fprintf(console.out, "not reached, taken for dead: %s\n", strings.Join(confirmed.Unreached, ", "))
+			}
 			return nil
 		}
 		select {
@@ -299,13 +302,18 @@
 func (command statusCommand) print(console console, status admin.Status) {
 	fmt.Fprintf(console.out, "environment %s\n", status.Environment)
 	if status.Heads == nil {
-		fmt.Fprintf(console.out, "generation %d in force here; the key-value service does not answer: %s\n", status.Generation, status.HeadsError)
+		fmt.Fprintf(console.out, "the key-value service does not answer: %s\n", status.HeadsError)
 	} else {
 		command.printHeads(console, *status.Heads)
 	}
+	fmt.Fprintf(console.out, "generation %d is in force on the host that answers\n", status.Generation)
 	fmt.Fprintln(console.out, "hosts")
 	for _, known := range status.Hosts {
-		fmt.Fprintf(console.out, "  %-16s %-16s %-8s generation %d\n", known.Name, known.FailureDomain, known.State, known.Generation)
+		confirmed := "not confirmed"
+		if known.Confirmed {
+			confirmed = "confirmed"
+		}
+		fmt.Fprintf(console.out, "  %-16s %-16s %-8s %s\n", known.Name, known.FailureDomain, known.State, confirmed)
 	}
 }
 
--- a/cmds/run.go
+++ b/cmds/run.go
@@ -32,6 +32,7 @@
 	Promote promoteCommand `cmd:"" help:"Put a proved document in force."`
 	Recall  recallCommand  `cmd:"" help:"Take a lot out of force everywhere."`
 	Status  statusCommand  `cmd:"" help:"Show the document in force and the hosts."`
+	Load    loadCommand    `cmd:"" help:"Generate load and measure the answers."`
 	Demo    demoCommand    `cmd:"" help:"Run three hosts and all stand-ins in one process."`
 	Keys    keysCommand    `cmd:"" help:"Make a development authority, host certificates and bearer keys."`
 	Standin standinCommand `cmd:"" help:"Run a stand-in of an outside system."`
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -46,8 +46,11 @@
 	Operator(key string) (spec.Operator, bool)
 	// Try judges a document against the checks and recent decisions.
 	Try(document spec.Document, digest string) heads.Verdict
-	// Hosts lists all known hosts with the generation that each has in force.
+	// Hosts lists all known hosts.
 	Hosts() []HostState
+	// Confirmed says which hosts have a generation in force. The hosts that are
+	// not known to are asked; a later call knows more.
+	Confirmed(generation uint64) Confirmed
 	Generation() uint64
 	Ready() bool
 }
@@ -57,8 +60,10 @@
 	Name          string     `json:"name"`
 	FailureDomain string     `json:"failure_domain"`
 	State         host.State `json:"state"`
-	Generation    uint64     `json:"generation"`
-	EntryAddress  string     `json:"entry_address"`
+	// Confirmed says that the host has the generation in force of the host that
+	// answers.
+	Confirmed    bool   `json:"confirmed"`
+	EntryAddress string `json:"entry_address"`
 }
 
 // Options are the dependencies of an Admin.
@@ -167,6 +172,9 @@
 	Generation uint64   `json:"generation"`
 	Confirmed  []string `json:"confirmed"`
 	Waiting    []string `json:"waiting"`
+	// Unreached are hosts taken for dead that have not confirmed. One that still
+	// runs, cut off, stops taking work after 60 s.
+	Unreached []string `json:"unreached"`
 }
 
 func (admin *Admin) confirmed(writer http.ResponseWriter, request *http.Request, _ string) {
@@ -175,17 +183,7 @@
 		reply(writer, http.StatusBadRequest, Problem{Kind: "invalid", Field: "generation", Message: "generation is not a number"})
 		return
 	}
-	confirmed := Confirmed{Generation: generation, Confirmed: []string{}, Waiting: []string{}}
-	for _, state := range admin.options.System.Hosts() {
-		switch {
-		case state.State == host.Dead:
-		case state.Generation >= generation:
-			confirmed.Confirmed = append(confirmed.Confirmed, state.Name)
-		default:
-			confirmed.Waiting = append(confirmed.Waiting, state.Name)
-		}
-	}
-	reply(writer, http.StatusOK, confirmed)
+	reply(writer, http.StatusOK, admin.options.System.Confirmed(generation))
 }
 
 // Changed answers a change that was made.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"primrosegw/core/poison"
 	"primrosegw/core/retry"
 	"primrosegw/core/route"
+	"primrosegw/core/spread"
 	"primrosegw/core/store"
 	"primrosegw/io/config"
 	"primrosegw/io/engine"
@@ -41,6 +42,8 @@
 	Unbound Kind = "unbound"
 	// Aborted: the host was ended with requests in flight.
 	Aborted Kind = "aborted"
+	// Unusable: a document in force elsewhere did not pass the checks here.
+	Unusable Kind = "unusable"
 )
 
 // Error is the error type of this package.
@@ -75,6 +78,8 @@
 	chooser *route.Router
 	limiter *limit.Limiter
 
+	// built is closed when all parts are made.
+	built    chan struct{}
 	link     *link.Link
 	members  *member.Member
 	ledger   *once
@@ -84,7 +89,8 @@
 	suspects *poison.Registry
 	// forwards counts the requests that other hosts sent here.
 	forwards sync.WaitGroup
-	inForce  inForce
+	spread   *spread.Spread
+	watcher  *spread.Watcher
 
 	entryListener net.Listener
 	adminListener net.Listener
@@ -102,6 +108,7 @@
 		self:     describe(settings.Host),
 		loads:    newLoads(),
 		affinity: newAffinity(),
+		built:    make(chan struct{}),
 		engines:  engine.NewClient(),
 		store:    options.Store,
 		random:   &lockedRandom{random: options.Random},
@@ -118,6 +125,7 @@
 		daemon.close()
 		return nil, fault.Wrap("daemon.new", Unbound, err)
 	}
+	close(daemon.built)
 	return daemon, nil
 }
 
@@ -142,7 +150,7 @@
 		return err
 	}
 	daemon.services = plain.New(plain.Options{Retries: retry.New(retry.Options{})})
-	return nil
+	return daemon.buildSpread()
 }
 
 func describe(settings config.Host) host.Host {
--- a/io/daemon/documents.go
+++ b/io/daemon/documents.go
@@ -2,110 +2,128 @@
 
 import (
 	"context"
-	"sync"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"primrosegw/core/event"
+	"primrosegw/core/fault"
 	"primrosegw/core/heads"
 	"primrosegw/core/host"
 	"primrosegw/core/member"
 	"primrosegw/core/spec"
+	"primrosegw/core/spread"
+	"primrosegw/io/link"
 )
 
-// pollInterval is how often a host reads the heads.
-const pollInterval = 500 * time.Millisecond
+// isolationPoll is how often a host looks whether it is cut off from all peers
+// and the key-value service. It is short against the bound of 60 s.
+const isolationPoll = time.Second
 
-// inForce is the generation that this host has applied, and those that it has
-// heard of others.
-type inForce struct {
-	mutex      sync.Mutex
-	generation uint64
-	digest     string
-	heard      map[string]uint64
-}
-
-func (inForce *inForce) hear(name string, generation uint64) {
-	inForce.mutex.Lock()
-	defer inForce.mutex.Unlock()
-	if inForce.heard == nil {
-		inForce.heard = make(map[string]uint64)
+// buildSpread makes what brings documents to this host and on to others.
+func (daemon *Daemon) buildSpread() error {
+	var err error
+	daemon.spread, err = spread.New(spread.Options{
+		Self:   daemon.members.Self,
+		Hosts:  daemon.members.Hosts,
+		Relays: daemon.members.Relays,
+		Send:   daemon.sendSpread,
+		Apply:  daemon.apply,
+		Random: rand.New(daemon.random),
+		Log:    daemon.logger,
+	})
+	if err != nil {
+		return err
 	}
-	inForce.heard[name] = max(inForce.heard[name], generation)
+	daemon.watcher, err = spread.NewWatcher(spread.WatcherOptions{
+		Spread: daemon.spread, Client: daemon.heads, Store: daemon.store,
+		Environment: daemon.settings.Environment, Random: rand.New(daemon.random),
+	})
+	return err
 }
 
-// applied returns the generation in force on this host and its document.
-func (daemon *Daemon) applied() (uint64, string) {
-	daemon.inForce.mutex.Lock()
-	defer daemon.inForce.mutex.Unlock()
-	return daemon.inForce.generation, daemon.inForce.digest
+func (daemon *Daemon) sendSpread(to host.Host, message spread.Message) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		defer cancel()
+		_ = daemon.link.Send(ctx, to.LinkAddress, messageSpread, message)
+	}()
 }
 
-func (daemon *Daemon) generationOf(name string) uint64 {
-	if name == daemon.self.Name {
-		return daemon.Generation()
+// serveSpread takes a message about documents. Its sender is known from the
+// certificate of the link.
+func (daemon *Daemon) serveSpread(_ context.Context, stream *link.Stream) {
+	var message spread.Message
+	if err := stream.Read(&message); err != nil {
+		daemon.logger.Log(event.LinkRefused(), logrus.Fields{"peer": stream.Peer(), "error": err.Error()})
+		return
 	}
-	daemon.inForce.mutex.Lock()
-	defer daemon.inForce.mutex.Unlock()
-	return daemon.inForce.heard[name]
-}
-
-// hearGeneration takes the generation that rides on a heartbeat.
-func (daemon *Daemon) hearGeneration(from host.Host, message member.Message) {
-	daemon.inForce.hear(from.Name, message.Generation)
-}
-
-// followHeads reads the heads and puts each new generation in force.
-func (daemon *Daemon) followHeads(ctx context.Context) {
-	for {
-		current, _, err := daemon.heads.Status(ctx)
-		if generation, _ := daemon.applied(); err == nil && current.Generation > generation {
-			daemon.fetch(ctx, current)
-		}
-		if !pause(ctx, pollInterval) {
+	for _, known := range daemon.members.Hosts() {
+		if known.Name == stream.Peer() && message.From == known.Name {
+			daemon.spread.Receive(known, message)
 			return
 		}
 	}
 }
 
-func (daemon *Daemon) fetch(ctx context.Context, current heads.Heads) {
-	data, err := daemon.heads.Document(ctx, current.Production.Digest)
-	if err == nil {
-		daemon.apply(current, data)
+// applied returns the generation in force on this host and its document. The
+// membership asks for it before the spread is made.
+func (daemon *Daemon) applied() (uint64, string) {
+	if daemon.spread == nil {
+		return 0, ""
 	}
+	return daemon.spread.Applied()
 }
 
-// apply puts a generation in force. Generations never go back.
-func (daemon *Daemon) apply(current heads.Heads, data []byte) {
-	document, problems := spec.Parse(data)
-	if len(problems) > 0 {
-		daemon.logger.Log(event.DocumentRejected(), logrus.Fields{
-			"generation": current.Generation, "digest": current.Production.Digest, "problem": problems[0].Text,
-		})
-		return
-	}
-	daemon.inForce.mutex.Lock()
-	if current.Generation <= daemon.inForce.generation {
-		daemon.inForce.mutex.Unlock()
-		return
+// hearGeneration takes the generation that rides on a heartbeat.
+func (daemon *Daemon) hearGeneration(from host.Host, message member.Message) {
+	daemon.spread.Observe(from, message.Generation)
+}
+
+// apply puts a generation in force. The spread calls it with rising generations.
+func (daemon *Daemon) apply(current heads.Heads, data []byte) error {
+	var document spec.Document
+	if data != nil {
+		var problems []spec.Problem
+		document, problems = spec.Parse(data)
+		if len(problems) > 0 {
+			daemon.logger.Log(event.DocumentRejected(), logrus.Fields{
+				"generation": current.Generation, "digest": current.Production.Digest,
+				"path": problems[0].Path, "problem": problems[0].Text,
+			})
+			return fault.Field("daemon.apply", Unusable, problems[0].Path, problems[0].Text)
+		}
 	}
-	daemon.inForce.generation = current.Generation
-	daemon.inForce.digest = current.Production.Digest
 	view := newView(current.Generation, current.Strip(document))
 	daemon.directory.current.Store(view)
-	daemon.inForce.mutex.Unlock()
 	daemon.limiter.SetLimits(view.limits())
 	daemon.refresh()
 	daemon.logger.Log(event.DocumentApplied(), logrus.Fields{
 		"generation": current.Generation, "digest": current.Production.Digest, "lot": document.Lot,
 		"recalled": len(current.Withdrawn),
 	})
+	return nil
+}
+
+// followIsolation stops taking work while this host is cut off from all peers
+// and the key-value service: a recall may have passed it by.
+func (daemon *Daemon) followIsolation(ctx context.Context) {
+	isolated := false
+	for pause(ctx, isolationPoll) {
+		now := daemon.spread.Isolated()
+		if now != isolated {
+			isolated = now
+			daemon.directory.taking.Store(!now)
+			daemon.logger.Log(event.HostIsolated(), logrus.Fields{"isolated": now})
+		}
+	}
 }
 
 // loops are the background work of a host.
 func (daemon *Daemon) loops() []func(context.Context) {
 	return []func(context.Context){
-		daemon.members.Run, daemon.followMembers, daemon.followHostList, daemon.followHeads, daemon.learnSuspects,
+		daemon.members.Run, daemon.followMembers, daemon.followHostList, daemon.spread.Run,
+		daemon.watcher.Run, daemon.followIsolation, daemon.learnSuspects,
 	}
 }
--- a/io/daemon/message.go
+++ b/io/daemon/message.go
@@ -12,6 +12,7 @@
 	messageForward  = "forward"
 	messageProbe    = "probe"
 	messageMember   = "member"
+	messageSpread   = "spread"
 	messageLedger   = "ledger"
 	messageClaim    = "claim"
 	messageSuspects = "suspects"
--- a/io/daemon/place.go
+++ b/io/daemon/place.go
@@ -13,8 +13,24 @@
 	"primrosegw/io/link"
 )
 
-// handlers serve the messages of other hosts.
+// handlers serve the messages of other hosts. They wait until all parts of this
+// host are made, as the link listens before that to learn its address.
 func (daemon *Daemon) handlers() map[string]link.Handler {
+	waiting := make(map[string]link.Handler)
+	for name, handler := range daemon.messages() {
+		waiting[name] = func(ctx context.Context, stream *link.Stream) {
+			select {
+			case <-daemon.built:
+				handler(ctx, stream)
+			case <-ctx.Done():
+			}
+		}
+	}
+	return waiting
+}
+
+// messages are the handlers by message.
+func (daemon *Daemon) messages() map[string]link.Handler {
 	return map[string]link.Handler{
 		messageForward: func(ctx context.Context, stream *link.Stream) {
 			daemon.forwards.Add(1)
@@ -23,6 +39,7 @@
 		},
 		messageProbe:    daemon.serveProbe,
 		messageMember:   daemon.serveMember,
+		messageSpread:   daemon.serveSpread,
 		messageLedger:   daemon.serveLedger,
 		messageClaim:    daemon.serveClaim,
 		messageSuspects: daemon.serveSuspects,
--- a/io/daemon/system.go
+++ b/io/daemon/system.go
@@ -31,18 +31,33 @@
 
 // Hosts implements admin.System.
 func (daemon *Daemon) Hosts() []admin.HostState {
+	generation, _ := daemon.applied()
+	confirmed := make(map[string]bool)
+	reached, _ := daemon.spread.Confirmed(generation)
+	for _, name := range reached {
+		confirmed[name] = true
+	}
 	known := daemon.members.Hosts()
 	states := make([]admin.HostState, 0, len(known))
 	for _, member := range known {
 		state := admin.HostState{
 			Name: member.Name, FailureDomain: member.FailureDomain, State: member.State,
-			EntryAddress: member.EntryAddress, Generation: daemon.generationOf(member.Name),
+			EntryAddress: member.EntryAddress,
 		}
+		state.Confirmed = confirmed[member.Name]
 		states = append(states, state)
 	}
 	return states
 }
 
+// Confirmed implements admin.System.
+func (daemon *Daemon) Confirmed(generation uint64) admin.Confirmed {
+	confirmed, waiting := daemon.spread.Confirmed(generation)
+	return admin.Confirmed{
+		Generation: generation, Confirmed: confirmed, Waiting: waiting, Unreached: daemon.spread.Unreached(generation),
+	}
+}
+
 func (daemon *Daemon) adminServer() *http.Server {
 	operators := admin.New(admin.Options{
 		Heads: daemon.heads, System: daemon, Meter: daemon.meter, Logger: daemon.logger,
