Add the measurements with their workloads and baselines

Cause: the bounds of docs/design.md, section 7, need workloads and baselines that were fixed before the router's figures were known.

--- /dev/null
+++ b/bench/measure_test.go
@@ -0,0 +1,182 @@
+package bench_test
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/cell"
+)
+
+var (
+	seeds    = flag.Int("seeds", 5, "number of seeds")
+	only     = flag.String("only", "", "run only the scenario of this name")
+	onlyWith = flag.String("policy", "", "run only the policy of this name")
+	parallel = flag.Int("runners", 4, "number of runs at once")
+)
+
+// subject is the policy whose figures are held against the bounds.
+const subject = "primrosegw"
+
+// policies returns the router, the baselines and the router with one mechanism
+// off at a time, each of these in the workloads that the mechanism is for.
+func policies() []policy {
+	variant := func(name string, configure func(*cell.Options), scenarios ...string) policy {
+		return policy{name: name, scenarios: scenarios, build: func(ctx context.Context, fleet *fleet, seed uint64) router {
+			return newPrimrose(ctx, fleet, seed, configure)
+		}}
+	}
+	return []policy{
+		variant(subject, func(*cell.Options) {}),
+		{name: "round_robin_fifo", build: func(_ context.Context, fleet *fleet, _ uint64) router { return newRoundRobin(fleet) }},
+		{name: "least_reported_load", build: func(ctx context.Context, fleet *fleet, seed uint64) router {
+			return newLeastLoad(ctx, fleet, seed)
+		}},
+	}
+}
+
+// results collects the figures of runs that end in any order.
+type results struct {
+	mutex   sync.Mutex
+	figures []figure
+}
+
+// add appends figures.
+func (results *results) add(figures []figure) {
+	results.mutex.Lock()
+	defer results.mutex.Unlock()
+	results.figures = append(results.figures, figures...)
+}
+
+// TestMeasure takes the measures of docs/design.md, section 7, and fails when a
+// figure of the router is outside its bound and not listed in KNOWN-RED.txt. It
+// guards against changes that cost callers their targets.
+func TestMeasure(t *testing.T) {
+	var results results
+	gate := make(chan struct{}, *parallel)
+	t.Run("runs", func(t *testing.T) {
+		for _, profile := range profiles() {
+			for _, scenario := range scenarios() {
+				for _, policy := range policies() {
+					for seed := uint64(1); seed <= uint64(seedCount()); seed++ {
+						measureOne(t, gate, &results, profile, scenario, policy, seed)
+					}
+				}
+			}
+		}
+	})
+	results.figures = append(results.figures, leads(results.figures)...)
+	slices.SortStableFunc(results.figures, compareFigures)
+	known := readKnown(t, "../KNOWN-RED.txt")
+	for _, figure := range results.figures {
+		if testing.Verbose() {
+			fmt.Println(figure)
+		}
+		judge(t, figure, known)
+	}
+}
+
+// measureOne takes the figures of one run, as a parallel subtest.
+func measureOne(t *testing.T, gate chan struct{}, results *results, profile profile, scenario scenario, policy policy, seed uint64) {
+	wanted := len(policy.scenarios) == 0 || slices.Contains(policy.scenarios, scenario.name)
+	if !wanted || *only != "" && *only != scenario.name || *onlyWith != "" && *onlyWith != policy.name {
+		return
+	}
+	t.Run(fmt.Sprintf("%s/%s/%s/%d", profile.name, scenario.name, policy.name, seed), func(t *testing.T) {
+		t.Parallel()
+		gate <- struct{}{}
+		defer func() { <-gate }()
+		results.add(figures(run(t, profile, scenario, policy, seed)))
+	})
+}
+
+// seedCount returns the number of seeds. The race detector makes a run several
+// times slower and its figures do not depend on it, so one seed is run then.
+func seedCount() int {
+	if raceEnabled {
+		return 1
+	}
+	return *seeds
+}
+
+// leads returns how far the router's crest is ahead of the better baseline.
+func leads(figures []figure) []figure {
+	type key struct {
+		profile string
+		seed    uint64
+	}
+	best := map[key]float64{}
+	for _, figure := range figures {
+		if figure.measure == "crest" && (figure.policy == "round_robin_fifo" || figure.policy == "least_reported_load") {
+			at := key{figure.profile, figure.seed}
+			best[at] = max(best[at], figure.value)
+		}
+	}
+	var leads []figure
+	for _, figure := range figures {
+		baseline, found := best[key{figure.profile, figure.seed}]
+		if figure.measure == "crest" && figure.policy == subject && found {
+			figure.measure, figure.value, figure.bound = "crest_lead", figure.value-baseline, above(0)
+			leads = append(leads, figure)
+		}
+	}
+	return leads
+}
+
+// compareFigures orders lines by measure, environment, policy and seed.
+func compareFigures(a, b figure) int {
+	return cmp.Or(
+		cmp.Compare(a.measure, b.measure), cmp.Compare(a.profile, b.profile), cmp.Compare(a.class, b.class),
+		cmp.Compare(a.policy, b.policy), cmp.Compare(a.seed, b.seed),
+	)
+}
+
+// judge fails the test when a figure of the router is outside its bound and not
+// listed as known.
+func judge(t *testing.T, figure figure, known map[string]bool) {
+	if figure.policy != subject || figure.bound.holds(figure.value) {
+		return
+	}
+	if known[knownKey(figure)] {
+		t.Logf("known red: %s", figure)
+		return
+	}
+	t.Errorf("outside its bound: %s", figure)
+}
+
+// knownKey names a figure in KNOWN-RED.txt.
+func knownKey(figure figure) string {
+	return fmt.Sprintf("measure=%s profile=%s seed=%d", figure.measure, figure.profile, figure.seed)
+}
+
+// readKnown returns the entries of this test in the list of known failures: the
+// lines "TestMeasure measure=<name> profile=<name> seed=<n> | ...".
+func readKnown(t *testing.T, path string) map[string]bool {
+	known := map[string]bool{}
+	file, err := os.Open(path)
+	if os.IsNotExist(err) {
+		return known
+	}
+	require.NoError(t, err)
+	defer file.Close()
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		entry, found := strings.CutPrefix(scanner.Text(), "TestMeasure ")
+		if !found {
+			continue
+		}
+		name, _, _ := strings.Cut(entry, "|")
+		known[strings.TrimSpace(name)] = true
+	}
+	require.NoError(t, scanner.Err())
+	return known
+}
