Use the document's index and the router's hop rule in the daemon

Cause: io/daemon had look-ups and a hop bound that core/spec and core/route have as well. Change: the view embeds spec.Index; forwarding uses route.Serves.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"primrosegw/core/poison"
 	"primrosegw/core/retry"
 	"primrosegw/core/route"
+	"primrosegw/core/spec"
 	"primrosegw/core/spread"
 	"primrosegw/core/store"
 	"primrosegw/io/config"
@@ -117,6 +118,7 @@
 		suspects: poison.New(poison.Options{}),
 	}
 	daemon.cells = newCells(daemon.buildCell)
+	daemon.directory.current.Store(newView(0, spec.Document{}))
 	if err := daemon.listen(); err != nil {
 		daemon.close()
 		return nil, err
--- a/io/daemon/forward.go
+++ b/io/daemon/forward.go
@@ -12,6 +12,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/host"
+	"primrosegw/core/route"
 	"primrosegw/io/link"
 )
 
@@ -103,7 +104,7 @@
 // another host owns the cell.
 func (daemon *Daemon) serveHere(ctx context.Context, name string, hops int, request cell.Request, emit func(cell.Chunk) error) (cell.Outcome, error) {
 	owner, known := daemon.owner(name)
-	if known && owner.Name != daemon.self.Name && hops < maximumHops {
+	if known && !route.Serves(hops, daemon.self.Name, owner) {
 		outcome, err := daemon.forward(ctx, owner, prepare(name, hops+1, request), emit)
 		if failed := (*lost)(nil); !errors.As(err, &failed) || failed.delivered {
 			return outcome, err
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -104,8 +104,8 @@
 		}
 	}
 	ttl := defaultEntryTTL
-	if view := daemon.directory.current.Load(); view != nil && view.document.Limits.EntryTTLSecond > 0 {
-		ttl = time.Duration(view.document.Limits.EntryTTLSecond) * time.Second
+	if seconds := daemon.directory.current.Load().Document.Limits.EntryTTLSecond; seconds > 0 {
+		ttl = time.Duration(seconds) * time.Second
 	}
 	return addresses, ttl
 }
@@ -133,11 +133,7 @@
 	if len(alive) > 0 {
 		daemon.limiter.SetShare(1 / float64(len(alive)))
 	}
-	var shares map[string]float64
-	if view := daemon.directory.current.Load(); view != nil {
-		shares = view.shares()
-	}
-	daemon.cells.update(daemon.serversOf, daemon.owns, shares)
+	daemon.cells.update(daemon.serversOf, daemon.owns, daemon.directory.current.Load().shares())
 	daemon.meter.Gauge("hosts", "state", "alive", float64(len(alive)))
 }
 
--- a/io/daemon/message.go
+++ b/io/daemon/message.go
@@ -19,11 +19,6 @@
 	messageRecords  = "records"
 )
 
-// maximumHops bounds how often a request is passed on between hosts whose
-// views of the membership differ. A host at the last hop serves the request
-// whoever owns the cell.
-const maximumHops = 2
-
 // forward asks a cell's owner to run a request.
 type forward struct {
 	Cell    string       `cbor:"cell"`
--- a/io/daemon/place.go
+++ b/io/daemon/place.go
@@ -92,7 +92,7 @@
 		return nil, false
 	}
 	view := daemon.directory.current.Load()
-	limits := view.document.Limits
+	limits := view.Document.Limits
 	return cell.New(cell.Options{
 		Name: name, Servers: servers, Logger: daemon.logger, Capacity: limits.QueuedPerCell,
 		MinimumShares: view.shares(), RetryShare: limits.RetryShare, HedgeShare: limits.HedgeShare,
@@ -101,23 +101,10 @@
 	}), true
 }
 
-// shares returns the minimum share of each class.
-func (view *view) shares() map[string]float64 {
-	shares := make(map[string]float64, len(view.classes))
-	for name, class := range view.classes {
-		shares[name] = class.MinimumShare
-	}
-	return shares
-}
-
 // serversOf returns the servers of a cell that may get work: those that the
 // document lists, with a version outside all recalled lots.
 func (daemon *Daemon) serversOf(name string) ([]cell.Server, bool) {
-	view := daemon.directory.current.Load()
-	if view == nil {
-		return nil, false
-	}
-	plan, ok := view.cells[name]
+	plan, ok := daemon.directory.current.Load().cells[name]
 	if !ok {
 		return nil, false
 	}
@@ -135,12 +122,3 @@
 func (daemon *Daemon) backend(listed spec.BackendServer) cell.Backend {
 	return engine.New(listed.Address, daemon.engines)
 }
-
-// addCells splits the servers of a pool into cells.
-func (view *view) addCells(pool spec.Pool) {
-	for _, found := range route.Cells([]spec.Pool{pool}, view.document.BackendServers) {
-		view.cells[found.Name] = plan{
-			Name: found.Name, Pool: pool, FailureDomain: found.FailureDomain, Servers: found.Servers,
-		}
-	}
-}
--- a/io/daemon/router.go
+++ b/io/daemon/router.go
@@ -81,7 +81,7 @@
 	var outcome cell.Outcome
 	var err error
 	if chosen.Owner.Name == daemon.self.Name {
-		outcome, err = daemon.serveHere(ctx, chosen.Cell, maximumHops, request, passage.take)
+		outcome, err = daemon.serveHere(ctx, chosen.Cell, route.MaximumHops, request, passage.take)
 	} else {
 		outcome, err = daemon.forward(ctx, chosen.Owner, prepare(chosen.Cell, 1, request), passage.take)
 	}
@@ -194,10 +194,7 @@
 func (passage *passage) candidates() []route.Candidate {
 	daemon := passage.daemon
 	view := daemon.directory.current.Load()
-	if view == nil {
-		return nil
-	}
-	pool := view.pools[passage.request.Model]
+	pool, _ := view.Pool(passage.request.Model)
 	matches := daemon.affinity.match(passage.request.Prefixes)
 	var candidates []route.Candidate
 	for _, plan := range view.cells {
--- a/io/daemon/system.go
+++ b/io/daemon/system.go
@@ -11,16 +11,10 @@
 // Operator implements admin.System. The document's operators may call; before
 // a document is in force, those of the host's settings.
 func (daemon *Daemon) Operator(key string) (spec.Operator, bool) {
-	if view := daemon.directory.current.Load(); view != nil {
-		return find(view.operators, key)
+	if view := daemon.directory.current.Load(); view.generation > 0 {
+		return view.Operator(key)
 	}
-	operators := make(map[string]spec.Operator)
-	for _, operator := range daemon.settings.Operators {
-		for _, held := range operator.Keys {
-			operators[held.SHA256] = operator
-		}
-	}
-	return find(operators, key)
+	return spec.NewIndex(spec.Document{Operators: daemon.settings.Operators}).Operator(key)
 }
 
 // Generation implements admin.System.
--- a/io/daemon/trial.go
+++ b/io/daemon/trial.go
@@ -86,7 +86,7 @@
 		add("pool "+pool.Name+" keeps its minimum", len(pool.Versions) > 0 && trial.servers(pool.Name) >= pool.MinimumServers,
 			fmt.Sprintf("%d backend servers, the minimum is %d", trial.servers(pool.Name), pool.MinimumServers))
 	}
-	add("an operator remains", len(trial.operators) > 0, "nobody could change the document again")
+	add("an operator remains", len(document.Operators) > 0, "nobody could change the document again")
 	return result
 }
 
@@ -100,10 +100,11 @@
 	return slots
 }
 
+// servers counts the backend servers of a pool that are not leaving.
 func (view *view) servers(pool string) int {
 	count := 0
-	for _, server := range view.document.BackendServers {
-		if server.Pool == pool && !server.Leaving {
+	for _, server := range view.Servers(pool) {
+		if !server.Leaving {
 			count++
 		}
 	}
@@ -112,24 +113,22 @@
 
 // takes reports whether a document can serve a request.
 func (view *view) takes(routed routed) bool {
-	if _, ok := view.classes[routed.class]; !ok {
+	if _, ok := view.Class(routed.class); !ok {
 		return false
 	}
-	pool, ok := view.pools[routed.model]
+	pool, ok := view.Pool(routed.model)
 	if !ok || view.servers(pool.Name) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(view.document.Workspaces, func(workspace spec.Workspace) bool {
+	return slices.ContainsFunc(view.Document.Workspaces, func(workspace spec.Workspace) bool {
 		return workspace.Name == routed.workspace && slices.Contains(workspace.Classes, routed.class)
 	})
 }
 
 // differs reports whether a request would be treated in another way than now.
 func (view *view) differs(current *view, routed routed) bool {
-	if current == nil {
-		return true
-	}
-	return view.classes[routed.class].Tier != routed.tier ||
-		view.pools[routed.model].Name != current.pools[routed.model].Name ||
-		view.servers(view.pools[routed.model].Name) != current.servers(current.pools[routed.model].Name)
+	class, _ := view.Class(routed.class)
+	pool, _ := view.Pool(routed.model)
+	before, _ := current.Pool(routed.model)
+	return class.Tier != routed.tier || pool.Name != before.Name || view.servers(pool.Name) != current.servers(before.Name)
 }
--- a/io/daemon/view.go
+++ b/io/daemon/view.go
@@ -1,30 +1,21 @@
 package daemon
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"slices"
 	"sync/atomic"
 
 	"primrosegw/core/limit"
+	"primrosegw/core/route"
 	"primrosegw/core/spec"
 )
 
 // view is the document in force with the look-ups that requests need. It does
 // not change; a new document makes a new view.
 type view struct {
+	*spec.Index
 	generation uint64
-	document   spec.Document
-	classes    map[string]spec.Class
-	services   map[string]spec.Service
-	// workspaces and operators are found by the hash of a key.
-	workspaces map[string]spec.Workspace
-	operators  map[string]spec.Operator
-	// pools are found by the names that requests use as their model.
-	pools  map[string]spec.Pool
-	models []string
-	cells  map[string]plan
+	models     []string
+	cells      map[string]plan
 }
 
 // plan is one cell of the document.
@@ -36,72 +27,58 @@
 }
 
 // newView indexes a document from which recalled versions have been taken out.
+// Pools that have no version left serve nothing.
 func newView(generation uint64, document spec.Document) *view {
-	view := &view{
-		generation: generation, document: document,
-		classes:    make(map[string]spec.Class),
-		services:   make(map[string]spec.Service),
-		workspaces: make(map[string]spec.Workspace),
-		operators:  make(map[string]spec.Operator),
-		pools:      make(map[string]spec.Pool),
-		cells:      make(map[string]plan),
-	}
-	for _, class := range document.Classes {
-		view.classes[class.Name] = class
-	}
-	for _, service := range document.Services {
-		view.services[service.Name] = service
-	}
-	for _, workspace := range document.Workspaces {
-		for _, key := range workspace.Keys {
-			view.workspaces[key.SHA256] = workspace
-		}
-	}
-	for _, operator := range document.Operators {
-		for _, key := range operator.Keys {
-			view.operators[key.SHA256] = operator
+	document.Pools = slices.DeleteFunc(slices.Clone(document.Pools), func(pool spec.Pool) bool {
+		return len(pool.Versions) == 0
+	})
+	view := &view{Index: spec.NewIndex(document), generation: generation, cells: make(map[string]plan)}
+	for _, pool := range document.Pools {
+		view.models = append(view.models, pool.Model)
+		for _, adapter := range pool.Adapters {
+			view.models = append(view.models, adapter.Name)
 		}
+		view.addCells(pool)
 	}
-	view.addPools()
+	slices.Sort(view.models)
+	view.models = slices.Compact(view.models)
 	return view
 }
 
-// addPools indexes the pools that have a version left outside all recalled lots.
-func (view *view) addPools() {
-	for _, pool := range view.document.Pools {
-		if len(pool.Versions) == 0 {
-			continue
-		}
-		view.pools[pool.Model] = pool
-		for _, adapter := range pool.Adapters {
-			view.pools[adapter.Name] = pool
+// addCells splits the servers of a pool into cells.
+func (view *view) addCells(pool spec.Pool) {
+	for _, found := range route.Cells([]spec.Pool{pool}, view.Document.BackendServers) {
+		view.cells[found.Name] = plan{
+			Name: found.Name, Pool: pool, FailureDomain: found.FailureDomain, Servers: found.Servers,
 		}
-		view.addCells(pool)
 	}
-	for name := range view.pools {
-		view.models = append(view.models, name)
+}
+
+// shares returns the minimum share of each class.
+func (view *view) shares() map[string]float64 {
+	shares := make(map[string]float64, len(view.Document.Classes))
+	for _, class := range view.Document.Classes {
+		shares[class.Name] = class.MinimumShare
 	}
-	slices.Sort(view.models)
+	return shares
 }
 
-// find looks a key up by its hash. The comparison takes the same time whatever
-// the key is.
-func find[T any](entries map[string]T, key string) (T, bool) {
-	sum := sha256.Sum256([]byte(key))
-	hash := hex.EncodeToString(sum[:])
-	var found T
-	matched := 0
-	for candidate, entry := range entries {
-		if subtle.ConstantTimeCompare([]byte(candidate), []byte(hash)) == 1 {
-			found = entry
-			matched = 1
+// limits returns the limits of each workspace.
+func (view *view) limits() map[string]limit.Limit {
+	limits := make(map[string]limit.Limit, len(view.Document.Workspaces))
+	for _, workspace := range view.Document.Workspaces {
+		limits[workspace.Name] = limit.Limit{
+			RequestsPerSecond: workspace.RequestsPerSecond,
+			TokensPerSecond:   workspace.TokensPerSecond,
+			InFlight:          workspace.InFlight,
 		}
 	}
-	return found, matched == 1
+	return limits
 }
 
 // directory shows callers the document in force.
 type directory struct {
+	// current is never nil; before the first document it has nothing.
 	current atomic.Pointer[view]
 	// taking is false while the host takes no new work.
 	taking atomic.Bool
@@ -109,56 +86,23 @@
 
 // Workspace implements entry.Directory.
 func (directory *directory) Workspace(key string) (spec.Workspace, bool) {
-	view := directory.current.Load()
-	if view == nil {
-		return spec.Workspace{}, false
-	}
-	return find(view.workspaces, key)
+	return directory.current.Load().Workspace(key)
 }
 
 // Class implements entry.Directory.
 func (directory *directory) Class(name string) (spec.Class, bool) {
-	view := directory.current.Load()
-	if view == nil {
-		return spec.Class{}, false
-	}
-	class, ok := view.classes[name]
-	return class, ok
+	return directory.current.Load().Class(name)
 }
 
 // Service implements entry.Directory.
 func (directory *directory) Service(name string) (spec.Service, bool) {
-	view := directory.current.Load()
-	if view == nil {
-		return spec.Service{}, false
-	}
-	service, ok := view.services[name]
-	return service, ok
+	return directory.current.Load().Service(name)
 }
 
 // Models implements entry.Directory.
-func (directory *directory) Models() []string {
-	view := directory.current.Load()
-	if view == nil {
-		return nil
-	}
-	return view.models
-}
+func (directory *directory) Models() []string { return directory.current.Load().models }
 
 // Ready implements entry.Directory.
 func (directory *directory) Ready() bool {
-	return directory.current.Load() != nil && directory.taking.Load()
-}
-
-// limits returns the limits of each workspace.
-func (view *view) limits() map[string]limit.Limit {
-	limits := make(map[string]limit.Limit, len(view.document.Workspaces))
-	for _, workspace := range view.document.Workspaces {
-		limits[workspace.Name] = limit.Limit{
-			RequestsPerSecond: workspace.RequestsPerSecond,
-			TokensPerSecond:   workspace.TokensPerSecond,
-			InFlight:          workspace.InFlight,
-		}
-	}
-	return limits
+	return directory.current.Load().generation > 0 && directory.taking.Load()
 }
