core/order: give orders in steps

Cause: an engine may replace its model on a load or take a while for it; orders given all at once could unload the old version before the new one is there, or load an adapter before its model. Change: the executor gives one kind of order at a time and reads the state back before the next; a server that does not answer its first read is left at once.

--- a/core/order/executor.go
+++ b/core/order/executor.go
@@ -148,24 +148,84 @@
 	return result
 }
 
-// bring reads a server's state, gives the orders that are missing and verifies
-// the state after them. It returns the number of orders.
+// bring leads a server to its desired state and returns the number of orders. It
+// works in steps, one kind of order at a time, and reads the state back after
+// each: an adapter is ordered when its model is there, and an old version goes
+// when the new one is there. No order is given twice.
 func (executor *Executor) bring(ctx context.Context, fence int64, desired Desired) (int, error) {
-	begun := time.Now()
-	state, err := executor.read(ctx, desired.Server)
-	if err != nil {
-		return 0, err
+	given := map[Order]bool{}
+	limit := time.Now().Add(executor.options.Settle)
+	for {
+		begun := time.Now()
+		state, err := executor.read(ctx, desired.Server)
+		if current, _ := executor.options.Lease.Current(); current != fence {
+			return len(given), fault.New("order.bring", Lapsed, "the lease ended before the state was verified")
+		}
+		if err != nil && len(given) == 0 {
+			return 0, err
+		}
+		if err == nil {
+			missing := Missing(desired, state)
+			if len(missing) == 0 {
+				executor.note(fence, desired, begun)
+				return len(given), nil
+			}
+			sent, failure := executor.give(ctx, fence, desired, step(missing), given)
+			if failure != nil {
+				return len(given), failure
+			}
+			if sent {
+				limit = time.Now().Add(executor.options.Settle)
+				continue
+			}
+			err = fault.New("order.bring", Unverified, desired.Server)
+		}
+		if err := executor.pause(ctx, limit, err); err != nil {
+			return len(given), err
+		}
+	}
+}
+
+// pause waits before the next read of a state. It returns the given error when
+// the time is over.
+func (executor *Executor) pause(ctx context.Context, limit time.Time, err error) error {
+	if time.Now().Add(readPause).After(limit) {
+		return err
 	}
-	missing := Missing(desired, state)
-	if len(missing) == 0 {
-		executor.note(fence, desired, begun)
-		return 0, nil
+	select {
+	case <-time.After(readPause):
+		return nil
+	case <-ctx.Done():
+		return fault.Wrap("order.pause", Unverified, ctx.Err())
 	}
-	given, err := executor.give(ctx, fence, desired, missing)
-	if err != nil {
-		return given, err
+}
+
+// give sends the orders of a step that were not given yet, and reports whether
+// there were any. An order whose reply is lost counts as given: the state that
+// is read back decides.
+func (executor *Executor) give(
+	ctx context.Context, fence int64, desired Desired, orders []Order, given map[Order]bool,
+) (bool, error) {
+	sent := false
+	for _, order := range orders {
+		order.Fence = fence
+		if given[order] {
+			continue
+		}
+		ordered, err := executor.send(ctx, desired, order)
+		if !ordered {
+			return sent, err
+		}
+		sent, given[order] = true, true
+		executor.options.Logger.Log(executor.events[event.OrderGiven], logrus.Fields{
+			"server": desired.Server, "fence": fence, "action": order.Action, "model": order.Model,
+			"version": order.Version, "adapter": order.Adapter, "role": order.Role,
+		})
+		if err != nil && !fault.Is(err, Unreachable) {
+			return sent, err
+		}
 	}
-	return given, executor.verify(ctx, fence, desired)
+	return sent, nil
 }
 
 // trusted reports whether the desired state was verified not long ago, and late
@@ -186,26 +246,6 @@
 	return executor.options.Controller.State(ctx, server)
 }
 
-// give sends orders one after the other and returns how many were sent. An order
-// whose reply is lost counts as sent: the state that is read back decides.
-func (executor *Executor) give(ctx context.Context, fence int64, desired Desired, orders []Order) (int, error) {
-	for index, order := range orders {
-		order.Fence = fence
-		sent, err := executor.send(ctx, desired, order)
-		if !sent {
-			return index, err
-		}
-		executor.options.Logger.Log(executor.events[event.OrderGiven], logrus.Fields{
-			"server": desired.Server, "fence": fence, "action": order.Action, "model": order.Model,
-			"version": order.Version, "adapter": order.Adapter, "role": order.Role,
-		})
-		if err != nil && !fault.Is(err, Unreachable) {
-			return index + 1, err
-		}
-	}
-	return len(orders), nil
-}
-
 // send gives one order, and reports whether it was sent. The clock is read right
 // before.
 func (executor *Executor) send(ctx context.Context, desired Desired, order Order) (bool, error) {
@@ -229,33 +269,6 @@
 	return nil
 }
 
-// verify reads the state until it is the desired one.
-func (executor *Executor) verify(ctx context.Context, fence int64, desired Desired) error {
-	limit := time.Now().Add(executor.options.Settle)
-	for {
-		begun := time.Now()
-		state, err := executor.read(ctx, desired.Server)
-		if current, _ := executor.options.Lease.Current(); current != fence {
-			return fault.New("order.verify", Lapsed, "the lease ended before the state was verified")
-		}
-		if err == nil && len(Missing(desired, state)) == 0 {
-			executor.note(fence, desired, begun)
-			return nil
-		}
-		if time.Now().Add(readPause).After(limit) {
-			if err != nil {
-				return err
-			}
-			return fault.New("order.verify", Unverified, desired.Server)
-		}
-		select {
-		case <-time.After(readPause):
-		case <-ctx.Done():
-			return fault.Wrap("order.verify", Unverified, ctx.Err())
-		}
-	}
-}
-
 // note records a verified state, unless the holder has changed meanwhile.
 func (executor *Executor) note(fence int64, desired Desired, at time.Time) {
 	executor.mutex.Lock()
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -96,7 +96,7 @@
 
 // Missing returns the orders that lead from a state to the desired one, without
 // fencing numbers. Models come before their adapters, and are unloaded after
-// them.
+// them; the role comes last.
 func Missing(desired Desired, state State) []Order {
 	loads := difference(Load, desired.State.Loaded, state.Loaded)
 	unloads := difference(Unload, state.Loaded, desired.State.Loaded)
@@ -127,3 +127,15 @@
 	}
 	return append(models, adapters...)
 }
+
+// step returns the first orders of a list that may be given together: those of
+// one action, for models or for adapters.
+func step(orders []Order) []Order {
+	first := orders[0]
+	for index, order := range orders {
+		if order.Action != first.Action || (order.Adapter == "") != (first.Adapter == "") {
+			return orders[:index]
+		}
+	}
+	return orders
+}
