--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -65,6 +65,7 @@
 	Fence     bool          `help:"Refuse orders with an old fencing number."`
 	Poison    string        `help:"A marker in a prompt that crashes the engine."`
 	RestartIn time.Duration `default:"2s" help:"The time from a crash to its restart."`
+	Step      time.Duration `default:"18ms" help:"The time of one step, which gives each call a token."`
 }
 
 // Run serves the stand-in.
@@ -72,7 +73,7 @@
 	model := engine.New(engine.Options{
 		Name: command.Name, Model: command.Model, Version: command.Version, Slots: command.Slots,
 		LoadLag: command.LoadLag, ChecksFence: command.Fence, Poison: command.Poison,
-		RestartAfter: command.RestartIn, Payloads: true,
+		RestartAfter: command.RestartIn, Payloads: true, StepBase: command.Step,
 	})
 	return command.serve(ctx, console, "engine "+command.Name, model.Handler())
 }
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -173,6 +173,7 @@
 	settings []config.Settings
 	paths    []string
 	engines  []*process
+	flags    []string
 	kv       *process
 	kvURL    string
 	archive  string
@@ -181,10 +182,11 @@
 
 var domains = []string{"caxias", "bento", "farroupilha", "garibaldi"}
 
-// newFleet starts hosts and engines with a document in force.
-func newFleet(t *testing.T, hosts, engines int) *fleet {
+// newFleet starts hosts and engines with a document in force. The flags go to
+// the engines.
+func newFleet(t *testing.T, hosts, engines int, flags ...string) *fleet {
 	t.Helper()
-	fleet := &fleet{t: t}
+	fleet := &fleet{t: t, flags: flags}
 	addresses := ports(t, 2+engines+3*hosts)
 	fleet.kv = standin(t, "kv", addresses[0], "kv")
 	fleet.kvURL = "http://" + addresses[0]
@@ -205,8 +207,8 @@
 
 func (fleet *fleet) addEngine(index int, address string) {
 	name := fmt.Sprintf("engine-%d", index)
-	fleet.engines = append(fleet.engines, standin(fleet.t, name, address,
-		"engine", "--name", name, "--model", model, "--slots", "8", "--poison", "POISON", "--restart-in", "500ms"))
+	args := []string{"engine", "--name", name, "--model", model, "--slots", "8", "--poison", "POISON", "--restart-in", "500ms"}
+	fleet.engines = append(fleet.engines, standin(fleet.t, name, address, append(args, fleet.flags...)...))
 	fleet.document.BackendServers = append(fleet.document.BackendServers, spec.BackendServer{
 		Name: name, Address: "http://" + address, FailureDomain: domains[index%len(domains)], Pool: "sketch",
 		Slots: 8, ReportsLoad: true,
--- a/io/link/frame.go
+++ b/io/link/frame.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -22,6 +23,20 @@
 	maximumElements = 1 << 16
 )
 
+// decoder is made once: building it costs more than decoding a token's frame.
+var decoder = sync.OnceValue(func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels:  maximumNesting,
+		MaxArrayElements: maximumElements,
+		MaxMapPairs:      maximumElements,
+	}.DecMode()
+	if err != nil {
+		// The options are constants within the library's ranges.
+		panic(err)
+	}
+	return mode
+})
+
 // WriteFrame writes one value as a frame: its length and its CBOR form.
 func WriteFrame(writer io.Writer, value any) error {
 	const op = "link.write_frame"
@@ -59,15 +74,7 @@
 	if int64(len(data)) < length {
 		return fault.Wrap(op, Broken, io.ErrUnexpectedEOF)
 	}
-	decoder, err := cbor.DecOptions{
-		MaxNestedLevels:  maximumNesting,
-		MaxArrayElements: maximumElements,
-		MaxMapPairs:      maximumElements,
-	}.DecMode()
-	if err != nil {
-		return fault.Wrap(op, Malformed, err)
-	}
-	if err := decoder.Unmarshal(data, value); err != nil {
+	if err := decoder().Unmarshal(data, value); err != nil {
 		return fault.Wrap(op, Malformed, err)
 	}
 	return nil
