io/entry: build the callers' HTTP server in one place

Cause: The bounds of headers and idle connections were set in io/daemon, out of reach of tests of io/entry; idle connections were kept without a bound. Change: Add entry.Entry.Server with all bounds, and an idle timeout of one minute. Conclusion: Tests of io/entry run against the same server as the daemon.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -49,6 +49,11 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
+// idleTimeout is how long a caller's connection is kept between requests. It is
+// above the default time to live of entry addresses, so that callers at work
+// keep their connections.
+const idleTimeout = time.Minute
+
 // Options are the dependencies of a Daemon.
 type Options struct {
 	Settings config.Settings
@@ -299,15 +304,13 @@
 		Logger:    daemon.logger,
 		Meter:     daemon.meter,
 		Limits: entry.Limits{
-			BodyBytes:    limits.BodyBytes,
-			BodyTimeout:  time.Duration(limits.BodyTimeoutMs) * time.Millisecond,
-			WriteTimeout: time.Duration(limits.WriteTimeoutMs) * time.Millisecond,
+			BodyBytes:     limits.BodyBytes,
+			HeaderBytes:   limits.HeaderBytes,
+			HeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
+			BodyTimeout:   time.Duration(limits.BodyTimeoutMs) * time.Millisecond,
+			WriteTimeout:  time.Duration(limits.WriteTimeoutMs) * time.Millisecond,
+			IdleTimeout:   idleTimeout,
 		},
 	})
-	return &http.Server{
-		Handler:           callers.Handler(),
-		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
-		MaxHeaderBytes:    limits.HeaderBytes,
-		ErrorLog:          nil,
-	}
+	return callers.Server()
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -50,9 +50,14 @@
 
 // Limits bound what one caller may take.
 type Limits struct {
-	BodyBytes    int64
-	BodyTimeout  time.Duration
-	WriteTimeout time.Duration
+	BodyBytes int64
+	// HeaderBytes bounds the request line and all headers together.
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
+	WriteTimeout  time.Duration
+	// IdleTimeout is how long a connection without a request is kept.
+	IdleTimeout time.Duration
 }
 
 // Options are the dependencies of an Entry.
@@ -77,6 +82,22 @@
 // New returns the callers' side of a host.
 func New(options Options) *Entry { return &Entry{options: options} }
 
+// headerSlack is how far the HTTP library's own bound of the headers is above
+// HeaderBytes. The library refuses with a line of text; up to the slack, this
+// package refuses with its usual JSON.
+const headerSlack = 4
+
+// Server returns the callers' HTTP server with all bounds set.
+func (entry *Entry) Server() *http.Server {
+	limits := entry.options.Limits
+	return &http.Server{
+		Handler:           entry.Handler(),
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    headerSlack * limits.HeaderBytes,
+	}
+}
+
 // Handler returns the callers' HTTP interface.
 func (entry *Entry) Handler() http.Handler {
 	mux := http.NewServeMux()
