io/entry: end refused requests without waiting for their bodies

Cause: A request refused before or during its body, also without a key, was held until the body came: the HTTP library read the rest before it answered, without a deadline. Headers above the bound and wrong methods got plain text and a misleading 404. Change: Bodies have a read deadline from the start and their connection closes unless the body was read whole; headers above the bound get 431 and wrong methods 405 with Allow, in JSON. Conclusion: A caller can't hold a host's memory with a body that never comes.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -101,40 +101,84 @@
 // Handler returns the callers' HTTP interface.
 func (entry *Entry) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/entry", entry.serveHosts)
-	mux.HandleFunc("GET /v1/models", entry.serveModels)
-	mux.HandleFunc("POST /v1/chat/completions", func(writer http.ResponseWriter, request *http.Request) {
+	entry.route(mux, http.MethodGet, "/v1/entry", entry.serveHosts)
+	entry.route(mux, http.MethodGet, "/v1/models", entry.serveModels)
+	entry.route(mux, http.MethodPost, "/v1/chat/completions", func(writer http.ResponseWriter, request *http.Request) {
 		entry.serveGenerate(writer, request, true)
 	})
-	mux.HandleFunc("POST /v1/completions", func(writer http.ResponseWriter, request *http.Request) {
+	entry.route(mux, http.MethodPost, "/v1/completions", func(writer http.ResponseWriter, request *http.Request) {
 		entry.serveGenerate(writer, request, false)
 	})
 	mux.HandleFunc("/v1/services/{name}/{path...}", entry.serveService)
-	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) {
-		writeJSON(writer, http.StatusOK, map[string]string{"status": "ok"})
+	entry.route(mux, http.MethodGet, "/healthz", func(writer http.ResponseWriter, _ *http.Request) {
+		entry.reply(writer, http.StatusOK, map[string]string{"status": "ok"})
 	})
-	mux.HandleFunc("GET /readyz", entry.serveReady)
+	entry.route(mux, http.MethodGet, "/readyz", entry.serveReady)
 	mux.HandleFunc("/", func(writer http.ResponseWriter, request *http.Request) {
 		entry.refuse(writer, request, problem{
 			status: http.StatusNotFound, kind: "not_found",
 			message: "no such path: " + request.Method + " " + request.URL.Path, run: cell.NotRun,
 		})
 	})
-	return mux
+	return entry.bound(mux)
+}
+
+// route serves one method of a path and refuses the others.
+func (entry *Entry) route(mux *http.ServeMux, method, path string, handler http.HandlerFunc) {
+	mux.HandleFunc(method+" "+path, handler)
+	mux.HandleFunc(path, func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Allow", method)
+		entry.refuse(writer, request, problem{
+			status: http.StatusMethodNotAllowed, kind: "method_not_allowed",
+			message: "found " + request.Method + ", allowed: " + method, run: cell.NotRun,
+		})
+	})
+}
+
+// bound applies the bounds that hold for every request. A request with a body
+// ends its connection unless the body is read whole: otherwise the HTTP library
+// would wait for the rest of the body of a refused request.
+func (entry *Entry) bound(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.ContentLength != 0 {
+			deadline := time.Now().Add(entry.options.Limits.BodyTimeout)
+			_ = http.NewResponseController(writer).SetReadDeadline(deadline)
+			writer.Header().Set("Connection", "close")
+		}
+		if headerBytes(request) > entry.options.Limits.HeaderBytes {
+			entry.refuse(writer, request, problem{
+				status: http.StatusRequestHeaderFieldsTooLarge, kind: "invalid_request_error",
+				message: "the headers are larger than the limit in bytes", param: "headers", run: cell.NotRun,
+			})
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// headerBytes returns the size of the request's target and headers.
+func headerBytes(request *http.Request) int {
+	size := len(request.RequestURI)
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
 }
 
 func (entry *Entry) serveReady(writer http.ResponseWriter, _ *http.Request) {
 	if !entry.options.Directory.Ready() {
-		writeJSON(writer, http.StatusServiceUnavailable, map[string]string{"status": "not_ready"})
+		entry.reply(writer, http.StatusServiceUnavailable, map[string]string{"status": "not_ready"})
 		return
 	}
-	writeJSON(writer, http.StatusOK, map[string]string{"status": "ready"})
+	entry.reply(writer, http.StatusOK, map[string]string{"status": "ready"})
 }
 
 // serveHosts needs no key: callers ask it before they have chosen a host.
 func (entry *Entry) serveHosts(writer http.ResponseWriter, _ *http.Request) {
 	hosts, ttl := entry.options.Hosts.Entries()
-	writeJSON(writer, http.StatusOK, struct {
+	entry.reply(writer, http.StatusOK, struct {
 		Hosts      []Address `json:"hosts"`
 		TTLSeconds int       `json:"ttl_seconds"`
 	}{hosts, int(ttl.Seconds())})
@@ -155,7 +199,7 @@
 	for _, name := range entry.options.Directory.Models() {
 		models = append(models, model{ID: name, Object: "model", OwnedBy: "primrosegw"})
 	}
-	writeJSON(writer, http.StatusOK, struct {
+	entry.reply(writer, http.StatusOK, struct {
 		Object string  `json:"object"`
 		Data   []model `json:"data"`
 	}{"list", models})
--- a/io/entry/problem.go
+++ b/io/entry/problem.go
@@ -75,9 +75,21 @@
 		"type": problem.kind, "param": problem.param,
 	})
 	entry.options.Meter.Refused(problem.kind)
+	entry.expire(writer)
 	problem.write(writer)
 }
 
+// reply answers with a value, within the time that a caller has to read it.
+func (entry *Entry) reply(writer http.ResponseWriter, status int, value any) {
+	entry.expire(writer)
+	writeJSON(writer, status, value)
+}
+
+// expire bounds the write of a whole answer.
+func (entry *Entry) expire(writer http.ResponseWriter) {
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(entry.options.Limits.WriteTimeout))
+}
+
 // describe turns the router's error into what the caller is told.
 func describe(outcome cell.Outcome, err error) problem {
 	result := problem{run: outcome.Run, message: err.Error(), retryAfter: outcome.RetryAfter}
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -88,24 +90,27 @@
 
 // readBody reads a body within its bounds of size and time.
 func (entry *Entry) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, *problem) {
-	controller := http.NewResponseController(writer)
-	_ = controller.SetReadDeadline(time.Now().Add(entry.options.Limits.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, entry.options.Limits.BodyBytes))
-	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		// The next request may use the connection.
+		writer.Header().Del("Connection")
+		_ = http.NewResponseController(writer).SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	refused := problem{
+		status: http.StatusBadRequest, kind: "invalid_request_error",
+		message: "the body did not arrive whole", param: "body", run: cell.NotRun,
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, &problem{
-			status: http.StatusRequestEntityTooLarge, kind: "invalid_request_error",
-			message: "the body is larger than the limit in bytes", param: "body", run: cell.NotRun,
-		}
-	case err != nil:
-		return nil, &problem{
-			status: http.StatusRequestTimeout, kind: "invalid_request_error",
-			message: "the body did not arrive whole in time", param: "body", run: cell.NotRun,
-		}
+		refused.status = http.StatusRequestEntityTooLarge
+		refused.message = fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		refused.status = http.StatusRequestTimeout
+		refused.message = "the body did not arrive whole in time"
 	}
-	return body, nil
+	return nil, &refused
 }
 
 // parse reads and checks a request for text.
