io/entry: refuse work at a host that takes none

Cause: Only /readyz looked at whether the host takes work: a host cut off from all others for 60 s went on taking requests, and one without a document answered 401 to good keys. Change: Requests at such a host get 503 with run not_run and Retry-After.

--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -32,6 +32,10 @@
 	HeaderReplayed = "X-Primrose-Replayed"
 )
 
+// readyRetry is when a caller may ask again at a host that takes no work. It
+// should ask another host first.
+const readyRetry = time.Second
+
 // maximumIDBytes bounds ids and idempotency keys that callers choose.
 const maximumIDBytes = 128
 
@@ -64,6 +68,12 @@
 }
 
 func (entry *Entry) authenticate(request *http.Request) (spec.Workspace, *problem) {
+	if !entry.options.Directory.Ready() {
+		return spec.Workspace{}, &problem{
+			status: http.StatusServiceUnavailable, kind: "unavailable",
+			message: "the host takes no work", run: cell.NotRun, retryAfter: readyRetry,
+		}
+	}
 	key, ok := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
 	if ok {
 		if workspace, found := entry.options.Directory.Workspace(key); found {
