io/entry: read callers' bodies strictly

Cause: The body was read with encoding/json, which takes a field in any case and the last of two: the router could check another model or limit than the engine used. An empty, numeric or list prompt was passed on (a list asks for several answers), and messages named Go types. Change: Read with go-json-experiment/json: a field given twice, in another case, invalid UTF-8 or nested deeper than 128 is refused; errors name the field, what was found and what is allowed; text of the caller never becomes a logged field name. Conclusion: The router and the engine see the same request.

--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/google/uuid"
 
 	"primrosegw/core/cell"
@@ -42,14 +43,14 @@
 // fields is what the router reads of a caller's body. All other fields go to
 // the engine as they are.
 type fields struct {
-	Model               *string         `json:"model"`
-	Stream              bool            `json:"stream"`
-	StreamOptions       *streamOptions  `json:"stream_options"`
-	MaxTokens           *int            `json:"max_tokens"`
-	MaxCompletionTokens *int            `json:"max_completion_tokens"`
-	N                   *int            `json:"n"`
-	Messages            json.RawMessage `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
+	Model               *string        `json:"model"`
+	Stream              bool           `json:"stream"`
+	StreamOptions       *streamOptions `json:"stream_options"`
+	MaxTokens           *int           `json:"max_tokens"`
+	MaxCompletionTokens *int           `json:"max_completion_tokens"`
+	N                   *int           `json:"n"`
+	Messages            jsontext.Value `json:"messages"`
+	Prompt              jsontext.Value `json:"prompt"`
 }
 
 type streamOptions struct {
@@ -138,9 +139,9 @@
 	if found != nil {
 		return parsed{}, found
 	}
-	var read fields
-	if err := json.Unmarshal(body, &read); err != nil {
-		return parsed{}, describeJSON(err)
+	read, found := readFields(body)
+	if found != nil {
+		return parsed{}, found
 	}
 	if found := read.check(chat, entry.options.Directory.Models()); found != nil {
 		return parsed{}, found
@@ -155,22 +156,13 @@
 	if found := checkIdempotency(result.idempotency, class.Idempotent); found != nil {
 		return parsed{}, found
 	}
-	result.request = read.request(id, workspace, class, body)
-	result.request.Chat = chat
+	result.request = read.request(id, workspace, class, chat, body)
 	result.request.Arrived = arrived
 	result.request.FirstToken = arrived.Add(time.Duration(class.FirstTokenMs) * time.Millisecond)
 	result.request.Deadline = arrived.Add(time.Duration(class.DeadlineMs) * time.Millisecond)
 	return result, nil
 }
 
-func describeJSON(err error) *problem {
-	var wrongType *json.UnmarshalTypeError
-	if errors.As(err, &wrongType) {
-		return invalid(wrongType.Field, "found a "+wrongType.Value+", allowed: "+wrongType.Type.String())
-	}
-	return invalid("body", "the body is not a JSON object: "+err.Error())
-}
-
 func (fields *fields) check(chat bool, models []string) *problem {
 	switch {
 	case fields.Model == nil:
@@ -189,28 +181,9 @@
 		return invalid("max_completion_tokens", "max_completion_tokens is 1 at least")
 	case chat:
 		return checkMessages(fields.Messages)
-	case len(fields.Prompt) == 0 || string(fields.Prompt) == "null":
-		return invalid("prompt", "prompt is missing")
-	}
-	return nil
-}
-
-func checkMessages(raw json.RawMessage) *problem {
-	var messages []struct {
-		Role string `json:"role"`
-	}
-	if err := json.Unmarshal(raw, &messages); err != nil {
-		return invalid("messages", "messages is not a list of messages")
-	}
-	if len(messages) == 0 {
-		return invalid("messages", "messages is empty")
+	default:
+		return checkPrompt(fields.Prompt)
 	}
-	for _, message := range messages {
-		if message.Role == "" {
-			return invalid("messages.role", "a message has no role")
-		}
-	}
-	return nil
 }
 
 func requestID(request *http.Request) (string, *problem) {
@@ -237,10 +210,10 @@
 	return nil
 }
 
-func (fields *fields) request(id string, workspace spec.Workspace, class spec.Class, body []byte) cell.Request {
-	prompt := prefix.Prompt(fields.Prompt)
-	if len(fields.Messages) > 0 {
-		prompt = prefix.Chat(fields.Messages)
+func (fields *fields) request(id string, workspace spec.Workspace, class spec.Class, chat bool, body []byte) cell.Request {
+	prompt := prefix.Prompt(json.RawMessage(fields.Prompt))
+	if chat {
+		prompt = prefix.Chat(json.RawMessage(fields.Messages))
 	}
 	return cell.Request{
 		ID:           id,
@@ -255,6 +228,7 @@
 		Prefixes:     prefix.Hashes(prompt),
 		Fingerprint:  fingerprint(workspace.Name, body),
 		Idempotent:   class.Idempotent,
+		Chat:         chat,
 		Body:         body,
 	}
 }
