io/entry: refuse ids and keys that peers can't decode

Cause: A request id or idempotency key with bytes that are not UTF-8 made a CBOR frame that the cell's owner refuses, so that the request was reported as lost at one owner after the other. Change: Ids and keys are printable ASCII; others get 400 with the header in param. Conclusion: A caller can't make frames between hosts invalid.

--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -191,6 +191,9 @@
 	if len(id) > maximumIDBytes {
 		return "", invalid(HeaderRequestID, "the request id is longer than 128 bytes")
 	}
+	if !printable(id) {
+		return "", invalid(HeaderRequestID, "the request id holds other characters than printable ASCII")
+	}
 	// A caller's id is kept for its own logs, but never used as the only
 	// identity: two callers may send the same one.
 	unique := uuid.NewString()
@@ -207,9 +210,23 @@
 	if len(key) > maximumIDBytes {
 		return invalid(HeaderIdempotency, "the idempotency key is longer than 128 bytes")
 	}
+	if !printable(key) {
+		return invalid(HeaderIdempotency, "the idempotency key holds other characters than printable ASCII")
+	}
 	return nil
 }
 
+// printable reports whether a text is printable ASCII. Ids and keys cross links
+// in CBOR texts, which peers refuse if they are not valid UTF-8.
+func printable(text string) bool {
+	for _, char := range []byte(text) {
+		if char < ' ' || char > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 func (fields *fields) request(id string, workspace spec.Workspace, class spec.Class, chat bool, body []byte) cell.Request {
 	prompt := prefix.Prompt(json.RawMessage(fields.Prompt))
 	if chat {
