io/entry: keep late and crossed pieces out of answers

Cause: A piece handed over after its request had ended was written to the finished connection: the process logged a panic and the connection of the next request broke. A piece that names another request was delivered. Change: The answer is closed when the router returns and refuses later pieces; pieces of another request are dropped. Measured: TestLateAndCrossedPieces: nil pointer panic in net/http before; passes with -race after.

--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"primrosegw/core/cell"
@@ -20,6 +21,10 @@
 	parsed  parsed
 	created int64
 
+	// mutex guards the answer against pieces that arrive while it ends.
+	mutex sync.Mutex
+	// closed: the answer has ended; later pieces are refused.
+	closed  bool
 	started bool
 	tokens  int
 	text    strings.Builder
@@ -40,9 +45,18 @@
 	}
 }
 
-// emit takes the next piece. It fails with Gone when the caller does not read.
+// emit takes the next piece. A piece of another request is dropped. It fails
+// with Gone when the caller does not read or the answer has ended.
 func (answer *answer) emit(chunk cell.Chunk) error {
 	const op = "entry.emit"
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	if answer.closed {
+		return fault.New(op, cell.Gone, "the answer has ended")
+	}
+	if chunk.Request != "" && chunk.Request != answer.parsed.request.ID {
+		return nil
+	}
 	now := time.Now()
 	if answer.first.IsZero() && chunk.Tokens > 0 {
 		answer.first = now
@@ -168,6 +182,14 @@
 	return answer.control.Flush()
 }
 
+// close refuses all pieces from now on. The connection may carry the answer to
+// another request next.
+func (answer *answer) close() {
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	answer.closed = true
+}
+
 // end completes an answer that was delivered whole.
 func (answer *answer) end() error {
 	if !answer.parsed.stream {
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -45,6 +45,7 @@
 	run := func(ctx context.Context) (ledger.Outcome, cell.Run, error) {
 		var err error
 		outcome, err = entry.options.Router.Generate(ctx, parsed.request, answer.emit)
+		answer.close()
 		return answer.recorded(), outcome.Run, err
 	}
 	var err error
