io/entry: deliver pieces that were cut to what the caller lacks

Cause: core/stream drops the payload of a piece that overlaps the answer and leaves its text; a streaming caller lost the words of such a piece, with a closing [DONE]. Change: The piece is rendered from its text.

--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -87,10 +87,10 @@
 // caller did not ask for it.
 func (answer *answer) payload(chunk cell.Chunk) (map[string]any, error) {
 	payload := make(map[string]any)
-	if len(chunk.Data) > 0 {
-		if err := json.Unmarshal(chunk.Data, &payload); err != nil {
-			return nil, err
-		}
+	if len(chunk.Data) == 0 {
+		payload["choices"] = answer.render(chunk)
+	} else if err := json.Unmarshal(chunk.Data, &payload); err != nil {
+		return nil, err
 	}
 	if usage, ok := payload["usage"].(map[string]any); ok {
 		answer.usage = usage
@@ -109,6 +109,24 @@
 	return payload, nil
 }
 
+// render returns the choices of a piece whose payload was dropped when it was
+// cut to the part that the caller lacks; none for a piece without content.
+func (answer *answer) render(chunk cell.Chunk) []any {
+	if chunk.Text == "" && chunk.Finish == "" {
+		return nil
+	}
+	choice := map[string]any{"index": 0, "finish_reason": nil}
+	if chunk.Finish != "" {
+		choice["finish_reason"] = chunk.Finish
+	}
+	if answer.parsed.request.Chat {
+		choice["delta"] = map[string]string{"content": chunk.Text}
+	} else {
+		choice["text"] = chunk.Text
+	}
+	return []any{choice}
+}
+
 func (answer *answer) keepTools(choices []any) {
 	choice, _ := choices[0].(map[string]any)
 	delta, _ := choice["delta"].(map[string]any)
