io/entry: treat an answer without a finish as cut

Cause: When the router returned without an error, the answer counted as whole and was recorded in the ledger, also without a reason for its end. Change: Such an answer ends with an error, without [DONE], and is not recorded. Measured: TestFailureAfterFirstToken/no_finish and TestSettle/not_whole: [DONE] and a record before; an error and no record after. Conclusion: A cut answer never looks whole.

--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -9,6 +9,7 @@
 
 	"primrosegw/core/cell"
 	"primrosegw/core/event"
+	"primrosegw/core/fault"
 	"primrosegw/core/ledger"
 	"primrosegw/core/limit"
 	"primrosegw/io/meter"
@@ -46,6 +47,9 @@
 		var err error
 		outcome, err = entry.options.Router.Generate(ctx, parsed.request, answer.emit)
 		answer.close()
+		if err == nil && answer.finish == "" {
+			err = fault.New("entry.generate", cell.Broken, "the answer ended without a reason for its end")
+		}
 		return answer.recorded(), outcome.Run, err
 	}
 	var err error
