io/entry: record the calls of functions in an answer

Cause: The ledger kept the text of an answer but not its calls of functions: a repeated call got an empty message with finish_reason tool_calls. Measured: TestReplayOfTools: no tool_calls in the replay before; equal to the first answer after.

--- a/io/entry/once.go
+++ b/io/entry/once.go
@@ -123,11 +123,15 @@
 	Text   string `json:"text"`
 	Finish string `json:"finish"`
 	Tokens int    `json:"tokens"`
+	// Tools are the calls of functions, each whole.
+	Tools []tool `json:"tools,omitempty"`
 }
 
 // recorded returns what the ledger keeps of the answer.
 func (answer *answer) recorded() ledger.Outcome {
-	body, _ := json.Marshal(recordedAnswer{Text: answer.text.String(), Finish: answer.finish, Tokens: answer.tokens})
+	body, _ := json.Marshal(recordedAnswer{
+		Text: answer.text.String(), Finish: answer.finish, Tokens: answer.tokens, Tools: mergeTools(answer.tools),
+	})
 	return ledger.Outcome{Status: http.StatusOK, Body: body}
 }
 
@@ -144,7 +148,11 @@
 	}
 	field := map[string]any{"text": kept.Text}
 	if answer.parsed.request.Chat {
-		field = map[string]any{"delta": map[string]string{"content": kept.Text}}
+		delta := map[string]any{"content": kept.Text}
+		if len(kept.Tools) > 0 {
+			delta["tool_calls"] = kept.Tools
+		}
+		field = map[string]any{"delta": delta}
 	}
 	field["index"], field["finish_reason"] = 0, kept.Finish
 	data, err := json.Marshal(map[string]any{"choices": []any{field}})
