io/entry: say when to come back and which limit was reached

Cause: Answers with 429 and 503 had no Retry-After unless the cell gave a time; a reached limit was not named in param; an empty host list was null. Change: Such answers carry Retry-After of 1 s at least; param names the limit; the list is empty. Measured: TestRouterErrors, TestLedgerAnswers, TestLimited, TestHostsAreAList: failed before, pass after. Conclusion: Callers can act on each refusal.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -178,6 +178,9 @@
 // serveHosts needs no key: callers ask it before they have chosen a host.
 func (entry *Entry) serveHosts(writer http.ResponseWriter, _ *http.Request) {
 	hosts, ttl := entry.options.Hosts.Entries()
+	if hosts == nil {
+		hosts = []Address{}
+	}
 	entry.reply(writer, http.StatusOK, struct {
 		Hosts      []Address `json:"hosts"`
 		TTLSeconds int       `json:"ttl_seconds"`
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"primrosegw/core/cell"
@@ -73,10 +74,15 @@
 
 // limited says which limit of the workspace was reached.
 func limited(err error) problem {
-	return problem{
+	refused := problem{
 		status: http.StatusTooManyRequests, kind: "rate_limit_exceeded", message: err.Error(),
 		run: cell.NotRun, retryAfter: limit.RetryAfter(err),
 	}
+	var reached *limit.Error
+	if errors.As(err, &reached) {
+		refused.param = reached.Field
+	}
+	return refused
 }
 
 // record logs and measures a request that ended.
--- a/io/entry/problem.go
+++ b/io/entry/problem.go
@@ -103,9 +103,17 @@
 	if field := faultField(err); field != "" {
 		result.param = field
 	}
+	passing := result.status == http.StatusTooManyRequests || result.status == http.StatusServiceUnavailable
+	if passing && result.retryAfter == 0 {
+		result.retryAfter = defaultRetry
+	}
 	return result
 }
 
+// defaultRetry is when a caller may come back after a passing shortage whose
+// end is not known.
+const defaultRetry = time.Second
+
 // faultField returns the input field that an error of the ledger names.
 func faultField(err error) string {
 	var found *ledger.Error
