--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"primrosegw/core/cell"
@@ -20,6 +21,10 @@
 	parsed  parsed
 	created int64
 
+	// mutex guards the answer against pieces that arrive while it ends.
+	mutex sync.Mutex
+	// closed: the answer has ended; later pieces are refused.
+	closed  bool
 	started bool
 	tokens  int
 	text    strings.Builder
@@ -40,9 +45,18 @@
 	}
 }
 
-// emit takes the next piece. It fails with Gone when the caller does not read.
+// emit takes the next piece. A piece of another request is dropped. It fails
+// with Gone when the caller does not read or the answer has ended.
 func (answer *answer) emit(chunk cell.Chunk) error {
 	const op = "entry.emit"
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	if answer.closed {
+		return fault.New(op, cell.Gone, "the answer has ended")
+	}
+	if chunk.Request != "" && chunk.Request != answer.parsed.request.ID {
+		return nil
+	}
 	now := time.Now()
 	if answer.first.IsZero() && chunk.Tokens > 0 {
 		answer.first = now
@@ -73,10 +87,10 @@
 // caller did not ask for it.
 func (answer *answer) payload(chunk cell.Chunk) (map[string]any, error) {
 	payload := make(map[string]any)
-	if len(chunk.Data) > 0 {
-		if err := json.Unmarshal(chunk.Data, &payload); err != nil {
-			return nil, err
-		}
+	if len(chunk.Data) == 0 {
+		payload["choices"] = answer.render(chunk)
+	} else if err := json.Unmarshal(chunk.Data, &payload); err != nil {
+		return nil, err
 	}
 	if usage, ok := payload["usage"].(map[string]any); ok {
 		answer.usage = usage
@@ -95,6 +109,24 @@
 	return payload, nil
 }
 
+// render returns the choices of a piece whose payload was dropped when it was
+// cut to the part that the caller lacks; none for a piece without content.
+func (answer *answer) render(chunk cell.Chunk) []any {
+	if chunk.Text == "" && chunk.Finish == "" {
+		return nil
+	}
+	choice := map[string]any{"index": 0, "finish_reason": nil}
+	if chunk.Finish != "" {
+		choice["finish_reason"] = chunk.Finish
+	}
+	if answer.parsed.request.Chat {
+		choice["delta"] = map[string]string{"content": chunk.Text}
+	} else {
+		choice["text"] = chunk.Text
+	}
+	return []any{choice}
+}
+
 func (answer *answer) keepTools(choices []any) {
 	choice, _ := choices[0].(map[string]any)
 	delta, _ := choice["delta"].(map[string]any)
@@ -168,6 +200,14 @@
 	return answer.control.Flush()
 }
 
+// close refuses all pieces from now on. The connection may carry the answer to
+// another request next.
+func (answer *answer) close() {
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	answer.closed = true
+}
+
 // end completes an answer that was delivered whole.
 func (answer *answer) end() error {
 	if !answer.parsed.stream {
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -2,15 +2,18 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/google/uuid"
 
 	"primrosegw/core/cell"
@@ -30,20 +33,24 @@
 	HeaderReplayed = "X-Primrose-Replayed"
 )
 
+// readyRetry is when a caller may ask again at a host that takes no work. It
+// should ask another host first.
+const readyRetry = time.Second
+
 // maximumIDBytes bounds ids and idempotency keys that callers choose.
 const maximumIDBytes = 128
 
 // fields is what the router reads of a caller's body. All other fields go to
 // the engine as they are.
 type fields struct {
-	Model               *string         `json:"model"`
-	Stream              bool            `json:"stream"`
-	StreamOptions       *streamOptions  `json:"stream_options"`
-	MaxTokens           *int            `json:"max_tokens"`
-	MaxCompletionTokens *int            `json:"max_completion_tokens"`
-	N                   *int            `json:"n"`
-	Messages            json.RawMessage `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
+	Model               *string        `json:"model"`
+	Stream              bool           `json:"stream"`
+	StreamOptions       *streamOptions `json:"stream_options"`
+	MaxTokens           *int           `json:"max_tokens"`
+	MaxCompletionTokens *int           `json:"max_completion_tokens"`
+	N                   *int           `json:"n"`
+	Messages            jsontext.Value `json:"messages"`
+	Prompt              jsontext.Value `json:"prompt"`
 }
 
 type streamOptions struct {
@@ -62,6 +69,12 @@
 }
 
 func (entry *Entry) authenticate(request *http.Request) (spec.Workspace, *problem) {
+	if !entry.options.Directory.Ready() {
+		return spec.Workspace{}, &problem{
+			status: http.StatusServiceUnavailable, kind: "unavailable",
+			message: "the host takes no work", run: cell.NotRun, retryAfter: readyRetry,
+		}
+	}
 	key, ok := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
 	if ok {
 		if workspace, found := entry.options.Directory.Workspace(key); found {
@@ -88,24 +101,27 @@
 
 // readBody reads a body within its bounds of size and time.
 func (entry *Entry) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, *problem) {
-	controller := http.NewResponseController(writer)
-	_ = controller.SetReadDeadline(time.Now().Add(entry.options.Limits.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, entry.options.Limits.BodyBytes))
-	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		// The next request may use the connection.
+		writer.Header().Del("Connection")
+		_ = http.NewResponseController(writer).SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	refused := problem{
+		status: http.StatusBadRequest, kind: "invalid_request_error",
+		message: "the body did not arrive whole", param: "body", run: cell.NotRun,
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, &problem{
-			status: http.StatusRequestEntityTooLarge, kind: "invalid_request_error",
-			message: "the body is larger than the limit in bytes", param: "body", run: cell.NotRun,
-		}
-	case err != nil:
-		return nil, &problem{
-			status: http.StatusRequestTimeout, kind: "invalid_request_error",
-			message: "the body did not arrive whole in time", param: "body", run: cell.NotRun,
-		}
+		refused.status = http.StatusRequestEntityTooLarge
+		refused.message = fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		refused.status = http.StatusRequestTimeout
+		refused.message = "the body did not arrive whole in time"
 	}
-	return body, nil
+	return nil, &refused
 }
 
 // parse reads and checks a request for text.
@@ -123,9 +139,9 @@
 	if found != nil {
 		return parsed{}, found
 	}
-	var read fields
-	if err := json.Unmarshal(body, &read); err != nil {
-		return parsed{}, describeJSON(err)
+	read, found := readFields(body)
+	if found != nil {
+		return parsed{}, found
 	}
 	if found := read.check(chat, entry.options.Directory.Models()); found != nil {
 		return parsed{}, found
@@ -140,22 +156,13 @@
 	if found := checkIdempotency(result.idempotency, class.Idempotent); found != nil {
 		return parsed{}, found
 	}
-	result.request = read.request(id, workspace, class, body)
-	result.request.Chat = chat
+	result.request = read.request(id, workspace, class, chat, body)
 	result.request.Arrived = arrived
 	result.request.FirstToken = arrived.Add(time.Duration(class.FirstTokenMs) * time.Millisecond)
 	result.request.Deadline = arrived.Add(time.Duration(class.DeadlineMs) * time.Millisecond)
 	return result, nil
 }
 
-func describeJSON(err error) *problem {
-	var wrongType *json.UnmarshalTypeError
-	if errors.As(err, &wrongType) {
-		return invalid(wrongType.Field, "found a "+wrongType.Value+", allowed: "+wrongType.Type.String())
-	}
-	return invalid("body", "the body is not a JSON object: "+err.Error())
-}
-
 func (fields *fields) check(chat bool, models []string) *problem {
 	switch {
 	case fields.Model == nil:
@@ -174,28 +181,9 @@
 		return invalid("max_completion_tokens", "max_completion_tokens is 1 at least")
 	case chat:
 		return checkMessages(fields.Messages)
-	case len(fields.Prompt) == 0 || string(fields.Prompt) == "null":
-		return invalid("prompt", "prompt is missing")
+	default:
+		return checkPrompt(fields.Prompt)
 	}
-	return nil
-}
-
-func checkMessages(raw json.RawMessage) *problem {
-	var messages []struct {
-		Role string `json:"role"`
-	}
-	if err := json.Unmarshal(raw, &messages); err != nil {
-		return invalid("messages", "messages is not a list of messages")
-	}
-	if len(messages) == 0 {
-		return invalid("messages", "messages is empty")
-	}
-	for _, message := range messages {
-		if message.Role == "" {
-			return invalid("messages.role", "a message has no role")
-		}
-	}
-	return nil
 }
 
 func requestID(request *http.Request) (string, *problem) {
@@ -203,6 +191,9 @@
 	if len(id) > maximumIDBytes {
 		return "", invalid(HeaderRequestID, "the request id is longer than 128 bytes")
 	}
+	if !printable(id) {
+		return "", invalid(HeaderRequestID, "the request id holds other characters than printable ASCII")
+	}
 	// A caller's id is kept for its own logs, but never used as the only
 	// identity: two callers may send the same one.
 	unique := uuid.NewString()
@@ -219,13 +210,27 @@
 	if len(key) > maximumIDBytes {
 		return invalid(HeaderIdempotency, "the idempotency key is longer than 128 bytes")
 	}
+	if !printable(key) {
+		return invalid(HeaderIdempotency, "the idempotency key holds other characters than printable ASCII")
+	}
 	return nil
 }
 
-func (fields *fields) request(id string, workspace spec.Workspace, class spec.Class, body []byte) cell.Request {
-	prompt := prefix.Prompt(fields.Prompt)
-	if len(fields.Messages) > 0 {
-		prompt = prefix.Chat(fields.Messages)
+// printable reports whether a text is printable ASCII. Ids and keys cross links
+// in CBOR texts, which peers refuse if they are not valid UTF-8.
+func printable(text string) bool {
+	for _, char := range []byte(text) {
+		if char < ' ' || char > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func (fields *fields) request(id string, workspace spec.Workspace, class spec.Class, chat bool, body []byte) cell.Request {
+	prompt := prefix.Prompt(json.RawMessage(fields.Prompt))
+	if chat {
+		prompt = prefix.Chat(json.RawMessage(fields.Messages))
 	}
 	return cell.Request{
 		ID:           id,
@@ -240,6 +245,7 @@
 		Prefixes:     prefix.Hashes(prompt),
 		Fingerprint:  fingerprint(workspace.Name, body),
 		Idempotent:   class.Idempotent,
+		Chat:         chat,
 		Body:         body,
 	}
 }
