--- a/core/cell/admission.go
+++ b/core/cell/admission.go
@@ -126,7 +126,7 @@
 // countShed counts and logs that a call was turned away. The mutex is held.
 func (cell *Cell) countShed(call *call, why string, wait time.Duration) {
 	cell.stats.Shed++
-	cell.log(event.CellShed, logrus.Fields{
+	cell.log(event.CellShed(), logrus.Fields{
 		"request_id": call.request.ID, "class": call.request.Class, "tier": call.request.Tier,
 		"why": why, "wait_ms": wait.Milliseconds(), "queued": cell.queue.Len(),
 	})
--- a/core/cell/call.go
+++ b/core/cell/call.go
@@ -235,7 +235,7 @@
 	}
 	if call.foreign(attempt, chunk) {
 		call.cell.lose(call, chunk.Tokens)
-		call.cell.log(event.CellFrame, attempt.pieceFields(chunk, stream.Crossed))
+		call.cell.log(event.CellFrame(), attempt.pieceFields(chunk, stream.Crossed))
 		return nil
 	}
 	if call.winner == nil {
@@ -281,10 +281,10 @@
 	switch kind := fault.KindOf[stream.Kind](err); kind {
 	case "":
 	case stream.Gap, stream.Mismatch:
-		call.cell.log(event.CellBroken, attempt.pieceFields(chunk, kind))
+		call.cell.log(event.CellBroken(), attempt.pieceFields(chunk, kind))
 		return call.detach(attempt, fault.Wrap("cell.Serve", Broken, err))
 	default:
-		call.cell.log(event.CellFrame, attempt.pieceFields(chunk, kind))
+		call.cell.log(event.CellFrame(), attempt.pieceFields(chunk, kind))
 		return nil
 	}
 	call.run = Ran
@@ -342,7 +342,7 @@
 		cell.proven.add(call.request.Fingerprint)
 	case fault.Is(err, Unknown):
 		cell.stats.Unknown++
-		cell.log(event.CellUnknown, logrus.Fields{
+		cell.log(event.CellUnknown(), logrus.Fields{
 			"request_id": call.request.ID, "server": call.outcome.Server, "tokens": call.outcome.Tokens, "cause": err.Error(),
 		})
 	}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -137,7 +137,7 @@
 	}
 	cell.servers = updated
 	cell.health.Update(names)
-	cell.log(event.CellServers, logrus.Fields{"servers": strings.Join(names, " ")})
+	cell.log(event.CellServers(), logrus.Fields{"servers": strings.Join(names, " ")})
 	cell.dispatch()
 }
 
@@ -203,7 +203,7 @@
 			handed++
 		}
 	}
-	cell.log(event.CellClosed, logrus.Fields{"handed_back": handed, "queued": cell.queue.Len()})
+	cell.log(event.CellClosed(), logrus.Fields{"handed_back": handed, "queued": cell.queue.Len()})
 }
 
 // Summary returns the cell's load.
@@ -263,7 +263,7 @@
 			}
 			attempt.yielding = true
 			attempt.cancel(errWithdrawn)
-			cell.log(event.CellWithdrawn, attempt.fields())
+			cell.log(event.CellWithdrawn(), attempt.fields())
 		}
 	}
 }
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -191,7 +191,7 @@
 		cell.health.Probed(server.Name)
 		cell.stats.Probed++
 		cell.give(item.Value, server, now)
-		cell.log(event.CellProbed, logrus.Fields{
+		cell.log(event.CellProbed(), logrus.Fields{
 			"request_id": item.Value.request.ID, "server": server.Name, "queued": cell.queue.Len(),
 		})
 	}
@@ -199,7 +199,7 @@
 
 // logChoice logs a dispatch with what it was chosen over.
 func (cell *Cell) logChoice(call *call, chosen vacancy, vacant []vacancy, now time.Time) {
-	if !cell.options.Logger.Enabled(event.CellDispatched) {
+	if !cell.options.Logger.Enabled(event.CellDispatched()) {
 		return
 	}
 	others := make([]string, 0, len(vacant))
@@ -208,7 +208,7 @@
 			others = append(others, fmt.Sprintf("%s:%.2f", vacancy.server.Name, cell.choiceCost(call, vacancy)))
 		}
 	}
-	cell.log(event.CellDispatched, logrus.Fields{
+	cell.log(event.CellDispatched(), logrus.Fields{
 		"request_id": call.request.ID, "class": call.request.Class, "tier": call.request.Tier,
 		"workspace": call.request.Workspace, "server": chosen.server.Name,
 		"cost": fmt.Sprintf("%.2f", cell.choiceCost(call, chosen)), "weight": fmt.Sprintf("%.2f", chosen.weight),
--- a/core/cell/hedge.go
+++ b/core/cell/hedge.go
@@ -69,7 +69,7 @@
 	fields["second_server"] = chosen.server.Name
 	fields["waited_ms"] = now.Sub(first.dispatched).Milliseconds()
 	fields["over"] = names(vacant)
-	cell.log(event.CellHedged, fields)
+	cell.log(event.CellHedged(), fields)
 	return attempt
 }
 
@@ -83,7 +83,7 @@
 	}
 	fields := winner.fields()
 	fields["over"] = loser.server.Name
-	cell.log(event.CellHedgeWon, fields)
+	cell.log(event.CellHedgeWon(), fields)
 }
 
 func names(vacant []vacancy) string {
--- a/core/cell/outcome.go
+++ b/core/cell/outcome.go
@@ -87,7 +87,7 @@
 		// The cell took the slot back: the call is not at fault.
 		return call.enter()
 	case kind == Refused:
-		call.cell.log(event.CellRefused, withCause(attempt, err))
+		call.cell.log(event.CellRefused(), withCause(attempt, err))
 		return call.retry(attempt, err)
 	case !call.request.Idempotent, call.cell.options.Switches.DisableResume:
 		call.run = RunUnknown
@@ -104,7 +104,7 @@
 	cell.mutex.Unlock()
 	fields := withCause(attempt, err)
 	fields["from_offset"] = attempt.call.answer.Tokens()
-	cell.log(event.CellResumed, fields)
+	cell.log(event.CellResumed(), fields)
 }
 
 func withCause(attempt *attempt, err error) map[string]any {
@@ -190,7 +190,7 @@
 	cell.stats.Stalled++
 	cell.health.ObserveFailure(attempt.server.Name)
 	cell.mutex.Unlock()
-	cell.log(event.CellStalled, attempt.fields())
+	cell.log(event.CellStalled(), attempt.fields())
 	if !attempt.streamed {
 		call.stalls++
 	}
--- a/core/cell/preempt.go
+++ b/core/cell/preempt.go
@@ -46,7 +46,7 @@
 	fields["for_tier"] = call.request.Tier
 	fields["tokens"] = victim.served()
 	fields["due_in_ms"] = call.request.FirstToken.Sub(now).Milliseconds()
-	cell.log(event.CellPreempted, fields)
+	cell.log(event.CellPreempted(), fields)
 }
 
 // victim returns the running attempt that loses least by giving up its slot:
--- a/core/cell/suspect.go
+++ b/core/cell/suspect.go
@@ -33,7 +33,7 @@
 	attempt.crash = server.loss
 	fields := attempt.fields()
 	fields["loss"] = server.loss
-	cell.log(event.CellCrashed, fields)
+	cell.log(event.CellCrashed(), fields)
 	if cell.options.Switches.DisablePoison {
 		return nil
 	}
@@ -63,7 +63,7 @@
 	cell.mutex.Lock()
 	defer cell.mutex.Unlock()
 	cell.stats.Poison++
-	cell.log(event.CellPoison, logrus.Fields{
+	cell.log(event.CellPoison(), logrus.Fields{
 		"request_id": call.request.ID, "workspace": call.request.Workspace, "fingerprint": call.request.Fingerprint,
 	})
 	detail := fmt.Sprintf("the request crashed %d backend servers and is not run again for %s", poison.RefusedFrom, poison.Life)
@@ -188,7 +188,7 @@
 		call.grants <- grant{attempt: attempt}
 		fields := attempt.fields()
 		fields["waited_ms"] = now.Sub(call.enqueued).Milliseconds()
-		cell.log(event.CellSuspect, fields)
+		cell.log(event.CellSuspect(), fields)
 	}
 }
 
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -3,7 +3,9 @@
 package event
 
 import (
+	"cmp"
 	"io"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 )
@@ -22,6 +24,13 @@
 	Text string
 }
 
+// All lists every event of the catalogue, in the order of the numbers.
+func All() []Event {
+	all := slices.Concat(EntryEvents(), CellEvents(), MemberEvents(), HeadsEvents(), LedgerEvents(), OrderEvents())
+	slices.SortStableFunc(all, func(a, b Event) int { return cmp.Compare(a.Number, b.Number) })
+	return all
+}
+
 // Logger writes events of one host.
 type Logger struct {
 	log        *logrus.Logger
@@ -60,13 +69,14 @@
 	return logger.log.IsLevelEnabled(event.Level)
 }
 
-// Log writes one event.
+// Log writes one event. The event's name is in the field event_name: callers
+// log the name of a host or a server in the field name.
 func (logger *Logger) Log(event Event, fields logrus.Fields) {
 	if !logger.Enabled(event) {
 		return
 	}
 	entry := logger.log.WithFields(fields).WithFields(logrus.Fields{
-		"event": event.Number, "name": event.Name, "subsystem": event.Subsystem, "host": logger.host,
+		"event": event.Number, "event_name": event.Name, "subsystem": event.Subsystem, "host": logger.host,
 	})
 	level := event.Level
 	if !logger.log.IsLevelEnabled(level) {
--- a/core/event/ledger.go
+++ b/core/event/ledger.go
@@ -2,42 +2,44 @@
 
 import "github.com/sirupsen/logrus"
 
-// The numbers of the ledger's events.
-const (
-	LedgerWritten     = 4000
-	LedgerConflict    = 4001
-	LedgerUncertain   = 4002
-	LedgerUnavailable = 4003
-	LedgerFull        = 4004
-	LedgerFaulty      = 4005
-)
-
-// Ledger returns the events of the ledger.
-func Ledger() []Event {
+// LedgerEvents lists the events of the ledger.
+func LedgerEvents() []Event {
 	return []Event{
-		{
-			Number: LedgerWritten, Name: "ledger_written", Level: logrus.DebugLevel, Subsystem: "ledger",
-			Text: "a batch of records is written to a ledger partition",
-		},
-		{
-			Number: LedgerConflict, Name: "ledger_conflict", Level: logrus.WarnLevel, Subsystem: "ledger",
-			Text: "another host wrote to the ledger partition; its records are loaded and the batch is decided again",
-		},
-		{
-			Number: LedgerUncertain, Name: "ledger_uncertain", Level: logrus.WarnLevel, Subsystem: "ledger",
-			Text: "the reply to a write to a ledger partition is lost; the records are read back",
-		},
-		{
-			Number: LedgerUnavailable, Name: "ledger_unavailable", Level: logrus.WarnLevel, Subsystem: "ledger",
-			Text: "the key-value service does not answer; calls that may not be repeated wait for it",
-		},
-		{
-			Number: LedgerFull, Name: "ledger_full", Level: logrus.ErrorLevel, Subsystem: "ledger",
-			Text: "a ledger partition is full; new calls that may not be repeated are not run",
-		},
-		{
-			Number: LedgerFaulty, Name: "ledger_faulty", Level: logrus.ErrorLevel, Subsystem: "ledger",
-			Text: "the value of a ledger partition cannot be decoded; its calls are not run",
-		},
+		LedgerWritten(),
+		LedgerConflict(),
+		LedgerUncertain(),
+		LedgerUnavailable(),
+		LedgerFull(),
+		LedgerFaulty(),
 	}
 }
+
+// LedgerWritten reports that a batch of records is written to a ledger partition.
+func LedgerWritten() Event {
+	return Event{4000, "ledger_written", logrus.DebugLevel, "ledger", "A batch of records is written to a ledger partition."}
+}
+
+// LedgerConflict reports that another host wrote to the ledger partition.
+func LedgerConflict() Event {
+	return Event{4001, "ledger_conflict", logrus.WarnLevel, "ledger", "Another host wrote to the ledger partition; its records are loaded and the batch is decided again."}
+}
+
+// LedgerUncertain reports that the reply to a write to a ledger partition is lost.
+func LedgerUncertain() Event {
+	return Event{4002, "ledger_uncertain", logrus.WarnLevel, "ledger", "The reply to a write to a ledger partition is lost; the records are read back."}
+}
+
+// LedgerUnavailable reports that the key-value service does not answer.
+func LedgerUnavailable() Event {
+	return Event{4003, "ledger_unavailable", logrus.WarnLevel, "ledger", "The key-value service does not answer; calls that may not be repeated wait for it."}
+}
+
+// LedgerFull reports that a ledger partition is full.
+func LedgerFull() Event {
+	return Event{4004, "ledger_full", logrus.ErrorLevel, "ledger", "A ledger partition is full; new calls that may not be repeated are not run."}
+}
+
+// LedgerFaulty reports that the value of a ledger partition cannot be decoded.
+func LedgerFaulty() Event {
+	return Event{4005, "ledger_faulty", logrus.ErrorLevel, "ledger", "The value of a ledger partition cannot be decoded; its calls are not run."}
+}
--- a/core/event/order.go
+++ b/core/event/order.go
@@ -2,47 +2,50 @@
 
 import "github.com/sirupsen/logrus"
 
-// The numbers of the events of leases and of orders to engines.
-const (
-	LeaseHeld     = 4100
-	LeaseLost     = 4101
-	LeaseReleased = 4102
-	OrderGiven    = 4110
-	OrderVerified = 4111
-	OrderWithheld = 4112
-	OrderFailed   = 4113
-)
-
-// Order returns the events of leases and of orders to engines.
-func Order() []Event {
+// OrderEvents lists the events of leases and of orders to engines.
+func OrderEvents() []Event {
 	return []Event{
-		{
-			Number: LeaseHeld, Name: "lease_held", Level: logrus.InfoLevel, Subsystem: "lease",
-			Text: "this host holds the lease with the fencing number given",
-		},
-		{
-			Number: LeaseLost, Name: "lease_lost", Level: logrus.WarnLevel, Subsystem: "lease",
-			Text: "the lease ended or could not be renewed in time; another host may hold it",
-		},
-		{
-			Number: LeaseReleased, Name: "lease_released", Level: logrus.InfoLevel, Subsystem: "lease",
-			Text: "this host gave the lease back",
-		},
-		{
-			Number: OrderGiven, Name: "order_given", Level: logrus.InfoLevel, Subsystem: "order",
-			Text: "an order is sent to a backend server, since its state differs from the desired one",
-		},
-		{
-			Number: OrderVerified, Name: "order_verified", Level: logrus.DebugLevel, Subsystem: "order",
-			Text: "a backend server's state was read and is the desired one",
-		},
-		{
-			Number: OrderWithheld, Name: "order_withheld", Level: logrus.WarnLevel, Subsystem: "order",
-			Text: "no order is sent: the remaining lease time is too short",
-		},
-		{
-			Number: OrderFailed, Name: "order_failed", Level: logrus.WarnLevel, Subsystem: "order",
-			Text: "a backend server did not reach the desired state",
-		},
+		LeaseHeld(),
+		LeaseLost(),
+		LeaseReleased(),
+		OrderGiven(),
+		OrderVerified(),
+		OrderWithheld(),
+		OrderFailed(),
 	}
 }
+
+// LeaseHeld reports that this host holds the lease with the fencing number given.
+func LeaseHeld() Event {
+	return Event{4100, "lease_held", logrus.InfoLevel, "lease", "This host holds the lease with the fencing number given."}
+}
+
+// LeaseLost reports that the lease ended or could not be renewed in time.
+func LeaseLost() Event {
+	return Event{4101, "lease_lost", logrus.WarnLevel, "lease", "The lease ended or could not be renewed in time; another host may hold it."}
+}
+
+// LeaseReleased reports that this host gave the lease back.
+func LeaseReleased() Event {
+	return Event{4102, "lease_released", logrus.InfoLevel, "lease", "This host gave the lease back."}
+}
+
+// OrderGiven reports that an order is sent to a backend server, since its state differs from the desired one.
+func OrderGiven() Event {
+	return Event{4110, "order_given", logrus.InfoLevel, "order", "An order is sent to a backend server, since its state differs from the desired one."}
+}
+
+// OrderVerified reports that a backend server's state was read and is the desired one.
+func OrderVerified() Event {
+	return Event{4111, "order_verified", logrus.DebugLevel, "order", "A backend server's state was read and is the desired one."}
+}
+
+// OrderWithheld reports that no order is sent.
+func OrderWithheld() Event {
+	return Event{4112, "order_withheld", logrus.WarnLevel, "order", "No order is sent: the remaining lease time is too short."}
+}
+
+// OrderFailed reports that a backend server did not reach the desired state.
+func OrderFailed() Event {
+	return Event{4113, "order_failed", logrus.WarnLevel, "order", "A backend server did not reach the desired state."}
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -65,7 +65,6 @@
 type Lease struct {
 	options Options
 	token   string
-	events  map[int]event.Event
 	mutex   sync.Mutex
 	grip    grip
 	// held is closed when the lease is gained, and replaced when it is lost.
@@ -98,11 +97,8 @@
 	if options.Logger == nil {
 		options.Logger = event.Discard()
 	}
-	lease := &Lease{options: options, events: map[int]event.Event{}, held: make(chan struct{})}
+	lease := &Lease{options: options, held: make(chan struct{})}
 	lease.token = options.Holder + "/" + uuid.NewString()
-	for _, entry := range event.Order() {
-		lease.events[entry.Number] = entry
-	}
 	return lease, nil
 }
 
@@ -269,7 +265,7 @@
 	defer lease.mutex.Unlock()
 	lease.grip = grip
 	close(lease.held)
-	lease.log(event.LeaseHeld, logrus.Fields{"fence": grip.fence})
+	lease.log(event.LeaseHeld(), logrus.Fields{"fence": grip.fence})
 }
 
 // extend moves the safe time on.
@@ -289,7 +285,7 @@
 	if cause != nil {
 		fields["error"] = cause.Error()
 	}
-	lease.log(event.LeaseLost, fields)
+	lease.log(event.LeaseLost(), fields)
 	lease.revoke(lost.lease)
 }
 
@@ -312,7 +308,7 @@
 		return
 	}
 	lease.revoke(lost.lease)
-	lease.log(event.LeaseReleased, logrus.Fields{"fence": lost.fence})
+	lease.log(event.LeaseReleased(), logrus.Fields{"fence": lost.fence})
 }
 
 // revoke ends a lease of the service. If it fails, the lease ends with its time.
@@ -336,7 +332,7 @@
 }
 
 // log writes an event of this lease.
-func (lease *Lease) log(number int, fields logrus.Fields) {
+func (lease *Lease) log(event event.Event, fields logrus.Fields) {
 	fields["key"] = lease.options.Key
-	lease.options.Logger.Log(lease.events[number], fields)
+	lease.options.Logger.Log(event, fields)
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -151,7 +151,6 @@
 	mutex      sync.Mutex
 	random     *rand.Rand
 	partitions []*partition
-	events     map[int]event.Event
 }
 
 // New returns a ledger. It fails with Invalid when an option is missing.
@@ -164,10 +163,7 @@
 	}
 	options = options.withDefaults()
 	ctx, stop := context.WithCancel(context.Background())
-	ledger := &Ledger{options: options, ctx: ctx, stop: stop, random: options.Random, events: map[int]event.Event{}}
-	for _, entry := range event.Ledger() {
-		ledger.events[entry.Number] = entry
-	}
+	ledger := &Ledger{options: options, ctx: ctx, stop: stop, random: options.Random}
 	for number := range options.Partitions {
 		ledger.partitions = append(ledger.partitions, newPartition(ledger, number))
 	}
--- a/core/ledger/partition.go
+++ b/core/ledger/partition.go
@@ -363,7 +363,7 @@
 	}
 	plan.book.revision = revision
 	partition.book = plan.book
-	partition.log(event.LedgerWritten, logrus.Fields{
+	partition.log(event.LedgerWritten(), logrus.Fields{
 		"revision": revision, "changes": len(plan.batch), "records": len(plan.book.records), "bytes": len(encoded),
 	})
 	return nil
@@ -392,7 +392,7 @@
 			partition.leave(change)
 		}
 		if fault.Is(ruling.err, Full) {
-			partition.log(event.LedgerFull, logrus.Fields{"bytes": plan.book.bytes})
+			partition.log(event.LedgerFull(), logrus.Fields{"bytes": plan.book.bytes})
 		}
 		close(change.done)
 	}
@@ -415,25 +415,25 @@
 	partition.mutex.Lock()
 	defer partition.mutex.Unlock()
 	interval := partition.ledger.options.Interval
-	number := event.LedgerUnavailable
+	failure := event.LedgerUnavailable()
 	switch {
 	case fault.Is(err, store.Conflict):
-		partition.log(event.LedgerConflict, nil)
+		partition.log(event.LedgerConflict(), nil)
 		return partition.ledger.jitter(2 * interval)
 	case fault.Is(err, store.Uncertain):
-		number = event.LedgerUncertain
+		failure = event.LedgerUncertain()
 	case fault.Is(err, NotRun):
-		number = event.LedgerFaulty
+		failure = event.LedgerFaulty()
 	}
-	partition.log(number, logrus.Fields{"error": err.Error()})
+	partition.log(failure, logrus.Fields{"error": err.Error()})
 	span := min(interval<<min(partition.failures, 8), max(maximumBackoff, interval))
 	partition.failures++
 	return partition.ledger.jitter(max(span, interval))
 }
 
 // log writes an event of this partition.
-func (partition *partition) log(number int, fields logrus.Fields) {
+func (partition *partition) log(event event.Event, fields logrus.Fields) {
 	merged := logrus.Fields{"partition": partition.key}
 	maps.Copy(merged, fields)
-	partition.ledger.options.Logger.Log(partition.ledger.events[number], merged)
+	partition.ledger.options.Logger.Log(event, merged)
 }
--- a/core/order/executor.go
+++ b/core/order/executor.go
@@ -57,7 +57,6 @@
 // therefore reads each state when it comes, and again after three timeouts.
 type Executor struct {
 	options  Options
-	events   map[int]event.Event
 	mutex    sync.Mutex
 	fence    int64
 	since    time.Time
@@ -90,10 +89,7 @@
 	if options.Logger == nil {
 		options.Logger = event.Discard()
 	}
-	executor := &Executor{options: options, events: map[int]event.Event{}, verified: map[string]verification{}}
-	for _, entry := range event.Order() {
-		executor.events[entry.Number] = entry
-	}
+	executor := &Executor{options: options, verified: map[string]verification{}}
 	return executor, nil
 }
 
@@ -195,7 +191,7 @@
 		if !sent {
 			return index, err
 		}
-		executor.options.Logger.Log(executor.events[event.OrderGiven], logrus.Fields{
+		executor.options.Logger.Log(event.OrderGiven(), logrus.Fields{
 			"server": desired.Server, "fence": fence, "action": order.Action, "model": order.Model,
 			"version": order.Version, "adapter": order.Adapter, "role": order.Role,
 		})
@@ -268,13 +264,13 @@
 // report logs the end of one server's reconciliation.
 func (executor *Executor) report(fence int64, result Result) {
 	fields := logrus.Fields{"server": result.Server, "fence": fence, "orders": result.Orders}
-	number := event.OrderVerified
+	outcome := event.OrderVerified()
 	if result.Err != nil {
-		number = event.OrderFailed
+		outcome = event.OrderFailed()
 		fields["error"] = result.Err.Error()
 	}
 	if fault.Is(result.Err, Lapsed) {
-		number = event.OrderWithheld
+		outcome = event.OrderWithheld()
 	}
-	executor.options.Logger.Log(executor.events[number], fields)
+	executor.options.Logger.Log(outcome, fields)
 }
