--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -22,6 +22,8 @@
 	"primrosegw/core/poison"
 	"primrosegw/core/retry"
 	"primrosegw/core/route"
+	"primrosegw/core/spec"
+	"primrosegw/core/spread"
 	"primrosegw/core/store"
 	"primrosegw/io/config"
 	"primrosegw/io/engine"
@@ -41,11 +43,18 @@
 	Unbound Kind = "unbound"
 	// Aborted: the host was ended with requests in flight.
 	Aborted Kind = "aborted"
+	// Unusable: a document in force elsewhere did not pass the checks here.
+	Unusable Kind = "unusable"
 )
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
+// idleTimeout is how long a caller's connection is kept between requests. It is
+// above the default time to live of entry addresses, so that callers at work
+// keep their connections.
+const idleTimeout = time.Minute
+
 // Options are the dependencies of a Daemon.
 type Options struct {
 	Settings config.Settings
@@ -75,6 +84,8 @@
 	chooser *route.Router
 	limiter *limit.Limiter
 
+	// built is closed when all parts are made.
+	built    chan struct{}
 	link     *link.Link
 	members  *member.Member
 	ledger   *once
@@ -84,7 +95,8 @@
 	suspects *poison.Registry
 	// forwards counts the requests that other hosts sent here.
 	forwards sync.WaitGroup
-	inForce  inForce
+	spread   *spread.Spread
+	watcher  *spread.Watcher
 
 	entryListener net.Listener
 	adminListener net.Listener
@@ -102,6 +114,7 @@
 		self:     describe(settings.Host),
 		loads:    newLoads(),
 		affinity: newAffinity(),
+		built:    make(chan struct{}),
 		engines:  engine.NewClient(),
 		store:    options.Store,
 		random:   &lockedRandom{random: options.Random},
@@ -110,6 +123,7 @@
 		suspects: poison.New(poison.Options{}),
 	}
 	daemon.cells = newCells(daemon.buildCell)
+	daemon.directory.current.Store(newView(0, spec.Document{}))
 	if err := daemon.listen(); err != nil {
 		daemon.close()
 		return nil, err
@@ -118,6 +132,7 @@
 		daemon.close()
 		return nil, fault.Wrap("daemon.new", Unbound, err)
 	}
+	close(daemon.built)
 	return daemon, nil
 }
 
@@ -142,7 +157,7 @@
 		return err
 	}
 	daemon.services = plain.New(plain.Options{Retries: retry.New(retry.Options{})})
-	return nil
+	return daemon.buildSpread()
 }
 
 func describe(settings config.Host) host.Host {
@@ -291,15 +306,13 @@
 		Logger:    daemon.logger,
 		Meter:     daemon.meter,
 		Limits: entry.Limits{
-			BodyBytes:    limits.BodyBytes,
-			BodyTimeout:  time.Duration(limits.BodyTimeoutMs) * time.Millisecond,
-			WriteTimeout: time.Duration(limits.WriteTimeoutMs) * time.Millisecond,
+			BodyBytes:     limits.BodyBytes,
+			HeaderBytes:   limits.HeaderBytes,
+			HeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
+			BodyTimeout:   time.Duration(limits.BodyTimeoutMs) * time.Millisecond,
+			WriteTimeout:  time.Duration(limits.WriteTimeoutMs) * time.Millisecond,
+			IdleTimeout:   idleTimeout,
 		},
 	})
-	return &http.Server{
-		Handler:           callers.Handler(),
-		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
-		MaxHeaderBytes:    limits.HeaderBytes,
-		ErrorLog:          nil,
-	}
+	return callers.Server()
 }
--- a/io/daemon/forward.go
+++ b/io/daemon/forward.go
@@ -12,6 +12,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/host"
+	"primrosegw/core/route"
 	"primrosegw/io/link"
 )
 
@@ -46,7 +47,8 @@
 	stop := context.AfterFunc(ctx, stream.Cancel)
 	defer stop()
 	if err := stream.Write(message); err != nil {
-		return cell.Outcome{Run: cell.RunUnknown}, &lost{delivered: true, err: err}
+		// The owner has not got the whole request, so it can't have run it.
+		return cell.Outcome{Run: cell.NotRun}, &lost{err: err}
 	}
 	return daemon.relay(ctx, stream, message, emit)
 }
@@ -103,7 +105,7 @@
 // another host owns the cell.
 func (daemon *Daemon) serveHere(ctx context.Context, name string, hops int, request cell.Request, emit func(cell.Chunk) error) (cell.Outcome, error) {
 	owner, known := daemon.owner(name)
-	if known && owner.Name != daemon.self.Name && hops < maximumHops {
+	if known && !route.Serves(hops, daemon.self.Name, owner) {
 		outcome, err := daemon.forward(ctx, owner, prepare(name, hops+1, request), emit)
 		if failed := (*lost)(nil); !errors.As(err, &failed) || failed.delivered {
 			return outcome, err
--- a/io/daemon/message.go
+++ b/io/daemon/message.go
@@ -12,17 +12,13 @@
 	messageForward  = "forward"
 	messageProbe    = "probe"
 	messageMember   = "member"
+	messageSpread   = "spread"
 	messageLedger   = "ledger"
 	messageClaim    = "claim"
 	messageSuspects = "suspects"
 	messageRecords  = "records"
 )
 
-// maximumHops bounds how often a request is passed on between hosts whose
-// views of the membership differ. A host at the last hop serves the request
-// whoever owns the cell.
-const maximumHops = 2
-
 // forward asks a cell's owner to run a request.
 type forward struct {
 	Cell    string       `cbor:"cell"`
