core/cell: test copies of a suspect through two hosts

Cause: the caller of a crashing request may send it again through another host while one copy runs. Change: TestSuspectSentThroughTwoHosts has two cells with their own registries, one owner of the claims and announcements; 8 copies cost 2 engines of 8. Servers are compared after 20 ms or 48 observations instead of 16.

--- a/core/cell/failure_test.go
+++ b/core/cell/failure_test.go
@@ -276,3 +276,46 @@
 		requireIdle(t, subject)
 	})
 }
+
+// Guards against copies of a suspect that each cost an engine because they run
+// on several hosts (change: give each cell its own Claims, or do not announce).
+func TestSuspectSentThroughTwoHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var engines []*engine
+		for range 8 {
+			engine := newEngine(first, gap)
+			engine.crashesAt(20, func(call cell.Call) bool { return call.Request.Fingerprint == 1000 })
+			engines = append(engines, engine)
+		}
+		owner := poison.New(poison.Options{})
+		known := []*poison.Registry{poison.New(poison.Options{}), poison.New(poison.Options{}), owner}
+		announce := func(records []poison.Record) {
+			for _, registry := range known {
+				registry.Merge(records)
+			}
+		}
+		var cells []*cell.Cell
+		for index := range 2 {
+			cells = append(cells, cell.New(cell.Options{
+				Name: fmt.Sprint("cell", index), Servers: servers(4, engines[4*index:4*index+4]...),
+				Suspects: known[index], Claims: owner, Announce: announce,
+			}))
+		}
+		var answers []*answer
+		for index := range 8 {
+			answers = append(answers, ask(t.Context(), cells[index%2], cell.Request{
+				ID: fmt.Sprint("copy", index), Fingerprint: 1000, MaxTokens: 40, Idempotent: true,
+			}))
+			time.Sleep(700 * time.Millisecond)
+		}
+		crashes := 0
+		for _, answer := range answers {
+			<-answer.ended
+			require.True(t, fault.Is(answer.err, cell.Poison), answer.err)
+		}
+		for _, engine := range engines {
+			crashes += engine.crashes
+		}
+		require.Equal(t, 2, crashes)
+	})
+}
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -51,9 +51,9 @@
 	joinWeight = 0.25
 
 	// compareInterval and compareChanges bound the cost of comparing servers:
-	// it is done after 20 ms or 16 observations.
+	// it is done after 20 ms or 48 observations.
 	compareInterval = 20 * time.Millisecond
-	compareChanges  = 16
+	compareChanges  = 48
 
 	failurePenalty = time.Second
 	refusalPenalty = 100 * time.Millisecond
