core/health, core/cell: shorter refusals, and the wait of a cell in an outage

Cause: a server that refused its probes while it restarted stayed out for up to 30 s; a cell without a usable server told others a wait of 0. Change: refusals block for 2 s at most; Summary tells 60 s for each tier while the cell has no slots. Measured: go test -race ./core/cell ./core/health passes; both tests fail without the change.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -220,7 +220,10 @@
 		}
 	}
 	for index := range summary.WaitMs {
-		wait := cell.wait(index+1, now.Add(time.Hour), "")
+		wait := outageWait
+		if summary.Slots > 0 {
+			wait = cell.wait(index+1, now.Add(time.Hour), "")
+		}
 		summary.WaitMs[index] = uint32(min(wait.Milliseconds(), 1<<31))
 	}
 	return summary
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -69,6 +69,7 @@
 			require.Equal(t, cell.NotRun, outcome.Run)
 		}()
 		synctest.Wait()
+		require.Equal(t, uint32(60_000), subject.Summary().WaitMs[0], "a cell without servers looks busy")
 		subject.Close()
 		<-ended
 	})
--- a/core/cell/options.go
+++ b/core/cell/options.go
@@ -148,6 +148,9 @@
 	// leastRetryAfter is the shortest time after which a caller is asked to come
 	// back.
 	leastRetryAfter = 250 * time.Millisecond
+	// outageWait is the wait that a cell without any usable server tells others,
+	// so that no work is sent to it while another cell can take it.
+	outageWait = time.Minute
 	// topTier is the tier that is never shed for its target.
 	topTier = 1
 )
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -58,6 +58,9 @@
 	failurePenalty = time.Second
 	refusalPenalty = 100 * time.Millisecond
 	longestPenalty = 30 * time.Second
+	// longestRefusal is shorter: a refusal costs no work, and an engine that
+	// restarts or is full for a moment takes calls again soon.
+	longestRefusal = 2 * time.Second
 )
 
 // Options configures the assessment; a zero takes the default.
@@ -192,14 +195,14 @@
 // ObserveFailure records a crash, a lost connection or a stall.
 func (health *Health) ObserveFailure(name string) {
 	if server := health.servers[name]; server != nil {
-		server.fail(time.Now(), failurePenalty)
+		server.fail(time.Now(), failurePenalty, longestPenalty)
 	}
 }
 
 // ObserveRefusal records that the server did not take a call.
 func (health *Health) ObserveRefusal(name string) {
 	if server := health.servers[name]; server != nil {
-		server.fail(time.Now(), refusalPenalty)
+		server.fail(time.Now(), refusalPenalty, longestRefusal)
 	}
 }
 
@@ -229,18 +232,18 @@
 	}
 }
 
-// fail blocks a server for a time that doubles with each failure in a row.
-// Calls that fail together, as all calls of a crashed engine do, count once.
-func (server *server) fail(now time.Time, penalty time.Duration) {
+// fail blocks a server for a time that doubles with each failure in a row, up
+// to a longest one. Calls that fail together, as all calls of a crashed engine do, count once.
+func (server *server) fail(now time.Time, penalty, longest time.Duration) {
 	server.observed = now
 	if now.Before(server.blocked) {
 		return
 	}
-	for step := 0; step < server.failures && penalty < longestPenalty; step++ {
+	for step := 0; step < server.failures && penalty < longest; step++ {
 		penalty *= 2
 	}
 	server.failures++
-	server.blocked = now.Add(min(penalty, longestPenalty))
+	server.blocked = now.Add(min(penalty, longest))
 	server.probation = true
 	server.weight = 0
 	server.weighed = now
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -71,6 +71,20 @@
 	})
 }
 
+// Guards against a server that stays out for long after a restart, because it
+// refused the probes meanwhile.
+func TestRefusalsBlockForTwoSecondsAtMost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		subject := newHealth("a", "b")
+		for range 10 {
+			subject.ObserveRefusal("b")
+			require.False(t, subject.ProbeDue("b"))
+			time.Sleep(2 * time.Second)
+			require.True(t, subject.ProbeDue("b"))
+		}
+	})
+}
+
 // Guards against old load reports that are taken at face value.
 func TestReportIsAHint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
