--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"primrosegw/core/cell"
 	"primrosegw/core/event"
+	"primrosegw/core/fault"
 	"primrosegw/core/ledger"
 	"primrosegw/core/limit"
 	"primrosegw/io/meter"
@@ -45,6 +47,10 @@
 	run := func(ctx context.Context) (ledger.Outcome, cell.Run, error) {
 		var err error
 		outcome, err = entry.options.Router.Generate(ctx, parsed.request, answer.emit)
+		answer.close()
+		if err == nil && answer.finish == "" {
+			err = fault.New("entry.generate", cell.Broken, "the answer ended without a reason for its end")
+		}
 		return answer.recorded(), outcome.Run, err
 	}
 	var err error
@@ -68,10 +74,15 @@
 
 // limited says which limit of the workspace was reached.
 func limited(err error) problem {
-	return problem{
+	refused := problem{
 		status: http.StatusTooManyRequests, kind: "rate_limit_exceeded", message: err.Error(),
 		run: cell.NotRun, retryAfter: limit.RetryAfter(err),
 	}
+	var reached *limit.Error
+	if errors.As(err, &reached) {
+		refused.param = reached.Field
+	}
+	return refused
 }
 
 // record logs and measures a request that ended.
--- a/io/link/frame.go
+++ b/io/link/frame.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -22,20 +23,43 @@
 	maximumElements = 1 << 16
 )
 
-// WriteFrame writes one value as a frame: its length and its CBOR form.
-func WriteFrame(writer io.Writer, value any) error {
+// decoder is made once: building it costs more than decoding a token's frame.
+var decoder = sync.OnceValue(func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels:  maximumNesting,
+		MaxArrayElements: maximumElements,
+		MaxMapPairs:      maximumElements,
+	}.DecMode()
+	if err != nil {
+		// The options are constants within the library's ranges.
+		panic(err)
+	}
+	return mode
+})
+
+// encode returns one value as a frame: its length and its CBOR form.
+func encode(value any) ([]byte, error) {
 	const op = "link.write_frame"
 	data, err := cbor.Marshal(value)
 	if err != nil {
-		return fault.Wrap(op, Malformed, err)
+		return nil, fault.Wrap(op, Malformed, err)
 	}
 	if len(data) > MaximumFrameBytes {
-		return fault.New(op, Malformed, "the frame is larger than 4 MiB")
+		return nil, fault.New(op, Malformed, "the frame is larger than 4 MiB")
 	}
 	frame := make([]byte, prefixBytes, prefixBytes+len(data))
 	binary.BigEndian.PutUint32(frame, uint32(len(data)))
-	if _, err := writer.Write(append(frame, data...)); err != nil {
-		return fault.Wrap(op, Broken, err)
+	return append(frame, data...), nil
+}
+
+// WriteFrame writes one value as a frame.
+func WriteFrame(writer io.Writer, value any) error {
+	frame, err := encode(value)
+	if err != nil {
+		return err
+	}
+	if _, err := writer.Write(frame); err != nil {
+		return fault.Wrap("link.write_frame", Broken, err)
 	}
 	return nil
 }
@@ -59,15 +83,7 @@
 	if int64(len(data)) < length {
 		return fault.Wrap(op, Broken, io.ErrUnexpectedEOF)
 	}
-	decoder, err := cbor.DecOptions{
-		MaxNestedLevels:  maximumNesting,
-		MaxArrayElements: maximumElements,
-		MaxMapPairs:      maximumElements,
-	}.DecMode()
-	if err != nil {
-		return fault.Wrap(op, Malformed, err)
-	}
-	if err := decoder.Unmarshal(data, value); err != nil {
+	if err := decoder().Unmarshal(data, value); err != nil {
 		return fault.Wrap(op, Malformed, err)
 	}
 	return nil
