io/etcd: share the budget of calls by the number of hosts

Cause: the default budget is one host's part among 340; with 8 hosts and 64 ledger partitions a host may need 32 writes a second, and would be held to 5. Renewals of leases waited behind other calls of the same host. Change: Client.Share sets the budget to the host's part among the live hosts, at most 50 calls a second; renewals use up budget without waiting for it. Who knows the number of live hosts has to call Share.

--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -25,10 +25,15 @@
 	// defaultTimeout bounds one call. The service answers in milliseconds; a
 	// second leaves room for a slow spell.
 	defaultTimeout = time.Second
-	// defaultCallsPerSecond and defaultBurst are one host's part of the service:
-	// 340 hosts at this rate take 1,700 of about 2,300 calls a second.
+	// defaultCallsPerSecond and defaultBurst are one host's part of the service
+	// among many: 340 hosts at this rate take 1,700 of about 2,300 calls a second.
 	defaultCallsPerSecond = 5
 	defaultBurst          = 50
+	// fleetCalls is what all hosts together take, in calls a second.
+	fleetCalls = defaultCallsPerSecond * 340
+	// maximumCallsPerSecond bounds one host of a small fleet. A ledger with 8 of
+	// 64 partitions at 4 writes a second needs 32.
+	maximumCallsPerSecond = 50
 	// minimumBackoff and maximumBackoff bound the time that a failed endpoint is
 	// left alone.
 	minimumBackoff = 50 * time.Millisecond
@@ -110,9 +115,19 @@
 	return maps.Clone(client.calls)
 }
 
-// spend waits for the budget and counts the call.
+// Share sets the budget to one host's part among a number of live hosts, at most
+// 50 calls a second. It replaces Options.CallsPerSecond.
+func (client *Client) Share(hosts int) {
+	client.budget.SetLimit(rate.Limit(min(maximumCallsPerSecond, fleetCalls/float64(max(hosts, 1)))))
+}
+
+// spend waits for the budget and counts the call. Renewals do not wait, since a
+// lease would be lost to other calls of the same host; they still use up budget,
+// and later calls wait for longer.
 func (client *Client) spend(ctx context.Context, kind string) error {
-	if err := client.budget.Wait(ctx); err != nil {
+	if kind == "keepalive" {
+		client.budget.Reserve()
+	} else if err := client.budget.Wait(ctx); err != nil {
 		return fault.Wrap("etcd."+kind, store.Unavailable, err)
 	}
 	client.mutex.Lock()
--- a/io/etcd/client_test.go
+++ b/io/etcd/client_test.go
@@ -209,6 +209,29 @@
 	})
 }
 
+// A host of a small fleet needs more calls for its ledger partitions than one of
+// 340 hosts may make, and a busy ledger must not cost the host its leases.
+func TestShareOfTheBudget(t *testing.T) {
+	run(t, etcd.Options{Burst: 1}, func(t *testing.T, rig *rig) {
+		lease, err := rig.client.Grant(t.Context(), time.Minute)
+		require.NoError(t, err)
+		for hosts, most := range map[int]int{0: 50, 8: 50, 100: 17, 340: 5} {
+			rig.client.Share(hosts)
+			before, begin := rig.client.Calls()["range"], time.Now()
+			for time.Since(begin) < 10*time.Second {
+				_, _ = rig.client.Get(t.Context(), "a")
+			}
+			require.InDelta(t, 10*most, rig.client.Calls()["range"]-before, 3)
+		}
+		begin := time.Now()
+		for range 3 {
+			_, err = rig.client.KeepAlive(t.Context(), lease)
+			require.NoError(t, err)
+		}
+		require.Zero(t, time.Since(begin))
+	})
+}
+
 // A watch of a service that goes down must end with an error, or its host would
 // never learn of later changes.
 func TestWatchEndsWithTheService(t *testing.T) {
