core/ledger: remember the attempts that a host let run

Cause: a host frees its copy of a partition after a minute without calls; a call that came back to it in an outage was then told "not run" although the host had let it run. Change: each partition remembers up to 4,096 attempts for the retention; such a call gets the verdict unknown. A host that never saw the earlier call still answers "not run" in an outage.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -60,6 +60,9 @@
 	serviceTimeout = 2 * time.Second
 	// idleTime is how long a partition without calls is kept in memory.
 	idleTime = time.Minute
+	// rememberLimit bounds the attempts of one partition that are remembered
+	// without the book, at about 100 bytes each.
+	rememberLimit = 4096
 	// keyLimit bounds a workspace name and an idempotency key, in bytes.
 	keyLimit = 256
 	// headerLimit bounds the kept headers of an outcome, in bytes.
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -120,6 +120,31 @@
 	})
 }
 
+// A host that freed its copy of a partition must not say in an outage that a call
+// was not run which it let run, but may say so of one that was given back.
+func TestOutageAfterRest(t *testing.T) {
+	run(t, ledger.Options{}, func(t *testing.T, service *kv.Service, open func() *ledger.Ledger) {
+		host := open()
+		for number := range 2 {
+			_, err := host.Begin(t.Context(), key(number))
+			require.NoError(t, err)
+		}
+		require.NoError(t, host.Finish(t.Context(), key(0), ledger.Outcome{Status: 200}))
+		require.NoError(t, host.Abandon(t.Context(), key(1)))
+		time.Sleep(time.Hour)
+		service.Down(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		decision, err := host.Begin(ctx, key(0))
+		require.NoError(t, err)
+		require.Equal(t, ledger.Unknown, decision.Verdict)
+		ctx, cancel = context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = host.Begin(ctx, key(1))
+		require.True(t, fault.Is(err, ledger.NotRun))
+	})
+}
+
 // The service takes a few hundred writes a second from all hosts: load must not
 // raise the number of writes.
 func TestWritesStayWithinBudget(t *testing.T) {
--- a/core/ledger/partition.go
+++ b/core/ledger/partition.go
@@ -47,15 +47,24 @@
 	// the intent expected: once the book is past it, the intent is in the book
 	// or will never be. Records of strays are removed.
 	strays map[string]int64
+	// begun remembers the attempts that this process let run, also when the book
+	// is freed: a call that comes back in an outage is not told "not run".
+	begun map[identity]memory
 	// failures counts failures of the service in a row.
 	failures int
 }
 
+// memory is what is left of an attempt without its record.
+type memory struct {
+	attempt string
+	until   time.Time
+}
+
 func newPartition(ledger *Ledger, number int) *partition {
 	return &partition{
 		ledger: ledger, key: fmt.Sprintf("primrosegw/%s/ledger/%d", ledger.options.Environment, number),
 		wake: make(chan struct{}, 1), running: map[string]time.Time{}, owners: map[identity]string{},
-		strays: map[string]int64{},
+		strays: map[string]int64{}, begun: map[identity]memory{},
 	}
 }
 
@@ -99,6 +108,7 @@
 // The lock is held.
 func (partition *partition) stray(change *change) {
 	partition.leave(change)
+	partition.forget(change)
 	if change.sent == neverSent {
 		return
 	}
@@ -126,6 +136,24 @@
 	}
 }
 
+// remember notes that an attempt may run. The lock is held.
+func (partition *partition) remember(change *change, now time.Time) {
+	if len(partition.begun) >= rememberLimit {
+		maps.DeleteFunc(partition.begun, func(_ identity, held memory) bool { return now.After(held.until) })
+	}
+	if len(partition.begun) < rememberLimit {
+		until := now.Add(partition.ledger.options.Retention)
+		partition.begun[change.id] = memory{attempt: change.attempt, until: until}
+	}
+}
+
+// forget ends the memory of an attempt that did not run. The lock is held.
+func (partition *partition) forget(change *change) {
+	if partition.begun[change.id].attempt == change.attempt {
+		delete(partition.begun, change.id)
+	}
+}
+
 // cancel ends the wait of a Begin whose deadline passed. What is known of an
 // earlier call is reported before "not run" is: the earlier call may have run.
 func (partition *partition) cancel(change *change) (Decision, error) {
@@ -136,6 +164,10 @@
 	}
 	change.cancelled = true
 	partition.stray(change)
+	known := partition.book != nil && partition.book.records[change.id] != nil
+	if !known && time.Now().Before(partition.begun[change.id].until) {
+		return Decision{Verdict: Unknown}, nil
+	}
 	if partition.book == nil {
 		return Decision{}, fault.New("ledger.begin", NotRun,
 			"the ledger was not reached; an earlier call with this key cannot be ruled out")
@@ -389,7 +421,11 @@
 		case ruling.decision.Verdict == Run:
 			partition.running[change.attempt] = now.Add(partition.ledger.options.Running)
 			partition.owners[change.id] = change.attempt
-		case change.action != begin:
+			partition.remember(change, now)
+		case change.action == abandon:
+			partition.leave(change)
+			partition.forget(change)
+		case change.action == finish:
 			partition.leave(change)
 		}
 		if fault.Is(ruling.err, Full) {
