bench: compare the policies of spreading a document

Cause: The design keeps the randomised symmetric repair only if it beats repair by the relays alone. Change: A fleet of hosts with real membership and spread over in-memory links, TestSpread with both policies at 8, 100 and 340 hosts, losses of 1, 5 and 20% and lost relays, and TestStartDuringOutage. In core/spread the first relay repairs at once, other hosts wait 150 ms and a random 250 ms, about three of a failure domain's other hosts plan the same repair, and a missing document is asked for again after 200 ms. The membership's view is no longer worked out again after each suspicion.

--- /dev/null
+++ b/bench/spread_test.go
@@ -0,0 +1,204 @@
+package bench_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/spread"
+)
+
+// spreadBound is the time within which a document is in force everywhere.
+const spreadBound = 7 * time.Second
+
+// spreadResult is what one change of the document cost.
+type spreadResult struct {
+	last            time.Duration
+	messages, bytes int
+}
+
+// comparison collects the results of the policies without faults of hosts.
+type comparison struct {
+	mutex sync.Mutex
+	sums  map[string]map[spread.Policy]spreadResult
+}
+
+// add sums up a result.
+func (comparison *comparison) add(hosts string, policy spread.Policy, result spreadResult) {
+	comparison.mutex.Lock()
+	defer comparison.mutex.Unlock()
+	if comparison.sums[hosts] == nil {
+		comparison.sums[hosts] = map[spread.Policy]spreadResult{}
+	}
+	sum := comparison.sums[hosts][policy]
+	sum.last += result.last
+	sum.messages += result.messages
+	sum.bytes += result.bytes
+	comparison.sums[hosts][policy] = sum
+}
+
+// check fails if the default costs over a tenth more than repair by the relays
+// alone in time, messages or bytes.
+func (comparison *comparison) check(t *testing.T) {
+	for hosts, sums := range comparison.sums {
+		chosen, other := sums[spread.Symmetric], sums[spread.RelayOnly]
+		require.LessOrEqual(t, chosen.last, other.last*11/10, hosts)
+		require.LessOrEqual(t, chosen.messages, other.messages*11/10, hosts)
+		require.LessOrEqual(t, chosen.bytes, other.bytes*11/10, hosts)
+	}
+}
+
+// fleetSizes returns the numbers of hosts to measure, largest first because it
+// takes longest. With -short, as under the race detector, the target size is
+// left out.
+func fleetSizes() []int {
+	if testing.Short() {
+		return []int{100, 8}
+	}
+	return []int{340, 100, 8}
+}
+
+// Guards against changes that reach a host late or not at all, and against a
+// default policy that is worse than repair by the relays alone.
+func TestSpread(t *testing.T) {
+	comparison := &comparison{sums: map[string]map[spread.Policy]spreadResult{}}
+	t.Run("policies", func(t *testing.T) {
+		for _, hosts := range fleetSizes() {
+			for _, policy := range []spread.Policy{spread.Symmetric, spread.RelayOnly} {
+				t.Run(fmt.Sprintf("hosts=%d/policy=%s", hosts, policy), func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) { measureSpread(t, hosts, policy, comparison) })
+				})
+			}
+		}
+	})
+	comparison.check(t)
+}
+
+// measureSpread makes changes at each loss and prints what they cost, then one
+// while the first relay of each failure domain and one while both are gone.
+func measureSpread(t *testing.T, hosts int, policy spread.Policy, comparison *comparison) {
+	fleet := newFleet(t, fleetOptions{hosts: hosts, seed: 1, policy: policy})
+	measure := func(loss float64, fault string, seed int) {
+		fleet.loss = loss
+		fleet.random = rand.New(rand.NewPCG(uint64(seed), fleet.changes))
+		result := fleet.change()
+		line := func(value any, unit string) {
+			t.Logf("measure=spread policy=%s hosts=%d loss=%.2f fault=%s seed=%d value=%v unit=%s bound=7",
+				policy, hosts, loss, fault, seed, value, unit)
+		}
+		line(result.last.Seconds(), "s")
+		line(result.messages, "messages")
+		line(result.bytes, "B")
+		require.LessOrEqual(t, result.last, spreadBound)
+		if fault == "none" {
+			comparison.add(fmt.Sprint(hosts), policy, result)
+		}
+		fleet.loss = 0
+		fleet.run(500 * time.Millisecond)
+	}
+	seeds := 3
+	if hosts > 100 {
+		// One change takes seconds of computing at this size.
+		seeds = 1
+	}
+	for _, loss := range []float64{0.01, 0.05, 0.2} {
+		for seed := range seeds {
+			measure(loss, "none", seed)
+		}
+	}
+	if hosts > 2*domains {
+		for _, fault := range []string{"one_relay_lost", "both_relays_lost"} {
+			fleet.loseRelays(fault == "both_relays_lost")
+			measure(0.05, fault, 0)
+		}
+	}
+	for _, node := range fleet.nodes {
+		require.Zero(t, node.reversals)
+	}
+}
+
+// loseRelays stops the first relay of each failure domain, or both, after the
+// others have got over earlier losses.
+func (fleet *fleet) loseRelays(both bool) {
+	for !fleet.joined() {
+		fleet.run(time.Second)
+	}
+	lost := map[string]bool{}
+	for _, node := range fleet.nodes {
+		if node.stopped {
+			continue
+		}
+		relays := node.member.Relays(node.host.FailureDomain)
+		if node.host.Name == relays[0] || (both && node.host.Name == relays[1]) {
+			lost[node.host.Name] = true
+		}
+	}
+	for name := range lost {
+		fleet.byName[name].stopped = true
+	}
+}
+
+// change puts a new document into the service and waits until each host has
+// it in force.
+func (fleet *fleet) change() spreadResult {
+	fleet.changes++
+	generation := fleet.changes
+	document := newDocument(fleet.t, 4*len(fleet.nodes), int(generation))
+	began := time.Now()
+	fleet.counted = true
+	fleet.reset()
+	fleet.put(generation, document)
+	for !fleet.inForce(generation) && time.Since(began) < 2*spreadBound {
+		fleet.run(tickPeriod)
+	}
+	var result spreadResult
+	for _, node := range fleet.nodes {
+		if !node.stopped {
+			result.last = max(result.last, node.applied.Sub(began))
+		}
+	}
+	if !fleet.inForce(generation) {
+		result.last = 2 * spreadBound
+	}
+	// Late receipts and repairs belong to the cost.
+	fleet.run(500 * time.Millisecond)
+	result.messages, result.bytes, _ = fleet.totals()
+	fleet.counted = false
+	return result
+}
+
+// inForce reports whether all hosts have a generation in force.
+func (fleet *fleet) inForce(generation uint64) bool {
+	for _, node := range fleet.nodes {
+		if !node.stopped && node.generation < generation {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a host that has no document because the key-value service is
+// down when it starts.
+func TestStartDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		options := fleetOptions{hosts: 30, seed: 2}
+		fleet := newFleet(t, options)
+		fleet.change()
+		fleet.run(10 * time.Second)
+		for i := range 6 {
+			began := time.Now()
+			node := fleet.start(options.hosts+i, options)
+			for node.generation == 0 && time.Since(began) < spreadBound {
+				fleet.run(tickPeriod)
+			}
+			require.Equal(t, uint64(1), node.generation, "the host has no document")
+			t.Logf("measure=start hosts=%d value=%.1f unit=s bound=7", options.hosts+i, time.Since(began).Seconds())
+		}
+	})
+}
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -34,27 +34,30 @@
 		return &member.view
 	}
 	next := view{valid: true, relays: map[string][]string{}, counts: map[string]int{}, digests: map[string]uint64{}}
-	byDomain := map[string][]host.Host{}
-	add := func(entry host.Host) {
+	best := map[string]*podium{}
+	add := func(entry host.Host, marks marks) {
 		domain := entry.FailureDomain
-		byDomain[domain] = append(byDomain[domain], entry)
 		next.counts[domain]++
-		next.digests[domain] ^= fingerprint(entry)
+		next.digests[domain] ^= marks.fingerprint
+		next.digest ^= marks.fingerprint
 		next.live++
+		if best[domain] == nil {
+			best[domain] = &podium{}
+		}
+		best[domain].offer(entry, marks.score)
 	}
-	add(member.self)
+	add(member.self, markOf(member.self))
 	for _, entry := range member.order {
 		if !entry.live() {
 			continue
 		}
-		add(entry.host)
+		add(entry.host, entry.marks())
 		if member.local(entry.host) {
 			next.local = append(next.local, entry.host.Name)
 		}
 	}
-	for domain, hosts := range byDomain {
-		next.digest ^= next.digests[domain]
-		next.relays[domain] = rankRelays(domain, hosts)
+	for domain, podium := range best {
+		next.relays[domain] = podium.names()
 		if domain != member.self.FailureDomain {
 			next.domains = append(next.domains, domain)
 		}
@@ -64,16 +67,62 @@
 	return &member.view
 }
 
-// rankRelays returns the names of the relays of a failure domain.
-func rankRelays(domain string, hosts []host.Host) []string {
-	ranked := host.Rank("relay/"+domain, hosts)
+// podium holds the best relayCount hosts of a failure domain, in the order of
+// host.Rank. It saves sorting all hosts after each change.
+type podium [relayCount]struct {
+	name  string
+	score uint64
+}
+
+// offer takes a host that may be a relay.
+func (podium *podium) offer(entry host.Host, score uint64) {
+	if entry.State != host.Alive && entry.State != host.Suspect {
+		return
+	}
+	name := entry.Name
+	for i := range podium {
+		place := &podium[i]
+		if place.name == "" || score > place.score || (score == place.score && name < place.name) {
+			place.name, name = name, place.name
+			place.score, score = score, place.score
+		}
+		if name == "" {
+			return
+		}
+	}
+}
+
+// names returns the hosts, best first.
+func (podium *podium) names() []string {
 	names := make([]string, 0, relayCount)
-	for _, entry := range ranked[:min(relayCount, len(ranked))] {
-		names = append(names, entry.Name)
+	for _, place := range podium {
+		if place.name != "" {
+			names = append(names, place.name)
+		}
 	}
 	return names
 }
 
+// marks are what the view needs of a host; they depend on its record only.
+type marks struct {
+	fingerprint uint64
+	score       uint64
+}
+
+// markOf works out the marks of a host.
+func markOf(entry host.Host) marks {
+	return marks{fingerprint(entry), host.Score("relay/"+entry.FailureDomain, entry.Name)}
+}
+
+// marks returns the marks of a record, which are worked out again after a
+// change of the host.
+func (record *record) marks() marks {
+	if record.marked != record.host {
+		record.marked, record.kept = record.host, markOf(record.host)
+	}
+	return record.kept
+}
+
 // fingerprint returns the part of one host in the digest. A suspected host
 // counts as alive: suspicions pass on their own and soon end.
 func fingerprint(entry host.Host) uint64 {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -285,9 +285,15 @@
 	return all
 }
 
-// notify wakes everybody who waits for a change and drops cached views.
+// notify drops the cached view and wakes waiters. A suspicion only wakes them:
+// a suspected host counts like one alive in the view.
 func (member *Member) notify() {
 	member.view.valid = false
+	member.wake()
+}
+
+// wake wakes everybody who waits for a change.
+func (member *Member) wake() {
 	close(member.changed)
 	member.changed = make(chan struct{})
 }
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -300,7 +300,7 @@
 			network := newNetwork(t, 12)
 			nodes := network.startAll(count, 12)
 			network.until(30*time.Second, "joined", network.agree)
-			// The news of so many joins at once are passed on for a minute.
+			// The news of so many joins at once are passed on for a while.
 			network.run(time.Minute)
 			network.measured = true
 			const period = 10
--- a/core/member/options.go
+++ b/core/member/options.go
@@ -50,7 +50,7 @@
 	// newsPeriod is how long a death is passed on; afterwards only the
 	// tombstone remains. A region that was cut off does not hear of its own
 	// death from the other side.
-	newsPeriod = time.Minute
+	newsPeriod = 20 * time.Second
 	// tombstonePeriod is how long a dead record is kept so that a stale record
 	// doesn't bring it back. It outlasts a parting of an hour.
 	tombstonePeriod = 2 * time.Hour
--- a/core/member/record.go
+++ b/core/member/record.go
@@ -28,6 +28,9 @@
 	// suspected is when the present suspicion began, zero if there is none.
 	suspected time.Time
 	accusers  []string
+	// kept are the marks of marked, which is the host when they were worked out.
+	marked host.Host
+	kept   marks
 	// queued says that the record is among the news; local and foreign count how often the record is still passed on.
 	queued         bool
 	local, foreign int
@@ -121,11 +124,10 @@
 		member.suspect(entry, delta.By, now)
 	}
 	member.logState(entry)
-	if delta.Stale {
-		member.notify()
-		return
+	member.notify()
+	if !delta.Stale {
+		member.pass(entry)
 	}
-	member.pass(entry)
 }
 
 // mergeNewer replaces a record by one of a later incarnation.
@@ -144,6 +146,7 @@
 		member.suspect(known, delta.By, now)
 	}
 	member.logState(known)
+	member.notify()
 	member.pass(known)
 }
 
@@ -170,6 +173,7 @@
 		known.host.State = host.Leaving
 		known.changed = now
 		member.logState(known)
+		member.notify()
 		member.pass(known)
 	}
 	if delta.State == host.Suspect || delta.By != "" {
@@ -199,6 +203,7 @@
 		member.options.Log.Log(event.MemberSuspected(), logrus.Fields{
 			"name": known.host.Name, "incarnation": known.host.Incarnation, "by": accuser,
 		})
+		member.wake()
 		member.pass(known)
 	}
 	if accuser == "" || slices.Contains(known.accusers, accuser) || len(known.accusers) >= accuserLimit {
@@ -217,6 +222,7 @@
 	known.suspected = time.Time{}
 	delete(member.probes, known.host.Name)
 	member.logState(known)
+	member.notify()
 	member.pass(known)
 }
 
@@ -286,14 +292,13 @@
 	})
 }
 
-// pass queues a record for the next messages and wakes waiters.
+// pass queues a record for the next messages.
 func (member *Member) pass(entry *record) {
 	if !entry.queued {
 		entry.queued = true
 		member.news = append(member.news, entry)
 	}
 	entry.local, entry.foreign = member.transmits(), member.transmits()
-	member.notify()
 }
 
 // expireNews drops the records that were passed on often or long enough.
--- a/core/spread/options.go
+++ b/core/spread/options.go
@@ -35,17 +35,23 @@
 )
 
 const (
-	// repairDelay bounds the random delay before a repair. It is long against
-	// the delay between hosts (1.5 ms), so that a receipt cancels the repairs
-	// of others, and short against the bound of 7 s.
+	// A repair waits for repairFloor and a random part of repairDelay. Both are
+	// long against the delay between hosts (1.5 ms), so that a receipt cancels
+	// the repairs of others, and short against the bound of 7 s.
+	repairFloor = 150 * time.Millisecond
 	repairDelay = 250 * time.Millisecond
+	// repairers is the number of hosts, out of all that see a host behind, that
+	// plan its repair besides the relays.
+	repairers = 3
 	// repairAgain is the time without a sign of success after which the same
-	// host is repaired again, the first time; it doubles up to repairAgainMost.
+	// host is repaired again; after steadyTries more it doubles up to
+	// repairAgainMost.
 	repairAgain     = 600 * time.Millisecond
+	steadyTries     = 3
 	repairAgainMost = 30 * time.Second
 	// wantAgain is the time after which a wanted document is asked of another
 	// host.
-	wantAgain = 400 * time.Millisecond
+	wantAgain = 200 * time.Millisecond
 	// inlineLimit is the size up to which a packed document rides on the
 	// repair, in bytes: a second copy then costs less than the round trip.
 	inlineLimit = 4 << 10
--- a/core/spread/repair.go
+++ b/core/spread/repair.go
@@ -36,22 +36,26 @@
 	if message.Heads == nil {
 		return
 	}
+	var document []byte
 	if message.Packed != nil {
-		spread.keep(message.Heads.Production.Digest, message.Packed)
+		document = spread.keep(message.Heads.Production.Digest, message.Packed)
 	}
-	spread.take(*message.Heads, from)
+	spread.take(*message.Heads, from, document)
 }
 
 // receivePage takes a document that was asked for.
 func (spread *Spread) receivePage(from host.Host, message Message) {
 	spread.mutex.Lock()
-	waiting := spread.pending
+	var waiting *pending
+	if spread.pending != nil {
+		copied := *spread.pending
+		waiting = &copied
+	}
 	spread.mutex.Unlock()
 	if waiting == nil || waiting.heads.Production.Digest != message.Wanted {
 		return
 	}
-	spread.keep(message.Wanted, message.Packed)
-	spread.take(waiting.heads, from)
+	spread.take(waiting.heads, from, spread.keep(message.Wanted, message.Packed))
 }
 
 // answer sends what a message asks for. A repair that brought nothing new is
@@ -107,9 +111,10 @@
 }
 
 // patience returns the wait for a sign of success after a number of earlier
-// tries. It doubles, so that a host that rejects a generation is not flooded.
+// tries. It doubles once losses are no likely cause, so that a host that
+// rejects a generation is not flooded.
 func patience(tries int) time.Duration {
-	return min(repairAgain<<min(tries, 10), repairAgainMost)
+	return min(repairAgain<<max(0, min(tries, 10)-steadyTries), repairAgainMost)
 }
 
 // repair sends the heads in force to a host, with the document if it is small.
--- a/core/spread/shelf.go
+++ b/core/spread/shelf.go
@@ -37,19 +37,20 @@
 }
 
 // keep puts a packed document from a peer on the shelf if it matches its
-// digest.
-func (spread *Spread) keep(digest string, packed []byte) {
-	if spread.Holds(digest) {
-		return
+// digest, and returns it unpacked; nil if it doesn't match or is there already.
+func (spread *Spread) keep(digest string, packed []byte) []byte {
+	if digest == "" || spread.Holds(digest) {
+		return nil
 	}
-	_, err := unpack(packed, digest)
+	document, err := unpack(packed, digest)
 	spread.mutex.Lock()
 	defer spread.mutex.Unlock()
 	if err != nil {
 		spread.options.Log.Log(event.SpreadRejected(), logrus.Fields{"digest": digest, "error": err.Error()})
-		return
+		return nil
 	}
 	spread.place(digest, packed)
+	return document
 }
 
 // place puts a page on the shelf and drops the oldest one beyond the limit,
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -35,6 +35,9 @@
 	// Apply rejected.
 	current heads.Heads
 	refused uint64
+	// local is the number of live hosts in the own failure domain when current
+	// was applied.
+	local int
 	// shelf are the latest documents, the one in force last.
 	shelf []page
 	// seen is what other hosts last told of themselves, by name.
@@ -199,8 +202,10 @@
 	spread.Reached()
 	if document != nil && heads.Digest(document) == next.Production.Digest {
 		spread.shelve(next.Production.Digest, document)
+	} else {
+		document = nil
 	}
-	spread.take(next.Trim(), host.Host{})
+	spread.take(next.Trim(), host.Host{}, document)
 	spread.flush()
 }
 
@@ -223,9 +228,22 @@
 	if spread.options.Policy == RelayOnly && !spread.IsRelay() {
 		return
 	}
+	if spread.leaves(from) {
+		return
+	}
 	spread.plan(from.Name, now)
 }
 
+// leaves reports whether this host leaves a repair to others this time. The
+// more hosts a failure domain has, the more of them see the same host behind;
+// about repairers of them plan its repair.
+func (spread *Spread) leaves(behind host.Host) bool {
+	if behind.FailureDomain != spread.options.Self().FailureDomain || spread.IsRelay() {
+		return false
+	}
+	return spread.local > repairers && spread.options.Random.IntN(spread.local) >= repairers
+}
+
 // plan puts a repair into the queue unless it is there.
 func (spread *Spread) plan(name string, now time.Time) {
 	planned, found := spread.repairs[name]
@@ -236,17 +254,20 @@
 	spread.rouse()
 }
 
-// delay returns the delay before a repair. Where only relays repair, the first
-// one does so at once and the others stand by.
+// delay returns the delay before a repair. The first relay repairs at once.
+// Where only relays repair, the others stand by; else the delay is random, and
+// long enough that the first relay's repair cancels it as a rule.
 func (spread *Spread) delay() time.Duration {
-	if spread.options.Policy == Symmetric {
-		return time.Duration(spread.options.Random.Int64N(int64(repairDelay)))
-	}
 	self := spread.options.Self()
-	if relays := spread.options.Relays(self.FailureDomain); len(relays) > 0 && relays[0] == self.Name {
+	relays := spread.options.Relays(self.FailureDomain)
+	switch {
+	case len(relays) > 0 && relays[0] == self.Name:
 		return 0
+	case spread.options.Policy == RelayOnly:
+		return repairAgain
+	default:
+		return repairFloor + time.Duration(spread.options.Random.Int64N(int64(repairDelay)))
 	}
-	return repairAgain
 }
 
 // IsRelay reports whether this host is a relay of its failure domain, which
@@ -257,8 +278,9 @@
 }
 
 // take puts newer heads in force, or has their document fetched. The sender is
-// zero if the heads come from the service.
-func (spread *Spread) take(next heads.Heads, sender host.Host) {
+// zero if the heads come from the service; document is nil unless it is at hand
+// unpacked.
+func (spread *Spread) take(next heads.Heads, sender host.Host, document []byte) {
 	spread.applying.Lock()
 	defer spread.applying.Unlock()
 	spread.mutex.Lock()
@@ -274,16 +296,19 @@
 		return
 	}
 	spread.mutex.Unlock()
-	spread.enforce(next, packed)
-}
-
-// enforce calls Apply and announces the new generation. The caller holds
-// applying.
-func (spread *Spread) enforce(next heads.Heads, packed []byte) {
-	document, err := unpack(packed, next.Production.Digest)
+	var err error
+	if document == nil {
+		document, err = unpack(packed, digest)
+	}
 	if err == nil {
 		err = spread.options.Apply(next, document)
 	}
+	spread.enforce(next, err)
+}
+
+// enforce notes that a generation was applied, or why it was not, and announces
+// it. The caller holds applying.
+func (spread *Spread) enforce(next heads.Heads, err error) {
 	spread.mutex.Lock()
 	defer spread.mutex.Unlock()
 	if spread.pending != nil && spread.pending.heads.Generation <= next.Generation {
@@ -318,7 +343,11 @@
 		planned.tries = 0
 		spread.repairs[name] = planned
 	}
+	spread.local = 0
 	for _, other := range hosts {
+		if other.State != host.Dead && other.FailureDomain == self.FailureDomain {
+			spread.local++
+		}
 		if other.State == host.Dead || other.Name == self.Name {
 			continue
 		}
