--- a/bench/document_test.go
+++ b/bench/document_test.go
@@ -10,7 +10,6 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosegw/core/heads"
-	"primrosegw/core/host"
 	"primrosegw/core/spec"
 )
 
@@ -69,7 +68,7 @@
 }
 
 // newSummaries deals the domain's share of all cells over its hosts.
-func newSummaries(node *node, cells int, hosts int) *summaries {
+func newSummaries(node *node, cells, hosts int) *summaries {
 	summaries := &summaries{owned: map[string]bool{}, known: map[string]summary{}}
 	var index, domain int
 	_, _ = fmt.Sscanf(node.host.Name, "entry-%d", &index)
@@ -88,7 +87,7 @@
 
 // pack returns what rides on a ping: the own cells' summaries of this moment
 // and those of others that are young enough.
-func (summaries *summaries) pack(host.Host) []byte {
+func (summaries *summaries) pack() []byte {
 	now := time.Now().UnixMilli()
 	var all []summary
 	for i, name := range summaries.order {
--- a/bench/fleet_test.go
+++ b/bench/fleet_test.go
@@ -144,7 +144,7 @@
 			})
 		},
 		Applied: func() (uint64, string) { return node.spread.Applied() },
-		Extra:   node.summaries.pack,
+		Extra:   func(host.Host) []byte { return node.summaries.pack() },
 		Heard: func(from host.Host, message member.Message) {
 			node.spread.Observe(from, message.Generation)
 			node.summaries.merge(message.Extra)
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -183,20 +182,35 @@
 		*left--
 		deltas = append(deltas, describe(member.self, "", true))
 	}
-	var news []*record
-	for _, entry := range member.news {
-		if *entry.left(local) > 0 && now.Sub(entry.changed) < newsPeriod && entry.host.Name != to.Name {
-			news = append(news, entry)
-		}
-	}
-	slices.SortStableFunc(news, func(a, b *record) int { return cmp.Compare(*b.left(local), *a.left(local)) })
-	for _, entry := range news[:min(deltaLimit, len(news))] {
+	for _, entry := range member.leastTold(to.Name, local, now) {
 		*entry.left(local)--
 		deltas = append(deltas, member.report(entry))
 	}
 	return deltas
 }
 
+// leastTold returns the news that were passed on least, at most deltaLimit. It
+// keeps a short ordered list, because all hosts are news after a mass restart.
+func (member *Member) leastTold(to string, local bool, now time.Time) []*record {
+	var picked []*record
+	for _, entry := range member.news {
+		left := *entry.left(local)
+		if left <= 0 || now.Sub(entry.changed) >= newsPeriod || entry.host.Name == to {
+			continue
+		}
+		if len(picked) == deltaLimit && left <= *picked[deltaLimit-1].left(local) {
+			continue
+		}
+		at := len(picked)
+		for at > 0 && left > *picked[at-1].left(local) {
+			at--
+		}
+		picked = slices.Insert(picked, at, entry)
+		picked = picked[:min(deltaLimit, len(picked))]
+	}
+	return picked
+}
+
 // disputed reports whether the host would not say of itself what the record
 // says.
 func (record *record) disputed() bool {
