--- a/bench/primrose_test.go
+++ b/bench/primrose_test.go
@@ -322,7 +322,7 @@
 		{"hedge", cell.Switches{DisableHedge: true}, []string{"slow_tail"}},
 		{"long_cap", cell.Switches{DisableLongCap: true}, []string{"head_of_line"}},
 		{"minimum_share", cell.Switches{DisableMinimumShare: true}, []string{"starvation"}},
-		{"poison", cell.Switches{DisablePoison: true}, []string{"poison"}},
+		{"poison", cell.Switches{DisablePoison: true}, []string{"poison", "wasted_work"}},
 		{"preempt", cell.Switches{DisablePreempt: true}, []string{"swing", "head_of_line"}},
 		{"resume", cell.Switches{DisableResume: true}, []string{"wasted_work"}},
 	}
