--- a/bench/figure_test.go
+++ b/bench/figure_test.go
@@ -89,6 +89,7 @@
 		add("crest", result.crest(), "share", atLeast(targetShare))
 		add("top_tier_shed", float64(result.shed(isTop)), "calls", atMost(0))
 		add("least_served_class", result.leastServed(), "calls", atLeast(1))
+		add("middle_attainment", result.attainment(func(record *record) bool { return record.class.role == middle }), "share", bound{})
 		add("goodput", result.goodput(), "tokens/s", bound{})
 		for _, class := range result.profile.classes {
 			name := class.name
