--- a/bench/measure_test.go
+++ b/bench/measure_test.go
@@ -87,6 +87,7 @@
 	results.figures = append(results.figures, leads(results.figures)...)
 	slices.SortStableFunc(results.figures, compareFigures)
 	if *update {
+		require.Empty(t, *only+*onlyWith, "-update needs the whole set")
 		writePage(t, results.figures)
 	}
 	known := readKnown(t, "../KNOWN-RED.txt")
