io/entry: keep streams over HTTP/2 open through pauses

Cause: The write deadline of a piece stayed set: in HTTP/2, toward callers with TLS, it ended the stream when no piece came for the write timeout. An end that could not be written was reported as a lost backend server. Change: The deadline is cleared after each piece; an end that can't be written counts as a caller who went away. Conclusion: A preempted or waiting answer is not cut.

--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -24,7 +24,9 @@
 	// mutex guards the answer against pieces that arrive while it ends.
 	mutex sync.Mutex
 	// closed: the answer has ended; later pieces are refused.
-	closed  bool
+	closed bool
+	// ended: the end of the whole answer was written or failed to be.
+	ended   bool
 	started bool
 	tokens  int
 	text    strings.Builder
@@ -197,7 +199,11 @@
 	if _, err := answer.writer.Write(line); err != nil {
 		return err
 	}
-	return answer.control.Flush()
+	if err := answer.control.Flush(); err != nil {
+		return err
+	}
+	// In HTTP/2 a deadline that passes between two pieces ends the stream.
+	return answer.control.SetWriteDeadline(time.Time{})
 }
 
 // close refuses all pieces from now on. The connection may carry the answer to
@@ -210,10 +216,17 @@
 
 // end completes an answer that was delivered whole.
 func (answer *answer) end() error {
+	answer.ended = true
+	if err := answer.finalize(); err != nil {
+		return fault.Wrap("entry.end", cell.Gone, err)
+	}
+	return nil
+}
+
+func (answer *answer) finalize() error {
 	if !answer.parsed.stream {
 		_ = answer.control.SetWriteDeadline(time.Now().Add(answer.timeout))
-		writeJSON(answer.writer, http.StatusOK, answer.whole())
-		return nil
+		return writeJSON(answer.writer, http.StatusOK, answer.whole())
 	}
 	if !answer.started {
 		if err := answer.open(); err != nil {
@@ -232,8 +245,12 @@
 	return answer.line([]byte("[DONE]"))
 }
 
-// fail ends an answer that could not be completed.
+// fail ends an answer that could not be completed. When already its end could
+// not be written, there is nobody to tell.
 func (answer *answer) fail(problem problem) {
+	if answer.ended {
+		return
+	}
 	_ = answer.control.SetWriteDeadline(time.Now().Add(answer.timeout))
 	if !answer.started {
 		problem.write(answer.writer)
--- a/io/entry/problem.go
+++ b/io/entry/problem.go
@@ -58,7 +58,7 @@
 		seconds := int(math.Ceil(problem.retryAfter.Seconds()))
 		writer.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
-	writeJSON(writer, problem.status, problem.body())
+	_ = writeJSON(writer, problem.status, problem.body())
 }
 
 func invalid(param, message string) *problem {
@@ -82,7 +82,7 @@
 // reply answers with a value, within the time that a caller has to read it.
 func (entry *Entry) reply(writer http.ResponseWriter, status int, value any) {
 	entry.expire(writer)
-	writeJSON(writer, status, value)
+	_ = writeJSON(writer, status, value)
 }
 
 // expire bounds the write of a whole answer.
@@ -187,8 +187,8 @@
 	}
 }
 
-func writeJSON(writer http.ResponseWriter, status int, value any) {
+func writeJSON(writer http.ResponseWriter, status int, value any) error {
 	writer.Header().Set("Content-Type", "application/json")
 	writer.WriteHeader(status)
-	_ = json.NewEncoder(writer).Encode(value)
+	return json.NewEncoder(writer).Encode(value)
 }
