io/engine: send the bound of the answer to the engine

Cause: The class's maximum_tokens only reached the cell's estimate; engines got the caller's own bound or none. Change: The tightest bound goes to the engine as max_tokens, and as max_completion_tokens if the caller used it.

--- a/io/engine/backend.go
+++ b/io/engine/backend.go
@@ -122,6 +122,14 @@
 	fields["stream_options"] = map[string]bool{"include_usage": true}
 	fields["priority"] = call.Request.Priority
 	fields["request_id"] = call.Request.ID
+	if bound := call.Request.MaxTokens; bound > 0 {
+		// The bound is the tightest of the caller's and the class's. Engines
+		// differ in which of the two fields they prefer.
+		fields["max_tokens"] = bound
+		if _, set := raw["max_completion_tokens"]; set {
+			fields["max_completion_tokens"] = bound
+		}
+	}
 	if call.Version != "" {
 		fields["version"] = call.Version
 	}
