--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -63,6 +63,9 @@
 	Store store.Store
 	// Random is the source of random choices, seeded by the caller.
 	Random *rand.Rand
+	// Packets replaces the UDP socket of the links, as to lose packets in
+	// tests; nil: the socket itself.
+	Packets func(net.PacketConn) net.PacketConn
 }
 
 // Daemon is one entry host.
@@ -122,7 +125,7 @@
 		suspects: poison.New(poison.Options{}),
 	}
 	daemon.cells = newCells(daemon.buildCell)
-	if err := daemon.listen(); err != nil {
+	if err := daemon.listen(options.Packets); err != nil {
 		daemon.close()
 		return nil, err
 	}
@@ -167,7 +170,7 @@
 
 // listen opens all addresses. Ports given as 0 are chosen by the system, and
 // the host tells others the chosen ones.
-func (daemon *Daemon) listen() error {
+func (daemon *Daemon) listen(packets func(net.PacketConn) net.PacketConn) error {
 	const op = "daemon.listen"
 	var err error
 	daemon.entryListener, err = net.Listen("tcp", daemon.self.EntryAddress)
@@ -183,6 +186,7 @@
 	}
 	daemon.link, err = link.New(link.Options{
 		Address: daemon.self.LinkAddress, TLS: daemon.keys.LinkConfig(), Handlers: daemon.handlers(),
+		Packets: packets,
 	})
 	if err != nil {
 		return &Error{Op: op, Kind: Unbound, Field: "host.link_address", Err: err}
--- a/io/demo/world.go
+++ b/io/demo/world.go
@@ -72,7 +72,11 @@
 	// Log receives the hosts' log lines; nil: nothing is written.
 	Log   io.Writer
 	Level logrus.Level
-	Seed  uint64
+	// Subsystems write their debug events whatever the level is.
+	Subsystems []string
+	// Packets replaces the UDP socket of a host's links; nil: the socket itself.
+	Packets func(host string, socket net.PacketConn) net.PacketConn
+	Seed    uint64
 }
 
 // World is a running environment.
@@ -194,14 +198,19 @@
 	return world.Options.FailureDomains[index%len(world.Options.FailureDomains)]
 }
 
-// AddHost starts one more entry host.
-func (world *World) AddHost(index int) (*Node, error) {
-	name := fmt.Sprintf("host-%d", index)
+// Material issues TLS material for a host name.
+func (world *World) Material(name string) (*keys.Keys, error) {
 	pair, err := world.authority.Issue(name, net.IPv4(127, 0, 0, 1))
 	if err != nil {
 		return nil, err
 	}
-	material, err := keys.Of(world.authority.PEM(), pair)
+	return keys.Of(world.authority.PEM(), pair)
+}
+
+// AddHost starts one more entry host.
+func (world *World) AddHost(index int) (*Node, error) {
+	name := fmt.Sprintf("host-%d", index)
+	material, err := world.Material(name)
 	if err != nil {
 		return nil, err
 	}
@@ -215,8 +224,9 @@
 	}
 	host, err := daemon.New(daemon.Options{
 		Settings: world.settings(name, index), Keys: material, Store: service,
-		Logger: event.New(log, name, world.Options.Level, nil),
-		Random: rand.New(rand.NewPCG(world.Options.Seed, uint64(index))),
+		Logger:  event.New(log, name, world.Options.Level, world.Options.Subsystems),
+		Random:  rand.New(rand.NewPCG(world.Options.Seed, uint64(index))),
+		Packets: world.packets(name),
 	})
 	if err != nil {
 		return nil, err
@@ -230,6 +240,14 @@
 	return node, nil
 }
 
+// packets returns what replaces the socket of a host, nil if nothing does.
+func (world *World) packets(name string) func(net.PacketConn) net.PacketConn {
+	if world.Options.Packets == nil {
+		return nil
+	}
+	return func(socket net.PacketConn) net.PacketConn { return world.Options.Packets(name, socket) }
+}
+
 func (world *World) settings(name string, index int) config.Settings {
 	settings := config.Settings{
 		Environment: world.Document.Environment,
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -61,6 +61,9 @@
 	TLS *tls.Config
 	// Handlers serve incoming streams by their message name.
 	Handlers map[string]Handler
+	// Packets replaces the UDP socket, as to lose packets in tests; nil: the
+	// socket itself.
+	Packets func(net.PacketConn) net.PacketConn
 }
 
 // Link is a host's end of the connections to all other hosts.
@@ -104,6 +107,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	link := &Link{options: options, ctx: ctx, cancel: cancel, peers: make(map[string]*peer)}
 	link.transport = &quic.Transport{Conn: socket}
+	if options.Packets != nil {
+		link.transport.Conn = options.Packets(socket)
+	}
 	link.listener, err = link.transport.Listen(options.TLS, configuration())
 	if err != nil {
 		cancel()
