io/link: bound the wait for a peer's first value

Cause: Only the header of a stream had a deadline: a peer that named a message and sent no more held a handler for as long as its connection lived. Change: The header's deadline of 5 s holds for the first value too. Conclusion: Silent streams are bounded in time and memory.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -43,8 +43,8 @@
 	idleTimeout = 10 * time.Second
 	// keepAlive keeps connections in use open and finds dead peers.
 	keepAlive = 2 * time.Second
-	// headerTimeout bounds how long a peer may hold a stream open before it says
-	// what it wants.
+	// headerTimeout bounds how long a peer may hold a stream open before it has
+	// said what it wants: the header and the first value.
 	headerTimeout = 5 * time.Second
 	// maximumStreams bounds the calls that one peer may have open.
 	maximumStreams = 10_000
@@ -327,7 +327,7 @@
 	link.mutex.Lock()
 	link.usage.ReceivedMessages++
 	link.mutex.Unlock()
-	stream.ReadBefore(time.Time{})
+	stream.opening = true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	handler(ctx, stream)
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -4,10 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"io"
 	"net"
+	"os"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -181,3 +185,57 @@
 		_ = link.ReadFrame(bytes.NewReader(data), &into)
 	})
 }
+
+// TestSilentStreams guards against peers that open streams and never say what
+// they want: each is closed in bounded time, and others are served meanwhile.
+func TestSilentStreams(t *testing.T) {
+	const streams = 3000
+	authority := newAuthority(t)
+	server := open(t, authority, "server", map[string]link.Handler{"echo": echo})
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	connection, err := quic.DialAddr(ctx, server.Address(), material(t, authority, "silent").LinkConfig(), &quic.Config{})
+	require.NoError(t, err)
+	defer func() { _ = connection.CloseWithError(0, "") }()
+	var header bytes.Buffer
+	require.NoError(t, link.WriteFrame(&header, map[string]string{"message": "echo"}))
+	opened := make([]*quic.Stream, 0, streams)
+	for number := range streams {
+		stream, err := connection.OpenStreamSync(ctx)
+		require.NoError(t, err)
+		// Some end within the header, the others after it.
+		sent := header.Bytes()
+		if number%2 == 0 {
+			sent = sent[:3]
+		}
+		_, err = stream.Write(sent)
+		require.NoError(t, err)
+		opened = append(opened, stream)
+	}
+	client := open(t, authority, "client", nil)
+	var answer note
+	require.NoError(t, client.Ask(ctx, server.Address(), "echo", note{Text: "hello"}, &answer))
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	assert.Less(t, memory.HeapAlloc, uint64(128<<20))
+	for _, stream := range opened {
+		require.NoError(t, stream.SetReadDeadline(time.Now().Add(deadline)))
+		_, err := io.Copy(io.Discard, stream)
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+	runtime.ReadMemStats(&memory)
+	t.Logf("%d streams, heap %d MB", streams, memory.HeapAlloc>>20)
+}
+
+// TestUnknownMessage guards against a stream that stays open for a message that
+// nobody serves.
+func TestUnknownMessage(t *testing.T) {
+	authority := newAuthority(t)
+	server := open(t, authority, "server", nil)
+	client := open(t, authority, "client", nil)
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	var answer note
+	require.Error(t, client.Ask(ctx, server.Address(), "unknown", note{}, &answer))
+	require.NoError(t, ctx.Err())
+}
--- a/io/link/stream.go
+++ b/io/link/stream.go
@@ -37,6 +37,8 @@
 	receive receiver
 	peer    string
 	mutex   sync.Mutex
+	// opening: the peer's first value is bound by the header's deadline.
+	opening bool
 }
 
 // Peer returns the host name in the peer's certificate.
@@ -50,7 +52,14 @@
 }
 
 // Read receives one value. It fails with Broken or Malformed.
-func (stream *Stream) Read(value any) error { return ReadFrame(stream.receive, value) }
+func (stream *Stream) Read(value any) error {
+	err := ReadFrame(stream.receive, value)
+	if stream.opening {
+		stream.opening = false
+		stream.ReadBefore(time.Time{})
+	}
+	return err
+}
 
 // ReadBefore bounds the wait for following reads.
 func (stream *Stream) ReadBefore(deadline time.Time) {
