io/daemon: refuse forwards out of their bounds

Cause: A forward was run whatever it held: hops of 0 or below undid the loop protection, a tier of 7 or a weight of NaN went into the queue, and large spans overflowed. Change: Forwards are checked and refused as rejected, not run. A ledger call's time is bounded.

--- a/io/daemon/forward.go
+++ b/io/daemon/forward.go
@@ -86,6 +86,12 @@
 		daemon.logger.Log(event.LinkRefused(), logrus.Fields{"peer": stream.Peer(), "error": err.Error()})
 		return
 	}
+	if err := message.check(); err != nil {
+		daemon.logger.Log(event.LinkRefused(), logrus.Fields{"peer": stream.Peer(), "error": err.Error()})
+		refused := &frames{stream: stream, request: message.Request.ID}
+		refused.final(cell.Outcome{Run: cell.NotRun}, err, cell.Summary{})
+		return
+	}
 	request := message.request()
 	daemon.logger.Log(event.ForwardReceived(), logrus.Fields{
 		"request": request.ID, "cell": message.Cell, "hops": message.Hops, "peer": stream.Peer(),
--- a/io/daemon/message.go
+++ b/io/daemon/message.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"encoding/json"
+	"math"
 	"time"
 
 	"primrosegw/core/cell"
@@ -36,6 +38,46 @@
 	FirstTokenMs int64 `cbor:"first_token_ms"`
 }
 
+// The bounds of what a forward may ask for.
+const (
+	lowestTier = 6
+	// longestCall is above any deadline that a document can set.
+	longestCall = 24 * time.Hour
+	// longestAnswer bounds the counts of tokens, so that their sums can't overflow.
+	longestAnswer = 1 << 30
+)
+
+// check refuses what no entry host sends. A peer with a fault must not end this
+// host or hold its slots.
+func (forward forward) check() error {
+	request := forward.Request
+	count := func(tokens int) bool { return tokens >= 0 && tokens <= longestAnswer }
+	span := func(milliseconds int64) bool {
+		return milliseconds >= -longestCall.Milliseconds() && milliseconds <= longestCall.Milliseconds()
+	}
+	checks := []struct {
+		field string
+		valid bool
+	}{
+		{"request.id", request.ID != ""},
+		{"hops", forward.Hops >= 1 && forward.Hops <= maximumHops},
+		{"request.tier", request.Tier >= 1 && request.Tier <= lowestTier},
+		{"request.weight", request.Weight > 0 && !math.IsInf(request.Weight, 0)},
+		{"request.prompt_tokens", count(request.PromptTokens)},
+		{"request.max_tokens", count(request.MaxTokens)},
+		{"request.resume_tokens", count(request.ResumeTokens)},
+		{"request.body", json.Valid(request.Body)},
+		{"left_ms", span(forward.LeftMs)},
+		{"first_token_ms", span(forward.FirstTokenMs)},
+	}
+	for _, check := range checks {
+		if !check.valid {
+			return fault.Field("daemon.forward", cell.Rejected, check.field, "is out of its bounds")
+		}
+	}
+	return nil
+}
+
 // frame is one answer to a forward. Exactly one of its parts is set; a frame
 // without any says that the request still waits or runs.
 type frame struct {
--- a/io/daemon/once.go
+++ b/io/daemon/once.go
@@ -124,7 +124,8 @@
 	}
 	// The call outlives a caller that gives up: what it has begun to write
 	// must be settled.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(call.LeftMs)*time.Millisecond)
+	left := time.Duration(min(call.LeftMs, longestCall.Milliseconds())) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), left)
 	defer cancel()
 	_ = stream.Write(daemon.ledger.perform(ctx, call))
 }
