cmds: trust an authority of the operator's choice

Cause: With TLS keys set, the operators' address is served with TLS too, but operators' commands trusted the system's authorities only. Conclusion: Operators reach hosts whose authority is the operator's own.

--- a/cmds/document.go
+++ b/cmds/document.go
@@ -26,6 +26,8 @@
 type operation struct {
 	Host    string `default:"http://127.0.0.1:9001" placeholder:"URL" help:"The operators' address of any host."`
 	KeyFile string `placeholder:"FILE" help:"A file that holds the operator's key. Default: the variable PRIMROSEGW_OPERATOR_KEY."`
+	// Authority is for hosts whose certificates the system does not know.
+	Authority string `placeholder:"FILE" help:"The authority that signed the hosts' certificates toward callers, in PEM form. Default: the system's authorities."`
 }
 
 func (operation operation) client() (*admin.Client, error) {
@@ -40,7 +42,18 @@
 	if key == "" {
 		return nil, usage{errors.New("no operator key: give --key-file or set " + keyVariable)}
 	}
-	return admin.NewClient(operation.Host, key), nil
+	client := admin.NewClient(operation.Host, key)
+	if operation.Authority == "" {
+		return client, nil
+	}
+	authority, err := os.ReadFile(operation.Authority)
+	if err != nil {
+		return nil, usage{err}
+	}
+	if !client.Trust(authority) {
+		return nil, usage{errors.Newf("%s holds no certificate", operation.Authority)}
+	}
+	return client, nil
 }
 
 // waiting makes a command wait until all live hosts have confirmed.
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"net/http"
 	"net/url"
@@ -63,11 +65,28 @@
 type Client struct {
 	base string
 	key  string
+	http *http.Client
 }
 
 // NewClient returns a client for a host's operators' address with an
 // operator's key.
-func NewClient(base, key string) *Client { return &Client{base: base, key: key} }
+func NewClient(base, key string) *Client {
+	return &Client{base: base, key: key, http: http.DefaultClient}
+}
+
+// Trust makes the client trust the hosts whose certificates one of the given
+// authorities signed, in PEM form, in place of the system's authorities. It
+// reports false if there is none.
+func (client *Client) Trust(authorities []byte) bool {
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authorities) {
+		return false
+	}
+	client.http = &http.Client{Transport: &http.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12},
+	}}
+	return true
+}
 
 // Status reads the state of the environment.
 func (client *Client) Status(ctx context.Context) (Status, error) {
@@ -115,7 +134,7 @@
 	if err != nil {
 		return fault.Wrap(op, Refused, err)
 	}
-	response, err := http.DefaultClient.Do(request.WithContext(ctx))
+	response, err := client.http.Do(request.WithContext(ctx))
 	if err != nil {
 		return fault.Wrap(op, Unreachable, err)
 	}
