io/keys: refuse certificates that name no host

Cause: The membership compares a message's sender with the name in the link's certificate, unless that name is empty: the holder of a certificate without a name could speak for any host. Change: Such certificates are not trusted. Conclusion: Every peer has a name.

--- a/io/keys/keys.go
+++ b/io/keys/keys.go
@@ -150,6 +150,9 @@
 	if len(state.PeerCertificates) == 0 {
 		return fault.New(op, Untrusted, "the peer sent no certificate")
 	}
+	if state.PeerCertificates[0].Subject.CommonName == "" {
+		return fault.New(op, Untrusted, "the peer's certificate names no host")
+	}
 	intermediates := x509.NewCertPool()
 	for _, certificate := range state.PeerCertificates[1:] {
 		intermediates.AddCert(certificate)
