--- a/io/demo/promote.go
+++ b/io/demo/promote.go
@@ -24,6 +24,9 @@
 // returns the generation in force.
 func (world *World) Put(ctx context.Context, data []byte) (uint64, error) {
 	client := admin.NewClient(world.Nodes[0].AdminURL(), OperatorKey)
+	if authority := world.Options.Authority; authority != nil && !client.Trust(authority) {
+		return 0, fault.Field("demo.put", Unstarted, "authority", "it holds no certificate")
+	}
 	if _, err := client.Trial(ctx, data, "demo"); err != nil {
 		return 0, err
 	}
--- a/io/demo/world.go
+++ b/io/demo/world.go
@@ -74,6 +74,11 @@
 	Level logrus.Level
 	// Subsystems write their debug events whatever the level is.
 	Subsystems []string
+	// Keys gives a host its TLS material; nil: the world's own authority does.
+	Keys func(host string) (*keys.Keys, error)
+	// Authority signs the hosts' certificates toward callers, in PEM form; nil:
+	// callers and operators are served without TLS.
+	Authority []byte
 	// Packets replaces the UDP socket of a host's links; nil: the socket itself.
 	Packets func(host string, socket net.PacketConn) net.PacketConn
 	Seed    uint64
@@ -100,8 +105,10 @@
 // Node is one entry host of the environment.
 type Node struct {
 	Daemon *daemon.Daemon
-	Drain  chan struct{}
-	Abort  chan struct{}
+	// TLS says that callers and operators are served with TLS.
+	TLS   bool
+	Drain chan struct{}
+	Abort chan struct{}
 	// Done is closed after the host has left; Err is valid from then on.
 	Done chan struct{}
 	Err  error
@@ -210,7 +217,11 @@
 // AddHost starts one more entry host.
 func (world *World) AddHost(index int) (*Node, error) {
 	name := fmt.Sprintf("host-%d", index)
-	material, err := world.Material(name)
+	issue := world.Options.Keys
+	if issue == nil {
+		issue = world.Material
+	}
+	material, err := issue(name)
 	if err != nil {
 		return nil, err
 	}
@@ -231,7 +242,7 @@
 	if err != nil {
 		return nil, err
 	}
-	node := &Node{Daemon: host, Drain: make(chan struct{}), Abort: make(chan struct{}), Done: make(chan struct{})}
+	node := &Node{Daemon: host, TLS: material.Entry(), Drain: make(chan struct{}), Abort: make(chan struct{}), Done: make(chan struct{})}
 	world.Nodes = append(world.Nodes, node)
 	world.group.Go(func() {
 		node.Err = host.Run(context.Background(), daemon.Signals{Drain: node.Drain, Abort: node.Abort})
@@ -287,10 +298,17 @@
 }
 
 // URL returns the callers' address of a host.
-func (node *Node) URL() string { return "http://" + node.Daemon.Host().EntryAddress }
+func (node *Node) URL() string { return node.scheme() + node.Daemon.Host().EntryAddress }
 
 // AdminURL returns the operators' address of a host.
-func (node *Node) AdminURL() string { return "http://" + node.Daemon.AdminAddress() }
+func (node *Node) AdminURL() string { return node.scheme() + node.Daemon.AdminAddress() }
+
+func (node *Node) scheme() string {
+	if node.TLS {
+		return "https://"
+	}
+	return "http://"
+}
 
 // Close ends all hosts and stand-ins at once.
 func (world *World) Close() {
