io/config: name the line of each fault

Cause: A well-formed field with a value that is not allowed was reported without its line. Change: Faults carry the line of the field, or of what should hold it. Conclusion: Each fault names file, line, field, found and allowed.

--- a/io/config/parse.go
+++ b/io/config/parse.go
@@ -41,7 +41,7 @@
 		return Settings{}, describe(data, err)
 	}
 	settings.fill()
-	check := checker{}
+	check := checker{data: data, places: places(data)}
 	check.settings(settings)
 	if len(check.faults) > 0 {
 		return Settings{}, errors.Join(check.faults...)
@@ -96,14 +96,42 @@
 	return strings.ReplaceAll(strings.TrimPrefix(string(pointer), "/"), "/", ".")
 }
 
+// places returns the offset of each value by its path.
+func places(data []byte) map[string]int64 {
+	found := make(map[string]int64)
+	decoder := jsontext.NewDecoder(bytes.NewReader(data))
+	for {
+		if _, err := decoder.ReadToken(); err != nil {
+			return found
+		}
+		field := path(decoder.StackPointer())
+		if _, known := found[field]; !known {
+			found[field] = decoder.InputOffset()
+		}
+	}
+}
+
 // checker collects the faults of settings that are well-formed.
 type checker struct {
+	data   []byte
+	places map[string]int64
 	faults []error
 }
 
 func (checker *checker) fail(field, found, allowed string) {
 	checker.faults = append(checker.faults, fault.Field(opParse, Invalid, field,
-		fmt.Sprintf("found %q, allowed: %s", found, allowed)))
+		fmt.Sprintf("line %d: found %q, allowed: %s", checker.line(field), found, allowed)))
+}
+
+// line returns the line of a field, or of what should hold it.
+func (checker *checker) line(field string) int {
+	for field != "" {
+		if offset, known := checker.places[field]; known {
+			return line(checker.data, offset)
+		}
+		field = field[:max(0, strings.LastIndex(field, "."))]
+	}
+	return 1
 }
 
 func (checker *checker) settings(settings Settings) {
--- a/io/config/parse_test.go
+++ b/io/config/parse_test.go
@@ -41,15 +41,15 @@
 		{"wrong type", `"serra"`, `7`, config.Malformed, []string{"environment", "line 2", "string"}},
 		{"not JSON", `"environment": "serra",`, `"environment": serra,`, config.Malformed, []string{"line 2"}},
 		{"duplicate field", `"environment": "serra",`, `"environment": "serra", "environment": "x",`, config.Malformed, []string{"environment"}},
-		{"empty name", `"host-1"`, `""`, config.Invalid, []string{"host.name"}},
+		{"empty name", `"host-1"`, `""`, config.Invalid, []string{"host.name", "line 4"}},
 		{"address by name", `"127.0.0.1:7001"`, `"localhost:7001"`, config.Invalid, []string{"host.link_address", "localhost:7001", "IP number"}},
 		{"address without port", `"127.0.0.1:8001"`, `"127.0.0.1"`, config.Invalid, []string{"host.entry_address"}},
 		{"no endpoints", `["http://127.0.0.1:2379"]`, `[]`, config.Invalid, []string{"key_value.endpoints"}},
 		{"endpoint scheme", `"http://127.0.0.1:2379"`, `"ftp://127.0.0.1"`, config.Invalid, []string{"key_value.endpoints.0", "http"}},
 		{"negative limit", `"tls"`, `"limits": {"drain_ms": -1}, "tls"`, config.Invalid, []string{"limits.drain_ms", "-1"}},
-		{"log level", `"tls"`, `"log": {"level": "loud"}, "tls"`, config.Invalid, []string{"log.level", "loud", "debug, info"}},
+		{"log level", `"tls"`, `"log": {"level": "loud"}, "tls"`, config.Invalid, []string{"log.level", "line 8", "loud", "debug, info"}},
 		{"entry key alone", `"key": "h.key"`, `"key": "h.key", "entry_key": "e.key"`, config.Invalid, []string{"tls.entry_key"}},
-		{"missing key", `, "key": "h.key"`, ``, config.Invalid, []string{"tls.key"}},
+		{"missing key", `, "key": "h.key"`, ``, config.Invalid, []string{"tls.key", "line 8"}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
