--- a/cmds/keys.go
+++ b/cmds/keys.go
@@ -37,6 +37,16 @@
 	Hosts     []string `arg:"" placeholder:"NAME=IP" help:"A host's name and IP number."`
 }
 
+// Help implements kong's extended help.
+func (keysHosts) Help() string {
+	return `Example:
+
+  primrosegw keys hosts --directory keys host-1=127.0.0.1 host-2=127.0.0.1
+
+The directory gets authority.pem, and NAME.pem and NAME.key for each host. The
+authority's own key is not kept: a new run makes a new authority.`
+}
+
 // Run writes authority.pem, and NAME.pem and NAME.key for each host. The
 // authority's own key is not kept: a new run makes a new authority.
 func (command keysHosts) Run(console console) error {
@@ -65,6 +75,9 @@
 
 type keysBearer struct{}
 
+// Help implements kong's extended help.
+func (keysBearer) Help() string { return "Example:\n\n  primrosegw keys bearer" }
+
 // Run prints a new key and its hash. The key is shown this once.
 func (keysBearer) Run(console console) error {
 	raw := make([]byte, bearerBytes)
@@ -78,6 +91,9 @@
 
 type keysHash struct{}
 
+// Help implements kong's extended help.
+func (keysHash) Help() string { return "Example:\n\n  primrosegw keys hash < key.txt" }
+
 // Run reads a key from the standard input, so that it shows in no process list.
 func (keysHash) Run(console console) error {
 	var key string
--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -67,6 +67,11 @@
 	RestartIn time.Duration `default:"2s" help:"The time from a crash to its restart."`
 }
 
+// Help implements kong's extended help.
+func (standinEngine) Help() string {
+	return "Example:\n\n  primrosegw standin engine --listen 127.0.0.1:8100 --model sketch --slots 8 --poison CRASH"
+}
+
 // Run serves the stand-in.
 func (command standinEngine) Run(ctx context.Context, console console) error {
 	model := engine.New(engine.Options{
@@ -79,6 +84,11 @@
 
 type standinKV struct{ listening }
 
+// Help implements kong's extended help.
+func (standinKV) Help() string {
+	return "Example:\n\n  primrosegw standin kv --listen 127.0.0.1:2379"
+}
+
 // Run serves the stand-in.
 func (command standinKV) Run(ctx context.Context, console console) error {
 	return command.serve(ctx, console, "key-value service", kv.New(kv.Options{}).Handler())
@@ -89,6 +99,11 @@
 	Lag time.Duration `default:"1s" help:"The time until a change shows."`
 }
 
+// Help implements kong's extended help.
+func (standinHosts) Help() string {
+	return "Example:\n\n  primrosegw standin hosts --listen 127.0.0.1:8200 --lag 3s"
+}
+
 // Run serves the stand-in.
 func (command standinHosts) Run(ctx context.Context, console console) error {
 	return command.serve(ctx, console, "host list", hosts.New(hosts.Options{Lag: command.Lag}).Handler())
@@ -99,6 +114,11 @@
 	PerSecond float64 `default:"1" help:"The loads a second that it serves."`
 }
 
+// Help implements kong's extended help.
+func (standinWeights) Help() string {
+	return "Example:\n\n  primrosegw standin weights --listen 127.0.0.1:8300 --per-second 2"
+}
+
 // Run serves the stand-in.
 func (command standinWeights) Run(ctx context.Context, console console) error {
 	store := weights.New(weights.Options{PerSecond: command.PerSecond})
@@ -107,6 +127,11 @@
 
 type standinPlain struct{ listening }
 
+// Help implements kong's extended help.
+func (standinPlain) Help() string {
+	return "Example:\n\n  primrosegw standin plain --listen 127.0.0.1:8400"
+}
+
 // Run serves the stand-in.
 func (command standinPlain) Run(ctx context.Context, console console) error {
 	return command.serve(ctx, console, "plain service", plain.New(plain.Options{}).Handler())
