io/config: quote what was found in place of a type

Cause: A value of a wrong type was reported as 'a JSON number', and TestBadSettings looked for its digit in a text that holds a random path, so that it failed in some runs. Change: The value itself is quoted, up to 60 bytes; the test looks for 'found 7531', which is stricter. Conclusion: Each fault says what was found.

--- a/cmds/run_test.go
+++ b/cmds/run_test.go
@@ -189,7 +189,7 @@
 	cases := map[string][]string{
 		`"unknown": 1,`:                {"8", "unknown", "an unknown field"},
 		`"log": {"level": "loud"},`:    {"8", "log.level", "loud", "debug, info"},
-		`"log": {"level": 7},`:         {"8", "log.level", "7", "string"},
+		`"log": {"level": 7531},`:      {"8", "log.level", "found 7531", "string"},
 		`"host_list": {"url": "ftp"},`: {"8", "host_list.url", "ftp", "http"},
 	}
 	for extra, parts := range cases {
--- a/io/config/parse.go
+++ b/io/config/parse.go
@@ -55,7 +55,7 @@
 	if errors.As(err, &semantic) {
 		found := &Error{Op: opParse, Kind: Malformed, Field: path(semantic.JSONPointer)}
 		found.Detail = fmt.Sprintf("line %d: found %s, allowed %s",
-			line(data, semantic.ByteOffset), describeFound(semantic), describeAllowed(semantic))
+			line(data, semantic.ByteOffset), describeFound(data, semantic), describeAllowed(semantic))
 		return found
 	}
 	var syntactic *jsontext.SyntacticError
@@ -67,14 +67,23 @@
 	return fault.Wrap(opParse, Malformed, err)
 }
 
-func describeFound(semantic *json.SemanticError) string {
+// foundLimit bounds the piece of the settings that an error quotes, in bytes.
+const foundLimit = 60
+
+func describeFound(data []byte, semantic *json.SemanticError) string {
 	if errors.Is(semantic.Err, json.ErrUnknownName) {
 		return "an unknown field"
 	}
 	if len(semantic.JSONValue) > 0 {
 		return string(semantic.JSONValue)
 	}
-	return "a JSON " + semantic.JSONKind.String()
+	// The offset is before the value or the separators that lead to it.
+	rest := bytes.TrimLeft(data[min(semantic.ByteOffset, int64(len(data))):], " \t\r\n:,")
+	value, err := jsontext.NewDecoder(bytes.NewReader(rest)).ReadValue()
+	if err != nil || len(value) > foundLimit {
+		return "a JSON " + semantic.JSONKind.String()
+	}
+	return string(value)
 }
 
 func describeAllowed(semantic *json.SemanticError) string {
