io/entry: keep addresses of the platform out of callers' errors

Cause: The message of an error held the whole chain: operations of the source, and addresses of hosts and engines. Change: Callers get a sentence for each type; the log keeps the chain. What an engine says about a bad request is still passed on. Conclusion: Callers learn what happened and nothing of the inside.

--- a/io/entry/answer_test.go
+++ b/io/entry/answer_test.go
@@ -143,6 +143,7 @@
 				assert.Equal(t, test.status, response.StatusCode)
 				assert.Equal(t, test.kind, found.Type)
 				assert.Equal(t, test.run, found.Run)
+				assert.NotContains(t, found.Message, "127.0.0.1", "an address of the platform")
 				assert.Equal(t, test.retry, response.Header.Get("Retry-After"))
 			}
 		})
--- a/io/entry/problem.go
+++ b/io/entry/problem.go
@@ -92,11 +92,12 @@
 
 // describe turns the router's error into what the caller is told.
 func describe(outcome cell.Outcome, err error) problem {
-	result := problem{run: outcome.Run, message: err.Error(), retryAfter: outcome.RetryAfter}
+	result := problem{run: outcome.Run, retryAfter: outcome.RetryAfter}
 	if result.run == "" {
 		result.run = cell.RunUnknown
 	}
 	result.status, result.kind = status(err)
+	result.message = message(result.kind, err)
 	if fault.Is(err, Running) {
 		result.retryAfter = runningRetry
 	}
@@ -114,6 +115,35 @@
 // end is not known.
 const defaultRetry = time.Second
 
+// message explains an error to the caller. Errors of the parts behind this one
+// hold addresses of hosts and engines, which are for the log only. What an
+// engine says about a bad request is passed on.
+func message(kind string, err error) string {
+	switch kind {
+	case "overloaded":
+		return "the estimated wait passes the target of the request's class"
+	case "unavailable":
+		return "no backend server can take the request now"
+	case "deadline_exceeded":
+		return "the deadline of the request's class passed"
+	case "request_crashes_backend_servers":
+		return "the request crashed backend servers before and is not run again"
+	case "backend_server_lost":
+		return "the backend server was lost before the answer was whole"
+	case "caller_gone":
+		return "the caller went away"
+	case "idempotency_key_reused":
+		return "the idempotency key was used with another body"
+	case "ledger_unavailable":
+		return "the call can't be recorded now"
+	}
+	var own *Error
+	if errors.As(err, &own) {
+		return own.Detail
+	}
+	return err.Error()
+}
+
 // faultField returns the input field that an error of the ledger names.
 func faultField(err error) string {
 	var found *ledger.Error
