--- a/io/demo/world_test.go
+++ b/io/demo/world_test.go
@@ -132,3 +132,18 @@
 	require.Len(t, runs, 1)
 	assert.Equal(t, 1, runs[0].Count)
 }
+
+// TestWorkspacesAreApart guards against a workspace that gets the recorded
+// answer of another by using the same idempotency key and body.
+func TestWorkspacesAreApart(t *testing.T) {
+	world := start(t, nil)
+	for _, workspace := range []string{demo.WorkspaceSchools, demo.WorkspaceObservatory} {
+		header := map[string]string{"Idempotency-Key": "entry-1", "Authorization": "Bearer " + demo.CallerKey + workspace}
+		response, answer := call(t, "POST", world.Nodes[0].URL()+"/v1/services/archive/entries", []byte(`{"day":1}`), header)
+		require.Equal(t, http.StatusOK, response.StatusCode, "%s", answer)
+		assert.Empty(t, response.Header.Get("X-Primrose-Replayed"), workspace)
+	}
+	runs := world.Archive.Runs()
+	require.Len(t, runs, 1)
+	assert.Equal(t, 2, runs[0].Count)
+}
