io/engine: keep what engines write out of the logs

Cause: An engine's refusal or error event may quote the caller's text, and went into the error's text and so into the log lines of request, route and cell. Change: The engine's words are an error of their own whose text is only their length; they cross links in a field of their own and reach the caller of the request. Measured: TestStatus and TestEngineReason: the words were in err.Error() and in the log before; after, only the caller gets them. Conclusion: Logs hold no text of callers, also through engines.

--- a/io/daemon/forward.go
+++ b/io/daemon/forward.go
@@ -12,6 +12,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/host"
+	"primrosegw/io/engine"
 	"primrosegw/io/link"
 )
 
@@ -142,6 +143,7 @@
 	if err != nil {
 		last.Kind = kindOf(err)
 		last.Text = err.Error()
+		last.Said = engine.Said(err)
 	}
 	_ = frames.stream.Write(frame{Request: frames.request, Final: &last})
 }
--- a/io/daemon/message.go
+++ b/io/daemon/message.go
@@ -7,6 +7,7 @@
 
 	"primrosegw/core/cell"
 	"primrosegw/core/fault"
+	"primrosegw/io/engine"
 )
 
 // The names of messages between hosts.
@@ -92,6 +93,8 @@
 	Outcome cell.Outcome `cbor:"outcome"`
 	Kind    cell.Kind    `cbor:"kind"`
 	Text    string       `cbor:"text"`
+	// Said is what the engine wrote about the call, for its caller only.
+	Said    string       `cbor:"said,omitempty"`
 	Summary cell.Summary `cbor:"summary"`
 }
 
@@ -124,5 +127,7 @@
 	if final.Kind == "" {
 		return nil
 	}
-	return fault.New("cell.serve", final.Kind, final.Text)
+	err := fault.New("cell.serve", final.Kind, final.Text)
+	err.Err = engine.Say(final.Said)
+	return err
 }
--- a/io/engine/answer.go
+++ b/io/engine/answer.go
@@ -66,7 +66,7 @@
 		return fault.Wrap(op, cell.Broken, err)
 	}
 	if len(found.Error) > 0 {
-		return fault.New(op, cell.Broken, string(found.Error))
+		return fault.Wrap(op, cell.Broken, Say(string(found.Error)))
 	}
 	chunk, err := answer.chunk(found)
 	if err != nil {
--- a/io/engine/backend.go
+++ b/io/engine/backend.go
@@ -148,16 +148,43 @@
 func refusal(response *http.Response) error {
 	const op = "engine.generate"
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maximumErrorBytes))
-	detail := fmt.Sprintf("status %d: %s", response.StatusCode, bytes.TrimSpace(text))
+	refused := fault.New(op, cell.Broken, fmt.Sprintf("status %d", response.StatusCode))
+	refused.Err = Say(string(bytes.TrimSpace(text)))
 	switch status := response.StatusCode; {
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable,
 		status == http.StatusNotFound, status == http.StatusConflict:
-		return fault.New(op, cell.Refused, detail)
+		refused.Kind = cell.Refused
 	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
-		return fault.New(op, cell.Rejected, detail)
-	default:
-		return fault.New(op, cell.Broken, detail)
+		refused.Kind = cell.Rejected
 	}
+	return refused
+}
+
+// said is what an engine wrote about a call. It may quote the caller's text, so
+// its Error, which goes into logs, leaves it out.
+type said string
+
+// Error returns the length of what the engine wrote.
+func (said said) Error() string {
+	return fmt.Sprintf("the engine gave a reason of %d bytes", len(said))
+}
+
+// Say returns the words of an engine as an error; nil if there are none.
+func Say(text string) error {
+	if text == "" {
+		return nil
+	}
+	return said(text)
+}
+
+// Said returns the words of an engine in an error, for the caller whose call it
+// is about; empty if there are none.
+func Said(err error) string {
+	var found said
+	if errors.As(err, &found) {
+		return string(found)
+	}
+	return ""
 }
 
 // classify says what a transport error means for the call.
--- a/io/engine/backend_test.go
+++ b/io/engine/backend_test.go
@@ -62,8 +62,10 @@
 		http.StatusBadRequest: cell.Rejected, http.StatusInternalServerError: cell.Broken,
 	}
 	for status, kind := range cases {
-		_, err := generate(t.Context(), serve(t, status, "no"))
+		_, err := generate(t.Context(), serve(t, status, "bad text: hidden"))
 		assert.Equal(t, kind, fault.KindOf[cell.Kind](err), "%d", status)
+		assert.NotContains(t, err.Error(), "hidden", "the caller's text would go into the log")
+		assert.Equal(t, "bad text: hidden", engine.Said(err))
 	}
 }
 
--- a/io/entry/answer_test.go
+++ b/io/entry/answer_test.go
@@ -17,6 +17,7 @@
 	"primrosegw/core/cell"
 	"primrosegw/core/fault"
 	"primrosegw/core/limit"
+	"primrosegw/io/engine"
 )
 
 // TestAnswer guards against an answer that loses, adds or changes words on its
@@ -330,3 +331,17 @@
 	assert.Equal(t, "three spots", text)
 	assert.True(t, done)
 }
+
+// TestEngineReason guards against a caller who is not told what an engine has
+// against the request, and against that text in the log.
+func TestEngineReason(t *testing.T) {
+	side := newSide()
+	side.router = func(context.Context, cell.Request, func(cell.Chunk) error) (cell.Outcome, error) {
+		return cell.Outcome{Run: cell.NotRun}, fault.Wrap("engine.generate", cell.Rejected, engine.Say("no tool named spots"))
+	}
+	side.serve(t)
+	response, body := side.do(t, http.DefaultClient, ask{body: goodChat})
+	assert.Contains(t, readProblem(t, response, body).Message, "no tool named spots")
+	require.Eventually(t, func() bool { return strings.Contains(side.log.String(), "request_done") }, patience, time.Millisecond)
+	assert.NotContains(t, side.log.String(), "spots")
+}
--- a/io/entry/problem.go
+++ b/io/entry/problem.go
@@ -15,6 +15,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/ledger"
+	"primrosegw/io/engine"
 	"primrosegw/io/plain"
 )
 
@@ -137,6 +138,9 @@
 	case "ledger_unavailable":
 		return "the call can't be recorded now"
 	}
+	if reason := engine.Said(err); reason != "" {
+		return "the model's engine refuses the request: " + reason
+	}
 	var own *Error
 	if errors.As(err, &own) {
 		return own.Detail
