--- a/io/config/parse.go
+++ b/io/config/parse.go
@@ -41,7 +41,7 @@
 		return Settings{}, describe(data, err)
 	}
 	settings.fill()
-	check := checker{}
+	check := checker{data: data, places: places(data)}
 	check.settings(settings)
 	if len(check.faults) > 0 {
 		return Settings{}, errors.Join(check.faults...)
@@ -55,7 +55,7 @@
 	if errors.As(err, &semantic) {
 		found := &Error{Op: opParse, Kind: Malformed, Field: path(semantic.JSONPointer)}
 		found.Detail = fmt.Sprintf("line %d: found %s, allowed %s",
-			line(data, semantic.ByteOffset), describeFound(semantic), describeAllowed(semantic))
+			line(data, semantic.ByteOffset), describeFound(data, semantic), describeAllowed(semantic))
 		return found
 	}
 	var syntactic *jsontext.SyntacticError
@@ -67,14 +67,23 @@
 	return fault.Wrap(opParse, Malformed, err)
 }
 
-func describeFound(semantic *json.SemanticError) string {
+// foundLimit bounds the piece of the settings that an error quotes, in bytes.
+const foundLimit = 60
+
+func describeFound(data []byte, semantic *json.SemanticError) string {
 	if errors.Is(semantic.Err, json.ErrUnknownName) {
 		return "an unknown field"
 	}
 	if len(semantic.JSONValue) > 0 {
 		return string(semantic.JSONValue)
 	}
-	return "a JSON " + semantic.JSONKind.String()
+	// The offset is before the value or the separators that lead to it.
+	rest := bytes.TrimLeft(data[min(semantic.ByteOffset, int64(len(data))):], " \t\r\n:,")
+	value, err := jsontext.NewDecoder(bytes.NewReader(rest)).ReadValue()
+	if err != nil || len(value) > foundLimit {
+		return "a JSON " + semantic.JSONKind.String()
+	}
+	return string(value)
 }
 
 func describeAllowed(semantic *json.SemanticError) string {
@@ -96,14 +105,42 @@
 	return strings.ReplaceAll(strings.TrimPrefix(string(pointer), "/"), "/", ".")
 }
 
+// places returns the offset of each value by its path.
+func places(data []byte) map[string]int64 {
+	found := make(map[string]int64)
+	decoder := jsontext.NewDecoder(bytes.NewReader(data))
+	for {
+		if _, err := decoder.ReadToken(); err != nil {
+			return found
+		}
+		field := path(decoder.StackPointer())
+		if _, known := found[field]; !known {
+			found[field] = decoder.InputOffset()
+		}
+	}
+}
+
 // checker collects the faults of settings that are well-formed.
 type checker struct {
+	data   []byte
+	places map[string]int64
 	faults []error
 }
 
 func (checker *checker) fail(field, found, allowed string) {
 	checker.faults = append(checker.faults, fault.Field(opParse, Invalid, field,
-		fmt.Sprintf("found %q, allowed: %s", found, allowed)))
+		fmt.Sprintf("line %d: found %q, allowed: %s", checker.line(field), found, allowed)))
+}
+
+// line returns the line of a field, or of what should hold it.
+func (checker *checker) line(field string) int {
+	for field != "" {
+		if offset, known := checker.places[field]; known {
+			return line(checker.data, offset)
+		}
+		field = field[:max(0, strings.LastIndex(field, "."))]
+	}
+	return 1
 }
 
 func (checker *checker) settings(settings Settings) {
--- a/io/demo/world.go
+++ b/io/demo/world.go
@@ -72,7 +72,16 @@
 	// Log receives the hosts' log lines; nil: nothing is written.
 	Log   io.Writer
 	Level logrus.Level
-	Seed  uint64
+	// Subsystems write their debug events whatever the level is.
+	Subsystems []string
+	// Keys gives a host its TLS material; nil: the world's own authority does.
+	Keys func(host string) (*keys.Keys, error)
+	// Authority signs the hosts' certificates toward callers, in PEM form; nil:
+	// callers and operators are served without TLS.
+	Authority []byte
+	// Packets replaces the UDP socket of a host's links; nil: the socket itself.
+	Packets func(host string, socket net.PacketConn) net.PacketConn
+	Seed    uint64
 }
 
 // World is a running environment.
@@ -96,8 +105,10 @@
 // Node is one entry host of the environment.
 type Node struct {
 	Daemon *daemon.Daemon
-	Drain  chan struct{}
-	Abort  chan struct{}
+	// TLS says that callers and operators are served with TLS.
+	TLS   bool
+	Drain chan struct{}
+	Abort chan struct{}
 	// Done is closed after the host has left; Err is valid from then on.
 	Done chan struct{}
 	Err  error
@@ -194,14 +205,23 @@
 	return world.Options.FailureDomains[index%len(world.Options.FailureDomains)]
 }
 
-// AddHost starts one more entry host.
-func (world *World) AddHost(index int) (*Node, error) {
-	name := fmt.Sprintf("host-%d", index)
+// Material issues TLS material for a host name.
+func (world *World) Material(name string) (*keys.Keys, error) {
 	pair, err := world.authority.Issue(name, net.IPv4(127, 0, 0, 1))
 	if err != nil {
 		return nil, err
 	}
-	material, err := keys.Of(world.authority.PEM(), pair)
+	return keys.Of(world.authority.PEM(), pair)
+}
+
+// AddHost starts one more entry host.
+func (world *World) AddHost(index int) (*Node, error) {
+	name := fmt.Sprintf("host-%d", index)
+	issue := world.Options.Keys
+	if issue == nil {
+		issue = world.Material
+	}
+	material, err := issue(name)
 	if err != nil {
 		return nil, err
 	}
@@ -215,13 +235,14 @@
 	}
 	host, err := daemon.New(daemon.Options{
 		Settings: world.settings(name, index), Keys: material, Store: service,
-		Logger: event.New(log, name, world.Options.Level, nil),
-		Random: rand.New(rand.NewPCG(world.Options.Seed, uint64(index))),
+		Logger:  event.New(log, name, world.Options.Level, world.Options.Subsystems),
+		Random:  rand.New(rand.NewPCG(world.Options.Seed, uint64(index))),
+		Packets: world.packets(name),
 	})
 	if err != nil {
 		return nil, err
 	}
-	node := &Node{Daemon: host, Drain: make(chan struct{}), Abort: make(chan struct{}), Done: make(chan struct{})}
+	node := &Node{Daemon: host, TLS: material.Entry(), Drain: make(chan struct{}), Abort: make(chan struct{}), Done: make(chan struct{})}
 	world.Nodes = append(world.Nodes, node)
 	world.group.Go(func() {
 		node.Err = host.Run(context.Background(), daemon.Signals{Drain: node.Drain, Abort: node.Abort})
@@ -230,6 +251,14 @@
 	return node, nil
 }
 
+// packets returns what replaces the socket of a host, nil if nothing does.
+func (world *World) packets(name string) func(net.PacketConn) net.PacketConn {
+	if world.Options.Packets == nil {
+		return nil
+	}
+	return func(socket net.PacketConn) net.PacketConn { return world.Options.Packets(name, socket) }
+}
+
 func (world *World) settings(name string, index int) config.Settings {
 	settings := config.Settings{
 		Environment: world.Document.Environment,
@@ -269,10 +298,17 @@
 }
 
 // URL returns the callers' address of a host.
-func (node *Node) URL() string { return "http://" + node.Daemon.Host().EntryAddress }
+func (node *Node) URL() string { return node.scheme() + node.Daemon.Host().EntryAddress }
 
 // AdminURL returns the operators' address of a host.
-func (node *Node) AdminURL() string { return "http://" + node.Daemon.AdminAddress() }
+func (node *Node) AdminURL() string { return node.scheme() + node.Daemon.AdminAddress() }
+
+func (node *Node) scheme() string {
+	if node.TLS {
+		return "https://"
+	}
+	return "http://"
+}
 
 // Close ends all hosts and stand-ins at once.
 func (world *World) Close() {
--- a/io/link/stream.go
+++ b/io/link/stream.go
@@ -41,6 +41,8 @@
 	mutex   sync.Mutex
 	// opening is the header frame, until it has been sent.
 	opening []byte
+	// unread: the peer's first value is bound by the header's deadline.
+	unread bool
 }
 
 // Peer returns the host name in the peer's certificate.
@@ -66,7 +68,14 @@
 }
 
 // Read receives one value. It fails with Broken or Malformed.
-func (stream *Stream) Read(value any) error { return ReadFrame(stream.receive, value) }
+func (stream *Stream) Read(value any) error {
+	err := ReadFrame(stream.receive, value)
+	if stream.unread {
+		stream.unread = false
+		stream.ReadBefore(time.Time{})
+	}
+	return err
+}
 
 // ReadBefore bounds the wait for following reads.
 func (stream *Stream) ReadBefore(deadline time.Time) {
