--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"primrosegw/core/poison"
 	"primrosegw/core/retry"
 	"primrosegw/core/route"
+	"primrosegw/core/spec"
 	"primrosegw/core/spread"
 	"primrosegw/core/store"
 	"primrosegw/io/config"
@@ -49,6 +50,11 @@
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
 
+// idleTimeout is how long a caller's connection is kept between requests. It is
+// above the default time to live of entry addresses, so that callers at work
+// keep their connections.
+const idleTimeout = time.Minute
+
 // Options are the dependencies of a Daemon.
 type Options struct {
 	Settings config.Settings
@@ -117,6 +123,7 @@
 		suspects: poison.New(poison.Options{}),
 	}
 	daemon.cells = newCells(daemon.buildCell)
+	daemon.directory.current.Store(newView(0, spec.Document{}))
 	if err := daemon.listen(); err != nil {
 		daemon.close()
 		return nil, err
@@ -299,15 +306,13 @@
 		Logger:    daemon.logger,
 		Meter:     daemon.meter,
 		Limits: entry.Limits{
-			BodyBytes:    limits.BodyBytes,
-			BodyTimeout:  time.Duration(limits.BodyTimeoutMs) * time.Millisecond,
-			WriteTimeout: time.Duration(limits.WriteTimeoutMs) * time.Millisecond,
+			BodyBytes:     limits.BodyBytes,
+			HeaderBytes:   limits.HeaderBytes,
+			HeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
+			BodyTimeout:   time.Duration(limits.BodyTimeoutMs) * time.Millisecond,
+			WriteTimeout:  time.Duration(limits.WriteTimeoutMs) * time.Millisecond,
+			IdleTimeout:   idleTimeout,
 		},
 	})
-	return &http.Server{
-		Handler:           callers.Handler(),
-		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
-		MaxHeaderBytes:    limits.HeaderBytes,
-		ErrorLog:          nil,
-	}
+	return callers.Server()
 }
