--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -22,6 +22,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"primrosegw/core/event"
 	"primrosegw/core/spec"
 	"primrosegw/io/config"
 	"primrosegw/io/demo"
@@ -261,3 +262,43 @@
 	})
 	return found
 }
+
+// pages returns the paths of all pages of this directory and of the root.
+func pages(t *testing.T) []string {
+	t.Helper()
+	found := []string{"../README.md"}
+	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
+		if strings.HasSuffix(path, ".md") {
+			found = append(found, path)
+		}
+		return err
+	})
+	require.NoError(t, err)
+	return found
+}
+
+// TestMentions guards against pages that send operators to an event, a metric or
+// a page that does not exist.
+func TestMentions(t *testing.T) {
+	names := map[string]string{}
+	for _, entry := range event.All() {
+		names[fmt.Sprint(entry.Number)] = entry.Name
+	}
+	mention := regexp.MustCompile(`\b([a-z]+(?:_[a-z]+)+) \((\d{4})\b`)
+	metric := regexp.MustCompile("`(primrosegw_[a-z_]+)`")
+	link := regexp.MustCompile(`\]\(([^)#:]+)\)`)
+	code := regexp.MustCompile("`[^`\n]*`")
+	listed := rows(t, "metrics.md")
+	for _, page := range pages(t) {
+		text := read(t, page)
+		for _, match := range mention.FindAllStringSubmatch(text, -1) {
+			assert.Equal(t, names[match[2]], match[1], "%s: event %s", page, match[2])
+		}
+		for _, match := range metric.FindAllStringSubmatch(text, -1) {
+			assert.Contains(t, listed, match[1], page)
+		}
+		for _, match := range link.FindAllStringSubmatch(code.ReplaceAllString(text, ""), -1) {
+			assert.FileExists(t, filepath.Join(filepath.Dir(page), match[1]), page)
+		}
+	}
+}
