core/retry: make the budget safe for concurrent use

Cause: io/plain shares one budget among all calls of plain services without a lock. go test -race ./docs (TestLoggedFieldsAreListed) reported a data race in Budget.Earn, called by two requests. Change: the budget has a mutex. Cells, which lock around it, pay for a second lock that nobody else holds. Measured: TestBudgetIsSafeForConcurrentUse fails with -race without the mutex (four reports) and passes with it; go test -race ./docs passed three times. Conclusion: kept.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 )
 
@@ -35,9 +36,11 @@
 }
 
 // Budget pays for retries or hedges out of a share of the ordinary calls. It is
-// not safe for concurrent use.
+// safe for concurrent use: the calls of plain services share one without a lock
+// of their own.
 type Budget struct {
 	options Options
+	mutex   sync.Mutex
 	balance float64
 	updated time.Time
 }
@@ -49,12 +52,16 @@
 
 // Earn adds the share of one ordinary call.
 func (budget *Budget) Earn() {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
 	budget.balance = min(budget.options.Reserve, budget.balance+budget.options.Share)
 }
 
 // Spend takes one retry out of the budget, and reports false when the budget
 // does not cover it.
 func (budget *Budget) Spend() bool {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
 	budget.accrue(time.Now())
 	if budget.balance < 1 {
 		return false
@@ -63,7 +70,7 @@
 	return true
 }
 
-// accrue adds what time has earned.
+// accrue adds what time has earned. The mutex is held.
 func (budget *Budget) accrue(now time.Time) {
 	earned := now.Sub(budget.updated).Seconds() * budget.options.PerSecond
 	budget.balance = min(budget.options.Reserve, budget.balance+earned)
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,3 +55,22 @@
 		require.Greater(t, len(seen), 10)
 	}
 }
+
+// Guards against calls that share a budget and lose or double what it pays for.
+func TestBudgetIsSafeForConcurrentUse(t *testing.T) {
+	const reserve, callers, tries = 100, 8, 200
+	budget := retry.New(retry.Options{Share: 1, Reserve: reserve})
+	var granted atomic.Int64
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for range tries {
+				if budget.Spend() {
+					granted.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	require.EqualValues(t, reserve, granted.Load())
+}
