cmds: say what is missing when a confirmation cannot be had

The help named a subsystem queue, which no event has, and said that SIGHUP reads all log settings; it reads the level only. Change: a refusal ends the wait at once with its reason; a timeout says that the change is made and who is missing, or that no host has answered. The help and the texts of events 1003 and 1004 say what is done. Conclusion: exit codes stay as they were.

--- a/cmds/document.go
+++ b/cmds/document.go
@@ -55,23 +55,35 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, waiting.Timeout)
 	defer cancel()
+	missing := "no host has answered"
 	for {
 		confirmed, err := client.Confirmed(ctx, generation)
-		if err == nil && len(confirmed.Waiting) == 0 {
-			fmt.Fprintf(console.out, "confirmed by %d hosts: %s\n", len(confirmed.Confirmed), strings.Join(confirmed.Confirmed, ", "))
-			if len(confirmed.Unreached) > 0 {
-				fmt.Fprintf(console.out, "not reached, taken for dead: %s\n", strings.Join(confirmed.Unreached, ", "))
-			}
+		var refused *admin.Problem
+		switch {
+		case errors.As(err, &refused):
+			// Asking again changes nothing, as when a recall leaves no operator.
+			return errors.Wrapf(err, "generation %d is made, but the host does not say who has confirmed it", generation)
+		case err == nil && len(confirmed.Waiting) == 0:
+			printConfirmed(console, confirmed)
 			return nil
+		case err == nil:
+			missing = strings.Join(confirmed.Waiting, ", ")
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Newf("generation %d is not confirmed by: %s", generation, strings.Join(confirmed.Waiting, ", "))
+			return errors.Newf("generation %d is made, but not confirmed by: %s", generation, missing)
 		case <-time.After(confirmPoll):
 		}
 	}
 }
 
+func printConfirmed(console console, confirmed admin.Confirmed) {
+	fmt.Fprintf(console.out, "confirmed by %d hosts: %s\n", len(confirmed.Confirmed), strings.Join(confirmed.Confirmed, ", "))
+	if len(confirmed.Unreached) > 0 {
+		fmt.Fprintf(console.out, "not reached, taken for dead: %s\n", strings.Join(confirmed.Unreached, ", "))
+	}
+}
+
 type checkCommand struct {
 	File string `arg:"" placeholder:"FILE" help:"A document, or host settings with --settings."`
 	Host bool   `name:"settings" help:"Check host settings instead of a document."`
--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -19,7 +19,7 @@
 
 type serveCommand struct {
 	Settings  string   `required:"" placeholder:"FILE" help:"The host's settings, in JSON (docs/settings.md)."`
-	LogOutput []string `placeholder:"SUBSYSTEM" help:"Subsystems that write debug events, as queue,link."`
+	LogOutput []string `placeholder:"SUBSYSTEM" help:"Subsystems that write debug events, as cell,link (docs/EVENTS.md)."`
 }
 
 // Help implements kong's extended help.
@@ -30,7 +30,7 @@
 
 SIGTERM drains the host: no host lists it any more, requests in flight end whole,
 then it leaves. A second SIGTERM ends it at once. SIGHUP reads the keys and the
-log settings again.`
+log level again.`
 }
 
 // Run serves until the host has left.
--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -44,14 +44,14 @@
 	return Event{1002, "host_stopped", logrus.InfoLevel, "daemon", "The host has left."}
 }
 
-// HostReloaded reports that keys and log settings were read again.
+// HostReloaded reports that keys and the log level were read again.
 func HostReloaded() Event {
-	return Event{1003, "host_reloaded", logrus.InfoLevel, "daemon", "Keys and log settings were read again."}
+	return Event{1003, "host_reloaded", logrus.InfoLevel, "daemon", "Keys and the log level were read again."}
 }
 
-// ReloadFailed reports that keys or log settings could not be read; the ones in use stay.
+// ReloadFailed reports that keys or settings could not be read; the ones in use stay.
 func ReloadFailed() Event {
-	return Event{1004, "reload_failed", logrus.ErrorLevel, "daemon", "Keys or log settings could not be read; the ones in use stay."}
+	return Event{1004, "reload_failed", logrus.ErrorLevel, "daemon", "Keys or settings could not be read; the ones in use stay."}
 }
 
 // HostAborted reports that a second signal ended the host with requests in flight.
