--- a/core/cell/failure_test.go
+++ b/core/cell/failure_test.go
@@ -11,6 +11,7 @@
 
 	"primrosegw/core/cell"
 	"primrosegw/core/fault"
+	"primrosegw/core/poison"
 )
 
 const (
@@ -244,3 +245,78 @@
 		requireIdle(t, subject)
 	})
 }
+
+// Guards against suspects of different tiers that take a server from each other
+// without end, while work that no server suits holds one of them back (change:
+// let evict ignore outranked).
+func TestSuspectsOfTwoTiers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		suspects := poison.New(poison.Options{})
+		suspects.Crash(1, 100)
+		suspects.Crash(2, 200)
+		engines := []*engine{newEngine(first, gap), newEngine(first, gap), newEngine(first, gap), newEngine(first, gap)}
+		subject := cell.New(cell.Options{Servers: servers(4, engines...), Suspects: suspects})
+		var answers []*answer
+		send := func(id string, tier, fingerprint, tokens int) {
+			answers = append(answers, ask(t.Context(), subject, cell.Request{
+				ID: id, Tier: tier, Fingerprint: uint64(fingerprint), MaxTokens: tokens, Idempotent: true,
+				FirstToken: time.Now().Add(first),
+			}))
+		}
+		for copies := range 3 {
+			send(fmt.Sprint("copy", copies), 1, 7, 1000)
+		}
+		send("low", 4, 1, 400)
+		time.Sleep(6 * time.Second)
+		send("high", 2, 2, 10)
+		for _, answer := range answers {
+			answer.requireWhole(t)
+		}
+		require.LessOrEqual(t, subject.Stats().Preempted, 1)
+		requireIdle(t, subject)
+	})
+}
+
+// Guards against copies of a suspect that each cost an engine because they run
+// on several hosts (change: give each cell its own Claims, or do not announce).
+func TestSuspectSentThroughTwoHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var engines []*engine
+		for range 8 {
+			engine := newEngine(first, gap)
+			engine.crashesAt(20, func(call cell.Call) bool { return call.Request.Fingerprint == 1000 })
+			engines = append(engines, engine)
+		}
+		owner := poison.New(poison.Options{})
+		known := []*poison.Registry{poison.New(poison.Options{}), poison.New(poison.Options{}), owner}
+		announce := func(records []poison.Record) {
+			for _, registry := range known {
+				registry.Merge(records)
+			}
+		}
+		var cells []*cell.Cell
+		for index := range 2 {
+			cells = append(cells, cell.New(cell.Options{
+				Name: fmt.Sprint("cell", index), Servers: servers(4, engines[4*index:4*index+4]...),
+				Suspects: known[index], Claims: owner, Announce: announce,
+			}))
+		}
+		var answers []*answer
+		for index := range 8 {
+			answers = append(answers, ask(t.Context(), cells[index%2], cell.Request{
+				ID: fmt.Sprint("copy", index), Fingerprint: 1000, MaxTokens: 40, Idempotent: true,
+			}))
+			// The first copy runs alone from 0.52 s to 0.62 s.
+			time.Sleep(550 * time.Millisecond)
+		}
+		crashes := 0
+		for _, answer := range answers {
+			<-answer.ended
+			require.True(t, fault.Is(answer.err, cell.Poison), answer.err)
+		}
+		for _, engine := range engines {
+			crashes += engine.crashes
+		}
+		require.Equal(t, 2, crashes)
+	})
+}
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -34,27 +33,30 @@
 		return &member.view
 	}
 	next := view{valid: true, relays: map[string][]string{}, counts: map[string]int{}, digests: map[string]uint64{}}
-	byDomain := map[string][]host.Host{}
-	add := func(entry host.Host) {
+	best := map[string]*podium{}
+	add := func(entry host.Host, marks marks) {
 		domain := entry.FailureDomain
-		byDomain[domain] = append(byDomain[domain], entry)
 		next.counts[domain]++
-		next.digests[domain] ^= fingerprint(entry)
+		next.digests[domain] ^= marks.fingerprint
+		next.digest ^= marks.fingerprint
 		next.live++
+		if best[domain] == nil {
+			best[domain] = &podium{}
+		}
+		best[domain].offer(entry, marks.score)
 	}
-	add(member.self)
+	add(member.self, markOf(member.self))
 	for _, entry := range member.order {
 		if !entry.live() {
 			continue
 		}
-		add(entry.host)
+		add(entry.host, entry.marks())
 		if member.local(entry.host) {
 			next.local = append(next.local, entry.host.Name)
 		}
 	}
-	for domain, hosts := range byDomain {
-		next.digest ^= next.digests[domain]
-		next.relays[domain] = rankRelays(domain, hosts)
+	for domain, podium := range best {
+		next.relays[domain] = podium.names()
 		if domain != member.self.FailureDomain {
 			next.domains = append(next.domains, domain)
 		}
@@ -64,16 +66,62 @@
 	return &member.view
 }
 
-// rankRelays returns the names of the relays of a failure domain.
-func rankRelays(domain string, hosts []host.Host) []string {
-	ranked := host.Rank("relay/"+domain, hosts)
+// podium holds the best relayCount hosts of a failure domain, in the order of
+// host.Rank. It saves sorting all hosts after each change.
+type podium [relayCount]struct {
+	name  string
+	score uint64
+}
+
+// offer takes a host that may be a relay.
+func (podium *podium) offer(entry host.Host, score uint64) {
+	if entry.State != host.Alive && entry.State != host.Suspect {
+		return
+	}
+	name := entry.Name
+	for i := range podium {
+		place := &podium[i]
+		if place.name == "" || score > place.score || (score == place.score && name < place.name) {
+			place.name, name = name, place.name
+			place.score, score = score, place.score
+		}
+		if name == "" {
+			return
+		}
+	}
+}
+
+// names returns the hosts, best first.
+func (podium *podium) names() []string {
 	names := make([]string, 0, relayCount)
-	for _, entry := range ranked[:min(relayCount, len(ranked))] {
-		names = append(names, entry.Name)
+	for _, place := range podium {
+		if place.name != "" {
+			names = append(names, place.name)
+		}
 	}
 	return names
 }
 
+// marks are what the view needs of a host; they depend on its record only.
+type marks struct {
+	fingerprint uint64
+	score       uint64
+}
+
+// markOf works out the marks of a host.
+func markOf(entry host.Host) marks {
+	return marks{fingerprint(entry), host.Score("relay/"+entry.FailureDomain, entry.Name)}
+}
+
+// marks returns the marks of a record, which are worked out again after a
+// change of the host.
+func (record *record) marks() marks {
+	if record.marked != record.host {
+		record.marked, record.kept = record.host, markOf(record.host)
+	}
+	return record.kept
+}
+
 // fingerprint returns the part of one host in the digest. A suspected host
 // counts as alive: suspicions pass on their own and soon end.
 func fingerprint(entry host.Host) uint64 {
@@ -134,20 +182,35 @@
 		*left--
 		deltas = append(deltas, describe(member.self, "", true))
 	}
-	var news []*record
-	for _, entry := range member.news {
-		if *entry.left(local) > 0 && now.Sub(entry.changed) < newsPeriod && entry.host.Name != to.Name {
-			news = append(news, entry)
-		}
-	}
-	slices.SortStableFunc(news, func(a, b *record) int { return cmp.Compare(*b.left(local), *a.left(local)) })
-	for _, entry := range news[:min(deltaLimit, len(news))] {
+	for _, entry := range member.leastTold(to.Name, local, now) {
 		*entry.left(local)--
 		deltas = append(deltas, member.report(entry))
 	}
 	return deltas
 }
 
+// leastTold returns the news that were passed on least, at most deltaLimit. It
+// keeps a short ordered list, because all hosts are news after a mass restart.
+func (member *Member) leastTold(to string, local bool, now time.Time) []*record {
+	var picked []*record
+	for _, entry := range member.news {
+		left := *entry.left(local)
+		if left <= 0 || now.Sub(entry.changed) >= newsPeriod || entry.host.Name == to {
+			continue
+		}
+		if len(picked) == deltaLimit && left <= *picked[deltaLimit-1].left(local) {
+			continue
+		}
+		at := len(picked)
+		for at > 0 && left > *picked[at-1].left(local) {
+			at--
+		}
+		picked = slices.Insert(picked, at, entry)
+		picked = picked[:min(deltaLimit, len(picked))]
+	}
+	return picked
+}
+
 // disputed reports whether the host would not say of itself what the record
 // says.
 func (record *record) disputed() bool {
@@ -228,6 +291,10 @@
 	if (message.To != "" && message.To != member.self.Name) || message.From == member.self.Name {
 		return host.Host{}, false
 	}
+	if message.Known > member.self.Incarnation {
+		// An earlier process under this name had a clock that was ahead.
+		member.raise(message.Known)
+	}
 	if message.Sender != nil && message.Sender.Name == message.From {
 		member.merge(describe(*message.Sender, "", true), now)
 	}
