--- a/bench/page_test.go
+++ b/bench/page_test.go
@@ -41,15 +41,15 @@
 	}
 }
 
-// spread is the mean and the range of a measure over the seeds.
-type spread struct {
+// digest is the mean and the range of a measure over the seeds.
+type digest struct {
 	mean, least, most float64
 	count             int
 }
 
 // spreadOf sums up the figures of one measure, environment and policy.
-func spreadOf(figures []figure, measure, profile, policy string) spread {
-	spread := spread{least: math.Inf(1), most: math.Inf(-1)}
+func spreadOf(figures []figure, measure, profile, policy string) digest {
+	spread := digest{least: math.Inf(1), most: math.Inf(-1)}
 	for _, figure := range figures {
 		if figure.measure == measure && figure.profile == profile && figure.policy == policy {
 			spread.mean += figure.value
