bench: count top-tier calls that are preempted

Cause: the bound of attainment includes 0 top-tier calls shed or preempted for lower work, and only shed calls were counted.

--- a/bench/figure_test.go
+++ b/bench/figure_test.go
@@ -88,6 +88,10 @@
 		add("attainment", result.attainment(isTop), "share", atLeast(targetShare))
 		add("crest", result.crest(), "share", atLeast(targetShare))
 		add("top_tier_shed", float64(result.shed(isTop)), "calls", atMost(0))
+		if result.audit != nil {
+			add("top_tier_preempted", float64(result.audit.top), "calls", atMost(0))
+			add("preempted", float64(result.audit.all), "calls", bound{})
+		}
 		add("least_served_class", result.leastServed(), "calls", atLeast(1))
 		add("middle_attainment", result.attainment(func(record *record) bool { return record.class.role == middle }), "share", bound{})
 		add("goodput", result.goodput(), "tokens/s", bound{})
--- a/bench/primrose_test.go
+++ b/bench/primrose_test.go
@@ -1,13 +1,18 @@
 package bench_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"primrosegw/core/cell"
+	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/health"
 	"primrosegw/core/host"
@@ -32,6 +37,34 @@
 	hosts  [entryHosts]*entryHost
 	// cells is indexed by pool.
 	cells [][]*ownedCell
+	audit *audit
+}
+
+// audit reads the cells' log for preemptions.
+type audit struct {
+	mutex sync.Mutex
+	// all counts preemptions, top those of calls of the top tier.
+	all, top int
+}
+
+// Write implements io.Writer for one log line.
+func (audit *audit) Write(line []byte) (int, error) {
+	if !bytes.Contains(line, []byte(event.CellPreempted().Name)) {
+		return len(line), nil
+	}
+	var fields struct {
+		Tier int `json:"tier"`
+	}
+	if err := json.Unmarshal(line, &fields); err != nil {
+		return 0, err
+	}
+	audit.mutex.Lock()
+	defer audit.mutex.Unlock()
+	audit.all++
+	if fields.Tier <= 1 {
+		audit.top++
+	}
+	return len(line), nil
 }
 
 // ownedCell is a cell with its owner.
@@ -69,7 +102,7 @@
 
 // newPrimrose builds hosts and cells, and gossips until the context ends.
 func newPrimrose(ctx context.Context, fleet *fleet, seed uint64, switches cell.Switches) *primrose {
-	primrose := &primrose{fleet: fleet, router: route.New(route.Options{})}
+	primrose := &primrose{fleet: fleet, router: route.New(route.Options{}), audit: &audit{}}
 	domains := fleet.profile.domains
 	var alive []host.Host
 	for i := range primrose.hosts {
@@ -108,6 +141,7 @@
 	owned.Cell = cell.New(cell.Options{
 		Name: owned.name, Servers: servers(owned.engines), MinimumShares: shares, Switches: switches,
 		Suspects: primrose.hosts[owned.owner].suspects, Claims: primrose,
+		Logger:   event.New(primrose.audit, owned.name, logrus.InfoLevel, nil),
 		Announce: func(records []poison.Record) { primrose.announce(ctx, owned.owner, records) },
 	})
 	return owned
--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -79,6 +79,8 @@
 	seed     uint64
 	records  []*record
 	totals   engine.Stats
+	// audit is that of the router; nil for the baselines.
+	audit *audit
 }
 
 // policy is a router with the scenarios that it is measured in.
@@ -103,6 +105,9 @@
 		runner.play(ctx, arrivalsOf(profile, scenario, seed))
 		result.records = runner.records
 		result.totals = fleet.totals()
+		if primrose, ok := runner.router.(*primrose); ok {
+			result.audit = primrose.audit
+		}
 		cancel()
 		synctest.Wait()
 	})
