--- a/bench/network_test.go
+++ b/bench/network_test.go
@@ -61,14 +61,14 @@
 	stopped    bool
 }
 
-// event is a message or a timer that is due.
-type event struct {
+// occurrence is a message or a timer that is due.
+type occurrence struct {
 	at     time.Time
 	number int
 	run    func()
 }
 
-type events []event
+type events []occurrence
 
 func (queue events) Len() int { return len(queue) }
 func (queue events) Less(i, j int) bool {
@@ -78,11 +78,11 @@
 	return queue[i].at.Before(queue[j].at)
 }
 func (queue events) Swap(i, j int)  { queue[i], queue[j] = queue[j], queue[i] }
-func (queue *events) Push(item any) { *queue = append(*queue, item.(event)) }
+func (queue *events) Push(item any) { *queue = append(*queue, item.(occurrence)) }
 func (queue *events) Pop() any {
 	last := len(*queue) - 1
 	item := (*queue)[last]
-	(*queue)[last] = event{}
+	(*queue)[last] = occurrence{}
 	*queue = (*queue)[:last]
 	return item
 }
@@ -220,7 +220,7 @@
 // after queues a function.
 func (network *network) after(period time.Duration, run func()) {
 	network.number++
-	heap.Push(&network.queue, event{time.Now().Add(period), network.number, run})
+	heap.Push(&network.queue, occurrence{time.Now().Add(period), network.number, run})
 }
 
 // tick runs a node's timers and queues the next tick.
@@ -254,7 +254,7 @@
 func (network *network) run(period time.Duration) {
 	end := time.Now().Add(period)
 	for len(network.queue) > 0 && !network.queue[0].at.After(end) {
-		next := heap.Pop(&network.queue).(event)
+		next := heap.Pop(&network.queue).(occurrence)
 		if wait := time.Until(next.at); wait > 0 {
 			time.Sleep(wait)
 		}
