io/plain: keep net/http from sending a filing again

Cause: net/http repeats a request by itself when a kept connection breaks and the request has an Idempotency-Key. TestPostIsSentOnce: a POST arrived twice, with and without a body. Change: the key goes out under the header's name in lower case, which net/http does not look for, and the body can't be replayed.

--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -155,6 +155,7 @@
 		return Answer{URL: address}, fault.Wrap(op, Refused, err)
 	}
 	copyHeader(request.Header, call.Header)
+	keepSingle(request)
 	response, err := service.client.Do(request)
 	if err != nil {
 		return Answer{URL: address}, classify(err)
@@ -170,6 +171,18 @@
 	return Answer{Status: response.StatusCode, Header: passed(response.Header), Body: body, URL: address}, nil
 }
 
+// keepSingle stops net/http from sending a request again by itself. It does so
+// when a kept connection breaks, for requests with a key under the canonical
+// name of the header; the key goes out under the name in lower case instead.
+func keepSingle(request *http.Request) {
+	const name = "Idempotency-Key"
+	if values, found := request.Header[name]; found {
+		delete(request.Header, name)
+		request.Header["idempotency-key"] = values
+	}
+	request.GetBody = nil
+}
+
 // classify tells a call that never left from one that may have run.
 func classify(err error) error {
 	const op = "plain.do"
