Read engines' reports and place model versions

Cause: cells did not hear of load, leaving engines, cache events and loaded versions; a promoted version was asked of engines that had not loaded it, and a recalled one stayed loaded. Change: the owner of a cell reads its engines' reports; a server gets the first version of the document that it has loaded, or nothing; for each pool one host holds a lease, plans and gives orders. A pool keeps all its servers loaded. Hosts set their part of the service's calls by the number of live hosts, and running copies are reviewed when crash records arrive.

--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -26,6 +26,7 @@
 		DocumentApplied(),
 		DocumentRejected(),
 		OperatorRefused(),
+		PlacementChosen(),
 	}
 }
 
@@ -128,3 +129,8 @@
 func OperatorRefused() Event {
 	return Event{1500, "operator_refused", logrus.WarnLevel, "admin", "An operator's call had no valid key."}
 }
+
+// PlacementChosen reports that an order for an engine was planned.
+func PlacementChosen() Event {
+	return Event{1600, "placement_chosen", logrus.InfoLevel, "placement", "An order for an engine was planned."}
+}
--- a/io/daemon/cells.go
+++ b/io/daemon/cells.go
@@ -35,6 +35,23 @@
 	return built, ok
 }
 
+// find returns a cell that is open.
+func (cells *cells) find(name string) (*cell.Cell, bool) {
+	cells.mutex.Lock()
+	defer cells.mutex.Unlock()
+	found, ok := cells.open[name]
+	return found, ok
+}
+
+// review withdraws running copies of requests that have become suspects.
+func (cells *cells) review() {
+	cells.mutex.Lock()
+	defer cells.mutex.Unlock()
+	for _, open := range cells.open {
+		open.Review()
+	}
+}
+
 // summary returns the load of a cell, and an empty summary for a cell that this
 // host does not run.
 func (cells *cells) summary(name string) cell.Summary {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -96,6 +96,7 @@
 	heads    *heads.Client
 	recent   recent
 	suspects *poison.Registry
+	reports  *engines
 	// forwards counts the requests that other hosts sent here.
 	forwards sync.WaitGroup
 	spread   *spread.Spread
@@ -126,6 +127,7 @@
 		suspects: poison.New(poison.Options{}),
 	}
 	daemon.cells = newCells(daemon.buildCell)
+	daemon.reports = newEngines(daemon)
 	daemon.directory.current.Store(newView(0, spec.Document{}))
 	if err := daemon.listen(options.Packets); err != nil {
 		daemon.close()
--- a/io/daemon/documents.go
+++ b/io/daemon/documents.go
@@ -142,5 +142,6 @@
 	return []func(context.Context){
 		daemon.members.Run, daemon.followMembers, daemon.followHostList, daemon.spread.Run,
 		daemon.watcher.Run, daemon.followIsolation, daemon.learnSuspects, daemon.followUsage,
+		daemon.reports.follow, daemon.followPlacement,
 	}
 }
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -132,11 +132,19 @@
 	alive := daemon.members.Alive()
 	if len(alive) > 0 {
 		daemon.limiter.SetShare(1 / float64(len(alive)))
+		if budget, ok := daemon.store.(budget); ok {
+			budget.Share(len(alive))
+		}
 	}
 	daemon.cells.update(daemon.serversOf, daemon.owns, daemon.directory.current.Load().shares())
 	daemon.meter.Gauge("hosts", "state", "alive", float64(len(alive)))
 }
 
+// budget is a store whose calls are limited by the host's part of the service.
+type budget interface {
+	Share(hosts int)
+}
+
 // owns reports whether this host owns a cell.
 func (daemon *Daemon) owns(name string) bool {
 	owner, known := daemon.owner(name)
--- a/io/daemon/place.go
+++ b/io/daemon/place.go
@@ -108,11 +108,11 @@
 	if !ok {
 		return nil, false
 	}
-	version := plan.Pool.Versions[0].Name
 	servers := make([]cell.Server, 0, len(plan.Servers))
 	for _, listed := range plan.Servers {
+		version, loaded := daemon.reports.version(listed.Name, plan.Pool)
 		servers = append(servers, cell.Server{
-			Name: listed.Name, Slots: listed.Slots, Leaving: listed.Leaving, Version: version,
+			Name: listed.Name, Slots: listed.Slots, Leaving: listed.Leaving || !loaded, Version: version,
 			Backend: daemon.backend(listed),
 		})
 	}
--- a/io/daemon/suspects.go
+++ b/io/daemon/suspects.go
@@ -108,8 +108,8 @@
 // serveSuspects takes crash records of another host.
 func (daemon *Daemon) serveSuspects(_ context.Context, stream *link.Stream) {
 	var records []poison.Record
-	if stream.Read(&records) == nil {
-		daemon.suspects.Merge(records)
+	if stream.Read(&records) == nil && daemon.suspects.Merge(records) {
+		daemon.cells.review()
 	}
 }
 
--- a/io/engine/control_test.go
+++ b/io/engine/control_test.go
@@ -46,7 +46,7 @@
 
 	old, err := order.New(order.Options{Controller: controls, Lease: held(8)})
 	require.NoError(t, err)
-	wanted.State.Role = "both"
+	wanted.State.Role = "mixed"
 	results := old.Reconcile(t.Context(), []order.Desired{wanted})
 	require.True(t, fault.Is(results[0].Err, order.Fenced), "%v", results[0].Err)
 	after, err := control.State(t.Context())
--- a/io/plain/service_test.go
+++ b/io/plain/service_test.go
@@ -63,7 +63,9 @@
 	}
 }
 
-func newService() *plain.Service { return plain.New(plain.Options{Retries: retry.New(retry.Options{})}) }
+func newService() *plain.Service {
+	return plain.New(plain.Options{Retries: retry.New(retry.Options{})})
+}
 
 func target(url string) spec.Service {
 	return spec.Service{Name: "filing", URLs: []string{url}, RepeatableMethods: []string{"GET"}, TimeoutMs: 10_000}
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -113,7 +113,7 @@
 
 // newControl returns the state at the start.
 func newControl(options Options) control {
-	control := control{any: options.Model == "", loaded: map[Loaded]bool{}, role: "both"}
+	control := control{any: options.Model == "", loaded: map[Loaded]bool{}, role: "mixed"}
 	if !control.any {
 		control.loaded[Loaded{Model: options.Model, Version: options.Version}] = true
 	}
