io/plain: retry calls of plain services

Cause: The daemon gave plain services a budget without any retry, so that a call failed when the first address refused it although another would take it. With a budget, the backoff without a random source would have ended the process, and concurrent calls shared a budget that is not safe for that. Conclusion: A plain service survives the loss of an address; work that must not be repeated still goes out once after a lost reply.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -20,7 +20,6 @@
 	"primrosegw/core/limit"
 	"primrosegw/core/member"
 	"primrosegw/core/poison"
-	"primrosegw/core/retry"
 	"primrosegw/core/route"
 	"primrosegw/core/spread"
 	"primrosegw/core/store"
@@ -157,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	daemon.services = plain.New(plain.Options{Retries: retry.New(retry.Options{})})
+	daemon.services = plain.New(plain.Options{Random: rand.New(daemon.random)})
 	return daemon.buildSpread()
 }
 
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -5,11 +5,13 @@
 	"bytes"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,26 +69,41 @@
 
 // Options are the dependencies of a Service.
 type Options struct {
-	// Retries is the budget that all calls share.
-	Retries *retry.Budget
-	Backoff retry.Backoff
+	// Retries sizes the budget that all calls share; zero takes the defaults of
+	// package retry.
+	Retries retry.Options
+	// Random draws the jitter of the pauses.
+	Random *rand.Rand
 }
 
 // Service calls plain services. It is safe for concurrent use.
 type Service struct {
-	options Options
-	client  *http.Client
+	client *http.Client
 	// turn spreads calls over a service's addresses.
 	turn atomic.Uint64
+
+	// mutex guards the budget and the random source of the backoff.
+	mutex   sync.Mutex
+	budget  *retry.Budget
+	backoff retry.Backoff
 }
 
 // New returns a client for plain services.
 func New(options Options) *Service {
+	if options.Retries == (retry.Options{}) {
+		options.Retries = retry.Options{
+			Share: retry.DefaultRetryShare, Reserve: retry.DefaultReserve, PerSecond: retry.DefaultPerSecond,
+		}
+	}
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &Service{options: options, client: &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &Service{
+		budget:  retry.New(options.Retries),
+		backoff: retry.Backoff{Base: retry.DefaultBase, Ceiling: retry.DefaultCeiling, Random: options.Random},
+		client: &http.Client{
+			Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
 }
 
 // Do sends a call to one address of a service. Calls with a repeatable method
@@ -108,7 +125,7 @@
 		}
 	}
 	if err == nil {
-		service.options.Retries.Earn()
+		service.earn()
 	}
 	return answer, err
 }
@@ -128,12 +145,29 @@
 	}
 }
 
+func (service *Service) earn() {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.budget.Earn()
+}
+
+// spend takes one retry out of the budget and returns the pause before it.
+func (service *Service) spend(try int) (time.Duration, bool) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if !service.budget.Spend() {
+		return 0, false
+	}
+	return service.backoff.Delay(try + 1), true
+}
+
 // wait spends one retry and waits for its backoff.
 func (service *Service) wait(ctx context.Context, try int) bool {
-	if !service.options.Retries.Spend() {
+	pause, paid := service.spend(try)
+	if !paid {
 		return false
 	}
-	timer := time.NewTimer(service.options.Backoff.Delay(try + 1))
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
