--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -64,6 +64,9 @@
 	Store store.Store
 	// Random is the source of random choices, seeded by the caller.
 	Random *rand.Rand
+	// Packets replaces the UDP socket of the links, as to lose packets in
+	// tests; nil: the socket itself.
+	Packets func(net.PacketConn) net.PacketConn
 }
 
 // Daemon is one entry host.
@@ -124,7 +127,7 @@
 	}
 	daemon.cells = newCells(daemon.buildCell)
 	daemon.directory.current.Store(newView(0, spec.Document{}))
-	if err := daemon.listen(); err != nil {
+	if err := daemon.listen(options.Packets); err != nil {
 		daemon.close()
 		return nil, err
 	}
@@ -169,7 +172,7 @@
 
 // listen opens all addresses. Ports given as 0 are chosen by the system, and
 // the host tells others the chosen ones.
-func (daemon *Daemon) listen() error {
+func (daemon *Daemon) listen(packets func(net.PacketConn) net.PacketConn) error {
 	const op = "daemon.listen"
 	var err error
 	daemon.entryListener, err = net.Listen("tcp", daemon.self.EntryAddress)
@@ -185,6 +188,7 @@
 	}
 	daemon.link, err = link.New(link.Options{
 		Address: daemon.self.LinkAddress, TLS: daemon.keys.LinkConfig(), Handlers: daemon.handlers(),
+		Packets: packets,
 	})
 	if err != nil {
 		return &Error{Op: op, Kind: Unbound, Field: "host.link_address", Err: err}
--- a/io/daemon/forward.go
+++ b/io/daemon/forward.go
@@ -13,6 +13,7 @@
 	"primrosegw/core/fault"
 	"primrosegw/core/host"
 	"primrosegw/core/route"
+	"primrosegw/io/engine"
 	"primrosegw/io/link"
 )
 
@@ -88,6 +89,12 @@
 		daemon.logger.Log(event.LinkRefused(), logrus.Fields{"peer": stream.Peer(), "error": err.Error()})
 		return
 	}
+	if err := message.check(); err != nil {
+		daemon.logger.Log(event.LinkRefused(), logrus.Fields{"peer": stream.Peer(), "error": err.Error()})
+		refused := &frames{stream: stream, request: message.Request.ID}
+		refused.final(cell.Outcome{Run: cell.NotRun}, err, cell.Summary{})
+		return
+	}
 	request := message.request()
 	daemon.logger.Log(event.ForwardReceived(), logrus.Fields{
 		"request": request.ID, "cell": message.Cell, "hops": message.Hops, "peer": stream.Peer(),
@@ -138,6 +145,7 @@
 	if err != nil {
 		last.Kind = kindOf(err)
 		last.Text = err.Error()
+		last.Said = engine.Said(err)
 	}
 	_ = frames.stream.Write(frame{Request: frames.request, Final: &last})
 }
--- a/io/engine/control_test.go
+++ b/io/engine/control_test.go
@@ -16,8 +16,8 @@
 	standin "primrosegw/standin/engine"
 )
 
-// serve starts a stand-in engine and returns it with its control.
-func serve(t *testing.T) (*standin.Model, *engine.Control, *httptest.Server) {
+// startEngine starts a stand-in engine and returns it with its control.
+func startEngine(t *testing.T) (*standin.Model, *engine.Control, *httptest.Server) {
 	model := standin.New(standin.Options{Name: "e1", Model: "m", Version: "1", Slots: 4, ChecksFence: true})
 	server := httptest.NewServer(model.Handler())
 	t.Cleanup(server.Close)
@@ -32,7 +32,7 @@
 // The executor must bring an engine to its desired state over the published
 // endpoints, and a holder with an old fencing number must change nothing.
 func TestOrders(t *testing.T) {
-	_, control, _ := serve(t)
+	_, control, _ := startEngine(t)
 	controls := engine.Controls{"e1": control}
 	wanted := order.Desired{Server: "e1", ChecksFence: true, State: order.State{Role: "prefill", Loaded: []order.Loaded{
 		{Model: "m", Version: "2"}, {Model: "m", Version: "2", Adapter: "a"},
@@ -56,7 +56,7 @@
 
 // Each failure must have the kind that the executor branches on.
 func TestControlErrors(t *testing.T) {
-	model, control, server := serve(t)
+	model, control, server := startEngine(t)
 	err := control.Order(t.Context(), order.Order{Fence: 9, Action: "paint"})
 	require.True(t, fault.Is(err, order.Rejected), "%v", err)
 	_, err = engine.Controls{}.State(t.Context(), "e2")
@@ -72,7 +72,7 @@
 // Reports must arrive with the engine's slots and leaving state, and the polling
 // must end with its context.
 func TestPoll(t *testing.T) {
-	model, control, _ := serve(t)
+	model, control, _ := startEngine(t)
 	model.Leave()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -46,8 +46,8 @@
 	// may spend on control. Requests that wait or run have frames of their own
 	// that show progress.
 	idleTimeout = 2 * time.Minute
-	// headerTimeout bounds how long a peer may hold a stream open before it says
-	// what it wants.
+	// headerTimeout bounds how long a peer may hold a stream open before it has
+	// said what it wants: the header and the first value.
 	headerTimeout = 5 * time.Second
 	// maximumStreams bounds the calls that one peer may have open.
 	maximumStreams = 10_000
@@ -64,6 +64,9 @@
 	TLS *tls.Config
 	// Handlers serve incoming streams by their message name.
 	Handlers map[string]Handler
+	// Packets replaces the UDP socket, as to lose packets in tests; nil: the
+	// socket itself.
+	Packets func(net.PacketConn) net.PacketConn
 }
 
 // Link is a host's end of the connections to all other hosts.
@@ -122,6 +125,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	link := &Link{options: options, ctx: ctx, cancel: cancel, peers: make(map[string]*peer), open: make(map[*quic.Conn]bool)}
 	link.transport = &quic.Transport{Conn: socket}
+	if options.Packets != nil {
+		link.transport.Conn = options.Packets(socket)
+	}
 	link.listener, err = link.transport.Listen(options.TLS, configuration())
 	if err != nil {
 		cancel()
@@ -383,7 +389,7 @@
 	link.mutex.Lock()
 	link.usage.ReceivedMessages++
 	link.mutex.Unlock()
-	stream.ReadBefore(time.Time{})
+	stream.unread = true
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	handler(ctx, stream)
