io/daemon: let the settings' operators in while no document is in force

Cause: a recall of the only accepted lot puts a generation without a document in force. Then no operator's key was valid, those of the settings included, also after a restart: nobody could promote again. Hosts said that they were ready and answered callers' good keys with 401. Change: without a document the operators of the settings may call, and the host is not ready. Hosts whose settings name no operator are still locked out.

--- a/io/config/settings.go
+++ b/io/config/settings.go
@@ -15,8 +15,8 @@
 	HostList HostList `json:"host_list,omitzero"`
 	// Seeds are hosts to find the others by.
 	Seeds []Host `json:"seeds,omitempty"`
-	// Operators may call this host before a document is in force. After that
-	// the document's operators may.
+	// Operators may call this host while no document is in force. Otherwise the
+	// document's operators may.
 	Operators []spec.Operator `json:"operators,omitempty"`
 	TLS       keys.Files      `json:"tls"`
 	Limits    Limits          `json:"limits,omitzero"`
--- a/io/daemon/system.go
+++ b/io/daemon/system.go
@@ -8,10 +8,11 @@
 	"primrosegw/io/admin"
 )
 
-// Operator implements admin.System. The document's operators may call; before
-// a document is in force, those of the host's settings.
+// Operator implements admin.System. The document's operators may call. While no
+// document is in force, before the first one or after a recall that left none,
+// those of the host's settings may: somebody has to be able to promote one.
 func (daemon *Daemon) Operator(key string) (spec.Operator, bool) {
-	if view := daemon.directory.current.Load(); view.generation > 0 {
+	if view := daemon.directory.current.Load(); view.inForce() {
 		return view.Operator(key)
 	}
 	return spec.NewIndex(spec.Document{Operators: daemon.settings.Operators}).Operator(key)
--- a/io/daemon/view.go
+++ b/io/daemon/view.go
@@ -104,5 +104,9 @@
 
 // Ready implements entry.Directory.
 func (directory *directory) Ready() bool {
-	return directory.current.Load().generation > 0 && directory.taking.Load()
+	return directory.current.Load().inForce() && directory.taking.Load()
 }
+
+// inForce reports whether the view has a document. A generation may have none,
+// after a recall of the only accepted lot; a document has an operator at least.
+func (view *view) inForce() bool { return len(view.Document.Operators) > 0 }
