core/cell: wake nobody when a freed slot goes to a lower tier

Change: only a slot that went to a call of the same or a higher tier wakes the call that asked for it, so each wake-up stands for one call served.

--- a/core/cell/attempt.go
+++ b/core/cell/attempt.go
@@ -197,8 +197,9 @@
 		cell.health.ObserveRefusal(attempt.server.Name)
 	}
 	cell.drop(attempt)
+	cell.granted = 0
 	cell.dispatch()
-	cell.wakeRelieved(attempt)
+	cell.wakeRelieved(attempt, cell.granted)
 	return announce
 }
 
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -38,6 +38,8 @@
 	suspects []*call
 	copies   map[uint64]int
 	proven   *memory
+	// granted is the tier of the call that was given the last slot.
+	granted int
 	// present is the time of the last call of each class.
 	present map[string]time.Time
 	// queued is the expected work queued of each class, in tokens.
--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -150,6 +150,7 @@
 	attempt := cell.newAttempt(call, server, now)
 	attempt.cost = call.cost
 	cell.hedges.Earn()
+	cell.granted = call.request.Tier
 	call.grants <- grant{attempt: attempt}
 }
 
--- a/core/cell/preempt.go
+++ b/core/cell/preempt.go
@@ -56,13 +56,16 @@
 // wakeRelieved lets a call ask again at once when the slot that was taken back
 // for it went to another call. Of several calls that are due together, the first
 // slot may go to one that has not asked yet; without this the other one would
-// wait for the next look, and miss its target by that.
-func (cell *Cell) wakeRelieved(freed *attempt) {
-	if freed.reliefFor == nil || !freed.reliefFor.queued {
+// wait for the next look, and miss its target by that. A slot that went to a
+// lower tier wakes nobody: the minimum share would take the next one too, and
+// calls would be preempted without end.
+func (cell *Cell) wakeRelieved(freed *attempt, granted int) {
+	waiting := freed.reliefFor
+	if waiting == nil || !waiting.queued || granted == 0 || granted > waiting.request.Tier {
 		return
 	}
 	select {
-	case freed.reliefFor.wake <- struct{}{}:
+	case waiting.wake <- struct{}{}:
 	default:
 	}
 }
