core/health: compare a server with its own best gap

Cause: a server was judged against the peers of its cell only. A cell of one server, or one whose servers are all slow, has no healthy reference, so the server kept its full weight while it was 5 times slower. Change: keep each server's lowest average gap, forgotten over 5 minutes, and weight the server down when its gap is more than 2.5 times as long. The limit is above that for peers because a full batch is about twice as slow as a single call. The new tests TestSlowServerWithoutPeers and TestOwnBestGap fail without the change.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -32,6 +32,13 @@
 	// so their limit is higher.
 	slowFirstToken = 2.0
 	slowGap        = 1.5
+	// slowOwnGap is the ratio to the server's own best gap from which it is
+	// weighted down. A full batch is about twice as slow as a single call, so
+	// the limit is higher than that for peers, which carry a similar load.
+	slowOwnGap = 2.5
+	// bestLife is the time in which a server's best gap has moved 63% of the way
+	// to its present one, so that a lasting change becomes the usual gap.
+	bestLife = 5 * time.Minute
 	// leastObservations is the number of observations from which an average
 	// counts.
 	leastObservations = 3
@@ -101,7 +108,11 @@
 type server struct {
 	firstToken average
 	gap        average
-	observed   time.Time
+	// bestGap is the lowest average gap, forgotten slowly: the reference for a
+	// server without healthy peers.
+	bestGap   float64
+	bestGapAt time.Time
+	observed  time.Time
 
 	failures int
 	// blocked is the instant until which the server gets nothing after a failure.
@@ -190,6 +201,22 @@
 	server.gap.add(gap.Seconds()/float64(tokens), gapDecay)
 	health.changes++
 	server.observed = time.Now()
+	server.keepBest(server.observed)
+}
+
+// keepBest updates the best gap after an observation.
+func (server *server) keepBest(now time.Time) {
+	if server.gap.count < leastObservations {
+		return
+	}
+	age := now.Sub(server.bestGapAt)
+	server.bestGapAt = now
+	if server.bestGap == 0 || server.gap.value < server.bestGap {
+		server.bestGap = server.gap.value
+		return
+	}
+	forgotten := 1 - math.Exp(-age.Seconds()/bestLife.Seconds())
+	server.bestGap += forgotten * (server.gap.value - server.bestGap)
 }
 
 // ObserveFailure records a crash, a lost connection or a stall.
@@ -281,8 +308,10 @@
 	health.gap = time.Duration(gap * float64(time.Second))
 }
 
-// speed returns the peers' usual time divided by the server's when the server
-// is clearly slower, and 1 otherwise.
+// speed returns the usual time of the peers, or the server's own best gap,
+// divided by the server's present time when it is clearly slower, and 1
+// otherwise. The own best shows a slow server that has no peers, or only slow
+// ones.
 func (health *Health) speed(name string, subject *server) float64 {
 	speed := 1.0
 	firstToken := health.peers(name, func(peer *server) average { return peer.firstToken })
@@ -293,6 +322,9 @@
 	if ratio := subject.gap.ratio(gap); ratio > slowGap {
 		speed = min(speed, 1/ratio)
 	}
+	if ratio := subject.gap.ratio(subject.bestGap); ratio > slowOwnGap {
+		speed = min(speed, 1/ratio)
+	}
 	return speed
 }
 
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -47,6 +47,44 @@
 	})
 }
 
+// Guards against a slow server that keeps its full weight because its cell has
+// no other server to compare it with, and against one that is held to its best
+// for ever.
+func TestSlowServerWithoutPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		subject := newHealth("a")
+		observe(subject, map[string]int{"a": 1})
+		require.InDelta(t, 1.0, subject.Weight("a"), 0.01)
+		for range 5 {
+			observe(subject, map[string]int{"a": 5})
+		}
+		require.InDelta(t, 0.2, subject.Weight("a"), 0.01)
+		for range 20 {
+			time.Sleep(time.Minute)
+			observe(subject, map[string]int{"a": 5})
+		}
+		require.InDelta(t, 1.0, subject.Weight("a"), 0.01)
+	})
+}
+
+// Guards against servers that keep their full weight because all of the cell's
+// servers became slow together, and against one weighted down for a full batch.
+func TestOwnBestGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		subject := newHealth("a", "b")
+		observe(subject, map[string]int{"a": 1, "b": 1})
+		for range 5 {
+			observe(subject, map[string]int{"a": 2, "b": 2})
+		}
+		require.InDelta(t, 1.0, subject.Weight("a"), 0.01)
+		for range 5 {
+			observe(subject, map[string]int{"a": 5, "b": 5})
+		}
+		require.InDelta(t, 0.2, subject.Weight("a"), 0.01)
+		require.InDelta(t, 0.2, subject.Weight("b"), 0.01)
+	})
+}
+
 // Guards against work for a server that has just failed, against a server that
 // is never tried again, and against one that fails each probe.
 func TestFailedServerIsProbed(t *testing.T) {
