core/length: estimate a class without answers from the other classes

Cause: a class without finished answers was taken for 150 tokens, and that prior weighed as much as ten answers. A class of 30 tokens with few calls was dispatched and admitted too late under its minimum share. Change: a class without answers and without a prior of its own takes the distribution of all classes' answers, and the prior weighs half an answer. The cell drops all cached medians when an answer ends, since they may rest on it. The new tests TestUnseenClass and TestFirstAnswer fail without the change.

--- a/core/cell/call.go
+++ b/core/cell/call.go
@@ -345,7 +345,8 @@
 		cell.stats.Completed++
 		cell.retries.Earn()
 		cell.lengths.Observe(call.request.Class, call.answer.Tokens())
-		delete(cell.medians, call.request.Class)
+		// The estimate of a class without answers rests on those of the others.
+		clear(cell.medians)
 		cell.proven.add(call.request.Fingerprint)
 	case fault.Is(err, Unknown):
 		cell.stats.Unknown++
--- a/core/length/length.go
+++ b/core/length/length.go
@@ -45,8 +45,10 @@
 	// DefaultMedian and DefaultHigh are those of chat answers, in tokens.
 	DefaultMedian = 150
 	DefaultHigh   = 1500
-	// DefaultPriorWeight lets a handful of answers outweigh the prior.
-	DefaultPriorWeight = 10
+	// DefaultPriorWeight lets the first answer of a class outweigh the prior: at
+	// 10, a class of 30 tokens needed ten answers to get from 150 tokens to its
+	// own length, and a class with few calls was served too late meanwhile.
+	DefaultPriorWeight = 0.5
 	// DefaultWindow follows a change of the answers within a few minutes at
 	// some calls per second.
 	DefaultWindow = 1000
@@ -62,6 +64,8 @@
 	options    Options
 	histograms map[string]*histogram
 	unseen     map[string]*histogram
+	// all counts the answers of all classes.
+	all *histogram
 }
 
 // histogram is the weighted counts of one class.
@@ -87,15 +91,33 @@
 	for class := range options.Priors {
 		estimator.unseen[class] = estimator.fresh(class)
 	}
-	estimator.unseen[""] = estimator.fresh("")
+	estimator.all = estimator.fresh("")
 	return estimator
 }
 
-// fresh returns the histogram of a class of which no answer was seen: a
-// log-normal distribution through the prior's two quantiles.
+// initial returns the histogram with which a class starts at its first answer:
+// its own prior, or the distribution of all classes' answers at the weight of
+// the prior.
+func (estimator *Estimator) initial(class string) *histogram {
+	if _, named := estimator.unseen[class]; named {
+		return estimator.fresh(class)
+	}
+	total := 0.0
+	for _, weight := range estimator.all.weights {
+		total += weight
+	}
+	made := &histogram{weight: 1}
+	for index, weight := range estimator.all.weights {
+		made.weights[index] = weight * estimator.options.PriorWeight / total
+	}
+	return made
+}
+
+// fresh returns the histogram of a prior: a log-normal distribution through its
+// two quantiles.
 func (estimator *Estimator) fresh(class string) *histogram {
-	prior, named := estimator.options.Priors[class]
-	if !named || prior.Median <= 0 {
+	prior := estimator.options.Priors[class]
+	if prior.Median <= 0 {
 		prior = estimator.options.Prior
 	}
 	// 1.645 is the 0.95 quantile of the normal distribution.
@@ -131,29 +153,37 @@
 func (estimator *Estimator) Observe(class string, tokens int) {
 	found, ok := estimator.histograms[class]
 	if !ok {
-		found = estimator.fresh(class)
+		found = estimator.initial(class)
 		estimator.histograms[class] = found
 	}
-	found.weights[bucketOf(float64(tokens))] += found.weight
-	found.weight *= 1 + 1/estimator.options.Window
-	if found.weight > rescaleAt {
-		for index := range found.weights {
-			found.weights[index] /= found.weight
+	found.add(tokens, estimator.options.Window)
+	estimator.all.add(tokens, estimator.options.Window)
+}
+
+// add counts an answer and raises the weight of the next one.
+func (histogram *histogram) add(tokens int, window float64) {
+	histogram.weights[bucketOf(float64(tokens))] += histogram.weight
+	histogram.weight *= 1 + 1/window
+	if histogram.weight > rescaleAt {
+		for index := range histogram.weights {
+			histogram.weights[index] /= histogram.weight
 		}
-		found.weight = 1
+		histogram.weight = 1
 	}
 }
 
 // Quantile returns the q-quantile of the tokens that remain of an answer of a
 // class of which served tokens were generated already: the length has
-// probability q to be at most served plus the result.
+// probability q to be at most served plus the result. A class without finished
+// answers and without a prior of its own is taken for the mean of the other
+// classes.
 func (estimator *Estimator) Quantile(class string, q float64, served int) float64 {
 	found, ok := estimator.histograms[class]
 	if !ok {
 		found, ok = estimator.unseen[class]
 	}
 	if !ok {
-		found = estimator.unseen[""]
+		found = estimator.all
 	}
 	return found.remaining(min(max(q, 0), 0.999), max(0, float64(served)))
 }
--- a/core/length/length_test.go
+++ b/core/length/length_test.go
@@ -21,6 +21,31 @@
 	require.InEpsilon(t, 9000, estimator.Quantile("annotation", 0.95, 0), 0.05)
 }
 
+// TestUnseenClass guards against a class of short answers that is taken for the
+// prior's 150 tokens while the answers of the other classes are short: its
+// minimum share of the tokens would then come too late.
+func TestUnseenClass(t *testing.T) {
+	estimator := length.New(length.Options{Priors: map[string]length.Prior{"annotation": {Median: 3000, High: 9000}}})
+	for range 20 {
+		estimator.Observe("question", 30)
+	}
+	require.InDelta(t, 30, estimator.Quantile("complaint", 0.5, 0), 6)
+	require.InEpsilon(t, 3000, estimator.Quantile("annotation", 0.5, 0), 0.05)
+}
+
+// TestFirstAnswer guards against a prior that outweighs the first answer of a
+// class, whether it is shorter or longer than those of the other classes.
+func TestFirstAnswer(t *testing.T) {
+	for _, tokens := range []int{30, 600} {
+		estimator := length.New(length.Options{})
+		for range 20 {
+			estimator.Observe("question", 100)
+		}
+		estimator.Observe("c", tokens)
+		require.InEpsilon(t, tokens, estimator.Quantile("c", 0.5, 0), 0.2)
+	}
+}
+
 // TestQuantile guards against quantiles that are off by more than a bucket: it
 // compares them with those of a sorted sample, also given served tokens.
 func TestQuantile(t *testing.T) {
