core/cell: bound how often a call asks again for a slot

Cause: a call that no free slot suits (long work above its cap) preempted a call of a lower tier; the slot went to the next such call, wakeRelieved let the first call ask again at once, and so on without end and within one instant.

--- a/core/cell/call.go
+++ b/core/cell/call.go
@@ -37,7 +37,9 @@
 	grants   chan grant
 	messages chan message
 	// wake says that the slot asked for went to another call.
-	wake  chan struct{}
+	wake chan struct{}
+	// woken is when wake was last used.
+	woken time.Time
 	timer *time.Timer
 
 	answer *stream.Stream
--- a/core/cell/preempt.go
+++ b/core/cell/preempt.go
@@ -57,12 +57,22 @@
 // for it went to another call. Of several calls that are due together, the first
 // slot may go to one that has not asked yet; without this the other one would
 // wait for the next look, and miss its target by that.
+//
+// It does so once in a relief interval. A call that no free slot suits would
+// otherwise preempt, without end and within one instant, the lower-tier calls
+// that get the slots taken back for it.
 func (cell *Cell) wakeRelieved(freed *attempt) {
-	if freed.reliefFor == nil || !freed.reliefFor.queued {
+	call := freed.reliefFor
+	if call == nil || !call.queued {
+		return
+	}
+	now := time.Now()
+	if now.Sub(call.woken) < reliefInterval {
 		return
 	}
+	call.woken = now
 	select {
-	case freed.reliefFor.wake <- struct{}{}:
+	case call.wake <- struct{}{}:
 	default:
 	}
 }
