core/queue: serve items that can still meet their target first

Cause: within a class the earliest due item goes first, also when its target has passed. Under overload the slots go to late items, and the items behind them become late too. Change: below the top tier, items whose due instant has passed go after those of their class that are not late. At least one of 8 dispatches of a class goes in the old order, so late items are served under a lasting overload; resumed items at the head of their workspace are never passed over. The new test TestLateItems fails without the change. An item due sooner than a first token takes counts as in time; the queue does not know that time.

--- a/core/queue/entry.go
+++ b/core/queue/entry.go
@@ -74,7 +74,10 @@
 
 // filter decides which entries Pop may take.
 type filter[T any] struct {
-	now      int64
+	now int64
+	// from is the due instant before which items without served tokens are
+	// passed over, because they are late; 0: none are.
+	from     int64
 	eligible func(*Item[T]) bool
 }
 
--- a/core/queue/lane.go
+++ b/core/queue/lane.go
@@ -16,6 +16,12 @@
 	// idleFlows is the number of idle workspaces that a lane remembers before
 	// it forgets those whose counters no longer matter.
 	idleFlows = 1024
+	// lateSpacing is the number of consecutive dispatches of a class of which at
+	// least one goes to the first item in order, late or not, so that late items
+	// are served under a lasting overload too.
+	lateSpacing = 8
+	// topTier is the tier whose items are always served in order.
+	topTier = 1
 )
 
 // laneKey names a lane. A class has one tier, but while a document that moves a
@@ -34,7 +40,9 @@
 	// owedSince is the dispatch at which the class became owed; 0: not owed.
 	owedSince uint64
 	count     int
-	flows     map[string]*flow[T]
+	// onTime counts the dispatches in a row of items that were not late.
+	onTime int
+	flows  map[string]*flow[T]
 	// order holds the workspaces with queued items, short and long apart.
 	order [2]*btree.BTreeG[*side[T]]
 	// floor is the counter below which no workspace starts again.
@@ -167,11 +175,33 @@
 	}
 }
 
-// first returns the lane's next eligible entry, or nil.
+// first returns the lane's next eligible entry, or nil. Below the top tier,
+// items that can still meet their target go before those that cannot.
 func (lane *lane[T]) first(filter *filter[T]) *entry[T] {
 	if lane.count == 0 {
 		return nil
 	}
+	if lane.key.tier > topTier && lane.onTime < lateSpacing-1 {
+		punctual := *filter
+		punctual.from = filter.now
+		if found := lane.inOrder(&punctual); found != nil {
+			return found
+		}
+	}
+	return lane.inOrder(filter)
+}
+
+// dispatched counts a dispatch of an entry.
+func (lane *lane[T]) dispatched(entry *entry[T], now int64) {
+	if entry.due < now {
+		lane.onTime = 0
+		return
+	}
+	lane.onTime++
+}
+
+// inOrder returns the first entry that the filter allows, or nil.
+func (lane *lane[T]) inOrder(filter *filter[T]) *entry[T] {
 	short := firstOf(lane.order[0], filter)
 	long := firstOf(lane.order[1], filter)
 	if short == nil || long == nil {
@@ -207,12 +237,13 @@
 // first returns the side's first eligible entry, or nil. Expired entries do not
 // count as scanned: they stay only until the next call of Expired.
 func (side *side[T]) first(filter *filter[T], scanned *int) *entry[T] {
-	if !filter.expired(side.head) && filter.allows(side.head) {
+	late := side.head.due < filter.from && side.head.item.Served == 0
+	if !late && !filter.expired(side.head) && filter.allows(side.head) {
 		return side.head
 	}
 	var chosen *entry[T]
 	seen := 0
-	side.items.Ascend(func(entry *entry[T]) bool {
+	side.items.AscendGreaterOrEqual(&entry[T]{due: filter.from}, func(entry *entry[T]) bool {
 		if filter.expired(entry) {
 			return true
 		}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -109,7 +109,9 @@
 //     Language Models"), in steps of Options.Quantum.
 //  3. Within a step, the earliest due item goes first; an item counts as due
 //     later by Options.Demotion for each token that it was served before (least
-//     attained service). The delay is bounded, so nothing starves.
+//     attained service). The delay is bounded, so nothing starves. Below the top
+//     tier, items whose due instant has passed go after those of their class that
+//     can still meet it, but for one dispatch in lateSpacing.
 //
 // Bounds: of Spacing consecutive dispatches at most one passes over a higher
 // tier. A class with eligible work is dispatched again before the other classes
@@ -215,6 +217,7 @@
 	}
 	chosen.flow.provide(chosen.item.Cost, queue.options)
 	queue.remove(chosen)
+	chosen.lane.dispatched(chosen, filter.now)
 	queue.account(chosen, passed)
 	return chosen.item, true
 }
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -231,3 +231,24 @@
 	}
 	require.InDelta(t, served["brief"], served["exact"], 600)
 }
+
+// TestLateItems guards against late items that take the slots with which others
+// of their class would meet their target, against late items that are never
+// served while others keep coming, and against a change of the top tier's order.
+func TestLateItems(t *testing.T) {
+	for tier, want := range map[int]int{1: 0, 2: 7} {
+		items := queue.New[int](queue.Options{})
+		push := func(id string, due time.Time) {
+			require.NoError(t, items.Push(queue.Item[int]{ID: id, Tier: tier, Class: "c", Due: due, Deadline: after(60_000)}))
+		}
+		push("late", after(-500))
+		position := -1
+		for index := 0; position < 0; index++ {
+			push(fmt.Sprint(index), after(500))
+			if pops(items, 1)[0] == "late" {
+				position = index
+			}
+		}
+		require.Equal(t, want, position, "tier %d", tier)
+	}
+}
