--- a/bench/control_test.go
+++ b/bench/control_test.go
@@ -36,6 +36,8 @@
 type cost struct {
 	bytes, most, cpu, memory float64
 	summaryAge               float64
+	// messages is the number sent per second, without those of changes.
+	messages float64
 }
 
 // Guards against a control plane that outgrows its budget per host as hosts,
@@ -85,6 +87,7 @@
 	line("bytes_most", cost.most, "B/s", bytesBound)
 	line("cpu", cost.cpu, "%", cpuBound)
 	line("memory", cost.memory, "MB", memoryBound)
+	t.Logf("measure=control_messages policy=primrosegw hosts=%d cells=%d value=%.1f unit=1/s", hosts, cells, cost.messages)
 	t.Logf("measure=control_summary_age policy=primrosegw hosts=%d cells=%d value=%.0f unit=ms", hosts, cells, cost.summaryAge)
 }
 
@@ -104,6 +107,7 @@
 		node.summaries.ages, node.summaries.merged = 0, 0
 	}
 	steadyCPU, steadyBytes, most := network.measure(func() { network.run(steadyPeriod * time.Second) })
+	messages, _, _ := network.totals()
 	var age, merged int64
 	for _, node := range network.nodes {
 		age += node.summaries.ages
@@ -127,6 +131,7 @@
 		cpu:        100 * (steadyCPU/steadyPeriod + changeCPU/changePeriod) / count,
 		memory:     memory / count / 1e6,
 		summaryAge: float64(age) / float64(max(1, merged)),
+		messages:   float64(messages) / steadyPeriod / count,
 	}
 }
 
