Know a crashed engine behind an open port, try another cell after a shed

Cause: a request that crashes engines was run 9 times until its deadline over HTTP: the port of the stand-in stays open while it restarts, as behind a supervisor, and a broken stream counted as a crash only when the connection was refused. Ruled out: the suspects' registry, which was never told. Change: an engine that answers 503 to its load report after a broken stream is held to be dead. A request that a cell sheds is sent to one other cell, since what was known of the first was too old.

--- a/io/daemon/router.go
+++ b/io/daemon/router.go
@@ -34,6 +34,8 @@
 	// tried are the cells and owners that the request was sent to in vain.
 	tried map[string]bool
 	total cell.Outcome
+	// sheds counts the cells that turned the request away.
+	sheds int
 }
 
 /*
@@ -133,6 +135,11 @@
 		return !failed.delivered || passage.request.Idempotent
 	}
 	switch kindOf(err) {
+	case cell.Shed:
+		// What was known of the cell was too old. Another one is tried once;
+		// under overload of all cells more tries would only add work.
+		passage.sheds++
+		return passage.total.Run == cell.NotRun && passage.sheds <= 1
 	case cell.Closed, cell.Refused:
 		return passage.total.Run == cell.NotRun || passage.request.Idempotent
 	case cell.Broken, cell.Crashed, cell.Stalled:
--- a/io/engine/backend.go
+++ b/io/engine/backend.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"syscall"
 	"time"
@@ -26,7 +25,7 @@
 	// connectTimeout bounds the connection set-up to an engine.
 	connectTimeout = time.Second
 	// crashProbeTimeout bounds the check whether an engine that broke a stream
-	// still accepts connections.
+	// still runs.
 	crashProbeTimeout = 300 * time.Millisecond
 	// maximumErrorBytes bounds what is read of an engine's error answer.
 	maximumErrorBytes = 16 << 10
@@ -195,7 +194,7 @@
 	}
 	var known *cell.Error
 	if errors.As(err, &known) {
-		if known.Kind == cell.Broken && !backend.accepts() {
+		if known.Kind == cell.Broken && !backend.alive() {
 			return fault.Wrap(op, cell.Crashed, err)
 		}
 		return err
@@ -203,7 +202,7 @@
 	if dialing(err) {
 		return fault.Wrap(op, cell.Refused, err)
 	}
-	if !backend.accepts() {
+	if !backend.alive() {
 		return fault.Wrap(op, cell.Crashed, err)
 	}
 	return fault.Wrap(op, cell.Broken, err)
@@ -215,17 +214,21 @@
 	return errors.As(err, &operation) && operation.Op == "dial"
 }
 
-// accepts reports whether the engine's process still takes connections. A time
-// out says nothing: a frozen engine is not a crashed one.
-func (backend *Backend) accepts() bool {
-	address, err := url.Parse(backend.address)
+// alive reports whether the engine still runs after it broke a stream. It is held
+// to be dead if it refuses connections, or if whatever restarts it answers that
+// the engine is not available. A time out says nothing: a frozen engine is not a
+// crashed one.
+func (backend *Backend) alive() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	request, err := sling.New().Base(backend.address).Get("/control/load").Request()
 	if err != nil {
 		return true
 	}
-	connection, err := net.DialTimeout("tcp", address.Host, crashProbeTimeout)
+	response, err := backend.client.Do(request.WithContext(ctx))
 	if err != nil {
 		return !errors.Is(err, syscall.ECONNREFUSED)
 	}
-	_ = connection.Close()
-	return true
+	_ = response.Body.Close()
+	return response.StatusCode != http.StatusServiceUnavailable
 }
