Name log fields alike, drain no shorter than callers keep their list

Change: one field name, cell:wait for over, age 0 if unknown, the event host_reconnected, and a drain of at least the time to live. Measured: go test ./core/event ./docs ./cmds ./io/... passes.

--- a/core/event/entry.go
+++ b/core/event/entry.go
@@ -12,7 +12,7 @@
 		HostReloaded(),
 		ReloadFailed(),
 		HostAborted(),
-		HostIsolated(),
+		HostIsolated(), HostReconnected(),
 		RequestReceived(),
 		RequestDone(),
 		RequestRefused(),
@@ -65,6 +65,12 @@
 	return Event{1006, "host_isolated", logrus.ErrorLevel, "daemon", "The host reaches neither peers nor the key-value service and takes no new work."}
 }
 
+// HostReconnected reports that the host reaches a peer or the key-value service
+// again and takes work.
+func HostReconnected() Event {
+	return Event{1007, "host_reconnected", logrus.InfoLevel, "daemon", "The host reaches a peer or the key-value service again and takes work."}
+}
+
 // RequestReceived reports that a caller's request passed its checks.
 func RequestReceived() Event {
 	return Event{1100, "request_received", logrus.DebugLevel, "entry", "A caller's request passed its checks."}
--- a/io/daemon/cells.go
+++ b/io/daemon/cells.go
@@ -124,5 +124,8 @@
 	loads.mutex.Lock()
 	defer loads.mutex.Unlock()
 	found, ok := loads.known[name]
-	return found.summary, time.Since(found.heard), ok
+	if !ok {
+		return cell.Summary{}, 0, false
+	}
+	return found.summary, time.Since(found.heard), true
 }
--- a/io/daemon/documents.go
+++ b/io/daemon/documents.go
@@ -118,7 +118,11 @@
 		if now != isolated {
 			isolated = now
 			daemon.directory.taking.Store(!now)
-			daemon.logger.Log(event.HostIsolated(), logrus.Fields{"isolated": now})
+			if now {
+				daemon.logger.Log(event.HostIsolated(), logrus.Fields{})
+			} else {
+				daemon.logger.Log(event.HostReconnected(), logrus.Fields{})
+			}
 		}
 	}
 }
--- a/io/daemon/drain.go
+++ b/io/daemon/drain.go
@@ -23,9 +23,9 @@
     those that other hosts sent it included.
 */
 func (daemon *Daemon) drain(ctx context.Context, signals Signals, servers []*http.Server) error {
-	daemon.logger.Log(event.HostDraining(), logrus.Fields{"drain_ms": daemon.settings.Limits.DrainMs})
+	daemon.logger.Log(event.HostDraining(), logrus.Fields{"drain_ms": daemon.drainTime().Milliseconds()})
 	daemon.members.Leave()
-	quiet := time.NewTimer(time.Duration(daemon.settings.Limits.DrainMs) * time.Millisecond)
+	quiet := time.NewTimer(daemon.drainTime())
 	defer quiet.Stop()
 	select {
 	case <-quiet.C:
@@ -50,6 +50,13 @@
 	}
 }
 
+// drainTime is how long a leaving host accepts calls: the time of its settings,
+// and no less than callers may keep the list of hosts that names it.
+func (daemon *Daemon) drainTime() time.Duration {
+	_, ttl := daemon.Entries()
+	return max(ttl, time.Duration(daemon.settings.Limits.DrainMs)*time.Millisecond)
+}
+
 // shut stops accepting and waits for the requests in flight.
 func (daemon *Daemon) shut(servers []*http.Server) {
 	var group sync.WaitGroup
--- a/io/daemon/forward.go
+++ b/io/daemon/forward.go
@@ -97,7 +97,7 @@
 	}
 	request := message.request()
 	daemon.logger.Log(event.ForwardReceived(), logrus.Fields{
-		"request": request.ID, "cell": message.Cell, "hops": message.Hops, "peer": stream.Peer(),
+		"request_id": request.ID, "cell": message.Cell, "hops": message.Hops, "peer": stream.Peer(),
 	})
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
--- a/io/daemon/router.go
+++ b/io/daemon/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -57,7 +58,7 @@
 	for range maximumTries {
 		decision, err := passage.choose(ctx)
 		if err != nil {
-			daemon.logger.Log(event.RouteNone(), logrus.Fields{"request": request.ID, "model": request.Model, "error": err.Error()})
+			daemon.logger.Log(event.RouteNone(), logrus.Fields{"request_id": request.ID, "model": request.Model, "error": err.Error()})
 			return passage.total, passage.exhausted(last, err)
 		}
 		last = passage.send(ctx, decision)
@@ -65,7 +66,7 @@
 			return passage.total, passage.settle(last)
 		}
 		daemon.logger.Log(event.RouteFailed(), logrus.Fields{
-			"request": request.ID, "cell": decision.Chosen.Cell, "owner": decision.Chosen.Owner.Name,
+			"request_id": request.ID, "cell": decision.Chosen.Cell, "owner": decision.Chosen.Owner.Name,
 			"tokens": passage.tokens, "error": last.Error(),
 		})
 	}
@@ -189,14 +190,23 @@
 		chosen = decision.Chosen
 	}
 	daemon.logger.Log(event.RouteChosen(), logrus.Fields{
-		"request": passage.request.ID, "tier": passage.request.Tier, "cell": chosen.Cell, "owner": chosen.Owner.Name,
-		"over": decision.Over, "reason": decision.Reason, "wait_ms": decision.Wait.Milliseconds(), "summary_age_ms": chosen.Age.Milliseconds(),
+		"request_id": passage.request.ID, "tier": passage.request.Tier, "cell": chosen.Cell, "owner": chosen.Owner.Name,
+		"over": over(decision), "reason": decision.Reason, "wait_ms": decision.Wait.Milliseconds(), "summary_age_ms": chosen.Age.Milliseconds(),
 		"resume_tokens": passage.tokens,
 	})
 	daemon.meter.Count("route_decisions", "reason", string(decision.Reason), 1)
 	return decision, nil
 }
 
+// over describes the cells that the chosen one was compared with.
+func over(decision route.Decision) string {
+	described := make([]string, 0, len(decision.Over))
+	for _, other := range decision.Over {
+		described = append(described, fmt.Sprintf("%s:%dms", other.Cell, other.Wait.Milliseconds()))
+	}
+	return strings.Join(described, " ")
+}
+
 // candidates lists the cells of the request's model with what is known of each.
 func (passage *passage) candidates() []route.Candidate {
 	daemon := passage.daemon
--- a/io/demo/document.go
+++ b/io/demo/document.go
@@ -63,6 +63,7 @@
 			Name: ServiceArchive, Class: ClassEntry, URLs: []string{archive},
 			RepeatableMethods: []string{"GET", "HEAD"}, TimeoutMs: 5_000,
 		}},
+		Limits:    spec.Limits{EntryTTLSecond: 1},
 		Operators: []spec.Operator{{Name: "demo", Keys: []spec.Key{{Name: "demo", SHA256: hash(OperatorKey)}}}},
 	}
 }
--- a/io/entry/generate.go
+++ b/io/entry/generate.go
@@ -33,7 +33,7 @@
 	defer permit.Release()
 	defer func() { permit.Debit(answer.tokens) }()
 	entry.options.Logger.Log(event.RequestReceived(), logrus.Fields{
-		"request": parsed.request.ID, "workspace": parsed.workspace.Name, "class": parsed.class.Name,
+		"request_id": parsed.request.ID, "workspace": parsed.workspace.Name, "class": parsed.class.Name,
 		"model": parsed.request.Model, "prompt_tokens": parsed.request.PromptTokens, "stream": parsed.stream,
 	})
 	ctx, cancel := context.WithDeadline(request.Context(), parsed.request.Deadline)
@@ -100,7 +100,7 @@
 	}
 	entry.options.Meter.Answered(measured)
 	logged := logrus.Fields{
-		"request": parsed.request.ID, "workspace": parsed.workspace.Name, "class": parsed.class.Name,
+		"request_id": parsed.request.ID, "workspace": parsed.workspace.Name, "class": parsed.class.Name,
 		"model": parsed.request.Model, "status": status, "run": outcome.Run, "server": outcome.Server,
 		"attempts": outcome.Attempts, "tokens": answer.tokens, "wasted": outcome.Wasted,
 		"first_token_ms": first.Milliseconds(), "between_tokens_ms": answer.gap().Milliseconds(),
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -193,7 +193,7 @@
 		FirstToken: time.Since(visit.arrived),
 	})
 	logged := logrus.Fields{
-		"request": visit.id, "workspace": visit.workspace.Name, "class": visit.class.Name,
+		"request_id": visit.id, "workspace": visit.workspace.Name, "class": visit.class.Name,
 		"service": visit.service.Name, "status": status, "run": ran, "attempts": answer.Tries,
 	}
 	if err != nil {
@@ -208,7 +208,7 @@
 		reason = "earlier_address_failed"
 	}
 	fields := logrus.Fields{
-		"request": visit.id, "service": visit.service.Name, "chosen": answer.URL,
+		"request_id": visit.id, "service": visit.service.Name, "chosen": answer.URL,
 		"over": visit.service.URLs, "reason": reason, "tries": answer.Tries,
 	}
 	if err != nil {
