Use plain names for the routing of a request and the cache of documents

Cause: the read-through: passage, visit, shelf, rouse and grip are not terms of the field. Change: routing, serviceCall, cache, notify and holding. Measured: go test of the packages passes; behaviour is unchanged.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -66,13 +66,13 @@
 	options Options
 	token   string
 	mutex   sync.Mutex
-	grip    grip
+	holding holding
 	// held is closed when the lease is gained, and replaced when it is lost.
 	held chan struct{}
 }
 
-// grip is a hold on the lease.
-type grip struct {
+// holding is a hold on the lease.
+type holding struct {
 	lease int64
 	fence int64
 	// until is the time up to which the lease is safe, measured from before the
@@ -131,11 +131,11 @@
 func (lease *Lease) Current() (int64, time.Duration) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
-	remaining := left(lease.grip.until, time.Now())
-	if lease.grip.fence == 0 || remaining <= 0 {
+	remaining := left(lease.holding.until, time.Now())
+	if lease.holding.fence == 0 || remaining <= 0 {
 		return 0, 0
 	}
-	return lease.grip.fence, remaining
+	return lease.holding.fence, remaining
 }
 
 // left returns the time until an instant by the monotonic clock or the wall
@@ -186,7 +186,7 @@
 		lease.revoke(granted)
 		return false
 	}
-	lease.gain(grip{lease: granted, fence: fence, until: lease.safe(sent, lease.options.TTL)})
+	lease.gain(holding{lease: granted, fence: fence, until: lease.safe(sent, lease.options.TTL)})
 	return true
 }
 
@@ -256,24 +256,24 @@
 func (lease *Lease) granted() int64 {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
-	return lease.grip.lease
+	return lease.holding.lease
 }
 
 // gain records that the lease is held.
-func (lease *Lease) gain(grip grip) {
+func (lease *Lease) gain(holding holding) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
-	lease.grip = grip
+	lease.holding = holding
 	close(lease.held)
-	lease.log(event.LeaseHeld(), logrus.Fields{"fence": grip.fence})
+	lease.log(event.LeaseHeld(), logrus.Fields{"fence": holding.fence})
 }
 
 // extend moves the safe time on.
 func (lease *Lease) extend(granted int64, until time.Time) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
-	if lease.grip.lease == granted {
-		lease.grip.until = until
+	if lease.holding.lease == granted {
+		lease.holding.until = until
 	}
 }
 
@@ -289,12 +289,12 @@
 	lease.revoke(lost.lease)
 }
 
-// drop clears the grip and returns what it was.
-func (lease *Lease) drop() grip {
+// drop clears the holding and returns what it was.
+func (lease *Lease) drop() holding {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
-	lost := lease.grip
-	lease.grip = grip{}
+	lost := lease.holding
+	lease.holding = holding{}
 	if lost.lease != 0 {
 		lease.held = make(chan struct{})
 	}
--- a/core/spread/shelf.go
+++ b/core/spread/cache.go
@@ -15,9 +15,9 @@
 	"primrosegw/core/host"
 )
 
-// find returns a packed document, nil if it is not on the shelf.
+// find returns a packed document, nil if it is not in the cache.
 func (spread *Spread) find(digest string) []byte {
-	for _, page := range spread.shelf {
+	for _, page := range spread.cache {
 		if page.digest == digest && digest != "" {
 			return page.packed
 		}
@@ -25,8 +25,8 @@
 	return nil
 }
 
-// shelve puts a document from the service on the shelf.
-func (spread *Spread) shelve(digest string, document []byte) {
+// store puts a document from the service in the cache.
+func (spread *Spread) store(digest string, document []byte) {
 	if spread.Holds(digest) {
 		return
 	}
@@ -36,7 +36,7 @@
 	spread.place(digest, packed)
 }
 
-// keep puts a packed document from a peer on the shelf if it matches its
+// keep puts a packed document from a peer in the cache if it matches its
 // digest, and returns it unpacked; nil if it doesn't match or is there already.
 func (spread *Spread) keep(digest string, packed []byte) []byte {
 	if digest == "" || spread.Holds(digest) {
@@ -53,17 +53,17 @@
 	return document
 }
 
-// place puts a page on the shelf and drops the oldest one beyond the limit,
+// place puts a page in the cache and drops the oldest one beyond the limit,
 // but not the one in force.
 func (spread *Spread) place(digest string, packed []byte) {
-	spread.shelf = slices.DeleteFunc(spread.shelf, func(page page) bool { return page.digest == digest })
-	spread.shelf = append(spread.shelf, page{digest, packed})
-	for i := 0; len(spread.shelf) > shelfLimit; {
-		if spread.shelf[i].digest == spread.current.Production.Digest {
+	spread.cache = slices.DeleteFunc(spread.cache, func(page page) bool { return page.digest == digest })
+	spread.cache = append(spread.cache, page{digest, packed})
+	for i := 0; len(spread.cache) > cacheLimit; {
+		if spread.cache[i].digest == spread.current.Production.Digest {
 			i++
 			continue
 		}
-		spread.shelf = slices.Delete(spread.shelf, i, i+1)
+		spread.cache = slices.Delete(spread.cache, i, i+1)
 	}
 }
 
@@ -78,7 +78,7 @@
 	} else {
 		spread.pending.due = now
 	}
-	spread.rouse()
+	spread.notify()
 }
 
 // pack compresses a document.
--- a/core/spread/confirm.go
+++ b/core/spread/confirm.go
@@ -26,7 +26,7 @@
 	if generation != spread.asking || !now.Before(spread.askUntil) {
 		spread.asking, spread.askNext = generation, now
 		clear(spread.asked)
-		spread.rouse()
+		spread.notify()
 	}
 	spread.askUntil = now.Add(askFor)
 	return confirmed, waiting
--- a/core/spread/options.go
+++ b/core/spread/options.go
@@ -60,9 +60,9 @@
 	// unpackedLimit bounds a received document, in bytes; it is the largest
 	// value of the key-value service.
 	unpackedLimit = 1 << 20
-	// shelfLimit is the number of documents kept, so that a recall that falls
+	// cacheLimit is the number of documents kept, so that a recall that falls
 	// back finds the document at hand.
-	shelfLimit = 4
+	cacheLimit = 4
 	// isolationBound is the time without a word from any peer or the service
 	// after which a host is cut off.
 	isolationBound = 60 * time.Second
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -38,8 +38,8 @@
 	// local is the number of live hosts in the own failure domain when current
 	// was applied.
 	local int
-	// shelf are the latest documents, the one in force last.
-	shelf []page
+	// cache are the latest documents, the one in force last.
+	cache []page
 	// seen is what other hosts last told of themselves, by name.
 	seen map[string]sight
 	// repairs are the repairs that wait for their delay, by name.
@@ -55,7 +55,7 @@
 	wake                chan struct{}
 }
 
-// page is a document on the shelf.
+// page is a document in the cache.
 type page struct {
 	digest string
 	packed []byte
@@ -201,7 +201,7 @@
 func (spread *Spread) Advance(next heads.Heads, document []byte) {
 	spread.Reached()
 	if document != nil && heads.Digest(document) == next.Production.Digest {
-		spread.shelve(next.Production.Digest, document)
+		spread.store(next.Production.Digest, document)
 	} else {
 		document = nil
 	}
@@ -251,7 +251,7 @@
 		return
 	}
 	spread.repairs[name] = repair{due: now.Add(spread.delay()), tries: planned.tries}
-	spread.rouse()
+	spread.notify()
 }
 
 // delay returns the delay before a repair. The first relay repairs at once.
@@ -373,8 +373,8 @@
 	maps.DeleteFunc(spread.repairs, func(name string, _ repair) bool { return !known[name] })
 }
 
-// rouse makes Run look at its timers.
-func (spread *Spread) rouse() {
+// notify makes Run look at its timers.
+func (spread *Spread) notify() {
 	select {
 	case spread.wake <- struct{}{}:
 	default:
--- a/io/daemon/router.go
+++ b/io/daemon/router.go
@@ -24,8 +24,8 @@
 	probeTimeout = 50 * time.Millisecond
 )
 
-// passage follows one request through the cells it is sent to.
-type passage struct {
+// routing follows one request through the cells it is sent to.
+type routing struct {
 	daemon  *Daemon
 	request cell.Request
 	emit    func(cell.Chunk) error
@@ -51,148 +51,148 @@
   - Anything else ends the request.
 */
 func (daemon *Daemon) Generate(ctx context.Context, request cell.Request, emit func(cell.Chunk) error) (cell.Outcome, error) {
-	passage := &passage{daemon: daemon, request: request, emit: emit, tried: make(map[string]bool)}
-	passage.total.Run = cell.NotRun
+	routing := &routing{daemon: daemon, request: request, emit: emit, tried: make(map[string]bool)}
+	routing.total.Run = cell.NotRun
 	daemon.recent.add(request)
 	var last error
 	for range maximumTries {
-		decision, err := passage.choose(ctx)
+		decision, err := routing.choose(ctx)
 		if err != nil {
 			daemon.logger.Log(event.RouteNone(), logrus.Fields{"request_id": request.ID, "model": request.Model, "error": err.Error()})
-			return passage.total, passage.exhausted(last, err)
+			return routing.total, routing.exhausted(last, err)
 		}
-		last = passage.send(ctx, decision)
-		if last == nil || !passage.again(ctx, last) {
-			return passage.total, passage.settle(last)
+		last = routing.send(ctx, decision)
+		if last == nil || !routing.again(ctx, last) {
+			return routing.total, routing.settle(last)
 		}
 		daemon.logger.Log(event.RouteFailed(), logrus.Fields{
 			"request_id": request.ID, "cell": decision.Chosen.Cell, "owner": decision.Chosen.Owner.Name,
-			"tokens": passage.tokens, "error": last.Error(),
+			"tokens": routing.tokens, "error": last.Error(),
 		})
 	}
-	return passage.total, passage.settle(last)
+	return routing.total, routing.settle(last)
 }
 
 // send runs the request at the chosen cell.
-func (passage *passage) send(ctx context.Context, decision route.Decision) error {
-	daemon := passage.daemon
+func (routing *routing) send(ctx context.Context, decision route.Decision) error {
+	daemon := routing.daemon
 	chosen := decision.Chosen
-	request := passage.request
-	request.ResumeTokens = passage.tokens
-	request.ResumeText = passage.text.String()
-	passage.tried[tryKey(chosen)] = true
+	request := routing.request
+	request.ResumeTokens = routing.tokens
+	request.ResumeText = routing.text.String()
+	routing.tried[tryKey(chosen)] = true
 	var outcome cell.Outcome
 	var err error
 	if chosen.Owner.Name == daemon.self.Name {
-		outcome, err = daemon.serveHere(ctx, chosen.Cell, route.MaximumHops, request, passage.take)
+		outcome, err = daemon.serveHere(ctx, chosen.Cell, route.MaximumHops, request, routing.take)
 	} else {
-		outcome, err = daemon.forward(ctx, chosen.Owner, prepare(chosen.Cell, 1, request), passage.take)
+		outcome, err = daemon.forward(ctx, chosen.Owner, prepare(chosen.Cell, 1, request), routing.take)
 	}
-	passage.add(outcome)
-	if passage.tokens > 0 {
-		daemon.affinity.store(chosen.Cell, passage.request.Prefixes)
+	routing.add(outcome)
+	if routing.tokens > 0 {
+		daemon.affinity.store(chosen.Cell, routing.request.Prefixes)
 	}
 	return err
 }
 
 // take hands a chunk to the caller. The caller gets each token once and in
 // order: a piece that it has already is dropped, and a gap ends the try.
-func (passage *passage) take(chunk cell.Chunk) error {
-	if chunk.Offset < passage.tokens {
+func (routing *routing) take(chunk cell.Chunk) error {
+	if chunk.Offset < routing.tokens {
 		return nil
 	}
-	if chunk.Offset > passage.tokens {
+	if chunk.Offset > routing.tokens {
 		return fault.New("daemon.take", cell.Broken, "the stream has a gap")
 	}
-	passage.tokens += chunk.Tokens
-	passage.text.WriteString(chunk.Text)
-	return passage.emit(chunk)
+	routing.tokens += chunk.Tokens
+	routing.text.WriteString(chunk.Text)
+	return routing.emit(chunk)
 }
 
 // add sums up the outcomes of the tries.
-func (passage *passage) add(outcome cell.Outcome) {
-	passage.total.Attempts += outcome.Attempts
-	passage.total.Wasted += outcome.Wasted
-	passage.total.Tokens = passage.tokens
-	passage.total.RetryAfter = outcome.RetryAfter
+func (routing *routing) add(outcome cell.Outcome) {
+	routing.total.Attempts += outcome.Attempts
+	routing.total.Wasted += outcome.Wasted
+	routing.total.Tokens = routing.tokens
+	routing.total.RetryAfter = outcome.RetryAfter
 	if outcome.Server != "" {
-		passage.total.Server = outcome.Server
+		routing.total.Server = outcome.Server
 	}
 	if outcome.Finish != "" {
-		passage.total.Finish = outcome.Finish
+		routing.total.Finish = outcome.Finish
 	}
-	if outcome.Run != cell.NotRun && passage.total.Run != cell.Ran {
-		passage.total.Run = outcome.Run
+	if outcome.Run != cell.NotRun && routing.total.Run != cell.Ran {
+		routing.total.Run = outcome.Run
 	}
 }
 
 // again reports whether the request may go to another cell or owner.
-func (passage *passage) again(ctx context.Context, err error) bool {
+func (routing *routing) again(ctx context.Context, err error) bool {
 	if ctx.Err() != nil {
 		return false
 	}
 	var failed *lost
 	if errors.As(err, &failed) {
-		return !failed.delivered || passage.request.Idempotent
+		return !failed.delivered || routing.request.Idempotent
 	}
 	switch kindOf(err) {
 	case cell.Shed:
 		// What was known of the cell was too old. Another one is tried once;
 		// under overload of all cells more tries would only add work.
-		passage.sheds++
-		return passage.total.Run == cell.NotRun && passage.sheds <= 1
+		routing.sheds++
+		return routing.total.Run == cell.NotRun && routing.sheds <= 1
 	case cell.Closed, cell.Refused:
-		return passage.total.Run == cell.NotRun || passage.request.Idempotent
+		return routing.total.Run == cell.NotRun || routing.request.Idempotent
 	case cell.Broken, cell.Crashed, cell.Stalled:
-		return passage.request.Idempotent
+		return routing.request.Idempotent
 	default:
 		return false
 	}
 }
 
 // settle turns the last try's error into the caller's.
-func (passage *passage) settle(err error) error {
+func (routing *routing) settle(err error) error {
 	var failed *lost
 	if !errors.As(err, &failed) {
 		return err
 	}
-	if !failed.delivered && passage.total.Run == cell.NotRun {
+	if !failed.delivered && routing.total.Run == cell.NotRun {
 		return fault.Wrap("daemon.generate", cell.Refused, err)
 	}
-	passage.total.Run = cell.RunUnknown
+	routing.total.Run = cell.RunUnknown
 	return fault.Wrap("daemon.generate", cell.Unknown, err)
 }
 
 // exhausted is the error when no cell is left to try: the last try's, if there
 // was one, as it tells more.
-func (passage *passage) exhausted(last, none error) error {
+func (routing *routing) exhausted(last, none error) error {
 	if last != nil {
-		return passage.settle(last)
+		return routing.settle(last)
 	}
 	return fault.Wrap("daemon.generate", cell.Refused, none)
 }
 
 // choose picks the next cell and logs the decision.
-func (passage *passage) choose(ctx context.Context) (route.Decision, error) {
-	daemon := passage.daemon
-	candidates := passage.candidates()
-	decision, err := daemon.pick(passage.request, candidates)
+func (routing *routing) choose(ctx context.Context) (route.Decision, error) {
+	daemon := routing.daemon
+	candidates := routing.candidates()
+	decision, err := daemon.pick(routing.request, candidates)
 	if err != nil {
 		return route.Decision{}, err
 	}
 	chosen := decision.Chosen
 	if decision.Probe {
 		daemon.probe(ctx, candidates)
-		decision, err = daemon.pick(passage.request, passage.candidates())
+		decision, err = daemon.pick(routing.request, routing.candidates())
 		if err != nil {
 			return route.Decision{}, err
 		}
 		chosen = decision.Chosen
 	}
 	daemon.logger.Log(event.RouteChosen(), logrus.Fields{
-		"request_id": passage.request.ID, "tier": passage.request.Tier, "cell": chosen.Cell, "owner": chosen.Owner.Name,
+		"request_id": routing.request.ID, "tier": routing.request.Tier, "cell": chosen.Cell, "owner": chosen.Owner.Name,
 		"over": over(decision), "reason": decision.Reason, "wait_ms": decision.Wait.Milliseconds(), "summary_age_ms": chosen.Age.Milliseconds(),
-		"resume_tokens": passage.tokens,
+		"resume_tokens": routing.tokens,
 	})
 	daemon.meter.Count("route_decisions", "reason", string(decision.Reason), 1)
 	return decision, nil
@@ -208,11 +208,11 @@
 }
 
 // candidates lists the cells of the request's model with what is known of each.
-func (passage *passage) candidates() []route.Candidate {
-	daemon := passage.daemon
+func (routing *routing) candidates() []route.Candidate {
+	daemon := routing.daemon
 	view := daemon.directory.current.Load()
-	pool, _ := view.Pool(passage.request.Model)
-	matches := daemon.affinity.match(passage.request.Prefixes)
+	pool, _ := view.Pool(routing.request.Model)
+	matches := daemon.affinity.match(routing.request.Prefixes)
 	var candidates []route.Candidate
 	for _, plan := range view.cells {
 		if plan.Pool.Name != pool.Name {
@@ -221,14 +221,14 @@
 		candidate := route.Candidate{Cell: plan.Name, FailureDomain: plan.FailureDomain}
 		for _, owner := range host.Rank(plan.Name, daemon.ownersOf(plan)) {
 			candidate.Owner = owner
-			if !passage.tried[tryKey(candidate)] {
+			if !routing.tried[tryKey(candidate)] {
 				break
 			}
 		}
 		if candidate.Owner.Name == "" {
 			continue
 		}
-		candidate.Failed = passage.tried[tryKey(candidate)]
+		candidate.Failed = routing.tried[tryKey(candidate)]
 		daemon.know(&candidate)
 		candidate.PrefixMatch = matches[plan.Name]
 		candidates = append(candidates, candidate)
--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -26,8 +26,8 @@
 	Do(ctx context.Context, target spec.Service, call plain.Call) (plain.Answer, error)
 }
 
-// visit is one call of a plain service after its checks.
-type visit struct {
+// serviceCall is one call of a plain service after its checks.
+type serviceCall struct {
 	id          string
 	workspace   spec.Workspace
 	class       spec.Class
@@ -39,40 +39,40 @@
 
 // serveService forwards a call to a plain service by its path.
 func (entry *Entry) serveService(writer http.ResponseWriter, request *http.Request) {
-	visit, found := entry.parseService(writer, request)
+	serviceCall, found := entry.parseService(writer, request)
 	if found != nil {
 		entry.refuse(writer, request, *found)
 		return
 	}
-	writer.Header().Set(HeaderRequestID, visit.id)
-	permit, err := entry.options.Limiter.Acquire(visit.workspace.Name)
+	writer.Header().Set(HeaderRequestID, serviceCall.id)
+	permit, err := entry.options.Limiter.Acquire(serviceCall.workspace.Name)
 	if err != nil {
 		entry.refuse(writer, request, limited(err))
 		return
 	}
 	defer permit.Release()
-	deadline := visit.arrived.Add(time.Duration(visit.class.DeadlineMs) * time.Millisecond)
+	deadline := serviceCall.arrived.Add(time.Duration(serviceCall.class.DeadlineMs) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(request.Context(), deadline)
 	defer cancel()
-	entry.visit(ctx, writer, visit)
+	entry.runService(ctx, writer, serviceCall)
 }
 
 // parseService checks a call of a plain service.
-func (entry *Entry) parseService(writer http.ResponseWriter, request *http.Request) (visit, *problem) {
+func (entry *Entry) parseService(writer http.ResponseWriter, request *http.Request) (serviceCall, *problem) {
 	workspace, found := entry.authenticate(request)
 	if found != nil {
-		return visit{}, found
+		return serviceCall{}, found
 	}
 	service, ok := entry.options.Directory.Service(request.PathValue("name"))
 	if !ok {
-		return visit{}, &problem{
+		return serviceCall{}, &problem{
 			status: http.StatusNotFound, kind: "service_not_found", param: "name", run: cell.NotRun,
 			message: "found " + request.PathValue("name") + ", which the document does not declare",
 		}
 	}
 	class, ok := entry.options.Directory.Class(service.Class)
 	if !ok || !slices.Contains(workspace.Classes, service.Class) {
-		return visit{}, &problem{
+		return serviceCall{}, &problem{
 			status: http.StatusForbidden, kind: "permission_error", param: "name", run: cell.NotRun,
 			message: "the workspace has no access to class " + service.Class,
 		}
@@ -80,19 +80,19 @@
 	key := request.Header.Get(HeaderIdempotency)
 	repeatable := slices.Contains(service.RepeatableMethods, request.Method)
 	if found := checkIdempotency(key, repeatable); found != nil {
-		return visit{}, found
+		return serviceCall{}, found
 	}
 	id, found := requestID(request)
 	if found != nil {
-		return visit{}, found
+		return serviceCall{}, found
 	}
 	body, found := entry.readBody(writer, request)
 	if found != nil {
-		return visit{}, found
+		return serviceCall{}, found
 	}
 	header := request.Header.Clone()
 	header.Set(HeaderRequestID, id)
-	return visit{
+	return serviceCall{
 		id: id, workspace: workspace, class: class, service: service, idempotency: key, arrived: time.Now(),
 		call: plain.Call{
 			Method: request.Method, Path: servicePath(request.PathValue("path")),
@@ -108,14 +108,14 @@
 	return (&url.URL{Path: cleaned}).EscapedPath()
 }
 
-// visit runs a call of a plain service, once at most if it has an idempotency
+// runService runs a call of a plain service, once at most if it has an idempotency
 // key and its method may not be repeated.
-func (entry *Entry) visit(ctx context.Context, writer http.ResponseWriter, visit visit) {
+func (entry *Entry) runService(ctx context.Context, writer http.ResponseWriter, serviceCall serviceCall) {
 	var answer plain.Answer
 	run := func(ctx context.Context) (ledger.Outcome, cell.Run, error) {
 		var err error
-		answer, err = entry.options.Services.Do(ctx, visit.service, visit.call)
-		entry.logService(visit, answer, err)
+		answer, err = entry.options.Services.Do(ctx, serviceCall.service, serviceCall.call)
+		entry.logService(serviceCall, answer, err)
 		return recordedService(answer), ranService(err), err
 	}
 	replay := func(outcome ledger.Outcome) error {
@@ -131,25 +131,25 @@
 	}
 	var ran cell.Run
 	var err error
-	if visit.idempotency == "" || slices.Contains(visit.service.RepeatableMethods, visit.call.Method) {
+	if serviceCall.idempotency == "" || slices.Contains(serviceCall.service.RepeatableMethods, serviceCall.call.Method) {
 		_, ran, err = run(ctx)
 	} else {
-		ran, err = entry.once(ctx, visit.key(), run, replay)
+		ran, err = entry.once(ctx, serviceCall.key(), run, replay)
 	}
-	entry.answerService(writer, visit, answer, ran, err)
+	entry.answerService(writer, serviceCall, answer, ran, err)
 }
 
 // key names a call in the ledger. The path and the method belong to it, so that
 // a key used for another call is found out.
-func (visit visit) key() ledger.Key {
+func (serviceCall serviceCall) key() ledger.Key {
 	digest := sha256.New()
-	for _, part := range []string{visit.service.Name, visit.call.Method, visit.call.Path, visit.call.Query} {
+	for _, part := range []string{serviceCall.service.Name, serviceCall.call.Method, serviceCall.call.Path, serviceCall.call.Query} {
 		_, _ = digest.Write([]byte(part))
 		_, _ = digest.Write([]byte{0})
 	}
-	_, _ = digest.Write(visit.call.Body)
+	_, _ = digest.Write(serviceCall.call.Body)
 	return ledger.Key{
-		Workspace: visit.workspace.Name, Idempotency: visit.idempotency, BodyHash: [32]byte(digest.Sum(nil)),
+		Workspace: serviceCall.workspace.Name, Idempotency: serviceCall.idempotency, BodyHash: [32]byte(digest.Sum(nil)),
 	}
 }
 
@@ -173,7 +173,7 @@
 	}
 }
 
-func (entry *Entry) answerService(writer http.ResponseWriter, visit visit, answer plain.Answer, ran cell.Run, err error) {
+func (entry *Entry) answerService(writer http.ResponseWriter, serviceCall serviceCall, answer plain.Answer, ran cell.Run, err error) {
 	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(entry.options.Limits.WriteTimeout))
 	status := answer.Status
 	if err != nil {
@@ -184,17 +184,17 @@
 		for name, values := range answer.Header {
 			writer.Header()[name] = values
 		}
-		writer.Header().Set(HeaderRequestID, visit.id)
+		writer.Header().Set(HeaderRequestID, serviceCall.id)
 		writer.WriteHeader(answer.Status)
 		_, _ = writer.Write(answer.Body)
 	}
 	entry.options.Meter.Answered(meter.Answer{
-		Class: visit.class.Name, Status: status, Run: string(ran), Attempts: answer.Tries,
-		FirstToken: time.Since(visit.arrived),
+		Class: serviceCall.class.Name, Status: status, Run: string(ran), Attempts: answer.Tries,
+		FirstToken: time.Since(serviceCall.arrived),
 	})
 	logged := logrus.Fields{
-		"request_id": visit.id, "workspace": visit.workspace.Name, "class": visit.class.Name,
-		"service": visit.service.Name, "status": status, "run": ran, "attempts": answer.Tries,
+		"request_id": serviceCall.id, "workspace": serviceCall.workspace.Name, "class": serviceCall.class.Name,
+		"service": serviceCall.service.Name, "status": status, "run": ran, "attempts": answer.Tries,
 	}
 	if err != nil {
 		logged["error"] = err.Error()
@@ -202,14 +202,14 @@
 	entry.options.Logger.Log(event.RequestDone(), logged)
 }
 
-func (entry *Entry) logService(visit visit, answer plain.Answer, err error) {
+func (entry *Entry) logService(serviceCall serviceCall, answer plain.Answer, err error) {
 	reason := "next_in_turn"
 	if answer.Tries > 1 {
 		reason = "earlier_address_failed"
 	}
 	fields := logrus.Fields{
-		"request_id": visit.id, "service": visit.service.Name, "chosen": answer.URL,
-		"over": visit.service.URLs, "reason": reason, "tries": answer.Tries,
+		"request_id": serviceCall.id, "service": serviceCall.service.Name, "chosen": answer.URL,
+		"over": serviceCall.service.URLs, "reason": reason, "tries": answer.Tries,
 	}
 	if err != nil {
 		fields["error"] = err.Error()
