Use the field's terms in the membership and the spread

Cause: the read-through: bury, sight and patience. Change: declareDead, observation and repairTimeout. Measured: go test ./core/member ./core/spread passes; behaviour is unchanged.

--- a/core/member/record.go
+++ b/core/member/record.go
@@ -168,7 +168,7 @@
 			member.suspect(known, delta.By, now)
 			return
 		}
-		member.bury(known, now)
+		member.declareDead(known, now)
 		return
 	}
 	if rank(delta.State) > rank(known.host.State) && delta.State == host.Leaving {
@@ -228,8 +228,8 @@
 	}
 }
 
-// bury takes a host for dead and leaves a tombstone.
-func (member *Member) bury(known *record, now time.Time) {
+// declareDead takes a host for dead and leaves a tombstone.
+func (member *Member) declareDead(known *record, now time.Time) {
 	known.host.State = host.Dead
 	known.changed = now
 	known.suspected = time.Time{}
@@ -252,7 +252,7 @@
 		}
 		switch {
 		case now.Sub(known.suspected) >= member.suspicionTime(known):
-			member.bury(known, now)
+			member.declareDead(known, now)
 		case now.Sub(known.reminded) >= remindPeriod:
 			member.remind(known, known.firstAccuser(), now)
 		}
--- a/core/spread/confirm.go
+++ b/core/spread/confirm.go
@@ -52,8 +52,8 @@
 	if other.Name == spread.options.Self().Name {
 		return spread.current.Generation >= generation
 	}
-	sight, found := spread.seen[other.Name]
-	return found && sight.host.Incarnation == other.Incarnation && sight.generation >= generation
+	observation, found := spread.seen[other.Name]
+	return found && observation.host.Incarnation == other.Incarnation && observation.generation >= generation
 }
 
 // sendAsks asks some of the hosts that have not confirmed.
@@ -80,8 +80,8 @@
 	spread.mutex.Lock()
 	defer spread.mutex.Unlock()
 	var names []string
-	for name, sight := range spread.seen {
-		if sight.generation < spread.current.Generation {
+	for name, observation := range spread.seen {
+		if observation.generation < spread.current.Generation {
 			names = append(names, name)
 		}
 	}
--- a/core/spread/repair.go
+++ b/core/spread/repair.go
@@ -106,14 +106,14 @@
 			continue
 		}
 		spread.repair(other)
-		spread.repairs[name] = repair{due: now.Add(patience(planned.tries)), tries: planned.tries + 1, sent: true}
+		spread.repairs[name] = repair{due: now.Add(repairTimeout(planned.tries)), tries: planned.tries + 1, sent: true}
 	}
 }
 
-// patience returns the wait for a sign of success after a number of earlier
+// repairTimeout returns the wait for a sign of success after a number of earlier
 // tries. It doubles once losses are no likely cause, so that a host that
 // rejects a generation is not flooded.
-func patience(tries int) time.Duration {
+func repairTimeout(tries int) time.Duration {
 	return min(repairAgain<<max(0, min(tries, 10)-steadyTries), repairAgainMost)
 }
 
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -41,7 +41,7 @@
 	// cache are the latest documents, the one in force last.
 	cache []page
 	// seen is what other hosts last told of themselves, by name.
-	seen map[string]sight
+	seen map[string]observation
 	// repairs are the repairs that wait for their delay, by name.
 	repairs map[string]repair
 	// pending are newer heads whose document is missing here.
@@ -61,8 +61,8 @@
 	packed []byte
 }
 
-// sight is what a host last told of itself.
-type sight struct {
+// observation is what a host last told of itself.
+type observation struct {
 	host       host.Host
 	generation uint64
 }
@@ -100,7 +100,7 @@
 	}
 	now := time.Now()
 	return &Spread{
-		options: options, seen: map[string]sight{}, repairs: map[string]repair{}, asked: map[string]time.Time{},
+		options: options, seen: map[string]observation{}, repairs: map[string]repair{}, asked: map[string]time.Time{},
 		lastPeer: now, lastStore: now, wake: make(chan struct{}, 1),
 	}, nil
 }
@@ -220,7 +220,7 @@
 // observe notes a host's generation and plans or drops its repair.
 func (spread *Spread) observe(from host.Host, generation uint64, now time.Time) {
 	spread.lastPeer = now
-	spread.seen[from.Name] = sight{from, generation}
+	spread.seen[from.Name] = observation{from, generation}
 	if generation >= spread.current.Generation {
 		delete(spread.repairs, from.Name)
 		return
@@ -351,8 +351,8 @@
 		if other.State == host.Dead || other.Name == self.Name {
 			continue
 		}
-		sight := spread.seen[other.Name]
-		ahead := sight.generation >= spread.current.Generation
+		observation := spread.seen[other.Name]
+		ahead := observation.generation >= spread.current.Generation
 		local := other.FailureDomain == self.FailureDomain
 		if ahead || (local && slices.Contains(relays, other.Name)) {
 			spread.send(other, Message{Kind: Receipt})
@@ -369,7 +369,7 @@
 	for _, other := range hosts {
 		known[other.Name] = true
 	}
-	maps.DeleteFunc(spread.seen, func(name string, _ sight) bool { return !known[name] })
+	maps.DeleteFunc(spread.seen, func(name string, _ observation) bool { return !known[name] })
 	maps.DeleteFunc(spread.repairs, func(name string, _ repair) bool { return !known[name] })
 }
 
