--- /dev/null
+++ b/cmds/gateway.go
@@ -0,0 +1,78 @@
+package cmds
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"primrosegw/platform"
+)
+
+type gatewayCommand struct {
+	Settings string `placeholder:"FILE" help:"The platform's settings file; default: the one that the platform names in the environment."`
+	Check    bool   `help:"Check the settings and end."`
+}
+
+// Help implements kong's extended help.
+func (gatewayCommand) Help() string {
+	return `Example:
+
+  primrosegw gateway --settings node.toml --check
+
+SIGTERM makes the host leave: no host names it to callers any more, requests in
+flight end whole, then it ends. SIGHUP reads the settings again.`
+}
+
+// Run serves until the host has left.
+func (command gatewayCommand) Run(ctx context.Context, console console) error {
+	path := command.Settings
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	if command.Check {
+		if _, err := platform.ReadSettings(path); err != nil {
+			return usage{inFile{path, err}}
+		}
+		return nil
+	}
+	gateway, err := platform.New(path, console.out)
+	if err != nil {
+		return usage{inFile{path, err}}
+	}
+	signals, stop := gatewaySignals()
+	defer stop()
+	return gateway.Run(ctx, signals)
+}
+
+// gatewaySignals turns SIGTERM and SIGINT into leaving and SIGHUP into reading
+// the settings again.
+func gatewaySignals() (platform.Signals, func()) {
+	received := make(chan os.Signal, 4)
+	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	leave, reload, done := make(chan struct{}), make(chan struct{}, 1), make(chan struct{})
+	go func() {
+		leaving := false
+		for {
+			select {
+			case <-done:
+				return
+			case caught := <-received:
+				switch {
+				case caught == syscall.SIGHUP:
+					select {
+					case reload <- struct{}{}:
+					default:
+					}
+				case !leaving:
+					leaving = true
+					close(leave)
+				}
+			}
+		}
+	}()
+	return platform.Signals{Leave: leave, Reload: reload}, func() {
+		signal.Stop(received)
+		close(done)
+	}
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -26,7 +26,7 @@
 
 // All lists every event of the catalogue, in the order of the numbers.
 func All() []Event {
-	all := slices.Concat(EntryEvents(), CellEvents(), MemberEvents(), HeadsEvents(), LedgerEvents(), OrderEvents())
+	all := slices.Concat(EntryEvents(), CellEvents(), MemberEvents(), HeadsEvents(), LedgerEvents(), OrderEvents(), GatewayEvents())
 	slices.SortStableFunc(all, func(a, b Event) int { return cmp.Compare(a.Number, b.Number) })
 	return all
 }
--- /dev/null
+++ b/core/pick/pick.go
@@ -0,0 +1,180 @@
+// Package pick chooses the backend server for a request. It decides from what
+// one host knows: its own requests in flight, the servers' answers and a hash
+// that all hosts share.
+package pick
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"primrosegw/core/fleet"
+	"primrosegw/core/work"
+)
+
+// Options configure the choice.
+type Options struct {
+	// FailureDomain is the host's own.
+	FailureDomain string
+	// LongPrompt is the number of prompt tokens from which a request is kept
+	// away from the engines of the short ones.
+	LongPrompt int
+	// ShortShare is the share of the engines that serve short prompts.
+	ShortShare float64
+	// TokensPerMs is the rate at which an engine reads a prompt.
+	TokensPerMs float64
+}
+
+// Weights of the choice, in milliseconds of expected delay.
+const (
+	// runningMs is what one more request in the batch costs.
+	runningMs = 6.0
+	// waitingMs is what one more request in a server's own queue costs.
+	waitingMs = 15.0
+	// remoteMs is what a server of another failure domain costs.
+	remoteMs = 4.0
+	// failureMs is what a server costs whose answers all fail.
+	failureMs = 4000.0
+	// slownessMs is what a server costs that takes twice as long as usual.
+	slownessMs = 60.0
+	// reportLife is the age at which a load report says nothing any more.
+	reportLife = 2 * time.Second
+	// affinityRanks is the number of servers that share a session's cache.
+	affinityRanks = 2
+)
+
+// Choice is the server chosen and why.
+type Choice struct {
+	Member fleet.Member
+	// CostMs is the expected delay that decided.
+	CostMs float64
+	// Over is the number of servers that were weighed.
+	Over int
+	// Preferred: the session's prompt is likely to be cached there.
+	Preferred bool
+}
+
+// Server chooses among the members of one service, leaving out those already
+// tried. It reports false when none can take the request.
+func Server(options Options, request *work.Request, members []fleet.Member, tried map[string]bool, now time.Time) (Choice, bool) {
+	candidates := usable(members, tried, now)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	if request.Route.Prompts {
+		candidates = options.group(request, members, candidates)
+	}
+	preferred := affinity(request, candidates)
+	best := Choice{Over: len(candidates)}
+	for index := range candidates {
+		member := &candidates[index]
+		cost := options.cost(request, member, now)
+		liked := slices.Contains(preferred, member.ID)
+		if liked {
+			cost -= options.cached(request)
+		}
+		if best.Member.ID == "" || cost < best.CostMs {
+			best.Member, best.CostMs, best.Preferred = *member, cost, liked
+		}
+	}
+	return best, true
+}
+
+// usable leaves out servers that were tried or are suspended. When all are
+// suspended, the one whose pause ends first is better than none.
+func usable(members []fleet.Member, tried map[string]bool, now time.Time) []fleet.Member {
+	var candidates, suspended []fleet.Member
+	for _, member := range members {
+		switch {
+		case tried[member.ID]:
+		case member.Suspended(now):
+			suspended = append(suspended, member)
+		default:
+			candidates = append(candidates, member)
+		}
+	}
+	if len(candidates) > 0 || len(suspended) == 0 {
+		return candidates
+	}
+	first := slices.MinFunc(suspended, func(a, b fleet.Member) int { return a.SuspendedUntil.Compare(b.SuspendedUntil) })
+	return []fleet.Member{first}
+}
+
+/*
+group narrows the candidates of a model request to the engines of its size.
+
+Reading a long prompt stretches the pauses between the tokens of all requests of
+the batch, so long prompts and short requests run on different engines. The
+engines are put in the order of a hash of their IDs, which all hosts share: the
+first ones serve short requests.
+*/
+func (options Options) group(request *work.Request, members, candidates []fleet.Member) []fleet.Member {
+	ordered := slices.Clone(members)
+	slices.SortFunc(ordered, func(a, b fleet.Member) int {
+		return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
+	})
+	boundary := int(options.ShortShare*float64(len(ordered)) + 0.5)
+	long := request.PromptTokens >= options.LongPrompt
+	var group []fleet.Member
+	for _, member := range candidates {
+		position := slices.IndexFunc(ordered, func(other fleet.Member) bool { return other.ID == member.ID })
+		if (position >= boundary) == long {
+			group = append(group, member)
+		}
+	}
+	if len(group) == 0 {
+		return candidates
+	}
+	return group
+}
+
+// affinity returns the servers that requests with the same shared prompt prefer.
+func affinity(request *work.Request, candidates []fleet.Member) []string {
+	if len(request.Parts) < 2 {
+		return nil
+	}
+	key := request.Parts[len(request.Parts)-2].ID
+	ids := make([]string, len(candidates))
+	for index := range candidates {
+		ids[index] = candidates[index].ID
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(score(key, b), score(key, a)) })
+	return ids[:min(affinityRanks, len(ids))]
+}
+
+// score is the rendezvous weight of a server for a part of a prompt.
+func score(key uint64, id string) uint64 {
+	return (key ^ xxhash.Sum64String(id)) * 0x9e3779b97f4a7c15 >> 1
+}
+
+// cached estimates the time that the shared parts of the prompt save.
+func (options Options) cached(request *work.Request) float64 {
+	shared := 0
+	for _, part := range request.Parts[:max(0, len(request.Parts)-1)] {
+		shared += part.Tokens
+	}
+	return float64(shared) / options.TokensPerMs
+}
+
+// cost is the expected delay at a server.
+func (options Options) cost(request *work.Request, member *fleet.Member, now time.Time) float64 {
+	cost := float64(member.Running)*runningMs + member.FailureRate*failureMs
+	if request.Route.Prompts {
+		cost += float64(member.Reading) / options.TokensPerMs
+	}
+	if member.FailureDomain != options.FailureDomain {
+		cost += remoteMs
+	}
+	if age := now.Sub(member.Load.At); age < reportLife {
+		trust := 1 - float64(age)/float64(reportLife)
+		cost += trust * float64(member.Load.Waiting) * waitingMs
+		cost += trust * max(0, member.Load.Slowness-1) * slownessMs
+	}
+	return cost
+}
+
+// Draw returns a number that is spread evenly for the split of a route, the
+// same for each attempt of one request.
+func Draw(id string) uint64 { return xxhash.Sum64String(id) }
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,107 @@
+// Package roster lists the hosts of the system, which register themselves in
+// the platform's store under a lease.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"primrosegw/core/host"
+)
+
+// Forget is how long a host stays listed after its entry vanished while the
+// store was away: leases may lapse then though their hosts live.
+const Forget = 3 * time.Second
+
+// Roster is the hosts that are known. It is safe for concurrent use.
+type Roster struct {
+	mutex sync.Mutex
+	own   host.Host
+	hosts map[string]listed
+}
+
+type listed struct {
+	host.Host
+	// until is when the host is forgotten; zero while its entry exists.
+	until time.Time
+}
+
+// New returns a roster that holds the host itself.
+func New(own host.Host) *Roster {
+	return &Roster{own: own, hosts: make(map[string]listed)}
+}
+
+// Put adds a host or takes over its state.
+func (roster *Roster) Put(host host.Host) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	roster.hosts[host.Name] = listed{Host: host}
+}
+
+// Remove takes a host out whose entry vanished; a host that did not say it was
+// leaving stays for a while when the store was away.
+func (roster *Roster) Remove(name string, storeWasAway bool, now time.Time) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	known, ok := roster.hosts[name]
+	if !ok {
+		return
+	}
+	if storeWasAway && known.State == host.Alive {
+		if known.until.IsZero() {
+			known.until = now.Add(Forget)
+			roster.hosts[name] = known
+		}
+		return
+	}
+	delete(roster.hosts, name)
+}
+
+// Names returns the names of all hosts known.
+func (roster *Roster) Names() []string {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	names := make([]string, 0, len(roster.hosts))
+	for name := range roster.hosts {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Leave marks the host itself as leaving.
+func (roster *Roster) Leave() {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	roster.own.State = host.Leaving
+}
+
+// Own returns the host itself.
+func (roster *Roster) Own() host.Host {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	return roster.own
+}
+
+// Live returns the hosts that take requests, the host itself among them while
+// it does not leave, in the order of their names.
+func (roster *Roster) Live(now time.Time) []host.Host {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	live := make([]host.Host, 0, len(roster.hosts)+1)
+	if roster.own.State == host.Alive {
+		live = append(live, roster.own)
+	}
+	for name, known := range roster.hosts {
+		if !known.until.IsZero() && now.After(known.until) {
+			delete(roster.hosts, name)
+			continue
+		}
+		if name != roster.own.Name && known.State == host.Alive {
+			live = append(live, known.Host)
+		}
+	}
+	slices.SortFunc(live, func(a, b host.Host) int { return cmp.Compare(a.Name, b.Name) })
+	return live
+}
--- /dev/null
+++ b/io/front/forward.go
@@ -0,0 +1,189 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"primrosegw/core/event"
+	"primrosegw/core/fault"
+	"primrosegw/core/fleet"
+	"primrosegw/core/pick"
+	"primrosegw/core/work"
+	"primrosegw/io/pipe"
+)
+
+const (
+	// mostDials bounds the servers that are tried without a connection.
+	mostDials = 4
+	// answerSlack is how long after the deadline a server's own answer is still
+	// awaited: it ends the work at the deadline by itself.
+	answerSlack = 150 * time.Millisecond
+	// connectionShare is the part of a server's connections that all hosts
+	// together may use.
+	connectionShare = 0.9
+	// leastConnections is what each host may have open to a server at any size.
+	leastConnections = 3
+)
+
+// forward sends the request to one backend server after the other until one
+// answers.
+func (call *call) forward() {
+	call.tried = make(map[string]bool)
+	for dials := 0; ; {
+		if refusal := call.match(); refusal != nil {
+			call.finish(refusal)
+			return
+		}
+		now := time.Now()
+		if call.gone() {
+			call.left()
+			return
+		}
+		if call.work.Left(now) <= 0 {
+			call.giveUp(true, "deadline")
+			return
+		}
+		if call.reached > 0 && !call.mayRetry() {
+			call.giveUp(false, "no_retry")
+			return
+		}
+		members := call.front.options.Fleet.Members(call.work.Service)
+		choice, ok := pick.Server(call.front.options.Pick, &call.work, members, call.tried, now)
+		if !ok {
+			call.giveUp(false, "no_server")
+			return
+		}
+		call.tried[choice.Member.ID] = true
+		result := call.attempt(choice)
+		call.state = call.state.Next(result)
+		switch result {
+		case work.Served:
+			return
+		case work.NoConnection:
+			if dials++; dials >= mostDials {
+				call.giveUp(false, "unreachable")
+				return
+			}
+		default:
+			call.reached++
+		}
+	}
+}
+
+// mayRetry reports whether another server may be sent the request, and pays for
+// it.
+func (call *call) mayRetry() bool {
+	return work.MayRetry(call.work.Route, call.state, call.reached) && call.front.options.Budget.Spend()
+}
+
+// attempt sends the request to one server and relays its answer.
+func (call *call) attempt(choice pick.Choice) work.Result {
+	options := call.front.options
+	server := choice.Member.Server
+	key := connectionKey(server)
+	conn, err := options.Pool.Get(call.ctx, key, server.Address, call.connections(server))
+	if err != nil {
+		if fault.Is(err, pipe.Unreachable) && call.ctx.Err() == nil {
+			call.unreachable(server, err)
+		}
+		return work.NoConnection
+	}
+	stop := context.AfterFunc(call.request.Context(), conn.Close)
+	defer stop()
+	// The server may have said that it leaves while the connection was made, and
+	// the table may have changed.
+	if !options.Fleet.Usable(server.ID, call.work.Service) || options.Table.Load() != call.table {
+		conn.Discard()
+		delete(call.tried, server.ID)
+		return work.NoConnection
+	}
+	options.Fleet.Begin(server.ID, call.work.PromptTokens)
+	defer options.Fleet.End(server.ID)
+	exchange := &exchange{call: call, conn: conn, server: server, started: time.Now(), reading: call.work.PromptTokens}
+	defer exchange.read()
+	call.logSent(choice, exchange)
+	return exchange.run()
+}
+
+func (call *call) logSent(choice pick.Choice, exchange *exchange) {
+	call.server = choice.Member.ID
+	if !call.front.options.Logger.Enabled(event.RequestSent()) {
+		return
+	}
+	call.log(event.RequestSent(), logrus.Fields{
+		"server": call.server, "attempt": call.reached + 1, "cost_ms": int64(choice.CostMs), "over": choice.Over,
+		"left_ms": call.work.Left(exchange.started).Milliseconds(), "preferred": choice.Preferred,
+		"table_version": call.version(), "proof_age_ms": call.proofAge(),
+	})
+}
+
+// connectionKey tells the processes apart that have had one address.
+func connectionKey(server fleet.Server) string {
+	return server.ID + "@" + server.Address + "/" + server.Started.String()
+}
+
+// connections is the number of connections to a server that this host may have.
+func (call *call) connections(server fleet.Server) int {
+	service, ok := call.table.Service(server.Service)
+	if !ok || service.MaxConnections <= 0 {
+		return 0
+	}
+	share := float64(service.MaxConnections) * connectionShare / float64(max(1, call.front.options.Hosts()))
+	return max(leastConnections, int(share))
+}
+
+func (call *call) unreachable(server fleet.Server, err error) {
+	now := time.Now()
+	call.front.options.Fleet.Unreachable(server.ID, now)
+	call.front.options.Logger.Log(event.ServerSuspended(), logrus.Fields{
+		"server": server.ID, "error": err.Error(), "for_ms": call.front.options.Fleet.SuspendedFor(server.ID, now).Milliseconds(),
+	})
+}
+
+// giveUp ends a request that no server has served.
+func (call *call) giveUp(late bool, reason string) {
+	if call.gone() {
+		call.left()
+		return
+	}
+	if call.fallback != nil && !call.begun {
+		call.passOn(*call.fallback)
+		return
+	}
+	answer := unserved(call.state, late, reason)
+	call.finish(&answer)
+}
+
+// finish answers the caller itself, or breaks the connection when a part of an
+// answer is already on its way: it must not look complete.
+func (call *call) finish(refusal *refusal) {
+	if !call.begun {
+		if call.state.NotRun() || refusal.status >= http.StatusInternalServerError && refusal.status != http.StatusServiceUnavailable {
+			call.refuse(*refusal)
+			return
+		}
+		answer := unserved(call.state, false, refusal.reason)
+		call.refuse(answer)
+		return
+	}
+	now := time.Now()
+	call.log(event.AnswerBroken(), logrus.Fields{
+		"route": call.work.Route.Name, "server": call.server, "events": call.events, "error": refusal.reason,
+		"after_ms": now.Sub(call.work.Received).Milliseconds(),
+	})
+	call.front.options.Meter.Ended("broken", string(call.work.Route.Kind), call.first, now.Sub(call.work.Received))
+	panic(http.ErrAbortHandler)
+}
+
+// left ends a request whose caller has gone.
+func (call *call) left() {
+	total := time.Since(call.work.Received)
+	call.log(event.CallerLeft(), logrus.Fields{
+		"route": call.work.Route.Name, "server": call.server, "state": call.state, "after_ms": total.Milliseconds(), "events": call.events,
+	})
+	call.front.options.Meter.Ended("caller_left", string(call.work.Route.Kind), call.first, total)
+	panic(http.ErrAbortHandler)
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -98,3 +98,13 @@
 func gapBuckets() tally.DurationBuckets {
 	return tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 1.5, 18)
 }
+
+// Ended records what became of a request that was forwarded or turned away.
+func (meter *Meter) Ended(outcome, kind string, first, total time.Duration) {
+	scope := meter.scope.Tagged(map[string]string{"outcome": outcome, "kind": kind})
+	scope.Counter("forwarded_requests").Inc(1)
+	if first > 0 {
+		scope.Histogram("forwarded_first_seconds", firstTokenBuckets()).RecordDuration(first)
+	}
+	scope.Histogram("forwarded_total_seconds", firstTokenBuckets()).RecordDuration(total)
+}
