--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -42,7 +42,7 @@
 	// reportLife is the age at which a load report says nothing any more.
 	reportLife = 2 * time.Second
 	// affinityRanks is the number of servers that share a session's cache.
-	affinityRanks = 2
+	affinityRanks = 1
 )
 
 // Choice is the server chosen and why.
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -117,6 +117,9 @@
 		"server": call.server, "attempt": call.reached + 1, "cost_ms": int64(choice.CostMs), "over": choice.Over,
 		"left_ms": call.work.Left(exchange.started).Milliseconds(), "preferred": choice.Preferred,
 		"table_version": call.version(), "proof_age_ms": call.proofAge(),
+		"running": choice.Member.Running, "reading": choice.Member.Reading, "prompt_tokens": call.work.PromptTokens,
+		"reported_running": choice.Member.Load.Running, "reported_waiting": choice.Member.Load.Waiting,
+		"slowness": choice.Member.Load.Slowness, "report_age_ms": exchange.started.Sub(choice.Member.Load.At).Milliseconds(),
 	})
 }
 
