core/admit: refuse long prompts that would be late

Cause: at the crest engines hold 15 to 46 waiting prompts, so nearly all long prompts end after their objective. Change: core/pick predicts the first event from the engine's report and this host's own sends; core/admit refuses what would be late and says when to return. Conclusion: kept as the place for the decision; hosts need to know each other's requests in flight.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -53,6 +53,9 @@
 	// not been answered by a first event yet.
 	Reading int
 	Load    Load
+	// SentSince is the prompt tokens that this host has sent since the last
+	// report of the load.
+	SentSince int
 	// FailureRate is a moving average of the share of failed answers.
 	FailureRate float64
 	// Excess is a moving average of the time to an answer in units of what was
@@ -210,6 +213,7 @@
 	fleet.with(id, func(member *Member) {
 		member.Running++
 		member.Reading += promptTokens
+		member.SentSince += promptTokens
 	})
 }
 
@@ -226,7 +230,10 @@
 
 // Report takes over what a server says of its load.
 func (fleet *Fleet) Report(id string, load Load) {
-	fleet.with(id, func(member *Member) { member.Load = load })
+	fleet.with(id, func(member *Member) {
+		member.Load = load
+		member.SentSince = 0
+	})
 }
 
 // Good records a proper answer, which took excess times what was expected.
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -31,18 +31,28 @@
 const (
 	// runningMs is what one more request in the batch costs.
 	runningMs = 6.0
-	// waitingMs is what one more request in a server's own queue costs.
-	waitingMs = 15.0
 	// remoteMs is what a server of another failure domain costs.
 	remoteMs = 4.0
 	// failureMs is what a server costs whose answers all fail.
 	failureMs = 4000.0
 	// slownessMs is what a server costs that takes twice as long as usual.
 	slownessMs = 60.0
+	// strayFactor weighs the prompt parts that have to be read again at a server
+	// that does not have them: they also push others out of its cache.
+	strayFactor = 2.0
+	// plainWaitingMs is what a waiting request costs at a plain service.
+	plainWaitingMs = 15.0
+)
+
+const (
 	// reportLife is the age at which a load report says nothing any more.
 	reportLife = 2 * time.Second
-	// affinityRanks is the number of servers that share a session's cache.
-	affinityRanks = 1
+	// slownessLife is the age at which a reported slowness has passed.
+	slownessLife = 600 * time.Millisecond
+	// waitingTokens is the prompt tokens that a waiting request has left to read.
+	waitingTokens = 6000
+	// stepOverhead is how much longer a prompt takes beside running requests.
+	stepOverhead = 1.25
 )
 
 // Choice is the server chosen and why.
@@ -50,6 +60,8 @@
 	Member fleet.Member
 	// CostMs is the expected delay that decided.
 	CostMs float64
+	// First is the predicted time to the first event, 0 for plain services.
+	First time.Duration
 	// Over is the number of servers that were weighed.
 	Over int
 	// Preferred: the session's prompt is likely to be cached there.
@@ -70,13 +82,11 @@
 	best := Choice{Over: len(candidates)}
 	for index := range candidates {
 		member := &candidates[index]
-		cost := options.cost(request, member, now)
-		liked := slices.Contains(preferred, member.ID)
-		if liked {
-			cost -= options.cached(request)
-		}
+		liked := member.ID == preferred
+		cost, first := options.cost(request, member, liked, now)
 		if best.Member.ID == "" || cost < best.CostMs {
 			best.Member, best.CostMs, best.Preferred = *member, cost, liked
+			best.First = time.Duration(first * float64(time.Millisecond))
 		}
 	}
 	return best, true
@@ -130,18 +140,21 @@
 	return group
 }
 
-// affinity returns the servers that requests with the same shared prompt prefer.
-func affinity(request *work.Request, candidates []fleet.Member) []string {
+// affinity returns the server that requests with the same session prefer.
+func affinity(request *work.Request, candidates []fleet.Member) string {
 	if len(request.Parts) < 2 {
-		return nil
-	}
-	key := request.Parts[len(request.Parts)-2].ID
-	ids := make([]string, len(candidates))
-	for index := range candidates {
-		ids[index] = candidates[index].ID
+		return ""
 	}
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(score(key, b), score(key, a)) })
-	return ids[:min(affinityRanks, len(ids))]
+	key := sessionPart(request).ID
+	best := slices.MaxFunc(candidates, func(a, b fleet.Member) int {
+		return cmp.Compare(score(key, a.ID), score(key, b.ID))
+	})
+	return best.ID
+}
+
+// sessionPart is the last part of the prompt that requests may share.
+func sessionPart(request *work.Request) work.Part {
+	return request.Parts[len(request.Parts)-2]
 }
 
 // score is the rendezvous weight of a server for a part of a prompt.
@@ -149,30 +162,60 @@
 	return (key ^ xxhash.Sum64String(id)) * 0x9e3779b97f4a7c15 >> 1
 }
 
-// cached estimates the time that the shared parts of the prompt save.
-func (options Options) cached(request *work.Request) float64 {
-	shared := 0
-	for _, part := range request.Parts[:max(0, len(request.Parts)-1)] {
-		shared += part.Tokens
+// cost is the expected delay at a server, and the predicted time to the first
+// event.
+func (options Options) cost(request *work.Request, member *fleet.Member, liked bool, now time.Time) (cost, first float64) {
+	cost = float64(member.Running)*runningMs + member.FailureRate*failureMs
+	if member.FailureDomain != options.FailureDomain {
+		cost += remoteMs
+	}
+	age := now.Sub(member.Load.At)
+	slowness := 1.0
+	if age < slownessLife && member.Load.Slowness > 1 {
+		slowness = member.Load.Slowness
+		cost += (slowness - 1) * slownessMs
+	}
+	if !request.Route.Prompts {
+		if age < reportLife {
+			cost += (1 - float64(age)/float64(reportLife)) * float64(member.Load.Waiting) * plainWaitingMs
+		}
+		return cost, 0
+	}
+	perToken := slowness * stepOverhead / options.TokensPerMs
+	first = options.backlog(member, age)*perToken + float64(request.PromptTokens-saved(request, liked))*perToken
+	cost += first
+	if !liked && len(request.Parts) >= 2 {
+		cost += float64(sessionPart(request).Tokens) * perToken * (strayFactor - 1)
+	}
+	return cost, first
+}
+
+// backlog estimates the prompt tokens that a server has to read first: what was
+// waiting at its last report, less what it has read since, and what this host
+// has sent it since.
+func (options Options) backlog(member *fleet.Member, age time.Duration) float64 {
+	reported := 0.0
+	if age < reportLife {
+		read := float64(age.Milliseconds()) * options.TokensPerMs / stepOverhead
+		reported = max(0, float64(member.Load.Waiting*waitingTokens)-read)
 	}
-	return float64(shared) / options.TokensPerMs
+	return max(float64(member.Reading), reported+float64(member.SentSince))
 }
 
-// cost is the expected delay at a server.
-func (options Options) cost(request *work.Request, member *fleet.Member, now time.Time) float64 {
-	cost := float64(member.Running)*runningMs + member.FailureRate*failureMs
-	if request.Route.Prompts {
-		cost += float64(member.Reading) / options.TokensPerMs
+// saved is the prompt tokens that a server need not read: all hosts share the
+// parts that many sessions have, and the session's own at the preferred server.
+func saved(request *work.Request, liked bool) int {
+	if len(request.Parts) < 2 {
+		return 0
 	}
-	if member.FailureDomain != options.FailureDomain {
-		cost += remoteMs
+	tokens := 0
+	for _, part := range request.Parts[:len(request.Parts)-2] {
+		tokens += part.Tokens
 	}
-	if age := now.Sub(member.Load.At); age < reportLife {
-		trust := 1 - float64(age)/float64(reportLife)
-		cost += trust * float64(member.Load.Waiting) * waitingMs
-		cost += trust * max(0, member.Load.Slowness-1) * slownessMs
+	if liked {
+		tokens += sessionPart(request).Tokens
 	}
-	return cost
+	return tokens
 }
 
 // Draw returns a number that is spread evenly for the split of a route, the
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"primrosegw/core/admit"
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/fleet"
@@ -56,6 +57,11 @@
 			call.giveUp(false, "no_server")
 			return
 		}
+		decision := admit.Decide(&call.work, choice.First, call.work.Priority == 0, now)
+		if !decision.Admitted && call.reached == 0 {
+			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: "overload", after: decision.After})
+			return
+		}
 		call.tried[choice.Member.ID] = true
 		result := call.attempt(choice)
 		call.state = call.state.Next(result)
