core/pick: engines for requests that talk, choice by expected loss, hosts tell their load

Cause: a third of the engines read nothing while long prompts queue; pauses are lost only by requests that generate for seconds; a prompt read again costs half of what its request is worth; a host sees an eighth of the requests.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -47,12 +47,11 @@
 // guarded by the fleet; callers get copies.
 type Member struct {
 	Server
-	// Running is the number of this host's requests at the server.
-	Running int
-	// Reading is the number of prompt tokens of this host's requests that have
-	// not been answered by a first event yet.
-	Reading int
-	Load    Load
+	// Own is what this host has in flight at the server, Peers what the other
+	// hosts have as they last told.
+	Own   InFlight
+	Peers InFlight
+	Load  Load
 	// SentSince is the prompt tokens that this host has sent since the last
 	// report of the load.
 	SentSince int
@@ -67,6 +66,8 @@
 	// GoneAt is when a server whose entry vanished while the store was away is
 	// taken for gone; zero while it has an entry.
 	GoneAt time.Time
+
+	hash uint64
 }
 
 // Suspended reports whether the server gets no requests for now.
@@ -83,11 +84,14 @@
 	mutex     sync.Mutex
 	members   map[string]*Member
 	byService map[string][]*Member
+	peers     map[string]peer
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{members: make(map[string]*Member), byService: make(map[string][]*Member)}
+	return &Fleet{
+		members: make(map[string]*Member), byService: make(map[string][]*Member), peers: make(map[string]peer),
+	}
 }
 
 // Put adds a server or takes over what it says of itself now. A server that
@@ -98,7 +102,7 @@
 	defer fleet.mutex.Unlock()
 	known := fleet.members[server.ID]
 	if known == nil || known.Address != server.Address || !known.Started.Equal(server.Started) {
-		fleet.members[server.ID] = &Member{Server: server, Excess: 1}
+		fleet.members[server.ID] = &Member{Server: server, Excess: 1, hash: ServerHash(server.ID)}
 		fleet.index()
 		return true, server.Leaving
 	}
@@ -190,6 +194,7 @@
 			members = append(members, *member)
 		}
 	}
+	fleet.addPeers(members, now)
 	return members
 }
 
@@ -209,23 +214,22 @@
 }
 
 // Begin counts a request that is about to be sent to a server.
-func (fleet *Fleet) Begin(id string, promptTokens int) {
+func (fleet *Fleet) Begin(id string, share Share) {
 	fleet.with(id, func(member *Member) {
-		member.Running++
-		member.Reading += promptTokens
-		member.SentSince += promptTokens
+		member.Own.add(share, 1)
+		member.SentSince += share.Unread
 	})
 }
 
 // Read counts a request whose prompt has been read: it has its first event, or
 // it has ended.
-func (fleet *Fleet) Read(id string, promptTokens int) {
-	fleet.with(id, func(member *Member) { member.Reading = max(0, member.Reading-promptTokens) })
+func (fleet *Fleet) Read(id string, share Share) {
+	fleet.with(id, func(member *Member) { member.Own.read(share) })
 }
 
 // End counts a request that has ended at a server.
-func (fleet *Fleet) End(id string) {
-	fleet.with(id, func(member *Member) { member.Running = max(0, member.Running-1) })
+func (fleet *Fleet) End(id string, share Share) {
+	fleet.with(id, func(member *Member) { member.Own.add(Share{Talk: share.Talk}, -1) })
 }
 
 // Report takes over what a server says of its load.
--- /dev/null
+++ b/core/fleet/peers.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// peerLife is the age from which another host's word on its requests no longer
+// counts.
+const peerLife = 700 * time.Millisecond
+
+// PeerLoad is what a host has in flight at one backend server.
+type PeerLoad struct {
+	// Server is the hash of the server's ID.
+	Server uint64 `cbor:"1,keyasint"`
+	InFlight
+}
+
+// peer is the last word of another host.
+type peer struct {
+	at    time.Time
+	loads map[uint64]PeerLoad
+}
+
+// ServerHash names a server in messages between hosts.
+func ServerHash(id string) uint64 { return xxhash.Sum64String(id) }
+
+// Hear takes over what another host has in flight. It replaces its last word.
+func (fleet *Fleet) Hear(host string, loads []PeerLoad, now time.Time) {
+	byServer := make(map[uint64]PeerLoad, len(loads))
+	for _, load := range loads {
+		byServer[load.Server] = load
+	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.peers[host] = peer{at: now, loads: byServer}
+	for name, known := range fleet.peers {
+		if now.Sub(known.at) > peerLife {
+			delete(fleet.peers, name)
+		}
+	}
+}
+
+// Tell returns what this host has in flight, for the other hosts.
+func (fleet *Fleet) Tell() []PeerLoad {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	var loads []PeerLoad
+	for _, member := range fleet.members {
+		if member.Own.Running > 0 {
+			loads = append(loads, PeerLoad{Server: member.hash, InFlight: member.Own})
+		}
+	}
+	return loads
+}
+
+// addPeers adds what the other hosts have in flight to copies of members. The
+// mutex is held.
+func (fleet *Fleet) addPeers(members []Member, now time.Time) {
+	for _, known := range fleet.peers {
+		if now.Sub(known.at) > peerLife {
+			continue
+		}
+		for index := range members {
+			members[index].Peers.sum(known.loads[members[index].hash].InFlight)
+		}
+	}
+}
--- /dev/null
+++ b/core/pick/group.go
@@ -0,0 +1,127 @@
+package pick
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"primrosegw/core/fleet"
+	"primrosegw/core/work"
+)
+
+const (
+	// talkRatio is the number of prompt tokens for each token that may be
+	// generated below which a request counts as one that talks.
+	talkRatio = 8
+	// talkersPerEngine is the number of talking requests that an engine runs with
+	// short pauses between their tokens.
+	talkersPerEngine = 12
+	// leastTalkShare and mostTalkShare bound the share of engines for talking
+	// requests.
+	leastTalkShare = 0.12
+	mostTalkShare  = 0.45
+)
+
+// Talks reports whether a request generates much and reads little. Pauses
+// between its tokens are what it can lose.
+func Talks(request *work.Request) bool {
+	return request.Route.Prompts && request.PromptTokens < talkRatio*request.OutputTokens
+}
+
+/*
+group narrows the candidates of a model request to the engines for its sort.
+
+Reading a prompt stretches the pauses between the tokens of all requests of the
+batch, so requests that mostly read and those that mostly talk run on different
+engines. The engines are put in the order of a hash of their IDs, which all hosts
+share; the first ones are for those that talk. Their number follows the number of
+talking requests that all hosts have in flight, so the hosts agree on it well
+enough without asking each other.
+*/
+func group(request *work.Request, members, candidates []fleet.Member) []fleet.Member {
+	talkers := talkEngines(members)
+	wanted := Talks(request)
+	var group []fleet.Member
+	for _, member := range candidates {
+		if talkers[member.ID] == wanted {
+			group = append(group, member)
+		}
+	}
+	if len(group) == 0 {
+		return candidates
+	}
+	return group
+}
+
+// talkEngines returns the IDs of the engines for talking requests.
+func talkEngines(members []fleet.Member) map[string]bool {
+	ordered := make([]ranked, len(members))
+	talking := 0
+	for index := range members {
+		member := &members[index]
+		ordered[index] = ranked{xxhash.Sum64String(member.ID), member.ID}
+		talking += member.Own.Talking + member.Peers.Talking
+	}
+	slices.SortFunc(ordered, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	count := float64(len(members))
+	wanted := (talking + talkersPerEngine - 1) / talkersPerEngine
+	number := max(int(leastTalkShare*count+0.5), min(wanted, int(mostTalkShare*count)))
+	number = max(1, min(number, len(members)-1))
+	talkers := make(map[string]bool, number)
+	for _, entry := range ordered[:min(number, len(ordered))] {
+		talkers[entry.id] = true
+	}
+	return talkers
+}
+
+type ranked struct {
+	hash uint64
+	id   string
+}
+
+// affinity returns the server that requests with the same session prefer.
+func affinity(request *work.Request, candidates []fleet.Member) string {
+	if len(request.Parts) < 2 {
+		return ""
+	}
+	key := sessionPart(request).ID
+	best := slices.MaxFunc(candidates, func(a, b fleet.Member) int {
+		return cmp.Compare(score(key, a.ID), score(key, b.ID))
+	})
+	return best.ID
+}
+
+// sessionPart is the last part of the prompt that requests may share.
+func sessionPart(request *work.Request) work.Part {
+	return request.Parts[len(request.Parts)-2]
+}
+
+func sessionTokens(request *work.Request) int {
+	if len(request.Parts) < 2 {
+		return 0
+	}
+	return sessionPart(request).Tokens
+}
+
+// score is the rendezvous weight of a server for a part of a prompt.
+func score(key uint64, id string) uint64 {
+	return (key ^ xxhash.Sum64String(id)) * 0x9e3779b97f4a7c15 >> 1
+}
+
+// unread is the prompt tokens that a server has to read for a request: all
+// engines have the parts that many sessions share, and the preferred one has the
+// session's own.
+func unread(request *work.Request, preferred bool) int {
+	if len(request.Parts) < 2 {
+		return request.PromptTokens
+	}
+	tokens := request.PromptTokens
+	for _, part := range request.Parts[:len(request.Parts)-2] {
+		tokens -= part.Tokens
+	}
+	if preferred {
+		tokens -= sessionTokens(request)
+	}
+	return max(0, tokens)
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -33,16 +33,18 @@
 	conn    *pipe.Conn
 	server  fleet.Server
 	started time.Time
-	// reading is the prompt tokens that the server has not read yet.
-	reading int
-	whole   bool
+	share   fleet.Share
+	// done: the server has read the prompt.
+	done bool
+	// whole: all of the request was sent, and no answer to another one came.
+	whole bool
 }
 
 // read notes that the server has read the prompt.
 func (exchange *exchange) read() {
-	if exchange.reading > 0 {
-		exchange.call.front.options.Fleet.Read(exchange.server.ID, exchange.reading)
-		exchange.reading = 0
+	if !exchange.done {
+		exchange.done = true
+		exchange.call.front.options.Fleet.Read(exchange.server.ID, exchange.share)
 	}
 }
 
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -57,7 +57,7 @@
 			call.giveUp(false, "no_server")
 			return
 		}
-		decision := admit.Decide(&call.work, choice.First, call.work.Priority == 0, now)
+		decision := admit.Decide(&call.work, choice.First, fleet.Rank(call.work.Priority) < fleet.Ranks-1, now)
 		if !decision.Admitted && call.reached == 0 {
 			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: "overload", after: decision.After})
 			return
@@ -106,9 +106,9 @@
 		delete(call.tried, server.ID)
 		return work.NoConnection
 	}
-	options.Fleet.Begin(server.ID, call.work.PromptTokens)
-	defer options.Fleet.End(server.ID)
-	exchange := &exchange{call: call, conn: conn, server: server, started: time.Now(), reading: call.work.PromptTokens}
+	options.Fleet.Begin(server.ID, choice.Share)
+	defer options.Fleet.End(server.ID, choice.Share)
+	exchange := &exchange{call: call, conn: conn, server: server, started: time.Now(), share: choice.Share}
 	defer exchange.read()
 	call.logSent(choice, exchange)
 	return exchange.run()
@@ -120,10 +120,11 @@
 		return
 	}
 	call.log(event.RequestSent(), logrus.Fields{
-		"server": call.server, "attempt": call.reached + 1, "cost_ms": int64(choice.CostMs), "over": choice.Over,
+		"server": call.server, "attempt": call.reached + 1, "loss": choice.Loss, "over": choice.Over,
 		"left_ms": call.work.Left(exchange.started).Milliseconds(), "preferred": choice.Preferred,
 		"table_version": call.version(), "proof_age_ms": call.proofAge(),
-		"running": choice.Member.Running, "reading": choice.Member.Reading, "prompt_tokens": call.work.PromptTokens,
+		"running": choice.Member.Own.Running, "reading": choice.Member.Own.ReadingAll(), "peer_running": choice.Member.Peers.Running,
+		"peer_reading": choice.Member.Peers.ReadingAll(), "first_ms": choice.First.Milliseconds(), "prompt_tokens": call.work.PromptTokens,
 		"reported_running": choice.Member.Load.Running, "reported_waiting": choice.Member.Load.Waiting,
 		"slowness": choice.Member.Load.Slowness, "report_age_ms": exchange.started.Sub(choice.Member.Load.At).Milliseconds(),
 	})
