core/table: rank requests by workspace, then by route

Change: the rank orders by the workspace's priority and then by the route's; only the least urgent requests of a service are refused at overload.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -29,10 +29,10 @@
 	After time.Duration
 }
 
-// Decide weighs a request by the predicted wait for its first event. Requests
-// of the most urgent rank in use are never refused, as engines take them first.
-func Decide(request *work.Request, predicted time.Duration, urgent bool, now time.Time) Decision {
-	if urgent || !request.Route.Prompts || request.Route.Objective <= 0 {
+// Decide weighs a request by the predicted wait for its first event. Only the
+// least urgent requests of a service are refused: engines take the others first.
+func Decide(request *work.Request, predicted time.Duration, now time.Time) Decision {
+	if !request.Bulk || !request.Route.Prompts || request.Route.Objective <= 0 {
 		return Decision{Admitted: true}
 	}
 	limit := allowed(request, now)
--- a/core/fleet/flight.go
+++ b/core/fleet/flight.go
@@ -1,15 +1,13 @@
 package fleet
 
-// Ranks is the number of priorities that are told apart in counts: the most
-// urgent ones, the next, and all others.
-const Ranks = 3
+import "primrosegw/core/table"
 
-// Rank returns the index of a priority in counts.
-func Rank(priority int) int { return min(max(0, priority), Ranks-1) }
+// Ranks is the number of ranks of urgency.
+const Ranks = table.LastRank + 1
 
 // Share is what one request adds to the work of a server.
 type Share struct {
-	// Rank is that of the request's priority.
+	// Rank is the request's urgency.
 	Rank int
 	// Unread is the prompt tokens that the server has to read.
 	Unread int
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -93,7 +93,7 @@
 			best.Member, best.Loss, best.Preferred, best.First = *member, loss, liked, first
 		}
 	}
-	best.Share = fleet.Share{Rank: fleet.Rank(request.Priority), Unread: unread(request, best.Preferred), Talk: Talks(request)}
+	best.Share = fleet.Share{Rank: request.Rank, Unread: unread(request, best.Preferred), Talk: Talks(request)}
 	return best, true
 }
 
@@ -162,9 +162,9 @@
 // share comes from them, or else from what was waiting at the server's last
 // report, less what it has read since.
 func (options Options) backlog(request *work.Request, member *fleet.Member, age time.Duration) float64 {
-	rank := fleet.Rank(request.Priority)
+	rank := request.Rank
 	told := float64(member.Own.ReadingFor(rank) + member.Peers.ReadingFor(rank))
-	if member.Peers.Running > 0 || age >= reportLife || rank < fleet.Ranks-1 {
+	if member.Peers.Running > 0 || age >= reportLife || !request.Bulk {
 		return told
 	}
 	read := float64(age.Milliseconds()) * options.TokensPerMs / stepOverhead
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -154,6 +154,7 @@
 	byHost   map[string][]Route
 	byKey    map[string]int
 	services map[string]Service
+	ranks    ranks
 }
 
 // New checks and indexes a configuration. It fails with Invalid, naming the
@@ -188,6 +189,7 @@
 			table.byKey[key] = index
 		}
 	}
+	table.ranks = newRanks(data)
 	return table, nil
 }
 
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -21,8 +21,10 @@
 	Route     table.Route
 	Service   string
 	Workspace string
-	// Priority is 0 for the most urgent requests.
-	Priority int
+	// Rank is the urgency, 0 for the most urgent requests.
+	Rank int
+	// Bulk: the service has no requests that are less urgent, but more urgent ones.
+	Bulk bool
 	// Received is when the request was read.
 	Received time.Time
 	// Deadline is when the caller or the route gives up, whichever is first.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -81,7 +81,7 @@
 	call := exchange.call
 	return Order{
 		Server: exchange.server, Workspace: call.work.Workspace, Left: call.work.Left(time.Now()),
-		Priority: call.work.Priority, LastEvent: call.lastEvent,
+		Rank: call.work.Rank, LastEvent: call.lastEvent,
 	}
 }
 
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -57,7 +57,7 @@
 			call.giveUp(false, "no_server")
 			return
 		}
-		decision := admit.Decide(&call.work, choice.First, fleet.Rank(call.work.Priority) < fleet.Ranks-1, now)
+		decision := admit.Decide(&call.work, choice.First, now)
 		if !decision.Admitted && call.reached == 0 {
 			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: "overload", after: decision.After})
 			return
@@ -120,7 +120,8 @@
 		return
 	}
 	call.log(event.RequestSent(), logrus.Fields{
-		"server": call.server, "attempt": call.reached + 1, "loss": choice.Loss, "over": choice.Over,
+		"route": call.work.Route.Name, "workspace": call.work.Workspace,
+		"server": call.server, "attempt": call.reached + 1, "rank": call.work.Rank, "loss": choice.Loss, "over": choice.Over,
 		"left_ms": call.work.Left(exchange.started).Milliseconds(), "preferred": choice.Preferred,
 		"table_version": call.version(), "proof_age_ms": call.proofAge(),
 		"running": choice.Member.Own.Running, "reading": choice.Member.Own.ReadingAll(), "peer_running": choice.Member.Peers.Running,
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -44,8 +44,9 @@
 	Server    fleet.Server
 	Workspace string
 	// Left is the time after which the answer is of no use.
-	Left     time.Duration
-	Priority int
+	Left time.Duration
+	// Rank is the urgency, 0 for the most urgent requests.
+	Rank int
 	// LastEvent is the event after which a stream is to go on; empty: as the
 	// caller said.
 	LastEvent string
@@ -232,21 +233,19 @@
 	if !ok {
 		return &refusal{status: http.StatusNotFound, reason: "no_route"}
 	}
-	priority := route.Priority
+	var workspace table.Workspace
 	if current.Keyed() && !route.Anonymous {
-		workspace, ok := current.Workspace(call.caller.Key)
+		workspace, ok = current.Workspace(call.caller.Key)
 		if !ok {
 			return &refusal{status: http.StatusUnauthorized, reason: "unknown_key"}
 		}
 		call.work.Workspace = workspace.Name
-		if workspace.HasPriority {
-			priority = workspace.Priority
-		}
 	}
-	call.work.Route, call.work.Priority = route, priority
+	call.work.Route, call.work.Rank = route, current.Rank(route, workspace)
 	call.work.PromptTokens, call.work.OutputTokens = call.caller.PromptTokens, call.caller.OutputTokens
 	call.work.Parts = call.caller.Parts
 	call.work.Service = route.Pick(pick.Draw(call.work.ID))
+	call.work.Bulk = current.Bulk(route, call.work.Service)
 	call.work.Deadline = call.deadline(route)
 	return nil
 }
