core/admit: a leaving host refuses streams that it can't end

Change: after SIGTERM a request is taken only if its deadline, or for streams the usual longest time, is before the host's end; else it is refused as not run.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"primrosegw/core/table"
 	"primrosegw/core/work"
 )
 
@@ -51,3 +52,17 @@
 	}
 	return time.Duration(lateDeadlineShare * float64(request.Left(now)))
 }
+
+// leaveTime is the time that a leaving host needs to end a stream that it has
+// begun to forward.
+const leaveTime = 4500 * time.Millisecond
+
+// Ends reports whether a request is certain enough to end before the host is
+// gone. Streams that may last longer are taken only while there is time for all
+// but the longest ones.
+func Ends(request *work.Request, gone, now time.Time) bool {
+	if !request.Deadline.After(gone) {
+		return true
+	}
+	return request.Route.Kind == table.Stream && gone.Sub(now) >= leaveTime
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"primrosegw/core/admit"
 	"primrosegw/core/event"
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
@@ -188,7 +189,13 @@
 	if refusal := call.read(limit); refusal != nil {
 		return refusal
 	}
-	return call.match()
+	if refusal := call.match(); refusal != nil {
+		return refusal
+	}
+	if gone := call.front.leaving.Load(); gone > 0 && !admit.Ends(&call.work, time.UnixMilli(gone), time.Now()) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "leaving"}
+	}
+	return nil
 }
 
 // read takes the whole body, so that it can be sent again and a caller that
