--- a/cmds/gateway.go
+++ b/cmds/gateway.go
@@ -10,8 +10,9 @@
 )
 
 type gatewayCommand struct {
-	Settings string `placeholder:"FILE" help:"The platform's settings file; default: the one that the platform names in the environment."`
-	Check    bool   `help:"Check the settings and end."`
+	Settings    string `placeholder:"FILE" help:"The platform's settings file; default: the one that the platform names in the environment."`
+	MetricsPort string `default:"9464" placeholder:"PORT" help:"Port that serves the metrics; the deploy file names it too."`
+	Check       bool   `help:"Check the settings and end."`
 }
 
 // Help implements kong's extended help.
@@ -36,7 +37,7 @@
 		}
 		return nil
 	}
-	gateway, err := platform.New(path, console.out)
+	gateway, err := platform.New(path, platform.Options{Output: console.out, MetricsPort: command.MetricsPort})
 	if err != nil {
 		return usage{inFile{path, err}}
 	}
--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,112 @@
+package fleet_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/fleet"
+)
+
+func server(id string) fleet.Server {
+	return fleet.Server{ID: id, Service: "engines", Address: "10.0.0.1:80", Started: time.UnixMilli(1)}
+}
+
+func ids(members []fleet.Member) []string {
+	found := []string{}
+	for _, member := range members {
+		found = append(found, member.ID)
+	}
+	return found
+}
+
+// Guards against requests to a server that is leaving or of another service.
+func TestLeavingServersGetNothing(t *testing.T) {
+	known := fleet.New()
+	added, leaving := known.Put(server("a"))
+	require.True(t, added)
+	require.False(t, leaving)
+	known.Put(server("b"))
+	require.Equal(t, []string{"a", "b"}, ids(known.Members("engines")))
+	require.False(t, known.Usable("a", "ledger"))
+
+	gone := server("a")
+	gone.Leaving = true
+	_, leaving = known.Put(gone)
+	require.True(t, leaving)
+	_, again := known.Put(gone)
+	require.False(t, again)
+	require.False(t, known.Usable("a", "engines"))
+	require.Equal(t, []string{"b"}, ids(known.Members("engines")))
+	require.True(t, known.Remove("b"))
+	require.False(t, known.Remove("b"))
+}
+
+// Guards against a server that lapsed with the store and is lost, and against
+// one that did not come back and still gets requests.
+func TestVanishedServersComeBackOrGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known := fleet.New()
+		known.Put(server("a"))
+		known.Put(server("b"))
+		known.Vanish("a", time.Now().Add(2*time.Second))
+		known.Vanish("b", time.Now().Add(2*time.Second))
+		time.Sleep(time.Second)
+		require.True(t, known.Usable("a", "engines"))
+		known.Put(server("a"))
+		time.Sleep(time.Second)
+		require.True(t, known.Usable("a", "engines"))
+		require.False(t, known.Usable("b", "engines"))
+		require.Equal(t, []string{"b"}, known.Gone(time.Now()))
+		require.Equal(t, []string{"a"}, known.IDs())
+	})
+}
+
+// Guards against a server that started again under its ID and is still judged by
+// its failures before.
+func TestNewStartForgetsTheOldOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known := fleet.New()
+		known.Put(server("a"))
+		known.Unreachable("a", time.Now())
+		require.Positive(t, known.SuspendedFor("a", time.Now()))
+		again := server("a")
+		again.Started = time.UnixMilli(2)
+		added, _ := known.Put(again)
+		require.True(t, added)
+		require.Zero(t, known.SuspendedFor("a", time.Now()))
+		known.Unreachable("a", time.Now())
+		known.Good("a", 1)
+		require.Zero(t, known.SuspendedFor("a", time.Now()))
+	})
+}
+
+// Guards against another host's requests that are counted twice, or for ever
+// after that host is gone.
+func TestPeersAreSummedWhileFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine, other := fleet.New(), fleet.New()
+		mine.Put(server("a"))
+		other.Put(server("a"))
+		share := fleet.Share{Rank: 2, Unread: 5000, Talk: true}
+		other.Begin("a", share)
+		mine.Hear("other", other.Tell(), time.Now())
+		mine.Hear("other", other.Tell(), time.Now())
+		mine.Begin("a", fleet.Share{Rank: 0, Unread: 100})
+		member := mine.Members("engines")[0]
+		require.Equal(t, 5000, member.Peers.ReadingAll())
+		require.Equal(t, 1, member.Peers.Talking)
+		require.Equal(t, 0, member.Peers.ReadingFor(1))
+		require.Equal(t, 100, member.Own.ReadingAll())
+
+		other.Read("a", share)
+		mine.Hear("other", other.Tell(), time.Now())
+		require.Zero(t, mine.Members("engines")[0].Peers.ReadingAll())
+		other.End("a", share)
+		require.Empty(t, other.Tell())
+		time.Sleep(time.Second)
+		require.Zero(t, mine.Members("engines")[0].Peers.Running)
+	})
+}
--- /dev/null
+++ b/core/mirror/mirror_test.go
@@ -0,0 +1,287 @@
+package mirror_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/event"
+	"primrosegw/core/fault"
+	"primrosegw/core/fresh"
+	"primrosegw/core/mirror"
+	"primrosegw/core/store"
+)
+
+// source is a store in memory whose failures a test sets.
+type source struct {
+	mutex    sync.Mutex
+	revision int64
+	entries  map[string]store.Entry
+	history  []store.Event
+	// oldest is the revision before which the history is gone.
+	oldest int64
+	down   bool
+	// deaf: calls for changes hear nothing.
+	deaf    bool
+	changed chan struct{}
+	calls   map[string]int
+}
+
+func newSource() *source {
+	return &source{entries: map[string]store.Entry{}, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+func (source *source) put(key, value string) {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	source.revision++
+	entry := store.Entry{Key: key, Value: []byte(value), Revision: source.revision}
+	source.entries[key] = entry
+	source.record(store.Event{Entry: entry})
+}
+
+func (source *source) remove(key string) {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	source.revision++
+	delete(source.entries, key)
+	source.record(store.Event{Entry: store.Entry{Key: key, Revision: source.revision}, Deleted: true})
+}
+
+func (source *source) record(change store.Event) {
+	source.history = append(source.history, change)
+	close(source.changed)
+	source.changed = make(chan struct{})
+}
+
+func (source *source) set(change func()) {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	change()
+	close(source.changed)
+	source.changed = make(chan struct{})
+}
+
+func (source *source) called(name string) error {
+	source.calls[name]++
+	if source.down {
+		return fault.New("source."+name, store.Unavailable, "down")
+	}
+	return nil
+}
+
+func (source *source) Get(_ context.Context, key string) (store.Entry, int64, error) {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	if err := source.called("get"); err != nil {
+		return store.Entry{}, 0, err
+	}
+	entry, ok := source.entries[key]
+	if !ok {
+		return store.Entry{}, 0, fault.New("source.get", store.Absent, key)
+	}
+	return entry, source.revision, nil
+}
+
+func (source *source) Range(context.Context, string) ([]store.Entry, int64, error) {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	if err := source.called("range"); err != nil {
+		return nil, 0, err
+	}
+	var entries []store.Entry
+	for _, entry := range source.entries {
+		entries = append(entries, entry)
+	}
+	return entries, source.revision, nil
+}
+
+func (source *source) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for first := true; ; first = false {
+		source.mutex.Lock()
+		changed, events, revision := source.changed, []store.Event(nil), source.revision
+		err := error(nil)
+		if first {
+			err = source.called("changes")
+		}
+		if err == nil && after < source.oldest {
+			err = fault.New("source.changes", store.Compacted, "")
+		}
+		for _, change := range source.history {
+			if change.Entry.Revision > after && !source.deaf {
+				events = append(events, change)
+			}
+		}
+		source.mutex.Unlock()
+		if err != nil || len(events) > 0 {
+			return events, revision, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, fault.Wrap("source.changes", store.Unavailable, ctx.Err())
+		}
+	}
+}
+
+// sink keeps what the mirror delivers.
+type sink struct {
+	mutex  sync.Mutex
+	values map[string]string
+	lists  int
+	writes []string
+}
+
+func (sink *sink) Changed(change store.Event) {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	if change.Deleted {
+		delete(sink.values, change.Entry.Key)
+		return
+	}
+	sink.values[change.Entry.Key] = string(change.Entry.Value)
+	sink.writes = append(sink.writes, change.Entry.Key+"="+string(change.Entry.Value))
+}
+
+func (sink *sink) Listed(entries []store.Entry) {
+	sink.mutex.Lock()
+	sink.lists++
+	kept := map[string]string{"config": sink.values["config"]}
+	sink.values = kept
+	sink.mutex.Unlock()
+	for _, entry := range entries {
+		sink.Changed(store.Event{Entry: entry})
+	}
+}
+
+func (sink *sink) value(key string) string {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	return sink.values[key]
+}
+
+type world struct {
+	source *source
+	sink   *sink
+	proof  *fresh.Proof
+	mirror *mirror.Mirror
+	start  time.Time
+}
+
+func (world *world) now() fresh.Moment { return fresh.Moment(time.Since(world.start)) }
+
+// run plays a test against a mirror under the paused clock.
+func run(t *testing.T, play func(world *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		world := &world{source: newSource(), sink: &sink{values: map[string]string{}}, proof: fresh.New(4 * time.Second), start: time.Now()}
+		world.mirror = mirror.New(mirror.Options{
+			Source: world.source, Sink: world.sink, ProbeKey: "config", ProbeEvery: time.Second, Proof: world.proof,
+			Now: world.now, Logger: event.Discard(), Random: rand.New(rand.NewPCG(1, 2)),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { world.mirror.Run(ctx) })
+		world.source.put("config", "1")
+		play(world)
+		cancel()
+		group.Wait()
+	})
+}
+
+// Guards against changes that are missed, and against a poll for each of them.
+func TestFollowsChanges(t *testing.T) {
+	run(t, func(world *world) {
+		time.Sleep(time.Second)
+		world.source.put("servers/a", "x")
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, "x", world.sink.value("servers/a"))
+		world.source.remove("servers/a")
+		time.Sleep(200 * time.Millisecond)
+		require.Empty(t, world.sink.value("servers/a"))
+		before := world.source.calls["changes"]
+		time.Sleep(20 * time.Second)
+		require.LessOrEqual(t, world.source.calls["changes"]-before, 1)
+		require.Equal(t, 1, world.sink.lists)
+	})
+}
+
+// Guards against a host that acts on a configuration which it can't confirm, and
+// against one that stays out after the store is back.
+func TestProofLapsesInAnOutage(t *testing.T) {
+	run(t, func(world *world) {
+		time.Sleep(2 * time.Second)
+		require.True(t, world.proof.Holds(world.now()))
+		require.False(t, world.mirror.Unsettled(time.Now(), 3*time.Second))
+		world.source.set(func() { world.source.down = true })
+		time.Sleep(3 * time.Second)
+		require.True(t, world.mirror.Unsettled(time.Now(), 3*time.Second))
+		time.Sleep(1500 * time.Millisecond)
+		require.False(t, world.proof.Holds(world.now()))
+		world.source.set(func() { world.source.down = false })
+		time.Sleep(time.Second)
+		require.True(t, world.proof.Holds(world.now()))
+		require.True(t, world.mirror.Unsettled(time.Now(), 3*time.Second))
+		time.Sleep(3 * time.Second)
+		require.False(t, world.mirror.Unsettled(time.Now(), 3*time.Second))
+	})
+}
+
+// Guards against a mirror that waits for a history which the store has dropped.
+func TestCompactionListsAgain(t *testing.T) {
+	run(t, func(world *world) {
+		time.Sleep(time.Second)
+		world.source.set(func() {
+			world.source.deaf = true
+		})
+		world.source.put("servers/b", "y")
+		world.source.set(func() {
+			world.source.deaf, world.source.history = false, nil
+			world.source.oldest = world.source.revision
+		})
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "y", world.sink.value("servers/b"))
+		require.Equal(t, 2, world.sink.lists)
+	})
+}
+
+// Guards against a call for changes that hears nothing while the store moves on:
+// the probe finds out and replaces it.
+func TestDeafWatchIsReplaced(t *testing.T) {
+	run(t, func(world *world) {
+		time.Sleep(time.Second)
+		world.source.mutex.Lock()
+		world.source.deaf = true
+		world.source.mutex.Unlock()
+		world.source.put("servers/c", "z")
+		world.source.mutex.Lock()
+		world.source.deaf = false
+		world.source.mutex.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+		require.Equal(t, "z", world.sink.value("servers/c"))
+	})
+}
+
+// Guards against an older configuration that is delivered after a newer one: the
+// probe and the changes both carry it.
+func TestConfigurationIsDeliveredOnceAndInOrder(t *testing.T) {
+	run(t, func(world *world) {
+		for _, value := range []string{"2", "3", "4"} {
+			time.Sleep(700 * time.Millisecond)
+			world.source.put("config", value)
+		}
+		time.Sleep(2 * time.Second)
+		world.sink.mutex.Lock()
+		defer world.sink.mutex.Unlock()
+		require.Equal(t, []string{"config=1", "config=2", "config=3", "config=4"}, world.sink.writes)
+	})
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -70,6 +70,14 @@
 	return true
 }
 
+// Left returns the number of retries that the budget covers.
+func (budget *Budget) Left() float64 {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.accrue(time.Now())
+	return budget.balance
+}
+
 // accrue adds what time has earned. The mutex is held.
 func (budget *Budget) accrue(now time.Time) {
 	earned := now.Sub(budget.updated).Seconds() * budget.options.PerSecond
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,41 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/host"
+	"primrosegw/core/roster"
+)
+
+func names(hosts []host.Host) []string {
+	var names []string
+	for _, host := range hosts {
+		names = append(names, host.Name)
+	}
+	return names
+}
+
+// Guards against a list for callers that names hosts that leave, or that loses
+// hosts whose entries lapsed with the store.
+func TestLive(t *testing.T) {
+	now := time.Now()
+	hosts := roster.New(host.Host{Name: "b", State: host.Alive})
+	hosts.Put(host.Host{Name: "a", State: host.Alive})
+	hosts.Put(host.Host{Name: "b", State: host.Alive})
+	hosts.Put(host.Host{Name: "c", State: host.Leaving})
+	require.Equal(t, []string{"a", "b"}, names(hosts.Live(now)))
+
+	hosts.Remove("a", true, now)
+	require.Equal(t, []string{"a", "b"}, names(hosts.Live(now.Add(time.Second))))
+	hosts.Remove("a", true, now.Add(time.Second))
+	require.Equal(t, []string{"b"}, names(hosts.Live(now.Add(roster.Forget+time.Millisecond))))
+
+	hosts.Put(host.Host{Name: "a", State: host.Alive})
+	hosts.Remove("a", false, now)
+	hosts.Leave()
+	require.Empty(t, hosts.Live(now))
+	require.ElementsMatch(t, []string{"b", "c"}, hosts.Names())
+}
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -16,7 +16,7 @@
 // Fault is the sort of a table error.
 type Fault string
 
-// Invalid: a field of the configuration is missing or out of range.
+// Invalid means that a field of the configuration is missing or out of range.
 const Invalid Fault = "invalid"
 
 // Error is the error type of this package.
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -9,6 +9,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -144,6 +145,7 @@
 		assert.Contains(t, listed, name)
 	}
 	reported := literals(t, "../io")
+	maps.Copy(reported, literals(t, "../platform"))
 	for _, name := range listed {
 		assert.Contains(t, reported, strings.TrimPrefix(name, "primrosegw_"))
 	}
@@ -244,7 +246,14 @@
 func meterNames(t *testing.T) []string {
 	t.Helper()
 	var found []string
-	sources(t, "../io", func(file *ast.File) {
+	sources(t, "../io", meterCalls(&found))
+	sources(t, "../platform", meterCalls(&found))
+	return found
+}
+
+// meterCalls collects the names of metrics that a file reports.
+func meterCalls(found *[]string) func(*ast.File) {
+	return func(file *ast.File) {
 		ast.Inspect(file, func(node ast.Node) bool {
 			call, ok := node.(*ast.CallExpr)
 			if !ok || len(call.Args) == 0 {
@@ -255,12 +264,11 @@
 				return true
 			}
 			if literal, ok := call.Args[0].(*ast.BasicLit); ok && literal.Kind == token.STRING {
-				found = append(found, strings.Trim(literal.Value, `"`))
+				*found = append(*found, strings.Trim(literal.Value, `"`))
 			}
 			return true
 		})
-	})
-	return found
+	}
 }
 
 // pages returns the paths of all pages of this directory and of the root.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -81,7 +81,7 @@
 	call := exchange.call
 	return Order{
 		Server: exchange.server, Workspace: call.work.Workspace, Left: call.work.Left(time.Now()),
-		Rank: call.work.Rank, LastEvent: call.lastEvent,
+		Rank: call.work.Rank, LastEvent: call.events.last,
 	}
 }
 
@@ -218,7 +218,7 @@
 	call.log(event.RequestEnded(), logrus.Fields{
 		"route": call.work.Route.Name, "workspace": call.work.Workspace, "status": status, "server": call.server,
 		"attempts": call.reached + 1, "first_ms": call.first.Milliseconds(), "total_ms": total.Milliseconds(),
-		"events": call.events, "gap_ms": call.longest.Milliseconds(),
+		"events": call.events.count, "last_event": call.events.last, "gap_ms": call.longest.Milliseconds(),
 	})
 	call.front.options.Meter.Ended(strconv.Itoa(status), string(call.work.Route.Kind), call.first, total)
 }
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -182,7 +182,7 @@
 	}
 	now := time.Now()
 	call.log(event.AnswerBroken(), logrus.Fields{
-		"route": call.work.Route.Name, "server": call.server, "events": call.events, "error": refusal.reason,
+		"route": call.work.Route.Name, "server": call.server, "events": call.events.count, "error": refusal.reason,
 		"after_ms": now.Sub(call.work.Received).Milliseconds(),
 	})
 	call.front.options.Meter.Ended("broken", string(call.work.Route.Kind), call.first, now.Sub(call.work.Received))
@@ -193,7 +193,7 @@
 func (call *call) left() {
 	total := time.Since(call.work.Received)
 	call.log(event.CallerLeft(), logrus.Fields{
-		"route": call.work.Route.Name, "server": call.server, "state": call.state, "after_ms": total.Milliseconds(), "events": call.events,
+		"route": call.work.Route.Name, "server": call.server, "state": call.state, "after_ms": total.Milliseconds(), "events": call.events.count,
 	})
 	call.front.options.Meter.Ended("caller_left", string(call.work.Route.Kind), call.first, total)
 	panic(http.ErrAbortHandler)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -151,12 +151,11 @@
 	tried   map[string]bool
 	server  string
 	// begun: a part of an answer has been written to the caller.
-	begun     bool
-	lastEvent string
-	events    int
-	first     time.Duration
-	lastAt    time.Time
-	longest   time.Duration
+	begun   bool
+	events  sequence
+	first   time.Duration
+	lastAt  time.Time
+	longest time.Duration
 	// fallback is a failure of a backend server that is passed on when no other
 	// server does better.
 	fallback *fallback
@@ -252,6 +251,9 @@
 	call.work.PromptTokens, call.work.OutputTokens = call.caller.PromptTokens, call.caller.OutputTokens
 	call.work.Parts = call.caller.Parts
 	call.work.Service = route.Pick(pick.Draw(call.work.ID))
+	if route.Resumable && !call.begun {
+		call.events.last = call.caller.LastEvent
+	}
 	call.work.Bulk = current.Bulk(route, call.work.Service)
 	call.work.Deadline = call.deadline(route)
 	return nil
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -24,7 +24,7 @@
 func (exchange *exchange) stream(answer pipe.Answer) work.Result {
 	call := exchange.call
 	if call.begun {
-		call.log(event.StreamResumed(), logrus.Fields{"server": exchange.server.ID, "from_event": call.lastEvent})
+		call.log(event.StreamResumed(), logrus.Fields{"server": exchange.server.ID, "from_event": call.events.last})
 	} else {
 		copyHeader(call.writer.Header(), answer.Header)
 		call.writer.WriteHeader(answer.StatusCode)
@@ -86,35 +86,19 @@
 // writeEvents writes whole events to the caller at once.
 func (call *call) writeEvents(data []byte) error {
 	now := time.Now()
-	id, count := eventIDs(data)
-	if id != "" {
-		call.lastEvent = id
+	after, err := call.events.take(data)
+	if err != nil {
+		return err
 	}
-	if call.events == 0 {
+	if call.events.count == 0 {
 		call.first = now.Sub(call.work.Received)
 	} else {
 		call.longest = max(call.longest, now.Sub(call.lastAt))
 	}
 	call.lastAt = now
-	call.events += count
+	call.events = after
 	if _, err := call.writer.Write(data); err != nil {
 		return err
 	}
 	return http.NewResponseController(call.writer).Flush()
 }
-
-// eventIDs returns the last event id in data and the number of events.
-func eventIDs(data []byte) (string, int) {
-	last, count := "", 0
-	for line := range bytes.Lines(data) {
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
-			count++
-			continue
-		}
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			last = string(bytes.TrimSpace(value))
-		}
-	}
-	return last, count
-}
--- a/io/gram/gram.go
+++ b/io/gram/gram.go
@@ -178,3 +178,8 @@
 	_, _ = code.Write(content)
 	return code.Sum(nil)[:signatureBytes]
 }
+
+// Address returns the address that the socket listens on.
+func (socket *Socket[T]) Address() netip.AddrPort {
+	return socket.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -108,3 +108,25 @@
 	}
 	scope.Histogram("forwarded_total_seconds", firstTokenBuckets()).RecordDuration(total)
 }
+
+// The names of levels of a gateway.
+const (
+	ProofAgeSeconds  = "proof_age_seconds"
+	RequestsInFlight = "requests_in_flight"
+	RetriesLeft      = "retries_left"
+	BackendServers   = "backend_servers"
+	ListedHosts      = "listed_hosts"
+)
+
+// Level sets one of the levels of a gateway.
+func (meter *Meter) Level(name string, level float64) {
+	meter.scope.Gauge(name).Update(level)
+}
+
+// StoreCall counts a call to the store by the kind of its error.
+func (meter *Meter) StoreCall(call, kind string) {
+	if kind == "" {
+		kind = "none"
+	}
+	meter.scope.Tagged(map[string]string{"call": call, "error": kind}).Counter("store_calls").Inc(1)
+}
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -185,12 +187,14 @@
 // SetReadDeadline bounds the time for reading the answer's body.
 func (conn *Conn) SetReadDeadline(deadline time.Time) { conn.raw.SetReadDeadline(deadline) }
 
+// readError tells a connection that ended from bytes that are no answer. After
+// either the request may have run.
 func readError(err error) error {
-	text := err.Error()
-	if strings.Contains(text, "malformed") || strings.Contains(text, "invalid") {
-		return fault.Wrap("pipe.next", Malformed, err)
+	var failed net.Error
+	if errors.As(err, &failed) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return fault.Wrap("pipe.next", Lost, err)
 	}
-	return fault.Wrap("pipe.next", Lost, err)
+	return fault.Wrap("pipe.next", Malformed, err)
 }
 
 // Reuse gives the connection back after a whole answer. The header tells how
