--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -41,19 +41,23 @@
 const (
 	// longestWait is how long one call waits for changes.
 	longestWait = 25 * time.Second
-	// settle is the pause between two calls for changes, so that changes that
-	// come together take one call.
-	settle = 60 * time.Millisecond
+	// settleBase and settleCeiling bound the pause between two calls for changes,
+	// so that changes that come together take one call. It doubles while there
+	// are changes each time.
+	settleBase    = 80 * time.Millisecond
+	settleCeiling = 500 * time.Millisecond
 	// retryBase and retryCeiling bound the pause after a failed call.
-	retryBase    = 120 * time.Millisecond
-	retryCeiling = 600 * time.Millisecond
+	retryBase    = 150 * time.Millisecond
+	retryCeiling = 800 * time.Millisecond
 	// probeTimeout bounds a read of the probed key.
 	probeTimeout = 700 * time.Millisecond
 	// listTimeout bounds a listing of all keys.
 	listTimeout = 3 * time.Second
+	// absentPause is the pause before a missing key is read again.
+	absentPause = 700 * time.Millisecond
 	// deafAfter is how long a call for changes may lag behind the store's
 	// revision before it is taken for dead.
-	deafAfter = 150 * time.Millisecond
+	deafAfter = 700 * time.Millisecond
 )
 
 // Options configure a Mirror.
@@ -65,7 +69,7 @@
 	// ProbeKey is read regularly: it proves that the store is reachable and that
 	// the copy of that key is the newest one.
 	ProbeKey string
-	// ProbeEvery is the time between two reads of the probed key.
+	// ProbeEvery is the longest age of the proof before the probed key is read.
 	ProbeEvery time.Duration
 	// Proof is confirmed by each read of the probed key.
 	Proof *fresh.Proof
@@ -84,6 +88,8 @@
 	position int64
 	// probed is the newest revision of the probed key that was taken over.
 	probed int64
+	// expected is the newest revision that the store is known to have reached.
+	expected int64
 	// interrupt ends the call for changes that is under way.
 	interrupt context.CancelFunc
 	random    *rand.Rand
@@ -94,11 +100,15 @@
 	lostAt time.Time
 	// returnedAt is when the store was last reachable again after a loss.
 	returnedAt time.Time
+	// back is closed when the store is reachable again.
+	back chan struct{}
+	// kick wakes the probe after another call has failed.
+	kick chan struct{}
 }
 
 // New returns an empty mirror.
 func New(options Options) *Mirror {
-	return &Mirror{options: options, random: options.Random}
+	return &Mirror{options: options, random: options.Random, kick: make(chan struct{}, 1)}
 }
 
 // Run copies until the context ends.
@@ -117,30 +127,52 @@
 	return !mirror.lostAt.IsZero() || !mirror.returnedAt.IsZero() && now.Sub(mirror.returnedAt) < within
 }
 
-// follow lists all keys and then takes over change by change.
+// Reachable waits until the store answers, or the context ends.
+func (mirror *Mirror) Reachable(ctx context.Context) {
+	mirror.health.Lock()
+	back := mirror.back
+	mirror.health.Unlock()
+	if back == nil {
+		return
+	}
+	select {
+	case <-back:
+	case <-ctx.Done():
+	}
+}
+
+// Revision returns the revision of the probed key that was taken over last.
+func (mirror *Mirror) Revision() int64 {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	return mirror.probed
+}
+
+// follow lists all keys and then takes over change by change. The place in the
+// history is kept in an outage: only a compaction needs a new list.
 func (mirror *Mirror) follow(ctx context.Context) {
-	pause := retryBase
+	settle, listed := settleBase, false
 	for ctx.Err() == nil {
-		err := mirror.list(ctx)
-		for err == nil && ctx.Err() == nil {
-			err = mirror.await(ctx)
-			if err == nil {
-				pause = retryBase
-				sleep(ctx, settle)
-			} else if !fault.Is(err, store.Compacted) {
-				// The place in the history is kept: only a compaction needs a new list.
-				mirror.failed(err, "changes")
-				sleep(ctx, mirror.jitter(pause))
-				pause = min(2*pause, retryCeiling)
-				err = nil
-			}
+		mirror.Reachable(ctx)
+		var err error
+		changed := false
+		if listed {
+			changed, err = mirror.await(ctx)
+		} else {
+			err = mirror.list(ctx)
 		}
-		if ctx.Err() != nil {
-			return
+		listed = err == nil || listed && !fault.Is(err, store.Compacted)
+		if err != nil && ctx.Err() == nil {
+			mirror.Failed(err, "follow")
+			sleep(ctx, mirror.jitter(retryBase))
+			continue
+		}
+		if changed {
+			sleep(ctx, settle)
+			settle = min(2*settle, settleCeiling)
+		} else {
+			settle = settleBase
 		}
-		mirror.failed(err, "list")
-		sleep(ctx, mirror.jitter(pause))
-		pause = min(2*pause, retryCeiling)
 	}
 }
 
@@ -176,8 +208,8 @@
 	return true
 }
 
-// await waits for changes once.
-func (mirror *Mirror) await(ctx context.Context) error {
+// await waits for changes once and reports whether there were any.
+func (mirror *Mirror) await(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	mirror.mutex.Lock()
@@ -187,10 +219,10 @@
 	events, revision, err := mirror.options.Source.Changes(ctx, mirror.options.Prefix, after, longestWait)
 	if err != nil {
 		if ctx.Err() != nil {
-			// The probe found the call deaf; the next one starts at once.
-			return nil
+			// The call was found deaf; the next one starts at once.
+			return false, nil
 		}
-		return err
+		return false, err
 	}
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
@@ -201,18 +233,52 @@
 		mirror.options.Sink.Changed(change)
 	}
 	mirror.position = max(mirror.position, revision)
-	return nil
+	return len(events) > 0, nil
 }
 
-// probe reads the probed key at regular times.
+// probe reads the probed key whenever the proof has become old. Other hosts may
+// renew it, so that few of them read.
 func (mirror *Mirror) probe(ctx context.Context) {
+	pause := retryBase
 	for ctx.Err() == nil {
-		pause := mirror.options.ProbeEvery
-		if err := mirror.probeOnce(ctx); err != nil {
-			mirror.failed(err, "probe")
+		if wait := mirror.untilDue(); wait > 0 {
+			mirror.rest(ctx, wait)
+			continue
+		}
+		err := mirror.probeOnce(ctx)
+		if err == nil {
 			pause = retryBase
+			continue
+		}
+		if ctx.Err() == nil {
+			mirror.Failed(err, "probe")
 		}
 		sleep(ctx, mirror.jitter(pause))
+		pause = min(2*pause, retryCeiling)
+	}
+}
+
+// untilDue returns the time until the probed key has to be read. Hosts draw
+// different ages, so that the first one spares the others the call.
+func (mirror *Mirror) untilDue() time.Duration {
+	mirror.health.Lock()
+	lost := !mirror.lostAt.IsZero()
+	mirror.health.Unlock()
+	age, known := mirror.options.Proof.Age(mirror.options.Now())
+	if lost || !known {
+		return 0
+	}
+	return mirror.jitterHalf(mirror.options.ProbeEvery) - age
+}
+
+// rest waits, but not beyond another call's failure.
+func (mirror *Mirror) rest(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-mirror.kick:
+	case <-ctx.Done():
 	}
 }
 
@@ -227,6 +293,7 @@
 	mirror.reached()
 	if err != nil {
 		// There is no configuration yet, so there is nothing to confirm.
+		sleep(ctx, mirror.jitter(absentPause))
 		return nil
 	}
 	mirror.mutex.Lock()
@@ -235,10 +302,17 @@
 		mirror.options.Sink.Changed(store.Event{Entry: entry})
 	}
 	mirror.options.Proof.Confirm(before)
-	if revision > mirror.position && mirror.position > 0 {
+	mirror.expect(revision)
+	return nil
+}
+
+// expect sees to it that the changes up to a revision arrive soon. The mutex is
+// held.
+func (mirror *Mirror) expect(revision int64) {
+	if revision > max(mirror.position, mirror.expected) && mirror.position > 0 {
+		mirror.expected = revision
 		time.AfterFunc(deafAfter, func() { mirror.unstick(revision) })
 	}
-	return nil
 }
 
 // unstick ends a call for changes that has not delivered a revision which the
@@ -262,10 +336,13 @@
 	now := time.Now()
 	mirror.options.Logger.Log(event.StoreRegained(), logrus.Fields{"lost_ms": now.Sub(mirror.lostAt).Milliseconds()})
 	mirror.lostAt, mirror.returnedAt = time.Time{}, now
+	close(mirror.back)
+	mirror.back = nil
 }
 
-// failed notes that the store did not answer.
-func (mirror *Mirror) failed(err error, call string) {
+// Failed notes that the store did not answer a call. The probe then asks until
+// it does.
+func (mirror *Mirror) Failed(err error, call string) {
 	if fault.Is(err, store.Compacted) {
 		mirror.options.Logger.Log(event.HistoryGone(), nil)
 		return
@@ -275,7 +352,11 @@
 	if !mirror.lostAt.IsZero() {
 		return
 	}
-	mirror.lostAt = time.Now()
+	mirror.lostAt, mirror.back = time.Now(), make(chan struct{})
+	select {
+	case mirror.kick <- struct{}{}:
+	default:
+	}
 	mirror.options.Logger.Log(event.StoreLost(), logrus.Fields{"call": call, "error": err.Error()})
 }
 
@@ -286,6 +367,13 @@
 	return pause - time.Duration(mirror.random.Int64N(int64(pause)/4+1))
 }
 
+// jitterHalf spreads a time over its upper half.
+func (mirror *Mirror) jitterHalf(pause time.Duration) time.Duration {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	return pause - time.Duration(mirror.random.Int64N(int64(pause)/2+1))
+}
+
 func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
--- a/io/gram/gram.go
+++ b/io/gram/gram.go
@@ -86,12 +86,12 @@
 // Close ends the socket; Receive returns.
 func (socket *Socket[T]) Close() error { return socket.conn.Close() }
 
-// Send sends a body to each address. Addresses that can't be reached now are
-// passed over; the next datagram goes there again. It fails with Malformed when
-// the body is too long.
-func (socket *Socket[T]) Send(body T, to []netip.AddrPort) error {
+// Send sends a body to an address. An address that can't be reached now is no
+// error; the next datagram goes there again. It fails with Malformed when the
+// body is too long.
+func (socket *Socket[T]) Send(body T, to netip.AddrPort) error {
 	key := socket.key.Load()
-	if key == nil || len(to) == 0 {
+	if key == nil {
 		return nil
 	}
 	envelope := socket.own
@@ -101,10 +101,8 @@
 	if err != nil {
 		return err
 	}
-	for _, address := range to {
-		if _, err := socket.conn.WriteToUDPAddrPort(data, address); errors.Is(err, net.ErrClosed) {
-			return fault.Wrap("gram.send", Closed, err)
-		}
+	if _, err := socket.conn.WriteToUDPAddrPort(data, to); errors.Is(err, net.ErrClosed) {
+		return fault.Wrap("gram.send", Closed, err)
 	}
 	return nil
 }
--- a/io/gram/gram_test.go
+++ b/io/gram/gram_test.go
@@ -1,7 +1,6 @@
 package gram_test
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
@@ -60,7 +59,7 @@
 	receiver := listen(t, "r", 1)
 	received, rejected := make(chan string, 10), make(chan error, 10)
 	go receiver.Receive(func(host string, body body) { received <- host + body.Text }, func(err error) { rejected <- err })
-	to := []netip.AddrPort{receiver.Address()}
+	to := receiver.Address()
 
 	first := listen(t, "a", 5)
 	require.NoError(t, first.Send(body{Text: "1"}, to))
