core/pick: requests that talk run on the faster engines

Change: a host learns each engine's usual slowness from its reports; the engines for talking requests are the fast ones first.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -15,6 +15,8 @@
 	suspendCeiling = 2 * time.Second
 	// failureDecay is the weight of the newest answer in the failure rate.
 	failureDecay = 0.15
+	// usualDecay is the weight of a report in the usual slowness.
+	usualDecay = 0.02
 	// waitDecay is the weight of the newest answer in the answer time.
 	waitDecay = 0.2
 )
@@ -55,6 +57,9 @@
 	// SentSince is the prompt tokens that this host has sent since the last
 	// report of the load.
 	SentSince int
+	// Usual is how long work usually takes at the server, 1 being the service's
+	// norm: machines differ in speed, and are slowed by others for moments.
+	Usual float64
 	// FailureRate is a moving average of the share of failed answers.
 	FailureRate float64
 	// Excess is a moving average of the time to an answer in units of what was
@@ -237,9 +242,22 @@
 	fleet.with(id, func(member *Member) {
 		member.Load = load
 		member.SentSince = 0
+		member.learn(load.Slowness)
 	})
 }
 
+// learn follows a fall of the slowness at once and a rise slowly, so that moments
+// of trouble do not count as usual.
+func (member *Member) learn(slowness float64) {
+	switch {
+	case slowness <= 0:
+	case member.Usual == 0 || slowness < member.Usual:
+		member.Usual = slowness
+	default:
+		member.Usual += usualDecay * (slowness - member.Usual)
+	}
+}
+
 // Good records a proper answer, which took excess times what was expected.
 func (fleet *Fleet) Good(id string, excess float64) {
 	fleet.with(id, func(member *Member) {
--- a/core/pick/group.go
+++ b/core/pick/group.go
@@ -17,6 +17,8 @@
 	// talkersPerEngine is the number of talking requests that an engine runs with
 	// short pauses between their tokens.
 	talkersPerEngine = 12
+	// slowEngine is the usual slowness from which an engine counts as slow.
+	slowEngine = 1.15
 	// leastTalkShare and mostTalkShare bound the share of engines for talking
 	// requests.
 	leastTalkShare = 0.12
@@ -34,8 +36,9 @@
 
 Reading a prompt stretches the pauses between the tokens of all requests of the
 batch, so requests that mostly read and those that mostly talk run on different
-engines. The engines are put in the order of a hash of their IDs, which all hosts
-share; the first ones are for those that talk. Their number follows the number of
+engines. The engines are put in the order of their usual speed and then of a hash
+of their IDs, which all hosts share; the first ones are for those that talk, since
+a slow engine stretches their pauses. Their number follows the number of
 talking requests that all hosts have in flight, so the hosts agree on it well
 enough without asking each other.
 */
@@ -60,10 +63,10 @@
 	talking := 0
 	for index := range members {
 		member := &members[index]
-		ordered[index] = ranked{xxhash.Sum64String(member.ID), member.ID}
+		ordered[index] = ranked{member.Usual > slowEngine, xxhash.Sum64String(member.ID), member.ID}
 		talking += member.Own.Talking + member.Peers.Talking
 	}
-	slices.SortFunc(ordered, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	slices.SortFunc(ordered, ranked.compare)
 	count := float64(len(members))
 	wanted := (talking + talkersPerEngine - 1) / talkersPerEngine
 	number := max(int(leastTalkShare*count+0.5), min(wanted, int(mostTalkShare*count)))
@@ -76,10 +79,21 @@
 }
 
 type ranked struct {
+	slow bool
 	hash uint64
 	id   string
 }
 
+func (ranked ranked) compare(other ranked) int {
+	if ranked.slow != other.slow {
+		if ranked.slow {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(ranked.hash, other.hash)
+}
+
 // affinity returns the server that requests with the same session prefer.
 func affinity(request *work.Request, candidates []fleet.Member) string {
 	if len(request.Parts) < 2 {
