core/pick: predictions learn from how earlier ones turned out

Cause: at the crest first events come 1.7 times later than predicted, so admission lets through what is late. Change: a factor by service follows observed against predicted times; admission uses it, the choice between engines does not; an engine's usual slowness counts where no report is fresh.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -19,6 +19,8 @@
 	FailureDomain string
 	// TokensPerMs is the rate at which an engine reads a prompt.
 	TokensPerMs float64
+	// Pace corrects predictions by how earlier ones turned out; nil: not at all.
+	Pace *Pace
 }
 
 // The parts of the loss that a choice is expected to cause, in units of what the
@@ -126,11 +128,11 @@
 		loss += remoteLoss
 	}
 	age := now.Sub(member.Load.At)
-	slowness := 1.0
-	if age < slownessLife && member.Load.Slowness > 1 {
+	slowness := max(1, member.Usual)
+	if age < slownessLife && member.Load.Slowness > 0 {
 		slowness = member.Load.Slowness
-		loss += (slowness - 1) * slowLoss
 	}
+	loss += max(0, slowness-1) * slowLoss
 	if !request.Route.Prompts {
 		if age < reportLife {
 			loss += (1 - float64(age)/float64(reportLife)) * float64(member.Load.Waiting) * waitingLoss
@@ -140,6 +142,7 @@
 	tokens := options.backlog(request, member, age) + float64(unread(request, liked))
 	first := tokens * slowness * stepOverhead / options.TokensPerMs
 	loss += options.lateness(request, first, now) + first*millisecondLoss
+	first *= options.Pace.Factor(request.Service)
 	if !liked && request.PromptTokens > 0 {
 		loss += rereadLoss * float64(sessionTokens(request)) / float64(request.PromptTokens)
 	}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -34,6 +34,8 @@
 	server  fleet.Server
 	started time.Time
 	share   fleet.Share
+	// predicted is the time to the first event that was expected.
+	predicted time.Duration
 	// done: the server has read the prompt.
 	done bool
 	// whole: all of the request was sent, and no answer to another one came.
@@ -71,6 +73,9 @@
 		return exchange.broken(err)
 	}
 	exchange.read()
+	if !head.NotRun {
+		call.front.options.Pick.Pace.Learn(call.work.Service, exchange.predicted, time.Since(exchange.started))
+	}
 	if head.Load != nil {
 		call.front.options.Fleet.Report(exchange.server.ID, *head.Load)
 	}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -108,7 +108,7 @@
 	}
 	options.Fleet.Begin(server.ID, choice.Share)
 	defer options.Fleet.End(server.ID, choice.Share)
-	exchange := &exchange{call: call, conn: conn, server: server, started: time.Now(), share: choice.Share}
+	exchange := &exchange{call: call, conn: conn, server: server, started: time.Now(), share: choice.Share, predicted: choice.First}
 	defer exchange.read()
 	call.logSent(choice, exchange)
 	return exchange.run()
