primrosegw explain: from a request's id to its cause

Change: core/trail collects a request's lines and tells the verdict; refusals at overload log what they were decided from; the caller's leaving is checked first. Measured: golden stories of three recorded sessions.

--- a/cmds/run.go
+++ b/cmds/run.go
@@ -28,6 +28,7 @@
 type tree struct {
 	Serve   serveCommand   `cmd:"" help:"Run an entry host."`
 	Gateway gatewayCommand `cmd:"" help:"Run an entry host on the operators' platform."`
+	Explain explainCommand `cmd:"" help:"Tell from logs what became of a request."`
 	Check   checkCommand   `cmd:"" help:"Check a document or host settings."`
 	Trial   trialCommand   `cmd:"" help:"Prove a document in trial."`
 	Promote promoteCommand `cmd:"" help:"Put a proved document in force."`
--- /dev/null
+++ b/core/trail/trail_test.go
@@ -0,0 +1,66 @@
+package trail_test
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/fault"
+	"primrosegw/core/trail"
+)
+
+var update = flag.Bool("update", false, "write the golden stories")
+
+func load(t *testing.T, name string) []trail.Line {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("testdata", name+".log"))
+	require.NoError(t, err)
+	lines, err := trail.Read(bytes.NewReader(data))
+	require.NoError(t, err)
+	return lines
+}
+
+// Guards against a story that names the wrong cause: three recorded sessions of
+// requests that were refused at overload, lost with their server, and late.
+func TestRecordedSessions(t *testing.T) {
+	for name, id := range map[string]string{"overload": "b10f30b71bc6311a", "broken": "6459d508e80e646b", "late": "845f9e4d99bcce8a"} {
+		story, err := trail.Tell(load(t, name), id)
+		require.NoError(t, err)
+		var text bytes.Buffer
+		require.NoError(t, story.Write(&text))
+		golden := filepath.Join("testdata", name+".txt")
+		if *update {
+			require.NoError(t, os.WriteFile(golden, text.Bytes(), 0o600))
+		}
+		want, err := os.ReadFile(golden)
+		require.NoError(t, err)
+		require.Equal(t, string(want), text.String(), name)
+	}
+}
+
+// Guards against a guess where lines are missing.
+func TestMissingLines(t *testing.T) {
+	lines := load(t, "late")
+	_, err := trail.Tell(lines, "nobody")
+	require.True(t, fault.Is(err, trail.Unknown))
+	lines = slices.DeleteFunc(lines, func(line trail.Line) bool { return line.Name == "request_ended" })
+	story, err := trail.Tell(lines, "845f9e4d99bcce8a")
+	require.True(t, fault.Is(err, trail.Incomplete))
+	require.Len(t, story.Lines, 1)
+}
+
+// Guards against a log with other lines that is refused, and a line without end
+// that is taken.
+func TestReadPassesOverOtherLines(t *testing.T) {
+	lines, err := trail.Read(strings.NewReader("started\n 1.25 host-a {\"event_name\":\"x\",\"host\":\"a\"}\n{broken\n{}\n"))
+	require.NoError(t, err)
+	require.Len(t, lines, 1)
+	_, err = trail.Read(strings.NewReader(strings.Repeat("x", 2<<20)))
+	require.True(t, fault.Is(err, trail.Unreadable))
+}
--- a/io/front/answer_test.go
+++ b/io/front/answer_test.go
@@ -229,3 +229,34 @@
 	require.Equal(t, http.StatusServiceUnavailable, world.ask("/once/", "x").status)
 	require.Len(t, world.arrived(), 1)
 }
+
+// Guards against a caller that leaves and is answered as one whose key was taken
+// away meanwhile: its work is cancelled, and nobody is refused.
+func TestCallerThatLeavesWhileTheTableChanges(t *testing.T) {
+	world := newWorld(t, nil)
+	started := make(chan struct{})
+	world.engine("a", func(_ *http.Request, conn net.Conn) {
+		close(started)
+		_, _ = conn.Read(make([]byte, 1))
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, world.server.URL+"/once/", strings.NewReader("x"))
+	require.NoError(t, err)
+	request.Host = "h.example"
+	request.Header.Set("X-Id", "id-1")
+	request.Header.Set("X-Key", "key")
+	go func() {
+		<-started
+		data := world.table.Load().Data
+		data.Version, data.Workspaces = 2, []table.Workspace{{Name: "other", Keys: []string{"new"}}}
+		next, err := table.New(data)
+		if err == nil {
+			world.table.Adopt(next)
+		}
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(request)
+	require.ErrorIs(t, err, context.Canceled)
+	require.Eventually(t, func() bool { return strings.Contains(world.log.String(), "caller_left") }, 10*time.Second, time.Millisecond)
+	require.NotContains(t, world.log.String(), "request_turned_away")
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -224,6 +224,7 @@
 		"route": call.work.Route.Name, "workspace": call.work.Workspace, "status": status, "server": call.server,
 		"attempts": call.reached + 1, "first_ms": call.first.Milliseconds(), "total_ms": total.Milliseconds(),
 		"events": call.events.count, "last_event": call.events.last, "gap_ms": call.longest.Milliseconds(),
+		"objective_ms": call.work.Route.Objective.Milliseconds(), "gap_objective_ms": call.work.Route.GapObjective.Milliseconds(),
 	})
 	call.front.options.Meter.Ended(strconv.Itoa(status), string(call.work.Route.Kind), call.first, total)
 }
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -34,15 +34,15 @@
 func (call *call) forward() {
 	call.tried = make(map[string]bool)
 	for dials := 0; ; {
+		if call.gone() {
+			call.left()
+			return
+		}
 		if refusal := call.match(); refusal != nil {
 			call.finish(refusal)
 			return
 		}
 		now := time.Now()
-		if call.gone() {
-			call.left()
-			return
-		}
 		if call.work.Left(now) <= 0 {
 			call.giveUp(true, "deadline")
 			return
@@ -59,7 +59,7 @@
 		}
 		decision := admit.Decide(&call.work, choice.First, now)
 		if !decision.Admitted && call.reached == 0 {
-			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: "overload", after: decision.After})
+			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: "overload", after: decision.After, choice: &choice})
 			return
 		}
 		call.tried[choice.Member.ID] = true
@@ -127,10 +127,18 @@
 		"running": choice.Member.Own.Running, "reading": choice.Member.Own.ReadingAll(), "peer_running": choice.Member.Peers.Running,
 		"peer_reading": choice.Member.Peers.ReadingAll(), "first_ms": choice.First.Milliseconds(), "prompt_tokens": call.work.PromptTokens,
 		"reported_running": choice.Member.Load.Running, "reported_waiting": choice.Member.Load.Waiting,
-		"slowness": choice.Member.Load.Slowness, "report_age_ms": exchange.started.Sub(choice.Member.Load.At).Milliseconds(),
+		"slowness": choice.Member.Load.Slowness, "report_age_ms": reportAge(choice.Member.Load, exchange.started),
 	})
 }
 
+// reportAge is the age of a load report, -1 if there was none.
+func reportAge(load fleet.Load, now time.Time) int64 {
+	if load.At.IsZero() {
+		return -1
+	}
+	return now.Sub(load.At).Milliseconds()
+}
+
 // connectionKey tells the processes apart that have had one address.
 func connectionKey(server fleet.Server) string {
 	return server.ID + "@" + server.Address + "/" + server.Started.String()
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"primrosegw/core/event"
+	"primrosegw/core/pick"
 	"primrosegw/core/work"
 )
 
@@ -27,6 +28,8 @@
 	detail string
 	// after is when the caller may come back; 0: soon.
 	after time.Duration
+	// choice is what an overload was found at; nil for other reasons.
+	choice *pick.Choice
 }
 
 // unserved is the answer to a request that no backend server has answered.
@@ -51,11 +54,16 @@
 		after = call.comeBack(refusal.after, now)
 		call.front.options.Wire.RetryAfter(header, after)
 	}
-	call.log(event.RequestTurnedAway(), logrus.Fields{
+	fields := logrus.Fields{
 		"route": call.work.Route.Name, "workspace": call.work.Workspace, "status": refusal.status, "reason": refusal.reason,
 		"state": call.state, "attempts": call.reached, "waited_ms": now.Sub(call.work.Received).Milliseconds(),
 		"retry_after_ms": after.Milliseconds(), "table_version": call.version(), "proof_age_ms": call.proofAge(),
-	})
+	}
+	if refusal.choice != nil {
+		fields["server"], fields["first_ms"] = refusal.choice.Member.ID, refusal.choice.First.Milliseconds()
+		fields["over"], fields["objective_ms"] = refusal.choice.Over, call.work.Route.Objective.Milliseconds()
+	}
+	call.log(event.RequestTurnedAway(), fields)
 	call.front.options.Meter.Ended(refusal.reason, string(call.work.Route.Kind), 0, now.Sub(call.work.Received))
 	body, err := json.Marshal(struct {
 		Error  string     `json:"error"`
