--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -13,6 +13,8 @@
 	// could not be reached gets no requests.
 	suspendBase    = 300 * time.Millisecond
 	suspendCeiling = 2 * time.Second
+	// brokenInRow is the number of broken answers in a row that suspend a server.
+	brokenInRow = 3
 	// failureDecay is the weight of the newest answer in the failure rate.
 	failureDecay = 0.15
 	// usualDecay is the weight of a report in the usual slowness.
@@ -275,15 +277,27 @@
 	})
 }
 
-// Unreachable records that a server took no connection or broke one, and
-// suspends it for longer each time.
+// Unreachable records that a server took no connection, and suspends it for
+// longer each time.
 func (fleet *Fleet) Unreachable(id string, now time.Time) {
-	fleet.with(id, func(member *Member) {
-		member.Failures++
-		member.FailureRate += failureDecay * (1 - member.FailureRate)
-		pause := suspendBase << min(member.Failures-1, 8)
-		member.SuspendedUntil = now.Add(min(pause, suspendCeiling))
-	})
+	fleet.with(id, func(member *Member) { member.fail(now, 1) })
+}
+
+// Broke records that a server broke off an answer. One that loses single answers
+// goes on to get requests: only several in a row suspend it.
+func (fleet *Fleet) Broke(id string, now time.Time) {
+	fleet.with(id, func(member *Member) { member.fail(now, brokenInRow) })
+}
+
+// fail counts a failure and suspends the server from a number of them in a row.
+func (member *Member) fail(now time.Time, from int) {
+	member.Failures++
+	member.FailureRate += failureDecay * (1 - member.FailureRate)
+	if member.Failures < from {
+		return
+	}
+	pause := suspendBase << min(member.Failures-from, 8)
+	member.SuspendedUntil = now.Add(min(pause, suspendCeiling))
 }
 
 func (fleet *Fleet) with(id string, change func(*Member)) {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -110,3 +110,25 @@
 		require.Zero(t, mine.Members("engines")[0].Peers.Running)
 	})
 }
+
+// Guards against an engine that loses one answer in ten and gets no requests for
+// most of the time, and against one that is dead and still gets them.
+func TestSingleBrokenAnswersDoNotSuspend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known := fleet.New()
+		known.Put(server("a"))
+		for range 5 {
+			known.Broke("a", time.Now())
+			known.Broke("a", time.Now())
+			require.Zero(t, known.SuspendedFor("a", time.Now()))
+			known.Good("a", 1)
+		}
+		for range 3 {
+			known.Broke("a", time.Now())
+		}
+		require.Positive(t, known.SuspendedFor("a", time.Now()))
+		known.Good("a", 1)
+		known.Unreachable("a", time.Now())
+		require.Positive(t, known.SuspendedFor("a", time.Now()))
+	})
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -185,8 +185,10 @@
 // broken ends an attempt without a proper answer.
 func (exchange *exchange) broken(err error) work.Result {
 	call := exchange.call
-	if !call.gone() && time.Now().Before(call.work.Deadline) {
-		call.unreachable(exchange.server, err)
+	now := time.Now()
+	if !call.gone() && now.Before(call.work.Deadline) {
+		call.front.options.Fleet.Broke(exchange.server.ID, now)
+		call.suspended(exchange.server, err, now)
 	}
 	return exchange.ended(work.Broken, 0, err)
 }
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -93,7 +93,9 @@
 	conn, err := options.Pool.Get(call.ctx, key, server.Address, call.connections(server))
 	if err != nil {
 		if fault.Is(err, pipe.Unreachable) && call.ctx.Err() == nil {
-			call.unreachable(server, err)
+			now := time.Now()
+			options.Fleet.Unreachable(server.ID, now)
+			call.suspended(server, err, now)
 		}
 		return work.NoConnection
 	}
@@ -154,12 +156,14 @@
 	return max(leastConnections, int(share))
 }
 
-func (call *call) unreachable(server fleet.Server, err error) {
-	now := time.Now()
-	call.front.options.Fleet.Unreachable(server.ID, now)
-	call.front.options.Logger.Log(event.ServerSuspended(), logrus.Fields{
-		"server": server.ID, "error": err.Error(), "for_ms": call.front.options.Fleet.SuspendedFor(server.ID, now).Milliseconds(),
-	})
+// suspended logs that a server gets no requests for a while, if that is so.
+func (call *call) suspended(server fleet.Server, err error, now time.Time) {
+	pause := call.front.options.Fleet.SuspendedFor(server.ID, now)
+	if pause > 0 {
+		call.front.options.Logger.Log(event.ServerSuspended(), logrus.Fields{
+			"server": server.ID, "error": err.Error(), "for_ms": pause.Milliseconds(),
+		})
+	}
 }
 
 // giveUp ends a request that no server has served.
