--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -106,7 +106,7 @@
 		require.Zero(t, mine.Members("engines")[0].Peers.ReadingAll())
 		other.End("a", share)
 		require.Empty(t, other.Tell())
-		time.Sleep(time.Second)
+		time.Sleep(2 * time.Second)
 		require.Zero(t, mine.Members("engines")[0].Peers.Running)
 	})
 }
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -8,7 +10,11 @@
 
 // peerLife is the age from which another host's word on its requests no longer
 // counts.
-const peerLife = 700 * time.Millisecond
+const peerLife = 1500 * time.Millisecond
+
+// mostTold is the number of servers in one message, so that it fits a datagram:
+// those with most to read go first.
+const mostTold = 28
 
 // PeerLoad is what a host has in flight at one backend server.
 type PeerLoad struct {
@@ -52,7 +58,8 @@
 			loads = append(loads, PeerLoad{Server: member.hash, InFlight: member.Own})
 		}
 	}
-	return loads
+	slices.SortFunc(loads, func(a, b PeerLoad) int { return cmp.Compare(b.ReadingAll(), a.ReadingAll()) })
+	return loads[:min(len(loads), mostTold)]
 }
 
 // addPeers adds what the other hosts have in flight to copies of members. The
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -53,6 +53,12 @@
 	probeTimeout = 700 * time.Millisecond
 	// listTimeout bounds a listing of all keys.
 	listTimeout = 3 * time.Second
+	// catchUpWait is how long a host that does not wait at the store lets a call
+	// for changes that exist wait.
+	catchUpWait = 50 * time.Millisecond
+	// roleCheck is the time between two looks at whether the host is to wait at
+	// the store.
+	roleCheck = 250 * time.Millisecond
 	// absentPause is the pause before a missing key is read again.
 	absentPause = 700 * time.Millisecond
 	// deafAfter is how long a call for changes may lag behind the store's
@@ -77,6 +83,19 @@
 	Now    func() fresh.Moment
 	Logger *event.Logger
 	Random *rand.Rand
+	// Watches reports whether this host waits for changes at the store itself. The
+	// others take them over from hosts that do; nil: it does.
+	Watches func() bool
+	// Share is called with the changes that this host has read; nil: nothing.
+	Share func(Batch)
+}
+
+// Batch is changes that hosts pass on to each other.
+type Batch struct {
+	// After and Until are the revisions between which these are all changes.
+	After  int64         `cbor:"1,keyasint"`
+	Until  int64         `cbor:"2,keyasint"`
+	Events []store.Event `cbor:"3,keyasint,omitempty"`
 }
 
 // Mirror is the copy. Run fills it.
@@ -90,6 +109,8 @@
 	probed int64
 	// expected is the newest revision that the store is known to have reached.
 	expected int64
+	// behind tells a host that does not wait at the store to read what it lacks.
+	behind chan struct{}
 	// interrupt ends the call for changes that is under way.
 	interrupt context.CancelFunc
 	random    *rand.Rand
@@ -108,7 +129,13 @@
 
 // New returns an empty mirror.
 func New(options Options) *Mirror {
-	return &Mirror{options: options, random: options.Random, kick: make(chan struct{}, 1)}
+	if options.Watches == nil {
+		options.Watches = func() bool { return true }
+	}
+	if options.Share == nil {
+		options.Share = func(Batch) {}
+	}
+	return &Mirror{options: options, random: options.Random, kick: make(chan struct{}, 1), behind: make(chan struct{}, 1)}
 }
 
 // Run copies until the context ends.
@@ -156,10 +183,13 @@
 		mirror.Reachable(ctx)
 		var err error
 		changed := false
-		if listed {
-			changed, err = mirror.await(ctx)
-		} else {
+		switch {
+		case !listed:
 			err = mirror.list(ctx)
+		case mirror.options.Watches():
+			changed, err = mirror.await(ctx, longestWait)
+		case mirror.lacks(ctx):
+			changed, err = mirror.await(ctx, catchUpWait)
 		}
 		listed = err == nil || listed && !fault.Is(err, store.Compacted)
 		if err != nil && ctx.Err() == nil {
@@ -208,15 +238,72 @@
 	return true
 }
 
+// lacks waits a while and reports whether changes have to be read at the store
+// that other hosts did not pass on.
+func (mirror *Mirror) lacks(ctx context.Context) bool {
+	timer := time.NewTimer(roleCheck)
+	defer timer.Stop()
+	select {
+	case <-mirror.behind:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// Take takes over changes that another host has read. Changes that are missing
+// in between are read at the store soon.
+func (mirror *Mirror) Take(batch Batch) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	switch {
+	case mirror.position == 0 || batch.Until <= mirror.position:
+	case batch.After > mirror.position:
+		mirror.expect(batch.Until)
+	default:
+		mirror.apply(batch.Events)
+		mirror.position = batch.Until
+	}
+}
+
+// Position returns the revision up to which all changes have been taken over.
+func (mirror *Mirror) Position() int64 {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	return mirror.position
+}
+
+// Expect sees to it that the changes up to a revision, which another host has
+// taken over, arrive soon.
+func (mirror *Mirror) Expect(revision int64) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	mirror.expect(revision)
+}
+
+// apply takes over changes that are new. The mutex is held.
+func (mirror *Mirror) apply(events []store.Event) {
+	for _, change := range events {
+		if change.Entry.Revision <= mirror.position {
+			continue
+		}
+		if change.Entry.Key == mirror.options.ProbeKey && !mirror.newer(change.Entry.Revision) {
+			continue
+		}
+		mirror.options.Sink.Changed(change)
+	}
+}
+
 // await waits for changes once and reports whether there were any.
-func (mirror *Mirror) await(ctx context.Context) (bool, error) {
+func (mirror *Mirror) await(ctx context.Context, wait time.Duration) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	mirror.mutex.Lock()
 	after := mirror.position
 	mirror.interrupt = cancel
 	mirror.mutex.Unlock()
-	events, revision, err := mirror.options.Source.Changes(ctx, mirror.options.Prefix, after, longestWait)
+	events, revision, err := mirror.options.Source.Changes(ctx, mirror.options.Prefix, after, wait)
 	if err != nil {
 		if ctx.Err() != nil {
 			// The call was found deaf; the next one starts at once.
@@ -226,13 +313,13 @@
 	}
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	for _, change := range events {
-		if change.Entry.Key == mirror.options.ProbeKey && !mirror.newer(change.Entry.Revision) {
-			continue
-		}
-		mirror.options.Sink.Changed(change)
+	mirror.apply(events)
+	if revision > mirror.position {
+		mirror.position = revision
+	}
+	if len(events) > 0 {
+		mirror.options.Share(Batch{After: after, Until: revision, Events: events})
 	}
-	mirror.position = max(mirror.position, revision)
 	return len(events) > 0, nil
 }
 
@@ -320,7 +407,14 @@
 func (mirror *Mirror) unstick(revision int64) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	if mirror.position < revision && mirror.interrupt != nil {
+	if mirror.position >= revision {
+		return
+	}
+	select {
+	case mirror.behind <- struct{}{}:
+	default:
+	}
+	if mirror.interrupt != nil {
 		mirror.options.Logger.Log(event.WatchDeaf(), logrus.Fields{"position": mirror.position, "revision": revision})
 		mirror.interrupt()
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -15,6 +15,15 @@
 // store was away: leases may lapse then though their hosts live.
 const Forget = 3 * time.Second
 
+const (
+	// smallFleet is the number of hosts up to which each one waits for changes at
+	// the store itself.
+	smallFleet = 12
+	// watchersPerDomain is the number of hosts of a failure domain that do so in
+	// larger fleets.
+	watchersPerDomain = 2
+)
+
 // Roster is the hosts that are known. It is safe for concurrent use.
 type Roster struct {
 	mutex sync.Mutex
@@ -105,3 +114,28 @@
 	slices.SortFunc(live, func(a, b host.Host) int { return cmp.Compare(a.Name, b.Name) })
 	return live
 }
+
+// Watches reports whether the host waits for changes at the store for the others
+// of its failure domain.
+func (roster *Roster) Watches(now time.Time) bool {
+	live := roster.Live(now)
+	if len(live) <= smallFleet {
+		return true
+	}
+	own := roster.Own()
+	before := 0
+	for _, other := range live {
+		if other.FailureDomain == own.FailureDomain && host.Score("watch", other.Name) > host.Score("watch", own.Name) {
+			before++
+		}
+	}
+	return before < watchersPerDomain
+}
+
+// Neighbours returns the other hosts of the host's failure domain.
+func (roster *Roster) Neighbours(now time.Time) []host.Host {
+	own := roster.Own()
+	return slices.DeleteFunc(roster.Live(now), func(other host.Host) bool {
+		return other.Name == own.Name || other.FailureDomain != own.FailureDomain
+	})
+}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -39,3 +40,29 @@
 	require.Empty(t, hosts.Live(now))
 	require.ElementsMatch(t, []string{"b", "c"}, hosts.Names())
 }
+
+// Guards against a fleet in which nobody waits at the store for a failure domain,
+// or in which all hosts do.
+func TestWatches(t *testing.T) {
+	now := time.Now()
+	for _, size := range []int{8, 60} {
+		watchers := map[string]int{}
+		for own := range size {
+			hosts := roster.New(one(own))
+			for other := range size {
+				hosts.Put(one(other))
+			}
+			if hosts.Watches(now) {
+				watchers[one(own).FailureDomain]++
+			}
+			require.Len(t, hosts.Neighbours(now), size/4-1)
+		}
+		for _, domain := range []string{"0", "1", "2", "3"} {
+			require.Equal(t, 2, watchers[domain], "%d hosts", size)
+		}
+	}
+}
+
+func one(index int) host.Host {
+	return host.Host{Name: fmt.Sprint("host-", index), FailureDomain: fmt.Sprint(index % 4), State: host.Alive}
+}
