--- a/docs/proofs_test.go
+++ b/docs/proofs_test.go
@@ -44,7 +44,7 @@
 	directories, err := filepath.Glob("../*/*")
 	require.NoError(t, err)
 	all := []string{}
-	for _, directory := range append(directories, ".", "../bench", "../e2e", "../cmds") {
+	for _, directory := range append(directories, ".", "../bench", "../e2e", "../cmds", "../platform") {
 		all = append(all, testFunctions(t, directory)...)
 	}
 	for _, page := range pages(t) {
