core/retry: requests pay for retries, by service

Change: the first send of a request earns a share for its service; the reserve follows the number of hosts. TestRequestsPayForRetries failed at round 10 before.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -78,6 +78,14 @@
 	return budget.balance
 }
 
+// setReserve changes the largest balance. What is above it is lost.
+func (budget *Budget) setReserve(reserve float64) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.options.Reserve = reserve
+	budget.balance = min(budget.balance, reserve)
+}
+
 // accrue adds what time has earned. The mutex is held.
 func (budget *Budget) accrue(now time.Time) {
 	earned := now.Sub(budget.updated).Seconds() * budget.options.PerSecond
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -74,3 +74,24 @@
 	group.Wait()
 	require.EqualValues(t, reserve, granted.Load())
 }
+
+// Guards against a fleet whose hosts each spend the whole common reserve, and
+// against one service's failures that use up another one's retries.
+func TestBudgetsAreByServiceAndShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budgets := retry.NewBudgets(0.2, 10)
+		for range 10 {
+			require.True(t, budgets.Spend("ledger"))
+		}
+		require.False(t, budgets.Spend("ledger"))
+		require.True(t, budgets.Spend("engines"))
+		budgets.Reserve(2)
+		require.True(t, budgets.Spend("engines"))
+		require.True(t, budgets.Spend("engines"))
+		require.False(t, budgets.Spend("engines"))
+		for range 100 {
+			budgets.Earn("ledger")
+		}
+		require.InDelta(t, 2, budgets.Left(), 0.001)
+	})
+}
--- a/io/front/answer_test.go
+++ b/io/front/answer_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -260,3 +261,26 @@
 	require.Eventually(t, func() bool { return strings.Contains(world.log.String(), "caller_left") }, 10*time.Second, time.Millisecond)
 	require.NotContains(t, world.log.String(), "request_turned_away")
 }
+
+// Guards against a host that retries until its first reserve is used up and never
+// again: ordinary requests pay for retries.
+func TestRequestsPayForRetries(t *testing.T) {
+	world := newWorld(t, nil)
+	var failing atomic.Bool
+	script := func(request *http.Request, conn net.Conn) {
+		if failing.CompareAndSwap(true, false) {
+			whole(500, "failure", signed)(request, conn)
+			return
+		}
+		whole(200, "fine", signed)(request, conn)
+	}
+	world.engine("a", script)
+	world.engine("b", script)
+	for round := range 30 {
+		for range 5 {
+			require.Equal(t, http.StatusOK, world.ask("/safe/", "x").status)
+		}
+		failing.Store(true)
+		require.Equal(t, http.StatusOK, world.ask("/safe/", "x").status, "round %d", round)
+	}
+}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -67,6 +67,7 @@
 		call.state = call.state.Next(result)
 		switch result {
 		case work.Served:
+			call.countReached()
 			return
 		case work.NoConnection:
 			if dials++; dials >= mostDials {
@@ -74,15 +75,24 @@
 				return
 			}
 		default:
-			call.reached++
+			call.countReached()
 		}
 	}
 }
 
+// countReached counts a server that was sent the request. The first one pays for
+// a share of a retry.
+func (call *call) countReached() {
+	if call.reached == 0 {
+		call.front.options.Budget.Earn(call.work.Service)
+	}
+	call.reached++
+}
+
 // mayRetry reports whether another server may be sent the request, and pays for
 // it.
 func (call *call) mayRetry() bool {
-	return work.MayRetry(call.work.Route, call.state, call.reached) && call.front.options.Budget.Spend()
+	return work.MayRetry(call.work.Route, call.state, call.reached) && call.front.options.Budget.Spend(call.work.Service)
 }
 
 // attempt sends the request to one server and relays its answer.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -83,7 +83,7 @@
 	Now    func() fresh.Moment
 	Fleet  *fleet.Fleet
 	Pool   *pipe.Pool
-	Budget *retry.Budget
+	Budget *retry.Budgets
 	Pick   pick.Options
 	// Hosts returns the number of hosts that share the backend servers.
 	Hosts  func() int
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -118,7 +118,7 @@
 	world.proof.Confirm(1)
 	world.front = front.New(front.Options{
 		Wire: wire{}, Table: world.table, Proof: world.proof, Now: func() fresh.Moment { return fresh.Moment(world.now.Load()) }, Fleet: world.fleet,
-		Pool: pipe.New(pipe.Options{}), Budget: retry.New(retry.Options{Reserve: 10}), Pick: pick.Options{TokensPerMs: 50},
+		Pool: pipe.New(pipe.Options{}), Budget: retry.NewBudgets(0.2, 10), Pick: pick.Options{TokensPerMs: 50},
 		Hosts: func() int { return 1 }, Logger: event.New(world.log, "host", 4, nil), Meter: noMeter{},
 	})
 	world.server = httptest.NewServer(world.front)
