--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -54,8 +54,8 @@
 	stepOverhead = 1.25
 	// early and late are the shares of the objective between which the chance of
 	// a late first event rises from none to certain.
-	early = 0.5
-	late  = 1.1
+	early = 0.8
+	late  = 1.2
 	// millisecondLoss breaks ties between servers that are in time.
 	millisecondLoss = 0.00005
 )
