Mend what a clock that goes back would break

Cause: read of the diff: a leaving host compared its end by the time of day, and a restarted host whose clock went back sent datagrams that its peers took for old. Change: the end is kept as a time with its steady part; a newly registered process resets the numbering; unused fields and methods are gone.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -11,6 +11,7 @@
 		GatewayStopped(),
 		GatewayReloaded(),
 		GatewayReloadFailed(),
+		ListenFailed(),
 		RequestSent(),
 		AttemptEnded(),
 		RequestEnded(),
@@ -65,6 +66,11 @@
 	return Event{1904, "gateway_reload_failed", logrus.ErrorLevel, "gateway", "The settings file could not be read again; the settings in use stay."}
 }
 
+// ListenFailed reports: an address takes no connections any more.
+func ListenFailed() Event {
+	return Event{1905, "listen_failed", logrus.ErrorLevel, "gateway", "An address takes no connections any more."}
+}
+
 // RequestSent reports: a request was sent to a backend server.
 func RequestSent() Event {
 	return Event{1910, "request_sent", logrus.InfoLevel, "forward", "A request was sent to a backend server."}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -19,8 +19,6 @@
 	failureDecay = 0.15
 	// usualDecay is the weight of a report in the usual slowness.
 	usualDecay = 0.02
-	// waitDecay is the weight of the newest answer in the answer time.
-	waitDecay = 0.2
 )
 
 // Server is a backend server as it registered itself.
@@ -64,9 +62,6 @@
 	Usual float64
 	// FailureRate is a moving average of the share of failed answers.
 	FailureRate float64
-	// Excess is a moving average of the time to an answer in units of what was
-	// expected.
-	Excess float64
 	// Failures is the number of failures in a row.
 	Failures       int
 	SuspendedUntil time.Time
@@ -109,7 +104,7 @@
 	defer fleet.mutex.Unlock()
 	known := fleet.members[server.ID]
 	if known == nil || known.Address != server.Address || !known.Started.Equal(server.Started) {
-		fleet.members[server.ID] = &Member{Server: server, Excess: 1, hash: ServerHash(server.ID)}
+		fleet.members[server.ID] = &Member{Server: server, hash: ServerHash(server.ID)}
 		fleet.index()
 		return true, server.Leaving
 	}
@@ -260,13 +255,12 @@
 	}
 }
 
-// Good records a proper answer, which took excess times what was expected.
-func (fleet *Fleet) Good(id string, excess float64) {
+// Good records a proper answer.
+func (fleet *Fleet) Good(id string) {
 	fleet.with(id, func(member *Member) {
 		member.Failures = 0
 		member.SuspendedUntil = time.Time{}
 		member.FailureRate *= 1 - failureDecay
-		member.Excess += waitDecay * (excess - member.Excess)
 	})
 }
 
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -78,7 +78,7 @@
 		require.True(t, added)
 		require.Zero(t, known.SuspendedFor("a", time.Now()))
 		known.Unreachable("a", time.Now())
-		known.Good("a", 1)
+		known.Good("a")
 		require.Zero(t, known.SuspendedFor("a", time.Now()))
 	})
 }
@@ -121,13 +121,13 @@
 			known.Broke("a", time.Now())
 			known.Broke("a", time.Now())
 			require.Zero(t, known.SuspendedFor("a", time.Now()))
-			known.Good("a", 1)
+			known.Good("a")
 		}
 		for range 3 {
 			known.Broke("a", time.Now())
 		}
 		require.Positive(t, known.SuspendedFor("a", time.Now()))
-		known.Good("a", 1)
+		known.Good("a")
 		known.Unreachable("a", time.Now())
 		require.Positive(t, known.SuspendedFor("a", time.Now()))
 	})
--- a/core/fresh/peers.go
+++ b/core/fresh/peers.go
@@ -67,7 +67,7 @@
 func (peers *Peers) Hear(host string, word Word, revision int64, now Moment) {
 	peers.mutex.Lock()
 	last := peers.heard[host]
-	if word.Incarnation > last.incarnation || word.Incarnation == last.incarnation && word.Sent > last.sent {
+	if word.Incarnation != last.incarnation || word.Sent > last.sent {
 		peers.heard[host] = heard{word.Incarnation, word.Sent, now}
 	}
 	peers.mutex.Unlock()
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -42,11 +42,14 @@
 	return &Roster{own: own, hosts: make(map[string]listed)}
 }
 
-// Put adds a host or takes over its state.
-func (roster *Roster) Put(host host.Host) {
+// Put adds a host or takes over its state, and reports whether it is a process
+// that was not known.
+func (roster *Roster) Put(host host.Host) bool {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
+	known, ok := roster.hosts[host.Name]
 	roster.hosts[host.Name] = listed{Host: host}
+	return !ok || known.Incarnation != host.Incarnation
 }
 
 // Remove takes a host out whose entry vanished; a host that did not say it was
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -24,7 +24,9 @@
 func TestLive(t *testing.T) {
 	now := time.Now()
 	hosts := roster.New(host.Host{Name: "b", State: host.Alive})
-	hosts.Put(host.Host{Name: "a", State: host.Alive})
+	require.True(t, hosts.Put(host.Host{Name: "a", State: host.Alive, Incarnation: 5}))
+	require.False(t, hosts.Put(host.Host{Name: "a", State: host.Alive, Incarnation: 5}))
+	require.True(t, hosts.Put(host.Host{Name: "a", State: host.Alive, Incarnation: 4}))
 	hosts.Put(host.Host{Name: "b", State: host.Alive})
 	hosts.Put(host.Host{Name: "c", State: host.Leaving})
 	require.Equal(t, []string{"a", "b"}, names(hosts.Live(now)))
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -41,15 +41,6 @@
 	return request.Deadline.Sub(now)
 }
 
-// SessionPart returns the last part of the prompt, which belongs to the request
-// or to its session, and false if there is none.
-func (request *Request) SessionPart() (Part, bool) {
-	if len(request.Parts) == 0 {
-		return Part{}, false
-	}
-	return request.Parts[len(request.Parts)-1], true
-}
-
 // State says whether a request has run, as far as the host can know.
 type State string
 
--- a/core/work/work_test.go
+++ b/core/work/work_test.go
@@ -60,9 +60,6 @@
 // Guards against a time limit for a server that is counted from the wrong moment.
 func TestLeft(t *testing.T) {
 	now := time.Now()
-	request := work.Request{Deadline: now.Add(time.Second), Parts: []work.Part{{ID: 1}, {ID: 2}}}
+	request := work.Request{Deadline: now.Add(time.Second)}
 	require.Equal(t, 400*time.Millisecond, request.Left(now.Add(600*time.Millisecond)))
-	part, ok := request.SessionPart()
-	require.True(t, ok)
-	require.Equal(t, uint64(2), part.ID)
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -150,7 +150,7 @@
 	exchange.release(answer)
 	whole := fallback{status: answer.StatusCode, header: answer.Header, body: body}
 	if success {
-		call.front.options.Fleet.Good(exchange.server.ID, 1)
+		call.front.options.Fleet.Good(exchange.server.ID)
 		call.passOn(whole)
 		return work.Served
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -98,8 +98,9 @@
 
 // Front is the handler of callers' requests.
 type Front struct {
-	options  Options
-	leaving  atomic.Int64 // Unix ms at which the host must be gone; 0: not leaving
+	options Options
+	// gone is when the host ends; nil while it does not leave.
+	gone     atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 }
 
@@ -108,7 +109,7 @@
 
 // Leave makes the handler close each connection after its answer, and refuse
 // work that can't end before the host is gone.
-func (front *Front) Leave(gone time.Time) { front.leaving.Store(gone.UnixMilli()) }
+func (front *Front) Leave(gone time.Time) { front.gone.Store(&gone) }
 
 // InFlight returns the number of requests that are being handled.
 func (front *Front) InFlight() int { return int(front.inFlight.Load()) }
@@ -119,7 +120,7 @@
 	defer front.inFlight.Add(-1)
 	call := &call{front: front, writer: writer, request: request, state: work.Unsent}
 	call.work.Received = time.Now()
-	if front.leaving.Load() > 0 {
+	if front.gone.Load() != nil {
 		writer.Header().Set("Connection", "close")
 	}
 	writer.Header()["Date"] = nil
@@ -191,7 +192,7 @@
 	if refusal := call.match(); refusal != nil {
 		return refusal
 	}
-	if gone := call.front.leaving.Load(); gone > 0 && !admit.Ends(&call.work, time.UnixMilli(gone), time.Now()) {
+	if gone := call.front.gone.Load(); gone != nil && !admit.Ends(&call.work, *gone, time.Now()) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "leaving"}
 	}
 	return nil
--- a/io/gram/gram.go
+++ b/io/gram/gram.go
@@ -132,6 +132,14 @@
 	}
 }
 
+// Forget makes the socket take the next datagram of a host whatever its number: a
+// new process of the host has registered, and its clock may have gone back.
+func (socket *Socket[T]) Forget(host string) {
+	socket.mutex.Lock()
+	defer socket.mutex.Unlock()
+	delete(socket.last, host)
+}
+
 // check refuses datagrams that are older than one that was taken.
 func (socket *Socket[T]) check(envelope Envelope[T]) error {
 	socket.mutex.Lock()
--- a/io/pipe/pipe.go
+++ b/io/pipe/pipe.go
@@ -189,20 +189,6 @@
 	known.idle = append(known.idle, conn)
 }
 
-// Drop closes the idle connections to a server that is gone or leaving.
-func (pool *Pool) Drop(key string) {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	known := pool.servers[key]
-	if known == nil {
-		return
-	}
-	for _, conn := range known.idle {
-		conn.raw.Close()
-	}
-	known.idle = nil
-}
-
 // Sweep closes connections that have been idle for too long.
 func (pool *Pool) Sweep(now time.Time) {
 	pool.mutex.Lock()
--- a/io/pipe/pipe_test.go
+++ b/io/pipe/pipe_test.go
@@ -96,7 +96,7 @@
 	}
 	require.Equal(t, 1, opened)
 	require.Equal(t, 1, pool.Open("key"))
-	pool.Drop("key")
+	pool.Sweep(time.Now().Add(time.Hour))
 	require.Eventually(t, func() bool { return pool.Open("key") == 0 }, 10*time.Second, time.Millisecond)
 }
 
