--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -45,7 +45,6 @@
 	asker, prover   *fresh.Peers
 	asked, proven   *fresh.Proof
 	offset          float64
-	askerSaid       fresh.Word
 	revision, other int64
 }
 
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -33,6 +33,9 @@
 	// with each start and each refuted suspicion.
 	Incarnation uint64 `json:"incarnation" cbor:"incarnation"`
 	State       State  `json:"state" cbor:"state"`
+	// Capacity is how much the machine can carry, 1 being an ordinary one; 0: not
+	// said.
+	Capacity float64 `json:"capacity,omitempty" cbor:"capacity,omitempty"`
 }
 
 // Score returns the rendezvous weight of a host for a key: the host with the
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,12 @@
 	// smallFleet is the number of hosts up to which each one waits for changes at
 	// the store itself.
 	smallFleet = 12
+	// entryShare is the part of the strong hosts that callers are sent to, and
+	// leastEntries the number of them at least if there are that many.
+	entryShare   = 0.25
+	leastEntries = 12
+	// leastStrong is the number of strong hosts that carry the fleet's requests.
+	leastStrong = 4
 	// watchersPerDomain is the number of hosts of a failure domain that do so in
 	// larger fleets.
 	watchersPerDomain = 2
@@ -142,3 +149,61 @@
 		return other.Name == own.Name || other.FailureDomain != own.FailureDomain
 	})
 }
+
+/*
+Entries returns the hosts that callers are sent to.
+
+A host decides best about requests when it sees many of them: what it does not see
+itself it hears late. In large fleets callers are therefore sent to the strong
+hosts, and of many strong ones to a part, spread evenly over the failure domains;
+the others stand by. All hosts choose the same ones. Too few strong hosts, or a
+busy one, mean all hosts.
+*/
+func (roster *Roster) Entries(now time.Time, busy bool) []host.Host {
+	live := roster.Live(now)
+	if busy || len(live) <= smallFleet {
+		return live
+	}
+	strong := strongHosts(live)
+	if len(strong) < leastStrong {
+		return live
+	}
+	wanted := max(leastEntries, int(entryShare*float64(len(strong))+0.5))
+	if wanted >= len(strong) {
+		return strong
+	}
+	return spread(strong, wanted)
+}
+
+// strongHosts returns the hosts that carry at least half of what the strongest
+// one does.
+func strongHosts(hosts []host.Host) []host.Host {
+	strongest := 0.0
+	for _, one := range hosts {
+		strongest = max(strongest, one.Capacity)
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(one host.Host) bool { return one.Capacity < strongest/2 })
+}
+
+// spread returns a number of hosts, evenly by failure domain and else in the order
+// of a hash that all hosts share.
+func spread(hosts []host.Host, wanted int) []host.Host {
+	domains := map[string][]host.Host{}
+	for _, one := range hosts {
+		domains[one.FailureDomain] = append(domains[one.FailureDomain], one)
+	}
+	for _, members := range domains {
+		slices.SortFunc(members, func(a, b host.Host) int {
+			return cmp.Compare(host.Score("entry", b.Name), host.Score("entry", a.Name))
+		})
+	}
+	var chosen []host.Host
+	for turn := 0; len(chosen) < wanted; turn++ {
+		for _, domain := range slices.Sorted(maps.Keys(domains)) {
+			if members := domains[domain]; turn < len(members) {
+				chosen = append(chosen, members[turn])
+			}
+		}
+	}
+	return chosen
+}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -68,3 +68,39 @@
 func one(index int) host.Host {
 	return host.Host{Name: fmt.Sprint("host-", index), FailureDomain: fmt.Sprint(index % 4), State: host.Alive}
 }
+
+// fleet is hosts of which some are strong.
+func fleet(size, strong int) *roster.Roster {
+	own := one(0)
+	own.Capacity = 1
+	hosts := roster.New(own)
+	for index := 1; index < size; index++ {
+		host := one(index)
+		host.Capacity = 0.1
+		if index < strong {
+			host.Capacity = 1
+		}
+		hosts.Put(host)
+	}
+	return hosts
+}
+
+// Guards against callers that are spread so thinly over a large fleet that no host
+// sees enough to decide, against a failure domain without entry, and against weak
+// hosts that carry as much as strong ones.
+func TestEntries(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct{ size, strong, want int }{
+		{8, 8, 8}, {8, 2, 8}, {60, 60, 16}, {300, 300, 76}, {60, 8, 8}, {60, 4, 4}, {60, 3, 60}, {30, 30, 12},
+	} {
+		entries := fleet(test.size, test.strong).Entries(now, false)
+		require.InDelta(t, test.want, len(entries), 3, "%+v", test)
+		domains := map[string]bool{}
+		for _, entry := range entries {
+			domains[entry.FailureDomain] = true
+			require.True(t, test.want == test.size || entry.Capacity == 1, "%+v", test)
+		}
+		require.Len(t, domains, 4, "%+v", test)
+	}
+	require.Len(t, fleet(60, 8).Entries(now, true), 60)
+}
