--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -101,6 +101,12 @@
 		require.Equal(t, 0, member.Peers.ReadingFor(1))
 		require.Equal(t, 100, member.Own.ReadingAll())
 
+		require.Equal(t, 1, mine.Busiest(time.Now()))
+		other.Begin("a", fleet.Share{})
+		mine.Hear("other", other.Tell(), time.Now())
+		require.Equal(t, 2, mine.Busiest(time.Now()))
+		other.End("a", fleet.Share{})
+
 		other.Read("a", share)
 		mine.Hear("other", other.Tell(), time.Now())
 		require.Zero(t, mine.Members("engines")[0].Peers.ReadingAll())
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -74,3 +74,25 @@
 		}
 	}
 }
+
+// Busiest returns the requests in flight at the host that has most of them, as far
+// as hosts have told.
+func (fleet *Fleet) Busiest(now time.Time) int {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	busiest := 0
+	for _, member := range fleet.members {
+		busiest += member.Own.Running
+	}
+	for _, known := range fleet.peers {
+		if now.Sub(known.at) > peerLife {
+			continue
+		}
+		running := 0
+		for _, load := range known.loads {
+			running += load.Running
+		}
+		busiest = max(busiest, running)
+	}
+	return busiest
+}
