--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -28,6 +28,10 @@
 const (
 	// lateLoss is the loss when the answer misses its objective.
 	lateLoss = 1.0
+	// stretchLoss is the loss of a request that talks at an engine that reads
+	// stretchTokens or more of prompts between its tokens.
+	stretchLoss   = 0.4
+	stretchTokens = 4000
 	// rereadLoss is the loss when all of a prompt is read that another engine has
 	// in its cache: the time of an engine, and what is pushed out of its cache.
 	rereadLoss = 0.6
@@ -143,6 +147,10 @@
 	first := tokens * slowness * stepOverhead / options.TokensPerMs
 	loss += options.lateness(request, first, now) + first*millisecondLoss
 	first *= options.Pace.Factor(request.Service)
+	if Talks(request) {
+		reading := member.Own.ReadingAll() + member.Peers.ReadingAll()
+		loss += stretchLoss * min(1, float64(reading)/stretchTokens)
+	}
 	if !liked && request.PromptTokens > 0 {
 		loss += rereadLoss * float64(sessionTokens(request)) / float64(request.PromptTokens)
 	}
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -176,3 +176,17 @@
 	urgent.Rank, urgent.Bulk = 1, false
 	require.Less(t, choose(t, urgent, fleet, nil, now).First, bulk.First/5)
 }
+
+// Guards against a request that talks at an engine that still reads long prompts:
+// the number of engines for talking requests has just grown.
+func TestTalkersAvoidEnginesThatStillRead(t *testing.T) {
+	now := time.Now()
+	fleet := members(18)
+	first := choose(t, talking(now), fleet, nil, now)
+	for index := range fleet {
+		if fleet[index].ID == first.Member.ID {
+			fleet[index].Peers.Reading[5] = 8000
+		}
+	}
+	require.NotEqual(t, first.Member.ID, choose(t, talking(now), fleet, nil, now).Member.ID)
+}
