core/mirror: entries may come back until 2.1 s after the store's return, not later

Cause: read of the diff: a server that vanished within 3 s of a short loss of the store was used for 1.8 s more, up to 2.3 s after its removal with the settling of changes; a server that is gone may get no requests 2 s later. Change: the time is counted from the store's return, for all vanished keys alike; a key that vanishes later is gone at once.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -38,6 +38,10 @@
 	Listed(entries []store.Entry)
 }
 
+// ComeBackTime is the time after the store's return within which its clients have
+// written their entries again.
+const ComeBackTime = 2100 * time.Millisecond
+
 const (
 	// longestWait is how long one call waits for changes.
 	longestWait = 25 * time.Second
@@ -146,12 +150,17 @@
 	group.Wait()
 }
 
-// Unsettled reports whether the store is unreachable or came back less than the
-// given time ago: what has vanished from it then may still come back.
-func (mirror *Mirror) Unsettled(now time.Time, within time.Duration) bool {
+// MayComeBack returns the time until which a key that is found to be gone now may
+// still come back: its lease may have lapsed while the store was away, and its
+// owner writes it again. It reports false when a vanished key is gone for good.
+func (mirror *Mirror) MayComeBack(now time.Time) (time.Time, bool) {
 	mirror.health.Lock()
 	defer mirror.health.Unlock()
-	return !mirror.lostAt.IsZero() || !mirror.returnedAt.IsZero() && now.Sub(mirror.returnedAt) < within
+	if !mirror.lostAt.IsZero() {
+		return now.Add(ComeBackTime), true
+	}
+	until := mirror.returnedAt.Add(ComeBackTime)
+	return until, !mirror.returnedAt.IsZero() && now.Before(until)
 }
 
 // Reachable waits until the store answers, or the context ends.
