--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -31,6 +31,12 @@
 	return output.buffer.Write(data)
 }
 
+func (output *output) count() int {
+	output.mutex.Lock()
+	defer output.mutex.Unlock()
+	return output.writes
+}
+
 // Guards against a request that waits for a stalled output, and against lines
 // that are lost without a count.
 func TestStalledOutputNeverBlocks(t *testing.T) {
@@ -67,7 +73,7 @@
 			_, _ = writer.Write([]byte("line\n"))
 		}
 		time.Sleep(time.Second)
-		require.Equal(t, 1, out.writes)
+		require.Equal(t, 1, out.count())
 		_, _ = writer.Write([]byte("last\n"))
 		writer.Close()
 		require.Equal(t, 51, strings.Count(out.buffer.String(), "\n"))
