Requests that crash engines are refused after the third

Change: core/poison.Witness takes a broken answer followed by a refused connection for a crash, and tells the other hosts. After a broken answer a host asks the engine for a connection once and keeps it for the next request.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -35,6 +35,7 @@
 		ServerRemoved(),
 		ServerIgnored(),
 		ServerSuspended(),
+		ServerCrashed(),
 		HostListed(),
 		HostUnlisted(),
 		LinesDropped(),
@@ -186,6 +187,11 @@
 	return Event{1944, "server_suspended", logrus.WarnLevel, "fleet", "A backend server could not be reached or broke a connection; it gets no requests for a while."}
 }
 
+// ServerCrashed reports: a backend server broke off answers and then refused connections; their requests are suspected of crashing it.
+func ServerCrashed() Event {
+	return Event{1945, "server_crashed", logrus.WarnLevel, "fleet", "A backend server broke off answers and then refused connections; their requests are suspected of crashing it."}
+}
+
 // HostListed reports: another host registered itself or changed its state.
 func HostListed() Event {
 	return Event{1950, "host_listed", logrus.InfoLevel, "roster", "Another host registered itself or changed its state."}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -12,8 +12,8 @@
 const (
 	// Life is the time after which a crash is forgotten.
 	Life = time.Hour
-	// RefusedFrom is the number of crashes from which a request is refused: no
-	// request may cost more than two engines.
+	// RefusedFrom is the number of crashes from which a request is refused unless
+	// the options say otherwise: no request may cost more than two engines.
 	RefusedFrom = 2
 	// DefaultCapacity is the number of fingerprints that a registry holds.
 	DefaultCapacity = 4096
@@ -54,14 +54,18 @@
 type Options struct {
 	// Capacity is the number of fingerprints kept; 0: DefaultCapacity.
 	Capacity int
+	// RefusedFrom is the number of crashes from which a request is refused; 0:
+	// the default.
+	RefusedFrom int
 }
 
 // Registry holds the suspects that a host knows. It is safe for concurrent use.
 type Registry struct {
-	mutex    sync.Mutex
-	capacity int
-	records  map[uint64]*Record
-	claims   map[uint64]claim
+	mutex       sync.Mutex
+	capacity    int
+	refusedFrom int
+	records     map[uint64]*Record
+	claims      map[uint64]claim
 }
 
 // New returns an empty registry.
@@ -69,10 +73,14 @@
 	if options.Capacity <= 0 {
 		options.Capacity = DefaultCapacity
 	}
+	if options.RefusedFrom <= 0 {
+		options.RefusedFrom = RefusedFrom
+	}
 	return &Registry{
-		capacity: options.Capacity,
-		records:  make(map[uint64]*Record),
-		claims:   make(map[uint64]claim),
+		capacity:    options.Capacity,
+		refusedFrom: options.RefusedFrom,
+		records:     make(map[uint64]*Record),
+		claims:      make(map[uint64]claim),
 	}
 }
 
@@ -91,7 +99,7 @@
 	}
 	record.expire(time.Now())
 	switch count := record.count(); {
-	case count >= RefusedFrom:
+	case count >= registry.refusedFrom:
 		return Refuse
 	case count > 0:
 		return Alone
@@ -115,7 +123,7 @@
 		return nil
 	}
 	changed := []Record{record.clone()}
-	if record.count() >= RefusedFrom {
+	if record.count() >= registry.refusedFrom {
 		changed = append(changed, registry.explain(record)...)
 	}
 	return changed
@@ -125,7 +133,7 @@
 func (registry *Registry) explain(cause *Record) []Record {
 	var changed []Record
 	for _, record := range registry.records {
-		if record == cause || record.count() >= RefusedFrom {
+		if record == cause || record.count() >= registry.refusedFrom {
 			continue
 		}
 		cleared := record.clear(func(crash Crash) bool { return cause.blames(crash.ID) })
@@ -142,7 +150,7 @@
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	record := registry.records[fingerprint]
-	if record == nil || record.count() >= RefusedFrom {
+	if record == nil || record.count() >= registry.refusedFrom {
 		return Record{}, false
 	}
 	changed := record.clear(func(Crash) bool { return true })
@@ -221,6 +229,13 @@
 	return records
 }
 
+// Size returns the number of fingerprints known.
+func (registry *Registry) Size() int {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return len(registry.records)
+}
+
 // add puts a crash into the set, ordered by id, and reports whether the set
 // changed. Of two copies the earlier time counts, and cleared wins.
 func (record *Record) add(crash Crash) bool {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -42,6 +42,10 @@
 			call.finish(refusal)
 			return
 		}
+		if call.suspect() {
+			call.giveUp(false, "crashes_servers")
+			return
+		}
 		now := time.Now()
 		if call.work.Left(now) <= 0 {
 			call.giveUp(true, "deadline")
@@ -68,6 +72,7 @@
 		switch result {
 		case work.Served:
 			call.countReached()
+			call.clear()
 			return
 		case work.NoConnection:
 			if dials++; dials >= mostDials {
@@ -103,9 +108,7 @@
 	conn, err := options.Pool.Get(call.ctx, key, server.Address, call.connections(server))
 	if err != nil {
 		if fault.Is(err, pipe.Unreachable) && call.ctx.Err() == nil {
-			now := time.Now()
-			options.Fleet.Unreachable(server.ID, now)
-			call.suspended(server, err, now)
+			call.front.unreachable(server, err)
 		}
 		return work.NoConnection
 	}
@@ -167,10 +170,10 @@
 }
 
 // suspended logs that a server gets no requests for a while, if that is so.
-func (call *call) suspended(server fleet.Server, err error, now time.Time) {
-	pause := call.front.options.Fleet.SuspendedFor(server.ID, now)
+func (front *Front) suspended(server fleet.Server, err error, now time.Time) {
+	pause := front.options.Fleet.SuspendedFor(server.ID, now)
 	if pause > 0 {
-		call.front.options.Logger.Log(event.ServerSuspended(), logrus.Fields{
+		front.options.Logger.Log(event.ServerSuspended(), logrus.Fields{
 			"server": server.ID, "error": err.Error(), "for_ms": pause.Milliseconds(),
 		})
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -18,6 +18,7 @@
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
 	"primrosegw/core/pick"
+	"primrosegw/core/poison"
 	"primrosegw/core/retry"
 	"primrosegw/core/table"
 	"primrosegw/core/work"
@@ -84,6 +85,8 @@
 	Fleet  *fleet.Fleet
 	Pool   *pipe.Pool
 	Budget *retry.Budgets
+	// Witness finds requests that crash backend servers.
+	Witness *poison.Witness
 	Pick   pick.Options
 	// Hosts returns the number of hosts that share the backend servers.
 	Hosts  func() int
@@ -160,6 +163,8 @@
 	// fallback is a failure of a backend server that is passed on when no other
 	// server does better.
 	fallback *fallback
+	// print identifies the request when it comes again; 0: not computed yet.
+	print uint64
 }
 
 // fallback is a whole answer that is kept.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -20,6 +20,7 @@
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
 	"primrosegw/core/pick"
+	"primrosegw/core/poison"
 	"primrosegw/core/retry"
 	"primrosegw/core/table"
 	"primrosegw/io/front"
@@ -118,7 +119,7 @@
 	world.proof.Confirm(1)
 	world.front = front.New(front.Options{
 		Wire: wire{}, Table: world.table, Proof: world.proof, Now: func() fresh.Moment { return fresh.Moment(world.now.Load()) }, Fleet: world.fleet,
-		Pool: pipe.New(pipe.Options{}), Budget: retry.NewBudgets(0.2, 10), Pick: pick.Options{TokensPerMs: 50},
+		Pool: pipe.New(pipe.Options{}), Budget: retry.NewBudgets(0.2, 10), Witness: poison.NewWitness(poison.New(poison.Options{RefusedFrom: 3})), Pick: pick.Options{TokensPerMs: 50},
 		Hosts: func() int { return 1 }, Logger: event.New(world.log, "host", 4, nil), Meter: noMeter{},
 	})
 	world.server = httptest.NewServer(world.front)
@@ -130,7 +131,7 @@
 type script func(request *http.Request, conn net.Conn)
 
 // engine adds a backend server that answers each request by the script.
-func (world *world) engine(id string, answer script) {
+func (world *world) engine(id string, answer script) net.Listener {
 	world.t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(world.t, err)
@@ -145,6 +146,7 @@
 		}
 	}()
 	world.fleet.Put(fleet.Server{ID: id, Service: "engines", Address: listener.Addr().String()})
+	return listener
 }
 
 func (world *world) converse(id string, conn net.Conn, answer script) {
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -213,6 +213,18 @@
 	conn.pool.put(conn)
 }
 
+// Keep gives back a connection on which no request was sent. One that was idle
+// before is kept no longer than it would have been.
+func (conn *Conn) Keep() {
+	if !conn.Fresh {
+		conn.keep = time.Until(conn.until)
+	}
+	conn.mutex.Lock()
+	conn.busy = false
+	conn.mutex.Unlock()
+	conn.pool.put(conn)
+}
+
 // Discard closes the connection after its request, whatever became of it.
 func (conn *Conn) Discard() {
 	conn.Close()
--- a/io/pipe/pipe_test.go
+++ b/io/pipe/pipe_test.go
@@ -150,6 +150,24 @@
 	require.Eventually(t, func() bool { return pool.Open("key") == 0 }, 10*time.Second, time.Millisecond)
 }
 
+// Guards against a connection opened in advance that is not used, or is used
+// wrongly: its watcher must not take the answer's bytes.
+func TestUnusedConnectionIsKept(t *testing.T) {
+	pool := pipe.New(pipe.Options{})
+	address := serve(t, echo)
+	get(t, pool, address).Keep()
+	for range 3 {
+		conn := get(t, pool, address)
+		require.Equal(t, 1, pool.Open("key"))
+		answer, body := exchange(t, conn, "x")
+		require.Equal(t, "x", body)
+		conn.Reuse(answer.Header)
+		get(t, pool, address).Keep()
+	}
+	pool.Sweep(time.Now().Add(pipe.DefaultIdleTimeout + time.Second))
+	require.Eventually(t, func() bool { return pool.Open("key") == 0 }, 10*time.Second, time.Millisecond)
+}
+
 // Guards against a request whose body is sent on after the server has answered,
 // and against one that hangs since neither side reads.
 func TestEarlyAnswerEndsTheSending(t *testing.T) {
