--- a/core/event/event.go
+++ b/core/event/event.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"io"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -36,6 +37,7 @@
 	log        *logrus.Logger
 	host       string
 	subsystems map[string]bool
+	limiter    limiter
 }
 
 // New returns a logger that writes JSON lines. Debug events are written for the
@@ -49,7 +51,7 @@
 	for _, subsystem := range subsystems {
 		enabled[subsystem] = true
 	}
-	return &Logger{log: log, host: host, subsystems: enabled}
+	return &Logger{log: log, host: host, subsystems: enabled, limiter: limiter{windows: make(map[string]*window)}}
 }
 
 // Discard returns a logger that writes nothing.
@@ -60,6 +62,25 @@
 // SetLevel changes the level of a running logger.
 func (logger *Logger) SetLevel(level logrus.Level) { logger.log.SetLevel(level) }
 
+// Limit bounds the lines of each event in a second. What is above is counted and
+// reported by ReportSuppressed.
+func (logger *Logger) Limit(perSecond int) {
+	logger.limiter.mutex.Lock()
+	defer logger.limiter.mutex.Unlock()
+	logger.limiter.most = perSecond
+}
+
+// ReportSuppressed writes how many lines of which events were left out since the
+// last call, and returns their number.
+func (logger *Logger) ReportSuppressed() int {
+	lines := 0
+	for name, count := range logger.limiter.take() {
+		logger.Log(LinesSuppressed(), logrus.Fields{"of_event": name, "lines": count})
+		lines += count
+	}
+	return lines
+}
+
 // Enabled reports whether an event would be written. Callers check it before
 // they build costly fields.
 func (logger *Logger) Enabled(event Event) bool {
@@ -72,7 +93,7 @@
 // Log writes one event. The event's name is in the field event_name: callers
 // log the name of a host or a server in the field name.
 func (logger *Logger) Log(event Event, fields logrus.Fields) {
-	if !logger.Enabled(event) {
+	if !logger.Enabled(event) || !logger.limiter.allow(event.Name, time.Now()) {
 		return
 	}
 	entry := logger.log.WithFields(fields).WithFields(logrus.Fields{
--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -39,6 +39,7 @@
 		HostListed(),
 		HostUnlisted(),
 		LinesDropped(),
+		LinesSuppressed(),
 	}
 }
 
@@ -206,3 +207,8 @@
 func LinesDropped() Event {
 	return Event{1960, "lines_dropped", logrus.WarnLevel, "log", "Log lines were dropped because the output did not take them in time."}
 }
+
+// LinesSuppressed reports: lines of an event were left out because it came too often.
+func LinesSuppressed() Event {
+	return Event{1961, "lines_suppressed", logrus.WarnLevel, "log", "Lines of an event were left out because it came too often."}
+}
--- /dev/null
+++ b/core/event/limit_test.go
@@ -0,0 +1,37 @@
+package event_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+
+	"primrosegw/core/event"
+)
+
+// TestFrequentEventIsLimited guards against an event that fills the log under
+// load, against one that hides others, and against lines that vanish unnoticed.
+func TestFrequentEventIsLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		logger := event.New(&out, "host-1", logrus.InfoLevel, nil)
+		logger.Limit(10)
+		for range 25 {
+			logger.Log(event.RequestSent(), logrus.Fields{})
+		}
+		logger.Log(event.RequestEnded(), logrus.Fields{})
+		assert.Equal(t, 10, strings.Count(out.String(), "request_sent"))
+		assert.Contains(t, out.String(), "request_ended")
+		assert.Equal(t, 15, logger.ReportSuppressed())
+		assert.Contains(t, out.String(), `"lines":15`)
+		assert.Zero(t, logger.ReportSuppressed())
+		time.Sleep(time.Second)
+		out.Reset()
+		logger.Log(event.RequestSent(), logrus.Fields{})
+		assert.Contains(t, out.String(), "request_sent")
+	})
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -231,7 +231,7 @@
 		"events": call.events.count, "last_event": call.events.last, "gap_ms": call.longest.Milliseconds(),
 		"objective_ms": call.work.Route.Objective.Milliseconds(), "gap_objective_ms": call.work.Route.GapObjective.Milliseconds(),
 	})
-	call.front.options.Meter.Ended(strconv.Itoa(status), string(call.work.Route.Kind), call.first, total)
+	call.end(strconv.Itoa(status), call.first)
 }
 
 // copyHeader copies the headers that do not belong to one connection only.
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -210,7 +210,7 @@
 		"route": call.work.Route.Name, "server": call.server, "events": call.events.count, "error": refusal.reason,
 		"after_ms": now.Sub(call.work.Received).Milliseconds(),
 	})
-	call.front.options.Meter.Ended("broken", string(call.work.Route.Kind), call.first, now.Sub(call.work.Received))
+	call.end("broken", call.first)
 	panic(http.ErrAbortHandler)
 }
 
@@ -220,6 +220,6 @@
 	call.log(event.CallerLeft(), logrus.Fields{
 		"route": call.work.Route.Name, "server": call.server, "state": call.state, "after_ms": total.Milliseconds(), "events": call.events.count,
 	})
-	call.front.options.Meter.Ended("caller_left", string(call.work.Route.Kind), call.first, total)
+	call.end("caller_left", call.first)
 	panic(http.ErrAbortHandler)
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -22,6 +22,7 @@
 	"primrosegw/core/retry"
 	"primrosegw/core/table"
 	"primrosegw/core/work"
+	"primrosegw/io/meter"
 	"primrosegw/io/pipe"
 )
 
@@ -87,7 +88,7 @@
 	Budget *retry.Budgets
 	// Witness finds requests that crash backend servers.
 	Witness *poison.Witness
-	Pick   pick.Options
+	Pick    pick.Options
 	// Hosts returns the number of hosts that share the backend servers.
 	Hosts  func() int
 	Logger *event.Logger
@@ -96,7 +97,7 @@
 
 // Meter counts what becomes of requests.
 type Meter interface {
-	Ended(outcome string, kind string, first, total time.Duration)
+	Ended(end meter.End)
 }
 
 // Front is the handler of callers' requests.
@@ -105,6 +106,8 @@
 	// gone is when the host ends; nil while it does not leave.
 	gone     atomic.Pointer[time.Time]
 	inFlight atomic.Int64
+	// byRank counts the requests that are being forwarded, by urgency.
+	byRank [fleet.Ranks]atomic.Int64
 }
 
 // New returns a handler.
@@ -117,6 +120,15 @@
 // InFlight returns the number of requests that are being handled.
 func (front *Front) InFlight() int { return int(front.inFlight.Load()) }
 
+// InFlightByRank returns the requests that are being forwarded, by urgency.
+func (front *Front) InFlightByRank() [fleet.Ranks]int {
+	var counts [fleet.Ranks]int
+	for rank := range counts {
+		counts[rank] = int(front.byRank[rank].Load())
+	}
+	return counts
+}
+
 // ServeHTTP handles one request.
 func (front *Front) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	front.inFlight.Add(1)
@@ -134,6 +146,9 @@
 	ctx, cancel := context.WithDeadline(request.Context(), call.work.Deadline)
 	defer cancel()
 	call.ctx = ctx
+	rank := call.work.Rank
+	front.byRank[rank].Add(1)
+	defer front.byRank[rank].Add(-1)
 	call.forward()
 }
 
@@ -291,6 +306,14 @@
 	return errors.Is(context.Cause(call.request.Context()), context.Canceled)
 }
 
+// end counts what became of the request.
+func (call *call) end(outcome string, first time.Duration) {
+	call.front.options.Meter.Ended(meter.End{
+		Outcome: outcome, Kind: string(call.work.Route.Kind), Rank: call.work.Rank,
+		First: first, Total: time.Since(call.work.Received),
+	})
+}
+
 func (call *call) log(event event.Event, fields logrus.Fields) {
 	fields["request_id"] = call.work.ID
 	call.front.options.Logger.Log(event, fields)
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -24,6 +24,7 @@
 	"primrosegw/core/retry"
 	"primrosegw/core/table"
 	"primrosegw/io/front"
+	"primrosegw/io/meter"
 	"primrosegw/io/pipe"
 )
 
@@ -56,7 +57,7 @@
 
 type noMeter struct{}
 
-func (noMeter) Ended(string, string, time.Duration, time.Duration) {}
+func (noMeter) Ended(meter.End) {}
 
 // world is a host with backend servers that follow scripts.
 type world struct {
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -64,7 +64,7 @@
 		fields["over"], fields["objective_ms"] = refusal.choice.Over, call.work.Route.Objective.Milliseconds()
 	}
 	call.log(event.RequestTurnedAway(), fields)
-	call.front.options.Meter.Ended(refusal.reason, string(call.work.Route.Kind), 0, now.Sub(call.work.Received))
+	call.end(refusal.reason, 0)
 	body, err := json.Marshal(struct {
 		Error  string     `json:"error"`
 		Detail string     `json:"detail,omitempty"`
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -79,6 +79,7 @@
 	require.NoError(t, got.err)
 	require.Equal(t, events(1, 6), got.body)
 	require.Len(t, world.arrived(), 2)
+	require.Contains(t, world.log.String(), "stream_resumed")
 }
 
 // Guards against a server that does not go on where it was told to: events that
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -99,14 +99,29 @@
 	return tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 1.5, 18)
 }
 
+// End is what became of a request that was forwarded or turned away.
+type End struct {
+	// Outcome is the status that the caller got, or why the host turned the
+	// request away.
+	Outcome string
+	Kind    string
+	// Rank is the urgency: by the workspace's priority, then by the route's.
+	Rank int
+	// First is the time to the first event or the whole answer; 0: there was none.
+	First time.Duration
+	Total time.Duration
+}
+
 // Ended records what became of a request that was forwarded or turned away.
-func (meter *Meter) Ended(outcome, kind string, first, total time.Duration) {
-	scope := meter.scope.Tagged(map[string]string{"outcome": outcome, "kind": kind})
+func (meter *Meter) Ended(end End) {
+	scope := meter.scope.Tagged(map[string]string{"outcome": end.Outcome, "kind": end.Kind})
 	scope.Counter("forwarded_requests").Inc(1)
-	if first > 0 {
-		scope.Histogram("forwarded_first_seconds", firstTokenBuckets()).RecordDuration(first)
+	if end.First > 0 {
+		scope.Histogram("forwarded_first_seconds", firstTokenBuckets()).RecordDuration(end.First)
 	}
-	scope.Histogram("forwarded_total_seconds", firstTokenBuckets()).RecordDuration(total)
+	scope.Histogram("forwarded_total_seconds", firstTokenBuckets()).RecordDuration(end.Total)
+	rank := map[string]string{"rank": strconv.Itoa(end.Rank), "outcome": end.Outcome}
+	meter.scope.Tagged(rank).Counter("ranked_requests").Inc(1)
 }
 
 // The names of levels of a gateway.
@@ -118,6 +133,11 @@
 	ListedHosts      = "listed_hosts"
 )
 
+// RequestsByRank sets the requests in flight of an urgency.
+func (meter *Meter) RequestsByRank(rank, requests int) {
+	meter.Gauge("requests_in_flight_by_rank", "rank", strconv.Itoa(rank), float64(requests))
+}
+
 // Level sets one of the levels of a gateway.
 func (meter *Meter) Level(name string, level float64) {
 	meter.scope.Gauge(name).Update(level)
