--- a/core/event/event.go
+++ b/core/event/event.go
@@ -63,23 +63,16 @@
 func (logger *Logger) SetLevel(level logrus.Level) { logger.log.SetLevel(level) }
 
 // Limit bounds the lines of each event in a second. What is above is counted and
-// reported by ReportSuppressed.
+// returned by TakeSuppressed.
 func (logger *Logger) Limit(perSecond int) {
 	logger.limiter.mutex.Lock()
 	defer logger.limiter.mutex.Unlock()
 	logger.limiter.most = perSecond
 }
 
-// ReportSuppressed writes how many lines of which events were left out since the
-// last call, and returns their number.
-func (logger *Logger) ReportSuppressed() int {
-	lines := 0
-	for name, count := range logger.limiter.take() {
-		logger.Log(LinesSuppressed(), logrus.Fields{"of_event": name, "lines": count})
-		lines += count
-	}
-	return lines
-}
+// TakeSuppressed returns how many lines of which events were left out since the
+// last call.
+func (logger *Logger) TakeSuppressed() map[string]int { return logger.limiter.take() }
 
 // Enabled reports whether an event would be written. Callers check it before
 // they build costly fields.
