core/steer: what a host does next with a request is one decision

Cause: the loop that refuses, retries and places stood in io/front, so an experiment could not run it without sockets. Change: steer.Next joins work, retry, pick and admit; fleet takes the time from its caller. No behaviour changes. Measured: tests only.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -186,10 +186,9 @@
 
 // Members returns copies of the servers of a service that may be used, in the
 // order of their IDs.
-func (fleet *Fleet) Members(service string) []Member {
+func (fleet *Fleet) Members(service string, now time.Time) []Member {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	now := time.Now()
 	members := make([]Member, 0, len(fleet.byService[service]))
 	for _, member := range fleet.byService[service] {
 		if member.usable(now) {
@@ -201,11 +200,11 @@
 }
 
 // Usable reports whether a server may be sent requests of a service now.
-func (fleet *Fleet) Usable(id, service string) bool {
+func (fleet *Fleet) Usable(id, service string, now time.Time) bool {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	member := fleet.members[id]
-	return member != nil && member.Service == service && member.usable(time.Now())
+	return member != nil && member.Service == service && member.usable(now)
 }
 
 // Size returns the number of servers.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -29,8 +29,8 @@
 	require.True(t, added)
 	require.False(t, leaving)
 	known.Put(server("b"))
-	require.Equal(t, []string{"a", "b"}, ids(known.Members("engines")))
-	require.False(t, known.Usable("a", "ledger"))
+	require.Equal(t, []string{"a", "b"}, ids(known.Members("engines", time.Now())))
+	require.False(t, known.Usable("a", "ledger", time.Now()))
 
 	gone := server("a")
 	gone.Leaving = true
@@ -38,8 +38,8 @@
 	require.True(t, leaving)
 	_, again := known.Put(gone)
 	require.False(t, again)
-	require.False(t, known.Usable("a", "engines"))
-	require.Equal(t, []string{"b"}, ids(known.Members("engines")))
+	require.False(t, known.Usable("a", "engines", time.Now()))
+	require.Equal(t, []string{"b"}, ids(known.Members("engines", time.Now())))
 	require.True(t, known.Remove("b"))
 	require.False(t, known.Remove("b"))
 }
@@ -54,11 +54,11 @@
 		known.Vanish("a", time.Now().Add(2*time.Second))
 		known.Vanish("b", time.Now().Add(2*time.Second))
 		time.Sleep(time.Second)
-		require.True(t, known.Usable("a", "engines"))
+		require.True(t, known.Usable("a", "engines", time.Now()))
 		known.Put(server("a"))
 		time.Sleep(time.Second)
-		require.True(t, known.Usable("a", "engines"))
-		require.False(t, known.Usable("b", "engines"))
+		require.True(t, known.Usable("a", "engines", time.Now()))
+		require.False(t, known.Usable("b", "engines", time.Now()))
 		require.Equal(t, []string{"b"}, known.Gone(time.Now()))
 		require.Equal(t, []string{"a"}, known.IDs())
 	})
@@ -95,7 +95,7 @@
 		mine.Hear("other", other.Tell(), time.Now())
 		mine.Hear("other", other.Tell(), time.Now())
 		mine.Begin("a", fleet.Share{Rank: 0, Unread: 100})
-		member := mine.Members("engines")[0]
+		member := mine.Members("engines", time.Now())[0]
 		require.Equal(t, 5000, member.Peers.ReadingAll())
 		require.Equal(t, 1, member.Peers.Talking)
 		require.Equal(t, 0, member.Peers.ReadingFor(1))
@@ -109,11 +109,11 @@
 
 		other.Read("a", share)
 		mine.Hear("other", other.Tell(), time.Now())
-		require.Zero(t, mine.Members("engines")[0].Peers.ReadingAll())
+		require.Zero(t, mine.Members("engines", time.Now())[0].Peers.ReadingAll())
 		other.End("a", share)
 		require.Empty(t, other.Tell())
 		time.Sleep(2 * time.Second)
-		require.Zero(t, mine.Members("engines")[0].Peers.Running)
+		require.Zero(t, mine.Members("engines", time.Now())[0].Peers.Running)
 	})
 }
 
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -7,11 +7,11 @@
 
 	"github.com/sirupsen/logrus"
 
-	"primrosegw/core/admit"
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/fleet"
 	"primrosegw/core/pick"
+	"primrosegw/core/steer"
 	"primrosegw/core/work"
 	"primrosegw/io/pipe"
 )
@@ -46,28 +46,17 @@
 			call.giveUp(false, "crashes_servers")
 			return
 		}
-		now := time.Now()
-		if call.work.Left(now) <= 0 {
-			call.giveUp(true, "deadline")
+		step := call.next(time.Now())
+		switch step.Action {
+		case steer.GiveUp:
+			call.giveUp(step.Reason == steer.Deadline, step.Reason)
 			return
-		}
-		if call.reached > 0 && !call.mayRetry() {
-			call.giveUp(false, "no_retry")
-			return
-		}
-		members := call.front.options.Fleet.Members(call.work.Service)
-		choice, ok := pick.Server(call.front.options.Pick, &call.work, members, call.tried, now)
-		if !ok {
-			call.giveUp(false, "no_server")
-			return
-		}
-		decision := admit.Decide(&call.work, choice.First, now)
-		if !decision.Admitted && call.reached == 0 {
-			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: "overload", after: decision.After, choice: &choice})
+		case steer.Refuse:
+			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: step.Reason, after: step.After, choice: step.Choice})
 			return
 		}
-		call.tried[choice.Member.ID] = true
-		result := call.attempt(choice)
+		call.tried[step.Choice.Member.ID] = true
+		result := call.attempt(*step.Choice)
 		call.state = call.state.Next(result)
 		switch result {
 		case work.Served:
@@ -85,6 +74,14 @@
 	}
 }
 
+// next decides what to do with the request now.
+func (call *call) next(now time.Time) steer.Step {
+	options := call.front.options
+	progress := steer.Progress{State: call.state, Reached: call.reached, Tried: call.tried}
+	members := options.Fleet.Members(call.work.Service, now)
+	return steer.Next(options.Pick, &call.work, progress, options.Budget, members, now)
+}
+
 // countReached counts a server that was sent the request. The first one pays for
 // a share of a retry.
 func (call *call) countReached() {
@@ -94,12 +91,6 @@
 	call.reached++
 }
 
-// mayRetry reports whether another server may be sent the request, and pays for
-// it.
-func (call *call) mayRetry() bool {
-	return work.MayRetry(call.work.Route, call.state, call.reached) && call.front.options.Budget.Spend(call.work.Service)
-}
-
 // attempt sends the request to one server and relays its answer.
 func (call *call) attempt(choice pick.Choice) work.Result {
 	options := call.front.options
@@ -116,7 +107,7 @@
 	defer stop()
 	// The server may have said that it leaves while the connection was made, and
 	// the table may have changed.
-	if !options.Fleet.Usable(server.ID, call.work.Service) || options.Table.Load() != call.table {
+	if !options.Fleet.Usable(server.ID, call.work.Service, time.Now()) || options.Table.Load() != call.table {
 		conn.Discard()
 		delete(call.tried, server.ID)
 		return work.NoConnection
