--- a/cmds/run.go
+++ b/cmds/run.go
@@ -26,19 +26,20 @@
 
 // tree is the command tree.
 type tree struct {
-	Serve   serveCommand   `cmd:"" help:"Run an entry host."`
-	Gateway gatewayCommand `cmd:"" help:"Run an entry host on the operators' platform."`
-	Explain explainCommand `cmd:"" help:"Tell from logs what became of a request."`
-	Check   checkCommand   `cmd:"" help:"Check a document or host settings."`
-	Trial   trialCommand   `cmd:"" help:"Prove a document in trial."`
-	Promote promoteCommand `cmd:"" help:"Put a proved document in force."`
-	Recall  recallCommand  `cmd:"" help:"Take a lot out of force everywhere."`
-	Status  statusCommand  `cmd:"" help:"Show the document in force and the hosts."`
-	Load    loadCommand    `cmd:"" help:"Generate load and measure the answers."`
-	Demo    demoCommand    `cmd:"" help:"Run three hosts and all stand-ins in one process."`
-	Keys    keysCommand    `cmd:"" help:"Make a development authority, host certificates and bearer keys."`
-	Standin standinCommand `cmd:"" help:"Run a stand-in of an outside system."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Serve      serveCommand      `cmd:"" help:"Run an entry host."`
+	Gateway    gatewayCommand    `cmd:"" help:"Run an entry host on the operators' platform."`
+	Explain    explainCommand    `cmd:"" help:"Tell from logs what became of a request."`
+	Experiment experimentCommand `cmd:"" help:"Compare ways to decide on emulated days."`
+	Check      checkCommand      `cmd:"" help:"Check a document or host settings."`
+	Trial      trialCommand      `cmd:"" help:"Prove a document in trial."`
+	Promote    promoteCommand    `cmd:"" help:"Put a proved document in force."`
+	Recall     recallCommand     `cmd:"" help:"Take a lot out of force everywhere."`
+	Status     statusCommand     `cmd:"" help:"Show the document in force and the hosts."`
+	Load       loadCommand       `cmd:"" help:"Generate load and measure the answers."`
+	Demo       demoCommand       `cmd:"" help:"Run three hosts and all stand-ins in one process."`
+	Keys       keysCommand       `cmd:"" help:"Make a development authority, host certificates and bearer keys."`
+	Standin    standinCommand    `cmd:"" help:"Run a stand-in of an outside system."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
 // usage marks an error as one of the input or the command line.
--- /dev/null
+++ b/standin/emul/host.go
@@ -0,0 +1,204 @@
+package emul
+
+import (
+	"time"
+
+	"primrosegw/core/fleet"
+	"primrosegw/core/pick"
+	"primrosegw/core/retry"
+	"primrosegw/core/steer"
+	"primrosegw/core/work"
+)
+
+const (
+	// answerWait is how long after the deadline a host still awaits an answer.
+	answerWait = 150 * time.Millisecond
+	// localDelay is the delay within a failure domain, one way.
+	localDelay = 200 * time.Microsecond
+	// retryShare and retryReserve are the budget of second attempts of a host.
+	retryShare   = 0.18
+	retryReserve = 4
+)
+
+// host decides about requests with the code of the project's core.
+type host struct {
+	world  *world
+	domain string
+	name   string
+	fleet  *fleet.Fleet
+	budget *retry.Budgets
+	pick   pick.Options
+}
+
+func newHost(world *world, name, domain string) *host {
+	created := &host{
+		world: world, name: name, domain: domain, fleet: fleet.New(), budget: retry.NewBudgets(retryShare, retryReserve),
+		pick: pick.Options{FailureDomain: domain, TokensPerMs: world.tokensPerMs(), Pace: pick.NewPace()},
+	}
+	for _, server := range world.servers {
+		created.fleet.Put(server.base().server)
+	}
+	return created
+}
+
+// call is one attempt of a caller at a host.
+type call struct {
+	host     *host
+	work     work.Request
+	progress steer.Progress
+	class    *Class
+	output   int
+	length   time.Duration
+	// events is the number that the caller has got.
+	events int
+	server server
+	task   *task
+	gone   bool
+	// event, answered and turned tell the caller.
+	event    func()
+	answered func(whole bool)
+	turned   func(after time.Duration)
+}
+
+// forward takes the next step with a request.
+func (call *call) forward() {
+	host := call.host
+	if call.gone {
+		return
+	}
+	now := host.world.clock.time()
+	members := host.world.members(host, call.work.Service, now)
+	step := steer.Next(host.pick, &call.work, call.progress, host.budget, members, now)
+	step = host.world.policy.overrule(step, &call.work, members, call.progress.Tried)
+	switch {
+	case step.Action == steer.Send:
+		call.send(*step.Choice)
+	case call.progress.State.NotRun() && call.events == 0:
+		call.turned(step.After)
+	default:
+		call.answered(false)
+	}
+}
+
+// send gives the request to a server.
+func (call *call) send(choice pick.Choice) {
+	host, clock := call.host, call.host.world.clock
+	call.progress.Tried[choice.Member.ID] = true
+	target := host.world.byID[choice.Member.ID]
+	delay := host.delay(target)
+	host.fleet.Begin(choice.Member.ID, choice.Share)
+	read := false
+	started := clock.now
+	sent := &task{request: &call.work, output: max(1, call.output-call.events*call.stride()), loses: target.base().loses(), work: call.length}
+	if base := target.base(); base.random.Float64() < call.class.Failing {
+		sent.output = 0
+	}
+	begun := call.events
+	first := func() {
+		if read {
+			return
+		}
+		read = true
+		host.fleet.Read(choice.Member.ID, choice.Share)
+		host.fleet.Report(choice.Member.ID, target.load())
+		host.pick.Pace.Learn(call.work.Service, choice.First, clock.now-started)
+	}
+	sent.event = func(number int) {
+		clock.after(delay, func() {
+			first()
+			if !call.gone {
+				call.events = begun + number
+				call.event()
+			}
+		})
+	}
+	sent.ended = func(outcome outcome) {
+		clock.after(delay, func() {
+			if !read {
+				if outcome != broken {
+					host.fleet.Report(choice.Member.ID, target.load())
+				}
+				read = true
+				host.fleet.Read(choice.Member.ID, choice.Share)
+			}
+			host.fleet.End(choice.Member.ID, choice.Share)
+			call.settle(choice.Member.ID, outcome)
+		})
+	}
+	call.server, call.task = target, sent
+	clock.after(delay, func() {
+		if target.base().down {
+			host.fleet.Unreachable(choice.Member.ID, clock.time())
+			host.fleet.Read(choice.Member.ID, choice.Share)
+			host.fleet.End(choice.Member.ID, choice.Share)
+			call.forward()
+			return
+		}
+		target.submit(sent)
+	})
+}
+
+// settle goes on after a server has ended a request.
+func (call *call) settle(server string, outcome outcome) {
+	host, now := call.host, call.host.world.clock.time()
+	if call.gone {
+		return
+	}
+	if call.progress.Reached == 0 {
+		host.budget.Earn(call.work.Service)
+	}
+	call.progress.Reached++
+	switch outcome {
+	case whole:
+		host.fleet.Good(server)
+		call.answered(true)
+		return
+	case declined:
+		call.progress.State = call.progress.State.Next(work.Declined)
+	case failed:
+		host.fleet.Failed(server)
+		call.progress.State = call.progress.State.Next(work.Failed)
+	case broken:
+		host.fleet.Broke(server, now)
+		call.progress.State = call.progress.State.Next(work.Broken)
+	}
+	call.forward()
+}
+
+// leave ends a call whose caller has gone.
+func (call *call) leave() {
+	if call.gone {
+		return
+	}
+	call.gone = true
+	if call.task == nil || call.task.done {
+		return
+	}
+	target, ended := call.server, call.task
+	call.host.world.clock.after(call.host.delay(target), func() {
+		target.cancel(ended)
+		ended.finish(broken)
+	})
+}
+
+func (call *call) stride() int { return call.host.world.stride(call.work.Service) }
+
+// delay is the time to a server, one way.
+func (host *host) delay(target server) time.Duration {
+	if target.base().server.FailureDomain == host.domain {
+		return localDelay
+	}
+	return milliseconds(host.world.day.LinkMs)
+}
+
+// tell passes the host's requests in flight on to the others, again and again.
+func (host *host) tell() {
+	world := host.world
+	loads := host.fleet.Tell()
+	for _, other := range world.hosts {
+		if other != host {
+			world.clock.after(milliseconds(world.day.LinkMs), func() { other.fleet.Hear(host.name, loads, world.clock.time()) })
+		}
+	}
+	world.clock.after(milliseconds(world.day.TellMs), host.tell)
+}
