core/admit, core/pick: refuse earlier at a crest; long prompts avoid talkers

And when the group of engines for talkers changes, long prompts are read between the tokens of talkers that are still there. Change: refuse above half of the objective, but never a prompt that an idle engine could begin at once; disturbLoss; a reread weighs 1.0 instead of 0.6, a millisecond 0.0002 instead of 0.00005. TestBulkIsRefusedWhenItWouldBeLate had the old bound in it; it now checks both sides of the new one.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// lateShare is the share of the latency objective that the predicted wait for
-	// the first event may take.
-	lateShare = 0.9
+	// lateShare is the share of the latency objective that the predicted time to
+	// the first event may take. What comes beside the prediction needs the rest:
+	// urgent prompts that arrive later, slow moments of the engine.
+	lateShare = 0.5
+	// quietShare is the share of the latency objective up to which a wait does not
+	// matter: a long prompt is not refused for its own length.
+	quietShare = 0.02
 	// lateDeadlineShare is the share of the time left that it may take for a
 	// request that has missed its objective already.
 	lateDeadlineShare = 0.5
@@ -30,20 +34,29 @@
 	After time.Duration
 }
 
-// Decide weighs a request by the predicted wait for its first event. Only the
-// least urgent requests of a service are refused: engines take the others first.
-func Decide(request *work.Request, predicted time.Duration, now time.Time) Decision {
+// Outlook is what is predicted for a request at the best server.
+type Outlook struct {
+	// Wait is the time before the server begins with the request, First the time to
+	// the first event.
+	Wait  time.Duration
+	First time.Duration
+}
+
+// Decide weighs a request by its outlook. Only the least urgent requests of a
+// service are refused: engines take the others first.
+func Decide(request *work.Request, outlook Outlook, now time.Time) Decision {
 	if !request.Bulk || !request.Route.Prompts || request.Route.Objective <= 0 {
 		return Decision{Admitted: true}
 	}
 	limit := allowed(request, now)
-	if predicted <= limit {
+	quiet := time.Duration(quietShare * float64(request.Route.Objective))
+	if outlook.First <= limit || outlook.Wait <= quiet && outlook.First <= request.Left(now) {
 		return Decision{Admitted: true}
 	}
-	return Decision{After: max(shortestPause, predicted-limit/2)}
+	return Decision{After: max(shortestPause, outlook.First-limit/2)}
 }
 
-// allowed is the longest predicted wait with which a request is still sent.
+// allowed is the longest predicted time to the first event with which a request is still sent.
 func allowed(request *work.Request, now time.Time) time.Duration {
 	waited := now.Sub(request.Received)
 	inTime := time.Duration(lateShare*float64(request.Route.Objective)) - waited
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -24,10 +24,22 @@
 // against a refusal of what would be in time.
 func TestBulkIsRefusedWhenItWouldBeLate(t *testing.T) {
 	now := time.Now()
-	require.True(t, admit.Decide(request(now), time.Second, now).Admitted)
-	refused := admit.Decide(request(now), 1500*time.Millisecond, now)
-	require.False(t, refused.Admitted)
-	require.Positive(t, refused.After)
+	for first, admitted := range map[time.Duration]bool{
+		550 * time.Millisecond: true, 650 * time.Millisecond: false, 1500 * time.Millisecond: false,
+	} {
+		decision := admit.Decide(request(now), admit.Outlook{Wait: first / 2, First: first}, now)
+		require.Equal(t, admitted, decision.Admitted, first)
+		require.Equal(t, !admitted, decision.After > 0, first)
+	}
+}
+
+// Guards against the longest prompts being refused by engines that are idle, and
+// against one that can't begin before its caller gives up.
+func TestLongPromptIsNotRefusedForItsLength(t *testing.T) {
+	now := time.Now()
+	require.True(t, admit.Decide(request(now), admit.Outlook{Wait: 20 * time.Millisecond, First: 2 * time.Second}, now).Admitted)
+	require.False(t, admit.Decide(request(now), admit.Outlook{Wait: 200 * time.Millisecond, First: 2 * time.Second}, now).Admitted)
+	require.False(t, admit.Decide(request(now), admit.Outlook{First: 5 * time.Second}, now).Admitted)
 }
 
 // Guards against a refusal of urgent work while less urgent work is begun, and of
@@ -36,10 +48,10 @@
 	now := time.Now()
 	urgent := request(now)
 	urgent.Bulk = false
-	require.True(t, admit.Decide(urgent, time.Minute, now).Admitted)
+	require.True(t, admit.Decide(urgent, admit.Outlook{Wait: time.Minute, First: time.Minute}, now).Admitted)
 	plain := request(now)
 	plain.Route = table.Route{Kind: table.Once, Objective: time.Millisecond}
-	require.True(t, admit.Decide(plain, time.Minute, now).Admitted)
+	require.True(t, admit.Decide(plain, admit.Outlook{Wait: time.Minute, First: time.Minute}, now).Admitted)
 }
 
 // Guards against a stream that is cut because its host left, and against a host
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -32,9 +32,12 @@
 	// stretchTokens or more of prompts between its tokens.
 	stretchLoss   = 0.4
 	stretchTokens = 4000
+	// disturbLoss is the loss of each request that talks at an engine which is to
+	// read stretchTokens or more for a new one.
+	disturbLoss = 0.3
 	// rereadLoss is the loss when all of a prompt is read that another engine has
 	// in its cache: the time of an engine, and what is pushed out of its cache.
-	rereadLoss = 0.6
+	rereadLoss = 1.0
 	// failureLoss is the loss at a server whose answers all fail.
 	failureLoss = 1.5
 	// remoteLoss is the loss when a request goes to another failure domain.
@@ -61,7 +64,7 @@
 	early = 0.8
 	late  = 1.2
 	// millisecondLoss breaks ties between servers that are in time.
-	millisecondLoss = 0.00005
+	millisecondLoss = 0.0002
 )
 
 // Choice is the server chosen and why.
@@ -71,6 +74,8 @@
 	Loss float64
 	// First is the predicted time to the first event, 0 for plain services.
 	First time.Duration
+	// Wait is the part of First before the server begins with the request.
+	Wait time.Duration
 	// Over is the number of servers that were weighed.
 	Over int
 	// Preferred: the session's prompt is likely to be cached there.
@@ -94,9 +99,10 @@
 	for index := range candidates {
 		member := &candidates[index]
 		liked := member.ID == preferred
-		loss, first := options.loss(request, member, liked, now)
-		if best.Member.ID == "" || loss < best.Loss {
-			best.Member, best.Loss, best.Preferred, best.First = *member, loss, liked, first
+		found := options.weigh(request, member, liked, now)
+		if best.Member.ID == "" || found.Loss < best.Loss {
+			found.Over = best.Over
+			best = found
 		}
 	}
 	best.Share = fleet.Share{Rank: request.Rank, Unread: unread(request, best.Preferred), Talk: Talks(request)}
@@ -123,9 +129,9 @@
 	return []fleet.Member{first}
 }
 
-// loss is what a request is expected to lose at a server, and the predicted time
-// to its first event.
-func (options Options) loss(request *work.Request, member *fleet.Member, liked bool, now time.Time) (float64, time.Duration) {
+// weigh predicts what a request loses at a server and when its first event comes.
+func (options Options) weigh(request *work.Request, member *fleet.Member, liked bool, now time.Time) Choice {
+	choice := Choice{Member: *member, Preferred: liked}
 	running := member.Own.Running + member.Peers.Running
 	loss := float64(running)*runningLoss + member.FailureRate*failureLoss
 	if member.FailureDomain != options.FailureDomain {
@@ -141,20 +147,27 @@
 		if age < reportLife {
 			loss += (1 - float64(age)/float64(reportLife)) * float64(member.Load.Waiting) * waitingLoss
 		}
-		return loss, 0
+		choice.Loss = loss
+		return choice
 	}
-	tokens := options.backlog(request, member, age) + float64(unread(request, liked))
-	first := tokens * slowness * stepOverhead / options.TokensPerMs
+	perToken := slowness * stepOverhead / options.TokensPerMs
+	own := unread(request, liked)
+	wait := options.backlog(request, member, age) * perToken
+	first := wait + float64(own)*perToken
 	loss += options.lateness(request, first, now) + first*millisecondLoss
-	first *= options.Pace.Factor(request.Service)
 	if Talks(request) {
 		reading := member.Own.ReadingAll() + member.Peers.ReadingAll()
 		loss += stretchLoss * min(1, float64(reading)/stretchTokens)
+	} else {
+		talking := member.Own.Talking + member.Peers.Talking
+		loss += disturbLoss * float64(talking) * min(1, float64(own)/stretchTokens)
 	}
 	if !liked && request.PromptTokens > 0 {
 		loss += rereadLoss * float64(sessionTokens(request)) / float64(request.PromptTokens)
 	}
-	return loss, time.Duration(first * float64(time.Millisecond))
+	pace := options.Pace.Factor(request.Service) * float64(time.Millisecond)
+	choice.Loss, choice.First, choice.Wait = loss, time.Duration(first*pace), time.Duration(wait*pace)
+	return choice
 }
 
 // lateness is the expected loss by a first event after so many milliseconds.
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -190,3 +190,32 @@
 	}
 	require.NotEqual(t, first.Member.ID, choose(t, talking(now), fleet, nil, now).Member.ID)
 }
+
+// Guards against a long prompt that is read between the tokens of talking
+// requests while an engine without any is to be had.
+func TestLongPromptsAvoidTalkers(t *testing.T) {
+	now := time.Now()
+	fleet := members(6)
+	request := reading(7, now)
+	first := choose(t, request, fleet, nil, now)
+	for index := range fleet {
+		if fleet[index].ID == first.Member.ID {
+			fleet[index].Own.Running, fleet[index].Own.Talking = 3, 3
+		}
+	}
+	require.NotEqual(t, first.Member.ID, choose(t, request, fleet, nil, now).Member.ID)
+}
+
+// Guards against a prediction that does not tell the wait from the request's own
+// prompt.
+func TestWaitIsWhatIsReadBefore(t *testing.T) {
+	now := time.Now()
+	fleet := members(1)
+	idle := choose(t, reading(7, now), fleet, nil, now)
+	require.Zero(t, idle.Wait)
+	require.Positive(t, idle.First)
+	fleet[0].Peers.Reading[2] = 10000
+	busy := choose(t, reading(7, now), fleet, nil, now)
+	require.Equal(t, busy.First-busy.Wait, idle.First)
+	require.Positive(t, busy.Wait)
+}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -74,7 +74,7 @@
 	if !ok {
 		return Step{Action: GiveUp, Reason: NoServer}
 	}
-	decision := admit.Decide(request, choice.First, now)
+	decision := admit.Decide(request, admit.Outlook{Wait: choice.Wait, First: choice.First}, now)
 	if !decision.Admitted && progress.Reached == 0 {
 		return Step{Action: Refuse, Reason: Overload, Choice: &choice, After: decision.After}
 	}
--- a/standin/emul/host.go
+++ b/standin/emul/host.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// answerWait is how long after the deadline a host still awaits an answer.
-	answerWait = 150 * time.Millisecond
 	// localDelay is the delay within a failure domain, one way.
 	localDelay = 200 * time.Microsecond
 	// retryShare and retryReserve are the budget of second attempts of a host.
