Large fleets: hosts tell loads to entry hosts only, proofs through relays

Change: roster.Audience says whom a host tells what: entry hosts tell each other their loads, proofs and places go through the two hosts of a failure domain that wait at the store. Sums over peers are kept as words arrive. pick.Groups remembers the engines for talkers for 100 ms.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -72,6 +72,14 @@
 	hash uint64
 }
 
+// Hash returns the hash of the server's ID, which all hosts share.
+func (member *Member) Hash() uint64 {
+	if member.hash == 0 {
+		member.hash = ServerHash(member.ID)
+	}
+	return member.hash
+}
+
 // Suspended reports whether the server gets no requests for now.
 func (member *Member) Suspended(now time.Time) bool { return now.Before(member.SuspendedUntil) }
 
@@ -86,13 +94,16 @@
 	mutex     sync.Mutex
 	members   map[string]*Member
 	byService map[string][]*Member
+	byHash    map[uint64]*Member
 	peers     map[string]peer
+	// expiry is when to look again whose word no longer counts.
+	expiry time.Time
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
 	return &Fleet{
-		members: make(map[string]*Member), byService: make(map[string][]*Member), peers: make(map[string]peer),
+		members: make(map[string]*Member), byService: make(map[string][]*Member), byHash: make(map[uint64]*Member), peers: make(map[string]peer),
 	}
 }
 
@@ -104,7 +115,9 @@
 	defer fleet.mutex.Unlock()
 	known := fleet.members[server.ID]
 	if known == nil || known.Address != server.Address || !known.Started.Equal(server.Started) {
-		fleet.members[server.ID] = &Member{Server: server, hash: ServerHash(server.ID)}
+		member := &Member{Server: server, hash: ServerHash(server.ID)}
+		fleet.members[server.ID] = member
+		fleet.recount(member)
 		fleet.index()
 		return true, server.Leaving
 	}
@@ -171,7 +184,9 @@
 // index lists the members by service, in the order of their IDs.
 func (fleet *Fleet) index() {
 	clear(fleet.byService)
+	clear(fleet.byHash)
 	for _, member := range fleet.members {
+		fleet.byHash[member.hash] = member
 		fleet.byService[member.Service] = append(fleet.byService[member.Service], member)
 	}
 	for _, members := range fleet.byService {
@@ -189,13 +204,13 @@
 func (fleet *Fleet) Members(service string, now time.Time) []Member {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
+	fleet.expire(now)
 	members := make([]Member, 0, len(fleet.byService[service]))
 	for _, member := range fleet.byService[service] {
 		if member.usable(now) {
 			members = append(members, *member)
 		}
 	}
-	fleet.addPeers(members, now)
 	return members
 }
 
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -92,8 +92,8 @@
 		other.Put(server("a"))
 		share := fleet.Share{Rank: 2, Unread: 5000, Talk: true}
 		other.Begin("a", share)
-		mine.Hear("other", other.Tell(), time.Now())
-		mine.Hear("other", other.Tell(), time.Now())
+		mine.Hear("other", told(other), time.Now())
+		mine.Hear("other", told(other), time.Now())
 		mine.Begin("a", fleet.Share{Rank: 0, Unread: 100})
 		member := mine.Members("engines", time.Now())[0]
 		require.Equal(t, 5000, member.Peers.ReadingAll())
@@ -103,12 +103,12 @@
 
 		require.Equal(t, 1, mine.Busiest(time.Now()))
 		other.Begin("a", fleet.Share{})
-		mine.Hear("other", other.Tell(), time.Now())
+		mine.Hear("other", told(other), time.Now())
 		require.Equal(t, 2, mine.Busiest(time.Now()))
 		other.End("a", fleet.Share{})
 
 		other.Read("a", share)
-		mine.Hear("other", other.Tell(), time.Now())
+		mine.Hear("other", told(other), time.Now())
 		require.Zero(t, mine.Members("engines", time.Now())[0].Peers.ReadingAll())
 		other.End("a", share)
 		require.Empty(t, other.Tell())
@@ -117,6 +117,39 @@
 	})
 }
 
+// told is what a host would tell others.
+func told(known *fleet.Fleet) fleet.Told {
+	return fleet.Told{Loads: known.Tell(), Running: known.Running()}
+}
+
+// Guards against a server that registers after hosts have told of it, and against
+// another host's requests that stay when a server is replaced.
+func TestNewServerHasWhatPeersTold(t *testing.T) {
+	mine, other := fleet.New(), fleet.New()
+	other.Put(server("a"))
+	other.Begin("a", fleet.Share{Unread: 700})
+	mine.Hear("other", told(other), time.Now())
+	mine.Put(server("a"))
+	require.Equal(t, 700, mine.Members("engines", time.Now())[0].Peers.ReadingAll())
+	mine.Remove("a")
+	mine.Put(server("a"))
+	mine.Hear("other", fleet.Told{}, time.Now())
+	require.Zero(t, mine.Members("engines", time.Now())[0].Peers.ReadingAll())
+}
+
+// Guards against a host's rumour that keeps itself alive: only what hosts told of
+// themselves is told on.
+func TestRumoursAreNotToldOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine := fleet.New()
+		mine.Hear("relay", fleet.Told{Running: 3, Busiest: 400}, time.Now())
+		require.Equal(t, 3, mine.Busiest(time.Now()))
+		require.Equal(t, 400, mine.Crowd(time.Now()))
+		time.Sleep(2 * time.Second)
+		require.Zero(t, mine.Crowd(time.Now()))
+	})
+}
+
 // Guards against an engine that loses one answer in ten and gets no requests for
 // most of the time, and against one that is dead and still gets them.
 func TestSingleBrokenAnswersDoNotSuspend(t *testing.T) {
--- a/core/fleet/flight.go
+++ b/core/fleet/flight.go
@@ -50,11 +50,11 @@
 	flight.Reading[share.Rank] = max(0, flight.Reading[share.Rank]-share.Unread)
 }
 
-// sum adds the requests of another host.
-func (flight *InFlight) sum(other InFlight) {
+// sum adds the requests of another host, or takes them out with a factor of -1.
+func (flight *InFlight) sum(other InFlight, factor int) {
 	for rank, tokens := range other.Reading {
-		flight.Reading[rank] += tokens
+		flight.Reading[rank] += factor * tokens
 	}
-	flight.Running += other.Running
-	flight.Talking += other.Talking
+	flight.Running += factor * other.Running
+	flight.Talking += factor * other.Talking
 }
--- a/core/pick/group.go
+++ b/core/pick/group.go
@@ -3,8 +3,8 @@
 import (
 	"cmp"
 	"slices"
-
-	"github.com/cespare/xxhash/v2"
+	"sync"
+	"time"
 
 	"primrosegw/core/fleet"
 	"primrosegw/core/work"
@@ -42,8 +42,8 @@
 talking requests that all hosts have in flight, so the hosts agree on it well
 enough without asking each other.
 */
-func group(request *work.Request, members, candidates []fleet.Member) []fleet.Member {
-	talkers := talkEngines(members)
+func (options Options) group(request *work.Request, members, candidates []fleet.Member, now time.Time) []fleet.Member {
+	talkers := options.Groups.talkers(request.Service, members, now)
 	wanted := Talks(request)
 	var group []fleet.Member
 	for _, member := range candidates {
@@ -63,7 +63,7 @@
 	talking := 0
 	for index := range members {
 		member := &members[index]
-		ordered[index] = ranked{member.Usual > slowEngine, xxhash.Sum64String(member.ID), member.ID}
+		ordered[index] = ranked{member.Usual > slowEngine, member.Hash(), member.ID}
 		talking += member.Own.Talking + member.Peers.Talking
 	}
 	slices.SortFunc(ordered, ranked.compare)
@@ -78,6 +78,42 @@
 	return talkers
 }
 
+// groupLife is the time for which the engines for talking requests stay the same.
+const groupLife = 100 * time.Millisecond
+
+// Groups remembers for a moment which engines are for talking requests: to put
+// them in order for each request takes too long where there are thousands. It is
+// safe for concurrent use.
+type Groups struct {
+	mutex    sync.Mutex
+	services map[string]grouped
+}
+
+// grouped is the engines of a service that are for talking requests.
+type grouped struct {
+	until   time.Time
+	members int
+	talkers map[string]bool
+}
+
+// NewGroups returns an empty memory.
+func NewGroups() *Groups { return &Groups{services: make(map[string]grouped)} }
+
+// talkers returns the engines for talking requests.
+func (groups *Groups) talkers(service string, members []fleet.Member, now time.Time) map[string]bool {
+	if groups == nil {
+		return talkEngines(members)
+	}
+	groups.mutex.Lock()
+	defer groups.mutex.Unlock()
+	known, ok := groups.services[service]
+	if !ok || !now.Before(known.until) || known.members != len(members) {
+		known = grouped{now.Add(groupLife), len(members), talkEngines(members)}
+		groups.services[service] = known
+	}
+	return known.talkers
+}
+
 type ranked struct {
 	slow bool
 	hash uint64
@@ -100,10 +136,13 @@
 		return ""
 	}
 	key := sessionPart(request).ID
-	best := slices.MaxFunc(candidates, func(a, b fleet.Member) int {
-		return cmp.Compare(score(key, a.ID), score(key, b.ID))
-	})
-	return best.ID
+	best, most := "", uint64(0)
+	for index := range candidates {
+		if weight := score(key, &candidates[index]); best == "" || weight > most {
+			best, most = candidates[index].ID, weight
+		}
+	}
+	return best
 }
 
 // sessionPart is the last part of the prompt that requests may share.
@@ -119,8 +158,8 @@
 }
 
 // score is the rendezvous weight of a server for a part of a prompt.
-func score(key uint64, id string) uint64 {
-	return (key ^ xxhash.Sum64String(id)) * 0x9e3779b97f4a7c15 >> 1
+func score(key uint64, member *fleet.Member) uint64 {
+	return (key ^ member.Hash()) * 0x9e3779b97f4a7c15 >> 1
 }
 
 // unread is the prompt tokens that a server has to read for a request: all
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -19,6 +19,9 @@
 	FailureDomain string
 	// TokensPerMs is the rate at which an engine reads a prompt.
 	TokensPerMs float64
+	// Groups remembers which engines are for which requests; nil: nothing is
+	// remembered.
+	Groups *Groups
 	// Pace corrects predictions by how earlier ones turned out; nil: not at all.
 	Pace *Pace
 }
@@ -92,7 +95,7 @@
 		return Choice{}, false
 	}
 	if request.Route.Prompts {
-		candidates = group(request, members, candidates)
+		candidates = options.group(request, members, candidates, now)
 	}
 	preferred := affinity(request, candidates)
 	best := Choice{Over: len(candidates)}
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -219,3 +219,27 @@
 	require.Equal(t, busy.First-busy.Wait, idle.First)
 	require.Positive(t, busy.Wait)
 }
+
+// Guards against engines that are put in order for each request, against a memory
+// that outlives a change of the fleet, and one that mixes services.
+func TestGroupsAreRemembered(t *testing.T) {
+	now := time.Now()
+	remembering := options()
+	remembering.Groups = pick.NewGroups()
+	fleet := members(8)
+	pickTalker := func(at time.Time) string {
+		choice, ok := pick.Server(remembering, talking(at), fleet, nil, at)
+		require.True(t, ok)
+		return choice.Member.ID
+	}
+	first := pickTalker(now)
+	for index := range fleet {
+		if fleet[index].ID == first {
+			fleet[index].Usual = 1.5
+		}
+	}
+	require.Equal(t, first, pickTalker(now.Add(50*time.Millisecond)))
+	require.NotEqual(t, first, pickTalker(now.Add(150*time.Millisecond)))
+	fleet = members(2)
+	require.Contains(t, []string{"server-00", "server-01"}, pickTalker(now.Add(160*time.Millisecond)))
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -133,13 +133,7 @@
 		return true
 	}
 	own := roster.Own()
-	before := 0
-	for _, other := range live {
-		if other.FailureDomain == own.FailureDomain && host.Score("watch", other.Name) > host.Score("watch", own.Name) {
-			before++
-		}
-	}
-	return before < watchersPerDomain
+	return slices.ContainsFunc(watchers(live), func(watcher host.Host) bool { return watcher.Name == own.Name })
 }
 
 // Neighbours returns the other hosts of the host's failure domain.
@@ -160,13 +154,16 @@
 busy one, mean all hosts.
 */
 func (roster *Roster) Entries(now time.Time, busy bool) []host.Host {
-	live := roster.Live(now)
+	return entries(roster.Live(now), busy)
+}
+
+func entries(live []host.Host, busy bool) []host.Host {
 	if busy || len(live) <= smallFleet {
-		return live
+		return slices.Clone(live)
 	}
 	strong := strongHosts(live)
 	if len(strong) < leastStrong {
-		return live
+		return slices.Clone(live)
 	}
 	wanted := max(leastEntries, int(entryShare*float64(len(strong))+0.5))
 	if wanted >= len(strong) {
@@ -185,6 +182,13 @@
 	return slices.DeleteFunc(slices.Clone(hosts), func(one host.Host) bool { return one.Capacity < strongest/2 })
 }
 
+// byScore orders hosts by a hash that all hosts share.
+func byScore(hosts []host.Host, key string) {
+	slices.SortFunc(hosts, func(a, b host.Host) int {
+		return cmp.Compare(host.Score(key, b.Name), host.Score(key, a.Name))
+	})
+}
+
 // spread returns a number of hosts, evenly by failure domain and else in the order
 // of a hash that all hosts share.
 func spread(hosts []host.Host, wanted int) []host.Host {
@@ -193,9 +197,7 @@
 		domains[one.FailureDomain] = append(domains[one.FailureDomain], one)
 	}
 	for _, members := range domains {
-		slices.SortFunc(members, func(a, b host.Host) int {
-			return cmp.Compare(host.Score("entry", b.Name), host.Score("entry", a.Name))
-		})
+		byScore(members, "entry")
 	}
 	var chosen []host.Host
 	for turn := 0; len(chosen) < wanted; turn++ {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,6 +66,37 @@
 	}
 }
 
+// Guards against a host that is told nothing, against messages that grow with the
+// square of the fleet, and against a standby host that tells everybody.
+func TestAudienceOfLargeFleets(t *testing.T) {
+	now := time.Now()
+	for _, size := range []int{8, 60, 300} {
+		told, words := map[string]int{}, 0
+		for own := range size {
+			hosts := roster.New(one(own))
+			for other := range size {
+				hosts.Put(one(other))
+			}
+			audience := hosts.Audience(now, false)
+			if size <= 12 {
+				require.Len(t, audience.Loads, size-1)
+			} else if !slices.Contains(names(hosts.Entries(now, false)), one(own).Name) {
+				require.Empty(t, audience.Loads)
+			}
+			if len(audience.Loads) == 0 && !hosts.Watches(now) {
+				require.Len(t, audience.Words, 2, "a standby host tells the two that wait at the store for it")
+			}
+			for _, other := range audience.Words {
+				require.NotEqual(t, one(own).Name, other.Name)
+				told[other.Name]++
+				words++
+			}
+		}
+		require.Len(t, told, size, "each host is told words")
+		require.LessOrEqual(t, words, 14*size)
+	}
+}
+
 func one(index int) host.Host {
 	return host.Host{Name: fmt.Sprint("host-", index), FailureDomain: fmt.Sprint(index % 4), State: host.Alive}
 }
--- a/standin/emul/host.go
+++ b/standin/emul/host.go
@@ -31,7 +31,7 @@
 func newHost(world *world, name, domain string) *host {
 	created := &host{
 		world: world, name: name, domain: domain, fleet: fleet.New(), budget: retry.NewBudgets(retryShare, retryReserve),
-		pick: pick.Options{FailureDomain: domain, TokensPerMs: world.tokensPerMs(), Pace: pick.NewPace()},
+		pick: pick.Options{FailureDomain: domain, TokensPerMs: world.tokensPerMs(), Pace: pick.NewPace(), Groups: pick.NewGroups()},
 	}
 	for _, server := range world.servers {
 		created.fleet.Put(server.base().server)
@@ -192,10 +192,10 @@
 // tell passes the host's requests in flight on to the others, again and again.
 func (host *host) tell() {
 	world := host.world
-	loads := host.fleet.Tell()
+	told := fleet.Told{Loads: host.fleet.Tell(), Running: host.fleet.Running()}
 	for _, other := range world.hosts {
 		if other != host {
-			world.clock.after(milliseconds(world.day.LinkMs), func() { other.fleet.Hear(host.name, loads, world.clock.time()) })
+			world.clock.after(milliseconds(world.day.LinkMs), func() { other.fleet.Hear(host.name, told, world.clock.time()) })
 		}
 	}
 	world.clock.after(milliseconds(world.day.TellMs), host.tell)
