--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -81,6 +81,8 @@
 	ProbeKey string
 	// ProbeEvery is the longest age of the proof before the probed key is read.
 	ProbeEvery time.Duration
+	// StandbyProbeEvery is that of hosts that do not wait at the store; 0: the same.
+	StandbyProbeEvery time.Duration
 	// Proof is confirmed by each read of the probed key.
 	Proof *fresh.Proof
 	// Now reads the clock of the proof.
@@ -118,6 +120,9 @@
 	// interrupt ends the call for changes that is under way.
 	interrupt context.CancelFunc
 	random    *rand.Rand
+	// draw is the part of the longest age at which the probed key is read. It is
+	// drawn anew after each read.
+	draw float64
 
 	// health guards the fields below; the sink asks for them while mutex is held.
 	health sync.Mutex
@@ -139,7 +144,9 @@
 	if options.Share == nil {
 		options.Share = func(Batch) {}
 	}
-	return &Mirror{options: options, random: options.Random, kick: make(chan struct{}, 1), behind: make(chan struct{}, 1)}
+	mirror := &Mirror{options: options, random: options.Random, kick: make(chan struct{}, 1), behind: make(chan struct{}, 1)}
+	mirror.redraw()
+	return mirror
 }
 
 // Run copies until the context ends.
@@ -344,6 +351,7 @@
 		err := mirror.probeOnce(ctx)
 		if err == nil {
 			pause = retryBase
+			mirror.redraw()
 			continue
 		}
 		if ctx.Err() == nil {
@@ -355,7 +363,8 @@
 }
 
 // untilDue returns the time until the probed key has to be read. Hosts draw
-// different ages, so that the first one spares the others the call.
+// different ages, so that the first one spares the others the call. Those that do
+// not wait at the store hear the proofs of those that do, and ask later.
 func (mirror *Mirror) untilDue() time.Duration {
 	mirror.health.Lock()
 	lost := !mirror.lostAt.IsZero()
@@ -364,7 +373,20 @@
 	if lost || !known {
 		return 0
 	}
-	return mirror.jitterHalf(mirror.options.ProbeEvery) - age
+	every := mirror.options.ProbeEvery
+	if mirror.options.StandbyProbeEvery > 0 && !mirror.options.Watches() {
+		every = mirror.options.StandbyProbeEvery
+	}
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	return time.Duration(mirror.draw*float64(every)) - age
+}
+
+// redraw draws the age for the next read from the upper half.
+func (mirror *Mirror) redraw() {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	mirror.draw = 1 - mirror.random.Float64()/2
 }
 
 // rest waits, but not beyond another call's failure.
@@ -470,13 +492,6 @@
 	return pause - time.Duration(mirror.random.Int64N(int64(pause)/4+1))
 }
 
-// jitterHalf spreads a time over its upper half.
-func (mirror *Mirror) jitterHalf(pause time.Duration) time.Duration {
-	mirror.mutex.Lock()
-	defer mirror.mutex.Unlock()
-	return pause - time.Duration(mirror.random.Int64N(int64(pause)/2+1))
-}
-
 func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -212,7 +212,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		world := &world{source: newSource(), sink: &sink{values: map[string]string{}}, proof: fresh.New(4 * time.Second), start: time.Now()}
 		world.mirror = mirror.New(mirror.Options{
-			Source: world.source, Sink: world.sink, ProbeKey: "config", ProbeEvery: time.Second, Proof: world.proof,
+			Source: world.source, Sink: world.sink, ProbeKey: "config", ProbeEvery: time.Second, StandbyProbeEvery: 4 * time.Second, Proof: world.proof,
 			Now: world.now, Logger: event.Discard(), Random: rand.New(rand.NewPCG(1, 2)),
 			Watches: func() bool { return watches }, Share: world.share,
 		})
@@ -226,6 +226,27 @@
 	})
 }
 
+// Guards against a call to the store by each host though others tell their
+// proofs, and against a standby host that never asks when it hears nothing.
+func TestStandbyHostsAskLater(t *testing.T) {
+	for watches, most := range map[bool]int{true: 40, false: 0} {
+		runAs(t, watches, func(world *world) {
+			time.Sleep(100 * time.Millisecond)
+			before := world.calls("get")
+			for range 28 {
+				time.Sleep(700 * time.Millisecond)
+				world.proof.Confirm(world.now() - fresh.Moment(time.Second))
+			}
+			asked := world.calls("get") - before
+			require.LessOrEqual(t, asked, most)
+			require.Equal(t, watches, asked > 0)
+			before = world.calls("get")
+			time.Sleep(20 * time.Second)
+			require.GreaterOrEqual(t, world.calls("get")-before, 4)
+		})
+	}
+}
+
 // Guards against changes that are missed, and against a poll for each of them.
 func TestFollowsChanges(t *testing.T) {
 	run(t, func(world *world) {
