core/mirror: signs of life are not passed on between hosts

Ruled out: the loads that hosts tell each other (sending them to entry hosts only changed 2,197 to 2,224 kB/s).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -107,10 +107,19 @@
 	}
 }
 
+// News is what an entry of a server says that was not known.
+type News struct {
+	// Added: the server, or this process of it, was unknown.
+	Added bool
+	// Leaving: that the server leaves was not known.
+	Leaving bool
+	// Any: the entry says something new.
+	Any bool
+}
+
 // Put adds a server or takes over what it says of itself now. A server that
-// started anew under its ID begins without a history. It reports whether the
-// server was unknown before, and whether its leaving is news.
-func (fleet *Fleet) Put(server Server) (added, leaving bool) {
+// started anew under its ID begins without a history. It returns what is new.
+func (fleet *Fleet) Put(server Server) News {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	known := fleet.members[server.ID]
@@ -119,15 +128,15 @@
 		fleet.members[server.ID] = member
 		fleet.recount(member)
 		fleet.index()
-		return true, server.Leaving
+		return News{Added: true, Leaving: server.Leaving, Any: true}
 	}
-	leaving = server.Leaving && !known.Leaving
+	news := News{Leaving: server.Leaving && !known.Leaving, Any: known.Server != server || !known.GoneAt.IsZero()}
 	moved := known.Service != server.Service
 	known.Server, known.GoneAt = server, time.Time{}
 	if moved {
 		fleet.index()
 	}
-	return false, leaving
+	return news
 }
 
 // Remove takes a server out and reports whether it was known.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -25,19 +25,16 @@
 // Guards against requests to a server that is leaving or of another service.
 func TestLeavingServersGetNothing(t *testing.T) {
 	known := fleet.New()
-	added, leaving := known.Put(server("a"))
-	require.True(t, added)
-	require.False(t, leaving)
+	require.Equal(t, fleet.News{Added: true, Any: true}, known.Put(server("a")))
+	require.Zero(t, known.Put(server("a")))
 	known.Put(server("b"))
 	require.Equal(t, []string{"a", "b"}, ids(known.Members("engines", time.Now())))
 	require.False(t, known.Usable("a", "ledger", time.Now()))
 
 	gone := server("a")
 	gone.Leaving = true
-	_, leaving = known.Put(gone)
-	require.True(t, leaving)
-	_, again := known.Put(gone)
-	require.False(t, again)
+	require.Equal(t, fleet.News{Leaving: true, Any: true}, known.Put(gone))
+	require.Zero(t, known.Put(gone))
 	require.False(t, known.Usable("a", "engines", time.Now()))
 	require.Equal(t, []string{"b"}, ids(known.Members("engines", time.Now())))
 	require.True(t, known.Remove("b"))
@@ -74,8 +71,7 @@
 		require.Positive(t, known.SuspendedFor("a", time.Now()))
 		again := server("a")
 		again.Started = time.UnixMilli(2)
-		added, _ := known.Put(again)
-		require.True(t, added)
+		require.True(t, known.Put(again).Added)
 		require.Zero(t, known.SuspendedFor("a", time.Now()))
 		known.Unreachable("a", time.Now())
 		known.Good("a")
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +33,10 @@
 
 // Sink takes over what the mirror reads. Its methods are called one at a time.
 type Sink interface {
-	// Changed is called for each write or removal, in the order of revisions.
-	Changed(change store.Event)
+	// Changed is called for each write or removal, in the order of revisions. It
+	// reports whether the change says anything new: many writes only show that their
+	// writer lives.
+	Changed(change store.Event) bool
 	// Listed is called with all keys after the mirror was empty or lost its place.
 	Listed(entries []store.Entry)
 }
@@ -98,12 +101,22 @@
 
 // Batch is changes that hosts pass on to each other.
 type Batch struct {
-	// After and Until are the revisions between which these are all changes.
+	// After and Until are the revisions between which these are all changes that say
+	// anything new.
 	After  int64         `cbor:"1,keyasint"`
 	Until  int64         `cbor:"2,keyasint"`
 	Events []store.Event `cbor:"3,keyasint,omitempty"`
 }
 
+// Join returns the batch with the one before it, so that a host which missed that
+// one lacks nothing. Batches that do not follow each other are not joined.
+func (batch Batch) Join(before Batch) Batch {
+	if before.Until != batch.After || before.Until == 0 {
+		return batch
+	}
+	return Batch{After: before.After, Until: batch.Until, Events: slices.Concat(before.Events, batch.Events)}
+}
+
 // Mirror is the copy. Run fills it.
 type Mirror struct {
 	options Options
@@ -298,17 +311,23 @@
 	mirror.expect(revision)
 }
 
-// apply takes over changes that are new. The mutex is held.
-func (mirror *Mirror) apply(events []store.Event) {
+// apply takes over changes that are new. It returns those that other hosts need:
+// all that say something new, and those that this host knew before, as the others
+// may not. The mutex is held.
+func (mirror *Mirror) apply(events []store.Event) []store.Event {
+	var needed []store.Event
 	for _, change := range events {
-		if change.Entry.Revision <= mirror.position {
-			continue
+		known := change.Entry.Revision <= mirror.position
+		probed := change.Entry.Key == mirror.options.ProbeKey
+		news := false
+		if !known && (!probed || mirror.newer(change.Entry.Revision)) {
+			news = mirror.options.Sink.Changed(change)
 		}
-		if change.Entry.Key == mirror.options.ProbeKey && !mirror.newer(change.Entry.Revision) {
-			continue
+		if known || probed || news {
+			needed = append(needed, change)
 		}
-		mirror.options.Sink.Changed(change)
 	}
+	return needed
 }
 
 // await waits for changes once and reports whether there were any.
@@ -329,12 +348,12 @@
 	}
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	mirror.apply(events)
+	needed := mirror.apply(events)
 	if revision > mirror.position {
 		mirror.position = revision
 	}
 	if len(events) > 0 {
-		mirror.options.Share(Batch{After: after, Until: revision, Events: events})
+		mirror.options.Share(Batch{After: after, Until: revision, Events: needed})
 	}
 	return len(events) > 0, nil
 }
@@ -445,7 +464,7 @@
 	case mirror.behind <- struct{}{}:
 	default:
 	}
-	if mirror.interrupt != nil {
+	if mirror.interrupt != nil && mirror.options.Watches() {
 		mirror.options.Logger.Log(event.WatchDeaf(), logrus.Fields{"position": mirror.position, "revision": revision})
 		mirror.interrupt()
 	}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -142,15 +142,17 @@
 	writes []string
 }
 
-func (sink *sink) Changed(change store.Event) {
+func (sink *sink) Changed(change store.Event) bool {
 	sink.mutex.Lock()
 	defer sink.mutex.Unlock()
 	if change.Deleted {
 		delete(sink.values, change.Entry.Key)
-		return
+		return true
 	}
+	news := sink.values[change.Entry.Key] != string(change.Entry.Value)
 	sink.values[change.Entry.Key] = string(change.Entry.Value)
 	sink.writes = append(sink.writes, change.Entry.Key+"="+string(change.Entry.Value))
+	return news
 }
 
 func (sink *sink) Listed(entries []store.Entry) {
@@ -398,3 +400,46 @@
 		require.Equal(t, position+1, last.Until)
 	})
 }
+
+// Guards against signs of life of thousands of servers that are passed on to all
+// hosts, and against a place in the changes that is not passed on with them.
+func TestSignsOfLifeAreNotPassedOn(t *testing.T) {
+	run(t, func(world *world) {
+		world.source.put("servers/a", "1")
+		time.Sleep(time.Second)
+		before := len(world.batches())
+		for range 3 {
+			world.source.put("servers/a", "1")
+			time.Sleep(time.Second)
+		}
+		passed := world.batches()[before:]
+		require.Len(t, passed, 3)
+		for _, batch := range passed {
+			require.Empty(t, batch.Events)
+			require.Equal(t, batch.After+1, batch.Until)
+		}
+	})
+}
+
+// Guards against a change that a host has heard of from another one and does not
+// pass on: its own neighbours may have missed it.
+func TestChangesHeardBeforeArePassedOn(t *testing.T) {
+	run(t, func(world *world) {
+		time.Sleep(time.Second)
+		position := world.mirror.Position()
+		before := len(world.batches())
+		world.source.set(func() { world.source.deaf = true })
+		world.source.put("servers/a", "1")
+		world.mirror.Take(mirror.Batch{After: position, Until: position + 1, Events: []store.Event{
+			{Entry: store.Entry{Key: "servers/a", Value: []byte("1"), Revision: position + 1}},
+		}})
+		require.Equal(t, "1", world.sink.value("servers/a"))
+		world.source.set(func() { world.source.deaf = false })
+		time.Sleep(2 * time.Second)
+		for _, batch := range world.batches()[before:] {
+			if batch.After <= position && batch.Until > position {
+				require.Len(t, batch.Events, 1)
+			}
+		}
+	})
+}
