Entry hosts share the connections to engines that standby hosts do not need

Cause: each of 61 hosts was held to a sixtieth of an engine's connections (690), that is 10, though callers are sent to 12 of them.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -172,6 +172,43 @@
 	return spread(strong, wanted)
 }
 
+const (
+	// connectionShare is the part of a server's connections that all hosts together
+	// may use: hosts do not hear of each other at the same moment.
+	connectionShare = 0.9
+	// leastConnections is what each host may have open to a server at any size.
+	leastConnections = 3
+)
+
+// Share is what a host needs to know of the fleet to take its part of what all hosts
+// have in common.
+type Share struct {
+	// Named: callers are sent to the host.
+	Named bool
+	// NamedHosts is the number of hosts that callers are sent to, Hosts that of all.
+	NamedHosts int
+	Hosts      int
+}
+
+// Share returns the host's share at a moment.
+func (roster *Roster) Share(now time.Time, busy bool) Share {
+	live := roster.Live(now)
+	chosen := entries(live, busy)
+	own := roster.Own().Name
+	named := slices.ContainsFunc(chosen, func(one host.Host) bool { return one.Name == own })
+	return Share{Named: named, NamedHosts: len(chosen), Hosts: len(live)}
+}
+
+// Connections returns how many of a server's connections the host may use. Hosts
+// that callers are not sent to need few; the others share the rest.
+func (share Share) Connections(limit int) int {
+	if !share.Named {
+		return leastConnections
+	}
+	rest := connectionShare*float64(limit) - float64(leastConnections*(share.Hosts-share.NamedHosts))
+	return max(leastConnections, int(rest/float64(share.NamedHosts)))
+}
+
 // strongHosts returns the hosts that carry at least half of what the strongest
 // one does.
 func strongHosts(hosts []host.Host) []host.Host {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -66,6 +66,34 @@
 	}
 }
 
+// Guards against hosts that open more connections to a server than it takes, and
+// against entry hosts that are held to the share of a host that stands by.
+func TestConnections(t *testing.T) {
+	now := time.Now()
+	const limit = 690
+	for _, size := range []int{1, 8, 60, 200} {
+		total, most := 0, 0
+		for own := range size {
+			hosts := roster.New(one(own))
+			for other := range size {
+				hosts.Put(one(other))
+			}
+			for _, busy := range []bool{false, true} {
+				share := hosts.Share(now, busy).Connections(limit)
+				require.GreaterOrEqual(t, share, 3)
+				if !busy {
+					total += share
+					most = max(most, share)
+				}
+			}
+		}
+		require.LessOrEqual(t, total, limit, "%d hosts", size)
+		if size <= 60 {
+			require.GreaterOrEqual(t, most, 30, "%d hosts", size)
+		}
+	}
+}
+
 // Guards against a host that is told nothing, against messages that grow with the
 // square of the fleet, and against a standby host that tells everybody.
 func TestAudienceOfLargeFleets(t *testing.T) {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -22,11 +22,6 @@
 	// answerSlack is how long after the deadline a server's own answer is still
 	// awaited: it ends the work at the deadline by itself.
 	answerSlack = 150 * time.Millisecond
-	// connectionShare is the part of a server's connections that all hosts
-	// together may use.
-	connectionShare = 0.9
-	// leastConnections is what each host may have open to a server at any size.
-	leastConnections = 3
 )
 
 // forward sends the request to one backend server after the other until one
@@ -156,8 +151,7 @@
 	if !ok || service.MaxConnections <= 0 {
 		return 0
 	}
-	share := float64(service.MaxConnections) * connectionShare / float64(max(1, call.front.options.Hosts()))
-	return max(leastConnections, int(share))
+	return call.front.options.Connections(service.MaxConnections)
 }
 
 // suspended logs that a server gets no requests for a while, if that is so.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -89,10 +89,10 @@
 	// Witness finds requests that crash backend servers.
 	Witness *poison.Witness
 	Pick    pick.Options
-	// Hosts returns the number of hosts that share the backend servers.
-	Hosts  func() int
-	Logger *event.Logger
-	Meter  Meter
+	// Connections returns how many of a server's connections this host may use.
+	Connections func(limit int) int
+	Logger      *event.Logger
+	Meter       Meter
 }
 
 // Meter counts what becomes of requests.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -121,7 +121,7 @@
 	world.front = front.New(front.Options{
 		Wire: wire{}, Table: world.table, Proof: world.proof, Now: func() fresh.Moment { return fresh.Moment(world.now.Load()) }, Fleet: world.fleet,
 		Pool: pipe.New(pipe.Options{}), Budget: retry.NewBudgets(0.2, 10), Witness: poison.NewWitness(poison.New(poison.Options{RefusedFrom: 3})), Pick: pick.Options{TokensPerMs: 50},
-		Hosts: func() int { return 1 }, Logger: event.New(world.log, "host", 4, nil), Meter: noMeter{},
+		Connections: func(limit int) int { return limit }, Logger: event.New(world.log, "host", 4, nil), Meter: noMeter{},
 	})
 	world.server = httptest.NewServer(world.front)
 	t.Cleanup(world.server.Close)
--- a/standin/emul/caller.go
+++ b/standin/emul/caller.go
@@ -39,6 +39,7 @@
 	request work.Request
 	output  int
 	length  time.Duration
+	fails   bool
 	worth   float64
 	began   time.Duration
 	// attempts counts the calls, refusals those that were turned away.
@@ -88,6 +89,7 @@
 	stride := world.stride(class.Service)
 	caller.output = class.Events.draw(random) * stride
 	caller.length = milliseconds(float64(class.WorkMs.draw(random)))
+	caller.fails = random.Float64() < class.Failing
 	caller.worth = class.worth(caller.request.PromptTokens+tokenWorth*caller.output, stride)
 	caller.request.OutputTokens = caller.output
 	world.result.owed(class, caller.worth)
@@ -140,7 +142,7 @@
 	caller.attempts++
 	host := world.hosts[world.random.IntN(len(world.hosts))]
 	sent := &call{
-		host: host, class: caller.class, work: caller.request, output: caller.output, length: caller.length,
+		host: host, class: caller.class, work: caller.request, output: caller.output, length: caller.length, fails: caller.fails,
 	}
 	sent.progress.State, sent.progress.Tried = work.Unsent, make(map[string]bool)
 	sent.work.ID = fmt.Sprintf("%s-%d", caller.request.ID, caller.attempts)
--- a/standin/emul/host.go
+++ b/standin/emul/host.go
@@ -47,6 +47,8 @@
 	class    *Class
 	output   int
 	length   time.Duration
+	// fails: servers answer the request with a failure.
+	fails bool
 	// events is the number that the caller has got.
 	events int
 	server server
@@ -88,7 +90,7 @@
 	read := false
 	started := clock.now
 	sent := &task{request: &call.work, output: max(1, call.output-call.events*call.stride()), loses: target.base().loses(), work: call.length}
-	if base := target.base(); base.random.Float64() < call.class.Failing {
+	if call.fails {
 		sent.output = 0
 	}
 	begun := call.events
