core/admit: a leaving host refuses what it could answer only after its end

Change: a request is taken by a leaving host only if its deadline and 300 ms are before the end. TestEnds failed before.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -70,11 +70,15 @@
 // begun to forward.
 const leaveTime = 4500 * time.Millisecond
 
+// answerTime is how long after its deadline a request may be answered at the latest:
+// a silent server is awaited a little longer, as it ends the work by itself.
+const answerTime = 300 * time.Millisecond
+
 // Ends reports whether a request is certain enough to end before the host is
 // gone. Streams that may last longer are taken only while there is time for all
 // but the longest ones.
 func Ends(request *work.Request, gone, now time.Time) bool {
-	if !request.Deadline.After(gone) {
+	if !request.Deadline.Add(answerTime).After(gone) {
 		return true
 	}
 	return request.Route.Kind == table.Stream && gone.Sub(now) >= leaveTime
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -61,6 +61,10 @@
 	gone := now.Add(5 * time.Second)
 	short := request(now)
 	require.True(t, admit.Ends(short, gone, now))
+	last := request(now)
+	last.Route.Kind = table.Idempotent
+	last.Deadline = gone.Add(-135 * time.Millisecond)
+	require.False(t, admit.Ends(last, gone, now), "the host's own answer comes after the deadline")
 	long := request(now)
 	long.Deadline = now.Add(12 * time.Second)
 	require.True(t, admit.Ends(long, gone, now))
