core/mirror: a long listing is not thrown away after 3 s

Cause: with 3,000 engines a listing takes seven calls; 300 hosts that start together wait for the store's link, and those that take longer than 3 s begin again from the first key. Measured: TestLongListingIsNotThrownAway failed before.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -58,8 +58,9 @@
 	retryCeiling = 800 * time.Millisecond
 	// probeTimeout bounds a read of the probed key.
 	probeTimeout = 700 * time.Millisecond
-	// listTimeout bounds a listing of all keys.
-	listTimeout = 3 * time.Second
+	// listTimeout bounds a listing of all keys, which takes several calls where
+	// there are thousands of them. The source bounds each call by itself.
+	listTimeout = 15 * time.Second
 	// catchUpWait is how long a host that does not wait at the store lets a call
 	// for changes that exist wait.
 	catchUpWait = 50 * time.Millisecond
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -28,7 +28,9 @@
 	oldest int64
 	down   bool
 	// deaf: calls for changes hear nothing.
-	deaf    bool
+	deaf bool
+	// listing is how long it takes to list all keys.
+	listing time.Duration
 	changed chan struct{}
 	calls   map[string]int
 }
@@ -89,7 +91,12 @@
 	return entry, source.revision, nil
 }
 
-func (source *source) Range(context.Context, string) ([]store.Entry, int64, error) {
+func (source *source) Range(ctx context.Context, _ string) ([]store.Entry, int64, error) {
+	select {
+	case <-time.After(source.listing):
+	case <-ctx.Done():
+		return nil, 0, fault.Wrap("source.range", store.Unavailable, ctx.Err())
+	}
 	source.mutex.Lock()
 	defer source.mutex.Unlock()
 	if err := source.called("range"); err != nil {
@@ -443,3 +450,24 @@
 		}
 	})
 }
+
+// Guards against a listing of thousands of keys that is thrown away and begun again
+// for ever, while hundreds of hosts start together.
+func TestLongListingIsNotThrownAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, sink := newSource(), &sink{values: map[string]string{}}
+		source.listing = 6 * time.Second
+		source.put("servers/a", "x")
+		copied := mirror.New(mirror.Options{
+			Source: source, Sink: sink, ProbeKey: "config", ProbeEvery: time.Second, Proof: fresh.New(time.Minute),
+			Now: func() fresh.Moment { return 1 }, Logger: event.Discard(), Random: rand.New(rand.NewPCG(1, 2)),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { copied.Run(ctx) })
+		time.Sleep(7 * time.Second)
+		require.Equal(t, "x", sink.value("servers/a"))
+		cancel()
+		group.Wait()
+	})
+}
