core/cell: suspects probe servers when no server has capacity

Cause: after a crash of all servers of a cell every call that was running is a suspect. Suspects wait apart from the queue, need a server with allowed slots, and only a probe of a queued call raises a weight of 0. Change: when no server has capacity and the queue has no call for a due probe, the first suspect that may run alone on the server is the probe. Measured: TestSuspectsProbeTheOnlyServer fails before (deadline after 20 s of the paused clock) and passes after; go test ./core/cell passes.

--- a/core/cell/dispatch.go
+++ b/core/cell/dispatch.go
@@ -187,20 +187,28 @@
 			return noCapacity || request.Idempotent && (round == probeAfterDispatch || request.Tier > topTier)
 		})
 		if !found {
+			if noCapacity {
+				cell.probeWithSuspect(server, now)
+			}
 			continue
 		}
 		if cell.returnSuspect(item.Value) {
 			continue
 		}
-		cell.health.MarkProbed(server.Name)
-		cell.stats.Probed++
 		cell.grantSlot(item.Value, server, now)
-		cell.log(event.CellProbed(), logrus.Fields{
-			"request_id": item.Value.request.ID, "server": server.Name, "queued": cell.queue.Len(),
-		})
+		cell.recordProbe(item.Value, server)
 	}
 }
 
+// recordProbe records that a call was sent to a server as a probe.
+func (cell *Cell) recordProbe(call *call, server *server) {
+	cell.health.MarkProbed(server.Name)
+	cell.stats.Probed++
+	cell.log(event.CellProbed(), logrus.Fields{
+		"request_id": call.request.ID, "server": server.Name, "queued": cell.queue.Len(),
+	})
+}
+
 // logDispatch logs a dispatch with the costs of the servers that were not
 // chosen.
 func (cell *Cell) logDispatch(call *call, chosen candidate, candidates []candidate, now time.Time) {
--- a/core/cell/failure_test.go
+++ b/core/cell/failure_test.go
@@ -324,3 +324,28 @@
 		require.Equal(t, 2, crashes)
 	})
 }
+
+// Guards against calls that wait for each other without end after the crash of the
+// only server: all of them are suspects, so none is in the queue, and the server's
+// weight rises only after a probe. Fails if suspects are not sent as probes.
+func TestSuspectsProbeTheOnlyServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newEngine(firstToken, tokenGap)
+		subject := cell.New(cell.Options{Servers: servers(4, server)})
+		answers := make([]*answer, 3)
+		for index := range answers {
+			answers[index] = startCall(t.Context(), subject, cell.Request{
+				ID: fmt.Sprint("r", index), Fingerprint: uint64(index + 1), MaxTokens: 60, Idempotent: true,
+				Deadline: time.Now().Add(20 * time.Second),
+			})
+		}
+		time.Sleep(300*time.Millisecond + time.Microsecond)
+		synctest.Wait()
+		server.crash(2 * time.Second)
+		for _, answer := range answers {
+			answer.requireComplete(t)
+		}
+		require.Positive(t, subject.Stats().Probed)
+		requireIdle(t, subject)
+	})
+}
--- a/core/cell/suspect.go
+++ b/core/cell/suspect.go
@@ -183,16 +183,41 @@
 		if server == nil {
 			cell.preemptSuspect(call, now)
 		}
-		if server == nil || len(server.attempts) > 0 || cell.attemptsByFingerprint[call.request.Fingerprint] > 0 {
-			continue
+		if server != nil && cell.mayStartIsolated(call, server) {
+			cell.startIsolated(call, server, now)
+		}
+	}
+}
+
+// mayStartIsolated reports whether nothing else runs on a server and no other
+// attempt at a suspect runs in the cell.
+func (cell *Cell) mayStartIsolated(call *call, server *server) bool {
+	return len(server.attempts) == 0 && cell.attemptsByFingerprint[call.request.Fingerprint] == 0
+}
+
+// startIsolated runs a suspect on the server that is reserved for it.
+func (cell *Cell) startIsolated(call *call, server *server, now time.Time) {
+	cell.removeSuspect(call)
+	attempt := cell.newAttempt(call, server, now)
+	attempt.isolated = true
+	call.decisions <- decision{attempt: attempt}
+	fields := attempt.fields()
+	fields["waited_ms"] = now.Sub(call.enqueued).Milliseconds()
+	cell.log(event.CellSuspect(), fields)
+}
+
+// probeWithSuspect probes a server with the first waiting suspect that may run
+// alone on it. It is used when no server has capacity and no other call can probe:
+// after a crash of all servers every unfinished call is a suspect, and the weight of
+// a server rises only after a call succeeds on it.
+func (cell *Cell) probeWithSuspect(server *server, now time.Time) {
+	for _, call := range cell.suspects {
+		if cell.poisonVerdict(&call.request) == poison.Exclusive && cell.mayStartIsolated(call, server) {
+			server.reservedFor = call
+			cell.startIsolated(call, server, now)
+			cell.recordProbe(call, server)
+			return
 		}
-		cell.removeSuspect(call)
-		attempt := cell.newAttempt(call, server, now)
-		attempt.isolated = true
-		call.decisions <- decision{attempt: attempt}
-		fields := attempt.fields()
-		fields["waited_ms"] = now.Sub(call.enqueued).Milliseconds()
-		cell.log(event.CellSuspect(), fields)
 	}
 }
 
