io/pipe, io/front: answers without end are cut off; a long refusal's connection is closed

Cause: NextResponse read the headers of a response with http.ReadResponse, which has no limit: an engine that sends header lines, a status line, garbage or 1xx responses without end filled the host's memory until the deadline. Also, a declined response was drained up to 64 KiB and its connection was then reused; the rest of the body could be read as the next caller's answer. Change: the headers of a response, with the interim ones before it, may take 64 KiB; a response that is dropped has to end within 64 KiB and 200 ms, otherwise its connection is closed.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -22,6 +22,8 @@
 	maxForeignResponses = 3
 	// maxForeignBytes limits the size of a response body that is read and dropped.
 	maxForeignBytes = 64 << 10
+	// maxDiscardTime limits how long such a body may take, because the caller waits.
+	maxDiscardTime = 200 * time.Millisecond
 	// maxBufferedBytes limits the size of a response that is not a stream. An
 	// attempt with a longer one fails.
 	maxBufferedBytes = 1 << 20
@@ -106,10 +108,10 @@
 		if foreign >= maxForeignResponses {
 			return response, info, fault.New("front.await", pipe.Malformed, "too many responses to other requests")
 		}
-		count, discardErr := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes))
-		if discardErr != nil || count == maxForeignBytes {
+		if !exchange.discardBody(response) {
 			return response, info, fault.New("front.await", pipe.Lost, "incomplete or oversized response to another request")
 		}
+		exchange.conn.SetReadDeadline(deadline)
 		response, err = exchange.conn.NextResponse(call.request.Method)
 	}
 	return pipe.Response{}, ResponseInfo{}, err
@@ -166,15 +168,26 @@
 }
 
 // drainBody reads and drops a response that the caller does not get, so that the
-// connection can be reused.
+// connection can be reused. A long response is not worth that: the connection is closed.
 func (exchange *exchange) drainBody(response pipe.Response) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes)); err != nil {
+	if !exchange.discardBody(response) {
 		exchange.conn.Discard()
 		return
 	}
 	exchange.releaseConn(response)
 }
 
+// discardBody reads and drops the body of a response, and reports whether it ended
+// within maxForeignBytes and maxDiscardTime.
+func (exchange *exchange) discardBody(response pipe.Response) bool {
+	if response.ContentLength > maxForeignBytes {
+		return false
+	}
+	exchange.conn.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes+1))
+	return err == nil && count <= maxForeignBytes
+}
+
 // releaseConn returns the connection to the pool after a complete response, or
 // closes it if it can't be reused.
 func (exchange *exchange) releaseConn(response pipe.Response) {
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -24,6 +24,7 @@
 	Dialed bool
 
 	raw          net.Conn
+	limiter      *limiter
 	reader       *bufio.Reader
 	pool         *Pool
 	key          string
@@ -174,8 +175,11 @@
 }
 
 // NextResponse reads the headers of the next response on the connection and skips
-// interim (1xx) ones. It fails with Lost or Malformed.
+// interim (1xx) ones. It fails with Lost, or with Malformed, also if the headers of all
+// these responses are longer than maxHeaderBytes.
 func (conn *Conn) NextResponse(method string) (Response, error) {
+	conn.limiter.limit(maxHeaderBytes)
+	defer conn.limiter.lift()
 	for {
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if err != nil {
--- /dev/null
+++ b/io/pipe/limiter.go
@@ -0,0 +1,35 @@
+package pipe
+
+import (
+	"io"
+
+	"primrosegw/core/fault"
+)
+
+// limiter reads from a connection. While a limit is set, it fails after so many bytes:
+// the standard library reads the headers of a response without one. It is not safe for
+// concurrent use.
+type limiter struct {
+	reader  io.Reader
+	limited bool
+	left    int
+}
+
+// limit sets the number of bytes that may be read until lift is called.
+func (limiter *limiter) limit(bytes int) { limiter.limited, limiter.left = true, bytes }
+
+// lift removes the limit.
+func (limiter *limiter) lift() { limiter.limited = false }
+
+// Read implements io.Reader. It fails with Malformed when the limit is exceeded.
+func (limiter *limiter) Read(buffer []byte) (int, error) {
+	if !limiter.limited {
+		return limiter.reader.Read(buffer)
+	}
+	if limiter.left <= 0 {
+		return 0, fault.New("pipe.read", Malformed, "the headers of the response are too long")
+	}
+	count, err := limiter.reader.Read(buffer[:min(len(buffer), limiter.left)])
+	limiter.left -= count
+	return count, err
+}
--- a/io/pipe/pipe.go
+++ b/io/pipe/pipe.go
@@ -53,6 +53,9 @@
 	// closes the connection.
 	tcpUserTimeout  = 2 * time.Second
 	readBufferBytes = 4 << 10
+	// maxHeaderBytes limits the bytes that are read for the headers of a response,
+	// including the interim responses before it.
+	maxHeaderBytes = 64 << 10
 )
 
 // Options configure a Pool.
@@ -124,7 +127,8 @@
 		pool.releaseSlot(key)
 		return nil, fault.Wrap("pipe.get", Unreachable, err)
 	}
-	conn := &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), pool: pool, key: key, Dialed: true}
+	limiter := &limiter{reader: raw}
+	conn := &Conn{raw: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), pool: pool, key: key, Dialed: true}
 	conn.readable = make(chan struct{}, 1)
 	conn.rearm = make(chan struct{}, 1)
 	conn.idleTimeout = DefaultIdleTimeout
