io/front: callers that stop reading or trickle a body are cut off

Cause: the gateway's server set no time limit for reading a body or writing a response. A caller that stopped reading a stream kept the request, an engine's connection and its slot; one that sent a byte now and then kept the request. Change: a body has to be complete when the caller stops waiting; writes end 5 s after the request's deadline. Both limits are set anew for each request. Measured: TestCallerThatDoesNotRead (in flight after 15 s) and TestBodyThatTrickles (after 5 s) failed before and pass; TestLimitsOfAnEarlierRequest passes.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -4,6 +4,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -144,6 +145,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	writer.Header()["Date"] = nil
+	call.limitWrites(call.work.Received.Add(defaultTimeout))
 	if refusal := call.admit(); refusal != nil {
 		call.refuse(*refusal)
 		return
@@ -225,7 +227,8 @@
 }
 
 // readBody reads the whole body, so that a retry can send it again and net/http
-// can detect that the caller has closed its connection.
+// can detect that the caller has closed its connection. It gives up a body that is not
+// complete when the caller stops waiting.
 func (call *call) readBody(limit int64) *refusal {
 	if call.request.ContentLength == 0 {
 		return nil
@@ -234,6 +237,10 @@
 	if limit > 0 {
 		body = io.LimitReader(body, limit+1)
 	}
+	controller := http.NewResponseController(call.writer)
+	// Errors mean that the writer has no deadlines, as in tests.
+	_ = controller.SetReadDeadline(call.work.Received.Add(cmp.Or(call.info.Timeout, defaultTimeout)))
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	var err error
 	if length := call.request.ContentLength; length > 0 {
 		call.body = make([]byte, length)
@@ -283,9 +290,21 @@
 	}
 	call.work.LowestPriority = current.Bulk(route, call.work.Service)
 	call.work.Deadline = call.deadline(route)
+	call.limitWrites(call.work.Deadline)
 	return nil
 }
 
+// limitWrites ends writes to a caller that does not read, callerReadGrace after the
+// deadline of its request.
+func (call *call) limitWrites(deadline time.Time) {
+	// An error means that the writer has no deadlines, as in tests.
+	_ = http.NewResponseController(call.writer).SetWriteDeadline(deadline.Add(callerReadGrace))
+}
+
+// callerReadGrace is how long after the deadline a caller may take to read a response.
+// A caller that does not read holds a connection to a backend server.
+const callerReadGrace = 5 * time.Second
+
 // path returns the path exactly as the caller sent it, without the query.
 func (call *call) path() string {
 	path, _, _ := strings.Cut(call.request.RequestURI, "?")
