core/mirror, io/gram, platform: starting hosts and changes cost few store calls

Hosts that start together take themselves for watchers until they know the others, read each registration one by one, and read values that do not fit a datagram themselves. TestStandbyHostAppliesBatches now counts the one call at the start exactly (1 instead of 0); TestMissedChangesAreReadFromStore waits 2 s instead of 1.5 s, as standby hosts leave the watchers 1.7 s.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -11,6 +11,7 @@
 		GatewayStopped(),
 		GatewayReloaded(),
 		GatewayReloadFailed(),
+		PanicRecovered(),
 		ListenFailed(),
 		RequestSent(),
 		AttemptEnded(),
@@ -38,6 +39,7 @@
 		ServerCrashed(),
 		HostListed(),
 		HostUnlisted(),
+		EntriesRead(),
 		LinesDropped(),
 		LinesSuppressed(),
 	}
@@ -77,6 +79,12 @@
 	return Event{1905, "listen_failed", logrus.ErrorLevel, "gateway", "A listener failed; its address accepts no more connections."}
 }
 
+// PanicRecovered reports that handling one input failed with a panic. The process goes
+// on with the next one.
+func PanicRecovered() Event {
+	return Event{1906, "panic_recovered", logrus.ErrorLevel, "gateway", "Handling a request or message failed with a panic; the process goes on."}
+}
+
 // RequestSent reports that a request was sent to a backend server.
 func RequestSent() Event {
 	return Event{1910, "request_sent", logrus.InfoLevel, "forward", "A request was sent to a backend server."}
@@ -222,6 +230,12 @@
 	return Event{1951, "host_unlisted", logrus.InfoLevel, "roster", "The entry of another host is gone."}
 }
 
+// EntriesRead reports how many hosts and backend servers a starting host has read from
+// the store. Only the first ones have lines of their own.
+func EntriesRead() Event {
+	return Event{1952, "entries_read", logrus.InfoLevel, "roster", "The host has read the entries of hosts and backend servers at its start."}
+}
+
 // LinesDropped reports that log lines were dropped, because the output did not
 // accept them in time.
 func LinesDropped() Event {
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -22,9 +22,9 @@
 	// Get reads one key with the store's revision. It fails with store.Absent or
 	// store.Unavailable.
 	Get(ctx context.Context, key string) (entry store.Entry, revision int64, err error)
-	// Range reads all keys with a prefix, with a revision that is not newer than
-	// any of them.
-	Range(ctx context.Context, prefix string) ([]store.Entry, int64, error)
+	// Range reads all keys with a prefix, with a revision after which changes may be
+	// missing in them. A stale read is cheaper, and may be seconds old.
+	Range(ctx context.Context, prefix string, stale bool) ([]store.Entry, int64, error)
 	// Changes waits for changes after a revision and returns them with the
 	// revision to continue from. It fails with store.Compacted if the history
 	// after the revision is no longer kept.
@@ -69,9 +69,26 @@
 	roleCheckInterval = 250 * time.Millisecond
 	// absentRetryDelay is the delay before a missing probed key is read again.
 	absentRetryDelay = 700 * time.Millisecond
+	// startDelayMin and startDelayMax bound the delay between the first listing and
+	// the first call for changes while there is no probed key yet. Hosts that start
+	// together register in this time, so each of them reads all entries at once.
+	startDelayMin = 400 * time.Millisecond
+	startDelayMax = time.Second
+	// idleRetryDelayMax replaces retryDelayMax on idle hosts.
+	idleRetryDelayMax = 2 * time.Second
+	// firstProofTimeout is how long an idle host waits for a proof from other hosts
+	// before it reads the probed key itself.
+	firstProofTimeout = 4 * time.Second
+	// probeSpread and standbyProbeSpread are the parts of the probe interval over
+	// which the reads of different hosts are spread.
+	probeSpread        = 0.5
+	standbyProbeSpread = 0.2
 	// pollStallTimeout is how long the mirror may lag behind a known revision of the
 	// store before the poll in progress is considered stalled.
 	pollStallTimeout = 700 * time.Millisecond
+	// standbyLagTimeout is how long a standby host may lag before it reads the missing
+	// changes from the store, which leaves the watchers time to send them again.
+	standbyLagTimeout = 1700 * time.Millisecond
 )
 
 // Options configure a Mirror.
@@ -97,6 +114,10 @@
 	// IsWatcher reports whether this host polls the store for changes. Other hosts
 	// receive the changes from watchers. Nil means that it is a watcher.
 	IsWatcher func() bool
+	// IsIdle reports whether this host neither watches the store nor is sent
+	// requests, so that it can wait longer before it calls the store. Nil means that
+	// it is not idle.
+	IsIdle func() bool
 	// Publish is called with the changes that this host has read from the store. It
 	// may be nil.
 	Publish func(Batch)
@@ -129,6 +150,8 @@
 	mutex sync.Mutex
 	// position is the revision up to which all changes have been applied.
 	position int64
+	// history holds the changes that were applied last.
+	history history
 	// probedRevision is the newest revision of the probed key that was applied.
 	probedRevision int64
 	// expectedRevision is the newest revision that the store is known to have
@@ -139,9 +162,15 @@
 	// cancelPoll cancels the call for changes that is in progress.
 	cancelPoll context.CancelFunc
 	random     *rand.Rand
-	// probeFraction is the fraction of the probe interval at which the probed key is
-	// read. It is drawn again after each read.
-	probeFraction float64
+	// probePhase, from 0 to 1, is where in the spread of the probe interval the
+	// probed key is read. It is drawn again after each read.
+	probePhase float64
+	// startedAt is when Run was called.
+	startedAt time.Time
+	// caughtUp is closed after the first call for changes, or after the first failed
+	// call.
+	caughtUp     chan struct{}
+	caughtUpOnce sync.Once
 
 	// healthMutex guards the fields below. It is separate because the sink reads
 	// them while mutex is held.
@@ -162,16 +191,25 @@
 	if options.IsWatcher == nil {
 		options.IsWatcher = func() bool { return true }
 	}
+	if options.IsIdle == nil {
+		options.IsIdle = func() bool { return false }
+	}
 	if options.Publish == nil {
 		options.Publish = func(Batch) {}
 	}
-	mirror := &Mirror{options: options, random: options.Random, wakeProbe: make(chan struct{}, 1), catchUp: make(chan struct{}, 1)}
-	mirror.drawProbeFraction()
+	mirror := &Mirror{
+		options: options, random: options.Random, wakeProbe: make(chan struct{}, 1), catchUp: make(chan struct{}, 1),
+		caughtUp: make(chan struct{}), startedAt: time.Now(),
+	}
+	mirror.drawProbePhase()
 	return mirror
 }
 
 // Run keeps the copy up to date until the context ends.
 func (mirror *Mirror) Run(ctx context.Context) {
+	mirror.mutex.Lock()
+	mirror.startedAt = time.Now()
+	mirror.mutex.Unlock()
 	var group sync.WaitGroup
 	group.Go(func() { mirror.followChanges(ctx) })
 	group.Go(func() { mirror.runProbe(ctx) })
@@ -212,23 +250,39 @@
 	return mirror.probedRevision
 }
 
-// followChanges lists all keys and then applies changes as they arrive. The position
-// in the history is kept through an outage; only a compaction requires a new listing.
+/*
+followChanges lists all keys and then applies changes as they arrive. The position in
+the history is kept through an outage; only a compaction requires a new listing.
+
+The first listing is a stale read, which is cheaper, because many hosts may start
+together. A call for the changes since then makes it current. After a compaction the
+listing must not be stale: the history after its revision might be gone too.
+*/
 func (mirror *Mirror) followChanges(ctx context.Context) {
-	delay, listed := pollDelayBase, false
+	delay, listed, stale := pollDelayBase, false, true
 	for ctx.Err() == nil {
 		mirror.WaitReachable(ctx)
 		var err error
 		changed := false
 		switch {
 		case !listed:
-			err = mirror.list(ctx)
+			err = mirror.list(ctx, stale)
+		case stale:
+			mirror.waitForOthers(ctx)
+			// The other hosts make the same call.
+			changed, err = mirror.poll(ctx, catchUpTimeout, false)
+			stale = err != nil
 		case mirror.options.IsWatcher():
-			changed, err = mirror.poll(ctx, longPollTimeout)
+			changed, err = mirror.poll(ctx, longPollTimeout, true)
 		case mirror.waitBehind(ctx):
-			changed, err = mirror.poll(ctx, catchUpTimeout)
+			changed, err = mirror.poll(ctx, catchUpTimeout, true)
+		}
+		compacted := fault.Is(err, store.Compacted)
+		listed = err == nil || listed && !compacted
+		stale = stale && !compacted
+		if !stale || err != nil {
+			mirror.caughtUpOnce.Do(func() { close(mirror.caughtUp) })
 		}
-		listed = err == nil || listed && !fault.Is(err, store.Compacted)
 		if err != nil && ctx.Err() == nil {
 			mirror.RecordFailure(err, "follow")
 			sleep(ctx, mirror.jitter(retryDelayBase))
@@ -243,11 +297,32 @@
 	}
 }
 
+// waitForOthers delays the first call for changes while the probed key does not exist.
+// If it exists, the host has restarted, and needs the changes at once.
+func (mirror *Mirror) waitForOthers(ctx context.Context) {
+	mirror.mutex.Lock()
+	delay := startDelayMin + time.Duration(mirror.random.Float64()*float64(startDelayMax-startDelayMin))
+	exists := mirror.probedRevision > 0
+	mirror.mutex.Unlock()
+	if !exists {
+		sleep(ctx, delay)
+	}
+}
+
+// WaitCaughtUp waits until the changes since the first listing have been applied, a
+// call to the store has failed, or the context ends.
+func (mirror *Mirror) WaitCaughtUp(ctx context.Context) {
+	select {
+	case <-mirror.caughtUp:
+	case <-ctx.Done():
+	}
+}
+
 // list reads all keys and passes them to the sink.
-func (mirror *Mirror) list(ctx context.Context) error {
+func (mirror *Mirror) list(ctx context.Context, stale bool) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	entries, revision, err := mirror.options.Source.Range(ctx, mirror.options.Prefix)
+	entries, revision, err := mirror.options.Source.Range(ctx, mirror.options.Prefix, stale)
 	if err != nil {
 		return err
 	}
@@ -255,6 +330,7 @@
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	mirror.position = revision
+	mirror.history.reset()
 	kept := entries[:0]
 	for _, entry := range entries {
 		if entry.Key == mirror.options.ProbeKey && !mirror.advanceProbed(entry.Revision) {
@@ -291,8 +367,8 @@
 }
 
 // ApplyBatch applies changes that another host has read. If there is a gap between
-// the position and the batch, the missing changes are read from the store after
-// pollStallTimeout unless they arrive before.
+// the position and the batch, the missing changes are read from the store unless they
+// arrive in time.
 func (mirror *Mirror) ApplyBatch(batch Batch) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
@@ -301,11 +377,28 @@
 	case batch.After > mirror.position:
 		mirror.expectRevision(batch.Until)
 	default:
-		mirror.applyEvents(batch.Events)
-		mirror.position = batch.Until
+		mirror.advance(mirror.applyEvents(batch.Events), batch.Until)
 	}
 }
 
+// advance moves the position and keeps the changes up to it for other hosts. The mutex
+// is held.
+func (mirror *Mirror) advance(applied []store.Event, position int64) {
+	if position <= mirror.position {
+		return
+	}
+	mirror.history.add(Batch{After: mirror.position, Until: position, Events: changesAfter(applied, mirror.position)})
+	mirror.position = position
+}
+
+// Since returns all changes with new information after a position, for a host that
+// missed them. It returns false if there are none or if not all of them are kept.
+func (mirror *Mirror) Since(position int64) (Batch, bool) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	return mirror.history.since(position)
+}
+
 // Position returns the revision up to which all changes have been applied.
 func (mirror *Mirror) Position() int64 {
 	mirror.mutex.Lock()
@@ -341,8 +434,9 @@
 	return published
 }
 
-// poll makes one call for changes and reports whether there were any.
-func (mirror *Mirror) poll(ctx context.Context, timeout time.Duration) (bool, error) {
+// poll makes one call for changes, publishes them if asked to, and reports whether there
+// were any.
+func (mirror *Mirror) poll(ctx context.Context, timeout time.Duration, publish bool) (bool, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	mirror.mutex.Lock()
@@ -361,10 +455,8 @@
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	published := mirror.applyEvents(events)
-	if revision > mirror.position {
-		mirror.position = revision
-	}
-	if len(events) > 0 {
+	mirror.advance(published, revision)
+	if len(events) > 0 && publish {
 		mirror.options.Publish(Batch{After: after, Until: revision, Events: published})
 	}
 	return len(events) > 0, nil
@@ -373,6 +465,7 @@
 // runProbe reads the probed key whenever the proof has become too old. Proofs received
 // from other hosts renew it too, so that few hosts read the key.
 func (mirror *Mirror) runProbe(ctx context.Context) {
+	mirror.WaitCaughtUp(ctx)
 	delay := retryDelayBase
 	for ctx.Err() == nil {
 		if wait := mirror.untilProbeDue(); wait > 0 {
@@ -382,43 +475,68 @@
 		err := mirror.probeOnce(ctx)
 		if err == nil {
 			delay = retryDelayBase
-			mirror.drawProbeFraction()
+			mirror.drawProbePhase()
 			continue
 		}
 		if ctx.Err() == nil {
 			mirror.RecordFailure(err, "probe")
 		}
 		sleep(ctx, mirror.jitter(delay))
-		delay = min(2*delay, retryDelayMax)
+		delay = min(2*delay, mirror.maxRetryDelay())
 	}
 }
 
+// maxRetryDelay returns the longest delay between two attempts to reach the store.
+func (mirror *Mirror) maxRetryDelay() time.Duration {
+	if mirror.options.IsIdle() {
+		return idleRetryDelayMax
+	}
+	return retryDelayMax
+}
+
 // untilProbeDue returns the time until the next read of the probed key. The random
-// fraction makes hosts read at different times, so that the first read saves the other
+// phase makes hosts read at different times, so that the first read saves the other
 // hosts the call. Standby hosts receive proofs from the watchers and use a longer
 // interval.
 func (mirror *Mirror) untilProbeDue() time.Duration {
 	mirror.healthMutex.Lock()
 	lost := !mirror.lostAt.IsZero()
 	mirror.healthMutex.Unlock()
-	age, known := mirror.options.Proof.Age(mirror.options.Now())
-	if lost || !known {
+	if lost {
 		return 0
 	}
-	interval := mirror.options.ProbeInterval
+	mirror.mutex.Lock()
+	phase, startedAt := mirror.probePhase, mirror.startedAt
+	mirror.mutex.Unlock()
+	age, known := mirror.options.Proof.Age(mirror.options.Now())
+	if !known {
+		return mirror.untilFirstProbe(phase, startedAt)
+	}
 	if mirror.options.StandbyProbeInterval > 0 && !mirror.options.IsWatcher() {
-		interval = mirror.options.StandbyProbeInterval
+		return spread(mirror.options.StandbyProbeInterval, standbyProbeSpread, phase) - age
 	}
-	mirror.mutex.Lock()
-	defer mirror.mutex.Unlock()
-	return time.Duration(mirror.probeFraction*float64(interval)) - age
+	return spread(mirror.options.ProbeInterval, probeSpread, phase) - age
+}
+
+// untilFirstProbe returns the time until the first read of the probed key. An idle
+// host leaves the other hosts some time to send their proofs.
+func (mirror *Mirror) untilFirstProbe(phase float64, startedAt time.Time) time.Duration {
+	if !mirror.options.IsIdle() {
+		return 0
+	}
+	return spread(firstProofTimeout, probeSpread, phase) - time.Since(startedAt)
 }
 
-// drawProbeFraction draws the fraction for the next read, uniformly between 0.5 and 1.
-func (mirror *Mirror) drawProbeFraction() {
+// spread returns the interval shortened by a part of share; phase 0 leaves it as it is.
+func spread(interval time.Duration, share, phase float64) time.Duration {
+	return time.Duration((1 - share*phase) * float64(interval))
+}
+
+// drawProbePhase draws the phase of the next read.
+func (mirror *Mirror) drawProbePhase() {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	mirror.probeFraction = 1 - mirror.random.Float64()/2
+	mirror.probePhase = mirror.random.Float64()
 }
 
 // waitOrWake waits, but returns early when another call fails.
@@ -461,7 +579,11 @@
 func (mirror *Mirror) expectRevision(revision int64) {
 	if revision > max(mirror.position, mirror.expectedRevision) && mirror.position > 0 {
 		mirror.expectedRevision = revision
-		time.AfterFunc(pollStallTimeout, func() { mirror.restartStalledPoll(revision) })
+		timeout := pollStallTimeout
+		if !mirror.options.IsWatcher() {
+			timeout = standbyLagTimeout
+		}
+		time.AfterFunc(timeout, func() { mirror.restartStalledPoll(revision) })
 	}
 }
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -139,6 +139,15 @@
 	return slices.ContainsFunc(watchers(live), func(watcher host.Host) bool { return watcher.Name == own.Name })
 }
 
+// IsIdle reports whether the local host neither watches the store nor is an entry host.
+// The meaning of busy is that of EntryHosts.
+func (roster *Roster) IsIdle(now time.Time, busy bool) bool {
+	own := roster.Own().Name
+	isOwn := func(one host.Host) bool { return one.Name == own }
+	live := roster.Live(now)
+	return len(live) > smallFleetHosts && !slices.ContainsFunc(watchers(live), isOwn) && !slices.ContainsFunc(entryHosts(live, busy), isOwn)
+}
+
 // DomainPeers returns the other live hosts of the local host's failure domain.
 func (roster *Roster) DomainPeers(now time.Time) []host.Host {
 	own := roster.Own()
--- a/io/engine/backend.go
+++ b/io/engine/backend.go
@@ -41,13 +41,17 @@
 	client  *http.Client
 }
 
+// MaxHeaderBytes limits the headers of an engine's response.
+const MaxHeaderBytes = 64 << 10
+
 // NewClient returns the HTTP client for engines. One client serves them all.
 func NewClient() *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    idleConnections,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}}
 }
 
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -99,7 +99,7 @@
 		options.Burst = defaultBurst
 	}
 	if options.HTTP == nil {
-		options.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+		options.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}}
 	}
 	if options.Random == nil {
 		options.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -107,6 +107,9 @@
 	return options
 }
 
+// maxHeaderBytes limits the headers of a response.
+const maxHeaderBytes = 64 << 10
+
 // Calls returns the number of calls sent, by kind: range, txn, grant,
 // keepalive, revoke and watch. It is the metric kv_calls.
 func (client *Client) Calls() map[string]int {
--- a/io/gram/gram.go
+++ b/io/gram/gram.go
@@ -1,6 +1,7 @@
 // Package gram sends small authenticated UDP datagrams between hosts. They carry
 // advisory data that is outdated within a second, so lost datagrams are not
-// retransmitted, and a connection to each host would not be worth its cost.
+// retransmitted, and a connection to each host would not be worth its cost. A body that
+// is too long for a datagram is compressed and sent in several parts.
 package gram
 
 import (
@@ -50,6 +51,8 @@
 	// Sequence increases with each datagram of a process.
 	Sequence uint64 `cbor:"3,keyasint"`
 	Body     T      `cbor:"4,keyasint"`
+	// Part replaces Body in datagrams that carry a part of a long body.
+	Part *Part `cbor:"5,keyasint,omitempty"`
 }
 
 // Socket sends and receives datagrams with bodies of one type. It is safe for
@@ -61,6 +64,8 @@
 	key      atomic.Pointer[[]byte]
 	mutex    sync.Mutex
 	newest   map[string]position
+	// partial holds the incomplete body of each sender. Only Receive uses it.
+	partial map[string]*partialBody
 }
 
 // position orders the datagrams of a host.
@@ -78,7 +83,7 @@
 		return nil, fault.Wrap("gram.listen", Closed, err)
 	}
 	return &Socket[T]{
-		conn: conn, local: Envelope[T]{Host: host, Incarnation: incarnation}, newest: make(map[string]position),
+		conn: conn, local: Envelope[T]{Host: host, Incarnation: incarnation}, newest: make(map[string]position), partial: make(map[string]*partialBody),
 	}, nil
 }
 
@@ -88,27 +93,60 @@
 // Close closes the socket, which makes Receive return.
 func (socket *Socket[T]) Close() error { return socket.conn.Close() }
 
-// Send sends a body to an address. An unreachable address is not an error, since
-// delivery is best effort. It fails with Malformed when the body is too long, and
+// Send sends a body to each of the addresses. An unreachable address is not an error,
+// since delivery is best effort. It fails with Malformed when the body is too long, and
 // with Closed after Close.
-func (socket *Socket[T]) Send(body T, to netip.AddrPort) error {
+func (socket *Socket[T]) Send(body T, to ...netip.AddrPort) error {
 	key := socket.key.Load()
-	if key == nil {
+	if key == nil || len(to) == 0 {
 		return nil
 	}
-	envelope := socket.local
-	envelope.Sequence = socket.sequence.Add(1)
-	envelope.Body = body
-	data, err := Encode(*key, envelope)
+	datagrams, err := socket.encode(*key, body)
 	if err != nil {
 		return err
 	}
-	if _, err := socket.conn.WriteToUDPAddrPort(data, to); errors.Is(err, net.ErrClosed) {
-		return fault.Wrap("gram.send", Closed, err)
+	for _, address := range to {
+		for _, datagram := range datagrams {
+			if _, err := socket.conn.WriteToUDPAddrPort(datagram, address); errors.Is(err, net.ErrClosed) {
+				return fault.Wrap("gram.send", Closed, err)
+			}
+		}
 	}
 	return nil
 }
 
+// encode returns the datagrams that carry a body: one, or one for each part.
+func (socket *Socket[T]) encode(key []byte, body T) ([][]byte, error) {
+	envelope := socket.next()
+	envelope.Body = body
+	datagram, err := Encode(key, envelope)
+	if err == nil {
+		return [][]byte{datagram}, nil
+	}
+	parts, err := split(envelope.Sequence, body)
+	if err != nil {
+		return nil, err
+	}
+	datagrams := make([][]byte, 0, len(parts))
+	for index := range parts {
+		envelope := socket.next()
+		envelope.Part = &parts[index]
+		datagram, err := Encode(key, envelope)
+		if err != nil {
+			return nil, err
+		}
+		datagrams = append(datagrams, datagram)
+	}
+	return datagrams, nil
+}
+
+// next returns the envelope of the next datagram.
+func (socket *Socket[T]) next() Envelope[T] {
+	envelope := socket.local
+	envelope.Sequence = socket.sequence.Add(1)
+	return envelope
+}
+
 // Receive calls handle for each valid datagram and reject for each invalid one,
 // until the socket is closed.
 func (socket *Socket[T]) Receive(handle func(host string, body T), reject func(error)) {
@@ -130,8 +168,36 @@
 			reject(err)
 			continue
 		}
-		handle(envelope.Host, envelope.Body)
+		complete, err := socket.join(&envelope)
+		if err != nil {
+			reject(err)
+		}
+		if complete {
+			handle(envelope.Host, envelope.Body)
+		}
+	}
+}
+
+// join adds a part of a long body to those received before, and reports whether the
+// body is complete. It then sets the envelope's body. Bodies in one datagram are
+// always complete.
+func (socket *Socket[T]) join(envelope *Envelope[T]) (bool, error) {
+	if envelope.Part == nil {
+		return true, nil
+	}
+	partial := socket.partial[envelope.Host]
+	if partial == nil || partial.message != envelope.Part.Message {
+		partial = &partialBody{message: envelope.Part.Message}
+		socket.partial[envelope.Host] = partial
+	}
+	if err := partial.add(*envelope.Part); err != nil || !partial.complete() {
+		return false, err
+	}
+	delete(socket.partial, envelope.Host)
+	if err := partial.decode(&envelope.Body); err != nil {
+		return false, err
 	}
+	return true, nil
 }
 
 // ResetSequence makes the socket accept the next datagram of a host whatever its
--- a/io/gram/gram_test.go
+++ b/io/gram/gram_test.go
@@ -1,6 +1,9 @@
 package gram_test
 
 import (
+	"math/rand/v2"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -109,3 +112,57 @@
 		}
 	})
 }
+
+// Guards against values of the store, such as a configuration, that hosts must read
+// themselves because they do not fit a datagram, and against mixing parts of different
+// bodies.
+func TestLongBodiesAreSentInParts(t *testing.T) {
+	receiver := listen(t, "r", 1)
+	received, rejected := make(chan string, 10), make(chan error, 10)
+	go receiver.Receive(func(_ string, body body) { received <- body.Text }, func(err error) { rejected <- err })
+	random := rand.New(rand.NewPCG(1, 2))
+	sender := listen(t, "a", 1)
+	for _, length := range []int{2_000, 20_000, 40_000} {
+		text := make([]byte, length)
+		for index := range text {
+			text[index] = 'a' + byte(random.IntN(26))
+		}
+		require.NoError(t, sender.Send(body{Text: string(text)}, receiver.Address()))
+		require.Equal(t, string(text), receive(t, received))
+	}
+	err := sender.Send(body{Text: string(make([]byte, gram.MaxBodyBytes+1))}, receiver.Address())
+	require.True(t, fault.Is(err, gram.Malformed))
+	require.Empty(t, rejected)
+}
+
+// A body of which a part is lost must be dropped, without harm to the next one. Parts
+// that belong to no body must be refused.
+func TestIncompleteBodiesAreDropped(t *testing.T) {
+	receiver := listen(t, "r", 1)
+	received, rejected := make(chan string, 10), make(chan error, 10)
+	go receiver.Receive(func(_ string, body body) { received <- body.Text }, func(err error) { rejected <- err })
+	conn, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(receiver.Address()))
+	require.NoError(t, err)
+	defer conn.Close()
+	sequence := uint64(0)
+	send := func(part gram.Part) {
+		sequence++
+		_, err := conn.Write(encode(t, key, gram.Envelope[body]{Host: "a", Incarnation: 1, Sequence: sequence, Part: &part}))
+		require.NoError(t, err)
+	}
+	for name, part := range map[string]gram.Part{
+		"no parts":      {Message: 1, Count: 0, Data: []byte("x")},
+		"too many":      {Message: 2, Count: 1 << 30, Data: []byte("x")},
+		"index too low": {Message: 3, Index: -1, Count: 2, Data: []byte("x")},
+		"index":         {Message: 4, Index: 2, Count: 2, Data: []byte("x")},
+		"no data":       {Message: 5, Count: 2},
+		"no body":       {Message: 6, Count: 1, Data: []byte("not compressed")},
+	} {
+		send(part)
+		require.True(t, fault.Is(receive(t, rejected), gram.Malformed), name)
+	}
+	send(gram.Part{Message: 7, Count: 2, Data: []byte("lost")})
+	sender := listen(t, "a", 2)
+	require.NoError(t, sender.Send(body{Text: strings.Repeat("next", 1000)}, receiver.Address()))
+	require.Equal(t, strings.Repeat("next", 1000), receive(t, received))
+}
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -100,12 +100,15 @@
 		budget:  retry.New(options.Retries),
 		backoff: retry.Backoff{BaseDelay: retry.DefaultBaseDelay, MaxDelay: retry.DefaultMaxDelay, Random: options.Random},
 		client: &http.Client{
-			Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32},
+			Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32, MaxResponseHeaderBytes: maxHeaderBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
 }
 
+// maxHeaderBytes limits the headers of a response.
+const maxHeaderBytes = 64 << 10
+
 // Do sends a call to one address of a service. Calls with a repeatable method
 // are sent again after a broken connection or an overload status; others only
 // when they certainly were not run. Errors are Refused, Broken and Oversized.
