core/pick: prefill rates are learned, copies of sessions used, more decode engines

Cause: the gateway predicted with 56.9 prompt tokens/ms, the rate of one customer's engines; the engines of the third customer read 36.7. An engine that took a session over was taken to lack its prompt. Change: the rate is learned for each service (the 0.9 quantile of the latest 64 requests that an engine began at once); hosts remember for 10 s which engines have a session's prompt; at least a fifth instead of 0.12 of the engines serve decode-heavy requests; running requests and slow engines weigh more (0.01 and 0.15 instead of 0.004 and 0.08).

--- a/core/pick/group.go
+++ b/core/pick/group.go
@@ -21,7 +21,7 @@
 	slowEngineThreshold = 1.15
 	// minDecodeShare and maxDecodeShare bound the share of a service's engines
 	// that is assigned to decode-heavy requests.
-	minDecodeShare = 0.12
+	minDecodeShare = 0.2
 	maxDecodeShare = 0.45
 )
 
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -17,14 +17,20 @@
 type Options struct {
 	// FailureDomain is the failure domain of this host.
 	FailureDomain string
-	// TokensPerMs is the prefill rate of an engine, in prompt tokens per millisecond.
+	// TokensPerMs is the prefill rate of an engine, in prompt tokens per millisecond. It
+	// is used if Rates is nil.
 	TokensPerMs float64
+	// Rates are the learned prefill rates.
+	Rates *PrefillRates
 	// Groups caches which engines serve decode-heavy requests. If nil, they are
 	// computed for each request.
 	Groups *EngineGroups
 	// Correction adjusts predicted latencies by past prediction errors. If nil,
 	// predictions are not adjusted.
 	Correction *LatencyCorrection
+	// Cached remembers where sessions' parts of prompts are cached. If nil, only the
+	// preferred engine is assumed to have them.
+	Cached *CachedParts
 }
 
 // Terms of the expected loss of a choice, in units of the request's value.
@@ -48,9 +54,9 @@
 	// crossDomainLoss is the loss when a request goes to another failure domain.
 	crossDomainLoss = 0.02
 	// slownessLoss is the loss at a server that takes twice as long as normal.
-	slownessLoss = 0.08
+	slownessLoss = 0.15
 	// runningRequestLoss is the loss for each request already running at the server.
-	runningRequestLoss = 0.004
+	runningRequestLoss = 0.01
 	// waitingRequestLoss is the loss for each request queued at a server of a plain
 	// service.
 	waitingRequestLoss = 0.05
@@ -103,10 +109,11 @@
 		candidates = options.matchingEngines(request, members, candidates, now)
 	}
 	preferred := preferredServer(request, candidates)
+	holders := options.Cached.engines(request, now)
 	best := Choice{Candidates: len(candidates)}
 	for index := range candidates {
 		member := &candidates[index]
-		isPreferred := member.ID == preferred
+		isPreferred := member.ID == preferred || slices.Contains(holders, processHash(member.Server))
 		evaluated := options.evaluate(request, member, isPreferred, now)
 		if best.Member.ID == "" || evaluated.Loss < best.Loss {
 			evaluated.Candidates = best.Candidates
@@ -160,7 +167,7 @@
 		choice.Loss = loss
 		return choice
 	}
-	perToken := slowness * batchingOverhead / options.TokensPerMs
+	perToken := slowness * batchingOverhead / options.tokensPerMs(request.Service)
 	uncached := uncachedTokens(request, preferred)
 	queueDelay := options.prefillBacklog(request, member, age) * perToken
 	firstEvent := queueDelay + float64(uncached)*perToken
@@ -180,6 +187,14 @@
 	return choice
 }
 
+// tokensPerMs returns the prefill rate of a service's engines.
+func (options Options) tokensPerMs(service string) float64 {
+	if options.Rates == nil {
+		return options.TokensPerMs
+	}
+	return options.Rates.TokensPerMs(service)
+}
+
 // latenessLoss returns the expected loss if the first event comes after firstEventMs
 // milliseconds. Once the objective has passed, the time until the deadline is used
 // instead.
@@ -205,7 +220,7 @@
 	if member.Peers.Running > 0 || age >= loadReportMaxAge || !request.LowestPriority {
 		return known
 	}
-	processed := float64(age.Milliseconds()) * options.TokensPerMs / batchingOverhead
+	processed := float64(age.Milliseconds()) * options.tokensPerMs(request.Service) / batchingOverhead
 	reported := max(0, float64(member.Load.Waiting*tokensPerWaitingRequest)-processed)
 	return max(known, reported+float64(member.PrefillSinceReport))
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -12,6 +12,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/fleet"
+	"primrosegw/core/pick"
 	"primrosegw/core/work"
 	"primrosegw/io/pipe"
 )
@@ -35,9 +36,7 @@
 	conn    *pipe.Conn
 	server  fleet.Server
 	started time.Time
-	share   fleet.RequestLoad
-	// predicted is the predicted time to the first event.
-	predicted time.Duration
+	choice  pick.Choice
 	// promptRead: the server has read the prompt.
 	promptRead bool
 	// reusable: the whole request was sent, and no response to another request was
@@ -49,7 +48,7 @@
 func (exchange *exchange) markPromptRead() {
 	if !exchange.promptRead {
 		exchange.promptRead = true
-		exchange.call.handler.options.Fleet.PrefillDone(exchange.server.ID, exchange.share)
+		exchange.call.handler.options.Fleet.PrefillDone(exchange.server.ID, exchange.choice.Share)
 	}
 }
 
@@ -77,7 +76,8 @@
 	}
 	exchange.markPromptRead()
 	if !info.NotRun {
-		call.handler.options.Pick.Correction.Observe(call.work.Service, exchange.predicted, time.Since(exchange.started))
+		now := time.Now()
+		call.handler.options.Pick.ObserveFirstEvent(&call.work, &exchange.choice, now.Sub(exchange.started), now)
 	}
 	if info.Load != nil {
 		call.handler.options.Fleet.ReportLoad(exchange.server.ID, *info.Load)
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -111,7 +111,7 @@
 	}
 	options.Fleet.RequestStarted(server.ID, choice.Share)
 	defer options.Fleet.RequestEnded(server.ID, choice.Share)
-	exchange := &exchange{call: call, conn: conn, server: server, started: time.Now(), share: choice.Share, predicted: choice.FirstEvent}
+	exchange := &exchange{call: call, conn: conn, server: server, started: time.Now(), choice: choice}
 	defer exchange.markPromptRead()
 	call.logSent(choice, exchange)
 	return exchange.run()
--- a/standin/emul/caller.go
+++ b/standin/emul/caller.go
@@ -91,11 +91,17 @@
 	caller.length = milliseconds(float64(class.WorkMs.draw(random)))
 	caller.fails = random.Float64() < class.Failing
 	caller.worth = class.worth(caller.request.PromptTokens+tokenWorth*caller.output, stride)
-	caller.request.OutputTokens = caller.output
+	caller.request.OutputTokens = class.maxOutput(caller.output, stride)
 	world.result.owed(class, caller.worth)
 	caller.attempt()
 }
 
+// maxOutput returns the maximum number of tokens that a caller asks for: the class's
+// largest answer, whatever the length of this one.
+func (class *Class) maxOutput(output, stride int) int {
+	return max(output, int(class.Events.Max)*stride)
+}
+
 // partID names a shared part of the prompts of a class.
 func partID(class string, index, thing int) uint64 {
 	hash := fnv.New64a()
--- a/standin/emul/host.go
+++ b/standin/emul/host.go
@@ -31,7 +31,7 @@
 func newHost(world *world, name, domain string) *host {
 	created := &host{
 		world: world, name: name, domain: domain, fleet: fleet.New(), budget: retry.NewBudgets(retryShare, retryReserve),
-		pick: pick.Options{FailureDomain: domain, TokensPerMs: world.tokensPerMs(), Correction: pick.NewLatencyCorrection(), Groups: pick.NewEngineGroups()},
+		pick: pick.Options{FailureDomain: domain, Rates: pick.NewPrefillRates(pick.DefaultTokensPerMs), Correction: pick.NewLatencyCorrection(), Groups: pick.NewEngineGroups(), Cached: pick.NewCachedParts()},
 	}
 	for _, server := range world.servers {
 		created.fleet.Put(server.base().server)
@@ -101,7 +101,7 @@
 		read = true
 		host.fleet.PrefillDone(choice.Member.ID, choice.Share)
 		host.fleet.ReportLoad(choice.Member.ID, target.load())
-		host.pick.Correction.Observe(call.work.Service, choice.FirstEvent, clock.now-started)
+		host.pick.ObserveFirstEvent(&call.work, &choice, clock.now-started, clock.time())
 	}
 	sent.event = func(number int) {
 		clock.after(delay, func() {
