io/front: the proof and the deadline are checked again after connecting

Cause: a host checked the proof of the configuration before it chose a server, and only the server and the table again after it had connected. One that was paused in between sent a request with a key that might have been revoked meanwhile. Change: mayStillSend checks all of them right before the request is written.

--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -102,9 +102,7 @@
 	}
 	stop := context.AfterFunc(call.request.Context(), conn.Close)
 	defer stop()
-	// While the connection was being established, the server may have started to
-	// shut down, and the routing table may have changed.
-	if !options.Fleet.Usable(server.ID, call.work.Service, time.Now()) || options.Table.Load() != call.table {
+	if !call.mayStillSend(server) {
 		conn.Discard()
 		delete(call.tried, server.ID)
 		return work.NoConnection
@@ -117,6 +115,16 @@
 	return exchange.run()
 }
 
+// mayStillSend reports whether what allowed an attempt still holds. While the connection
+// was being established, the server may have started to shut down, the routing table may
+// have changed, and, if the process was paused, the proof of the table may have lapsed or
+// the deadline may have passed.
+func (call *call) mayStillSend(server fleet.Server) bool {
+	options, now := call.handler.options, time.Now()
+	return options.Fleet.Usable(server.ID, call.work.Service, now) && options.Table.Load() == call.table &&
+		(!call.table.RequiresKey() || options.Proof.Valid(options.Now())) && call.work.Remaining(now) > 0
+}
+
 func (call *call) logSent(choice pick.Choice, exchange *exchange) {
 	call.serverID = choice.Member.ID
 	if !call.handler.options.Logger.Enabled(event.RequestSent()) {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -70,6 +70,8 @@
 	log     *lockedBuffer
 	// now is the clock against which the proof expires. The proof was confirmed at 1.
 	now atomic.Int64
+	// whileDialing is called before each connection to a backend server is opened.
+	whileDialing func()
 
 	mutex    sync.Mutex
 	received []string
@@ -94,7 +96,7 @@
 
 func newHarness(t *testing.T, change func(*table.Data)) *harness {
 	t.Helper()
-	harness := &harness{t: t, table: &table.Current{}, fleet: fleet.New(), proof: fresh.New(time.Minute), log: &lockedBuffer{}}
+	harness := &harness{t: t, table: &table.Current{}, fleet: fleet.New(), proof: fresh.New(time.Minute), log: &lockedBuffer{}, whileDialing: func() {}}
 	target := []table.Target{{Service: "engines", Weight: 1}}
 	route := func(name string, kind table.Kind, resumable bool) table.Route {
 		return table.Route{
@@ -120,7 +122,7 @@
 	harness.proof.Confirm(1)
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
-		Pool: pipe.New(pipe.Options{}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: poison.NewCrashDetector(poison.New(poison.Options{CrashLimit: 3})), Pick: pick.Options{TokensPerMs: 50},
+		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: poison.NewCrashDetector(poison.New(poison.Options{CrashLimit: 3})), Pick: pick.Options{TokensPerMs: 50},
 		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{},
 	})
 	harness.server = httptest.NewServer(harness.handler)
--- a/io/front/slow_test.go
+++ b/io/front/slow_test.go
@@ -93,3 +93,28 @@
 		time.Sleep(5500 * time.Millisecond)
 	}
 }
+
+// Guards against a host that was paused while it connected to a server and then sends a
+// request although its proof of the configuration has lapsed: the key may have been
+// revoked meanwhile.
+func TestProofLapsesWhileConnecting(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addServer("a", respondWith(http.StatusOK, "fine", signed))
+	harness.whileDialing = func() { harness.now.Store(int64(2 * time.Minute)) }
+	got := harness.post("/safe/", "body")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Empty(t, harness.requestsReceived())
+}
+
+// Guards against a host that was paused while it connected to a server and then sends a
+// request whose caller has stopped waiting.
+func TestDeadlinePassesWhileConnecting(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addServer("a", respondWith(http.StatusOK, "fine", signed))
+	harness.whileDialing = func() { time.Sleep(350 * time.Millisecond) }
+	got := harness.post("/safe/", "body", "X-Timeout-Ms", "300")
+	require.NoError(t, got.err)
+	require.GreaterOrEqual(t, got.status, 500)
+	require.Empty(t, harness.requestsReceived())
+}
