core/fleet, io/gram: hosts tell each other their work at every engine

Cause: a report named 28 engines at most, those with the most prompt tokens to read, so that it fits a datagram. At 140 engines the running streams of the others were not told, and hosts had too few decode engines. Change: a report may name 400; longer ones go in parts. Compressors are reused.

--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -15,9 +15,9 @@
 // expiryInterval is the time between two checks for expired reports.
 const expiryInterval = 100 * time.Millisecond
 
-// maxPeerLoads limits the servers in one message so that it fits a datagram. Those
-// with the most pending prompt tokens are kept.
-const maxPeerLoads = 28
+// maxPeerLoads limits the servers in one message. Those with the most pending prompt
+// tokens are kept.
+const maxPeerLoads = 400
 
 // PeerLoad is the work that a host has in flight at one backend server.
 type PeerLoad struct {
--- a/io/gram/part.go
+++ b/io/gram/part.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -35,14 +36,7 @@
 	if err != nil {
 		return nil, fault.Wrap("gram.split", Malformed, err)
 	}
-	var compressed bytes.Buffer
-	writer, err := flate.NewWriter(&compressed, flate.BestSpeed)
-	if err != nil {
-		return nil, fault.Wrap("gram.split", Malformed, err)
-	}
-	// Writing to a bytes.Buffer never returns an error.
-	_, _ = writer.Write(content)
-	_ = writer.Close()
+	compressed := compress(content)
 	count := (compressed.Len() + maxPartBytes - 1) / maxPartBytes
 	if len(content) > MaxBodyBytes || count > maxParts {
 		return nil, fault.New("gram.split", Malformed, "the body exceeds the size limit")
@@ -54,6 +48,26 @@
 	return parts, nil
 }
 
+// compressors holds writers that are not in use: a new one allocates hundreds of
+// kilobytes.
+var compressors = sync.Pool{New: func() any {
+	// The level is valid, so there is no error.
+	writer, _ := flate.NewWriter(nil, flate.BestSpeed)
+	return writer
+}}
+
+// compress returns the content in the DEFLATE format (RFC 1951).
+func compress(content []byte) *bytes.Buffer {
+	var compressed bytes.Buffer
+	writer := compressors.Get().(*flate.Writer)
+	defer compressors.Put(writer)
+	writer.Reset(&compressed)
+	// Writing to a bytes.Buffer never returns an error.
+	_, _ = writer.Write(content)
+	_ = writer.Close()
+	return &compressed
+}
+
 // partialBody collects the parts of a body.
 type partialBody struct {
 	message uint64
