--- a/core/roster/audience.go
+++ b/core/roster/audience.go
@@ -25,14 +25,14 @@
 failure domain and the other domains: a host without requests sends to two others and
 receives from two, whatever the size of the fleet.
 */
-func (roster *Roster) Recipients(now time.Time, busy bool) Recipients {
+func (roster *Roster) Recipients(now time.Time, busiest int) Recipients {
 	live, own := roster.Live(now), roster.Own()
 	others := slices.DeleteFunc(slices.Clone(live), func(other host.Host) bool { return other.Name == own.Name })
 	if len(live) <= smallFleetHosts {
 		return Recipients{Loads: others, Proofs: others}
 	}
 	isOwn := func(one host.Host) bool { return one.Name == own.Name }
-	entryHosts, relayHosts := entryHosts(live, busy), watchers(live)
+	entryHosts, relayHosts := entryHosts(live, busiest), watchers(live)
 	var recipients Recipients
 	if slices.ContainsFunc(entryHosts, isOwn) {
 		recipients.Loads = slices.DeleteFunc(entryHosts, isOwn)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -24,6 +24,9 @@
 	// hosts, and minEntryHosts is their minimum number if there are that many.
 	entryHostRatio = 0.25
 	minEntryHosts  = 12
+	// requestsPerEntryHost is the number of requests in flight at the busiest host that
+	// adds entry hosts.
+	requestsPerEntryHost = 600
 	// minHighCapacityHosts is the smallest number of high-capacity hosts that may
 	// carry all requests of the fleet.
 	minHighCapacityHosts = 4
@@ -140,12 +143,12 @@
 }
 
 // IsIdle reports whether the local host neither watches the store nor is an entry host.
-// The meaning of busy is that of EntryHosts.
-func (roster *Roster) IsIdle(now time.Time, busy bool) bool {
+// The meaning of busiest is that of EntryHosts.
+func (roster *Roster) IsIdle(now time.Time, busiest int) bool {
 	own := roster.Own().Name
 	isOwn := func(one host.Host) bool { return one.Name == own }
 	live := roster.Live(now)
-	return len(live) > smallFleetHosts && !slices.ContainsFunc(watchers(live), isOwn) && !slices.ContainsFunc(entryHosts(live, busy), isOwn)
+	return len(live) > smallFleetHosts && !slices.ContainsFunc(watchers(live), isOwn) && !slices.ContainsFunc(entryHosts(live, busiest), isOwn)
 }
 
 // DomainPeers returns the other live hosts of the local host's failure domain.
@@ -162,28 +165,39 @@
 A host routes best when it sees many requests itself, because it learns of requests at
 other hosts only with a delay. In large fleets callers are therefore sent to the
 high-capacity hosts, and if there are many of these, to a subset that is spread evenly
-over the failure domains; the other hosts are standbys. All hosts compute the same
-subset. All live hosts are entry hosts if there are too few high-capacity hosts, or if
-busy is set because one host has too many requests in flight.
+over the failure domains; the other hosts are standbys. Busiest is the highest number of
+requests in flight at one host. Each requestsPerEntryHost of them adds as many entry hosts
+again, so that a busy fleet grows in steps: callers that moved to hundreds of hosts at
+once would leave each of these with too few requests to route by. All hosts compute nearly
+the same set, and a larger set contains the smaller ones. All live hosts are entry hosts
+if there are too few high-capacity hosts.
 */
-func (roster *Roster) EntryHosts(now time.Time, busy bool) []host.Host {
-	return entryHosts(roster.Live(now), busy)
+func (roster *Roster) EntryHosts(now time.Time, busiest int) []host.Host {
+	return entryHosts(roster.Live(now), busiest)
 }
 
 // entryHosts implements EntryHosts for the given live hosts.
-func entryHosts(live []host.Host, busy bool) []host.Host {
-	if busy || len(live) <= smallFleetHosts {
+func entryHosts(live []host.Host, busiest int) []host.Host {
+	if len(live) <= smallFleetHosts {
 		return slices.Clone(live)
 	}
 	highCapacity := highCapacityHosts(live)
 	if len(highCapacity) < minHighCapacityHosts {
 		return slices.Clone(live)
 	}
-	wanted := max(minEntryHosts, int(entryHostRatio*float64(len(highCapacity))+0.5))
-	if wanted >= len(highCapacity) {
+	steps := 1 + busiest/requestsPerEntryHost
+	wanted := steps * max(minEntryHosts, int(entryHostRatio*float64(len(highCapacity))+0.5))
+	if wanted < len(highCapacity) {
+		return selectAcrossDomains(highCapacity, wanted)
+	}
+	if steps == 1 {
 		return highCapacity
 	}
-	return selectAcrossDomains(highCapacity, wanted)
+	others := slices.DeleteFunc(slices.Clone(live), func(one host.Host) bool {
+		return slices.ContainsFunc(highCapacity, func(high host.Host) bool { return high.Name == one.Name })
+	})
+	wanted = min(wanted, len(live)) - len(highCapacity)
+	return append(highCapacity, selectAcrossDomains(others, wanted)...)
 }
 
 const (
@@ -207,10 +221,10 @@
 	Hosts int
 }
 
-// Quota returns the local host's quota. The meaning of busy is that of EntryHosts.
-func (roster *Roster) Quota(now time.Time, busy bool) Quota {
+// Quota returns the local host's quota. The meaning of busiest is that of EntryHosts.
+func (roster *Roster) Quota(now time.Time, busiest int) Quota {
 	live := roster.Live(now)
-	chosen := entryHosts(live, busy)
+	chosen := entryHosts(live, busiest)
 	own := roster.Own().Name
 	isEntryHost := slices.ContainsFunc(chosen, func(one host.Host) bool { return one.Name == own })
 	return Quota{IsEntryHost: isEntryHost, EntryHosts: len(chosen), Hosts: len(live)}
