--- a/core/mirror/history.go
+++ b/core/mirror/history.go
@@ -26,9 +26,9 @@
 		history.reset()
 	}
 	history.batches = append(history.batches, batch)
-	history.bytes += batch.size()
+	history.bytes += batch.Size()
 	for history.bytes > maxHistoryBytes {
-		history.bytes -= history.batches[0].size()
+		history.bytes -= history.batches[0].Size()
 		history.batches = history.batches[1:]
 	}
 }
@@ -51,8 +51,8 @@
 	return result, result.Until > position
 }
 
-// size returns the approximate memory for a batch, in bytes.
-func (batch Batch) size() int {
+// Size returns the approximate size of a batch in bytes.
+func (batch Batch) Size() int {
 	bytes := eventBytes
 	for _, change := range batch.Events {
 		bytes += eventBytes + len(change.Entry.Key) + len(change.Entry.Value)
