--- a/io/front/lost_test.go
+++ b/io/front/lost_test.go
@@ -38,6 +38,27 @@
 	}
 }
 
+// cutAnswer returns a responder that sends so many parts of an answer and then ends the
+// connection.
+func cutAnswer(stream bool, parts int, end func(conn net.Conn)) responder {
+	return func(request *http.Request, conn net.Conn) {
+		_, _ = io.WriteString(conn, strings.Join(answerParts(request.Header.Get("X-Id"), stream)[:parts], ""))
+		end(conn)
+	}
+}
+
+// wholeAnswer returns a responder that sends an answer without the events that the caller
+// has already.
+func wholeAnswer(stream bool) responder {
+	return func(request *http.Request, conn net.Conn) {
+		parts := answerParts(request.Header.Get("X-Id"), stream)
+		if delivered, err := strconv.Atoi(request.Header.Get("X-Last")); err == nil {
+			parts = append(parts[:3], parts[3+delivered:]...)
+		}
+		_, _ = io.WriteString(conn, strings.Join(parts, ""))
+	}
+}
+
 // Guards against work that is run again after its answer was lost, and against telling the
 // caller that it has not run: for each kind of request, each moment of the loss and each
 // way in which the connection ends.
@@ -45,25 +66,13 @@
 	for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/"} {
 		stream := path == "/stream/" || path == "/resume/"
 		repeatable := path == "/safe/" || path == "/resume/"
-		for cut := range answerParts("", stream) {
+		for parts := range answerParts("", stream) {
 			for mode, end := range cutModes {
-				t.Run(fmt.Sprintf("%s%d/%s", strings.Trim(path, "/"), cut, mode), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s%d/%s", strings.Trim(path, "/"), parts, mode), func(t *testing.T) {
 					t.Parallel()
 					harness := newHarness(t, nil)
-					lose := func(request *http.Request, conn net.Conn) {
-						text := strings.Join(answerParts(request.Header.Get("X-Id"), stream)[:cut], "")
-						_, _ = io.WriteString(conn, text)
-						end(conn)
-					}
-					whole := func(request *http.Request, conn net.Conn) {
-						parts := answerParts(request.Header.Get("X-Id"), stream)
-						if delivered, err := strconv.Atoi(request.Header.Get("X-Last")); err == nil {
-							parts = append(parts[:3], parts[3+delivered:]...)
-						}
-						_, _ = io.WriteString(conn, strings.Join(parts, ""))
-					}
 					// Whichever server is asked first loses its answer.
-					respond := firstThen(lose, whole)
+					respond := firstThen(cutAnswer(stream, parts, end), wholeAnswer(stream))
 					harness.addServer("a", respond)
 					harness.addServer("b", respond)
 					began := time.Now()
