--- a/core/roster/audience.go
+++ b/core/roster/audience.go
@@ -17,7 +17,8 @@
 }
 
 /*
-Recipients returns the hosts that this host sends its loads and proofs to.
+Recipients returns the hosts that this host sends its loads and proofs to. The meaning
+of busiest is that of EntryHosts.
 
 In small fleets every host sends everything to every other host. In larger ones only
 the entry hosts route many requests, so only these exchange their requests in flight.
