--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -223,10 +223,22 @@
 	if err != nil {
 		fields["error"] = err.Error()
 	}
+	if result == work.Broken {
+		fields["fingerprint"], fields["parts"] = strconv.FormatUint(call.fingerprint(), 16), partIDs(call.work.Parts)
+	}
 	call.log(event.AttemptEnded(), fields)
 	return result
 }
 
+// partIDs returns the hexadecimal IDs of the parts of a prompt, separated by commas.
+func partIDs(parts []work.Part) string {
+	ids := make([]string, len(parts))
+	for index, part := range parts {
+		ids[index] = strconv.FormatUint(part.ID, 16)
+	}
+	return strings.Join(ids, ",")
+}
+
 // writeBuffered writes a complete response to the caller.
 func (call *call) writeBuffered(response bufferedResponse) {
 	copyHeader(call.writer.Header(), response.header)
