--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -23,6 +23,7 @@
 	"primrosegw/core/poison"
 	"primrosegw/core/retry"
 	"primrosegw/core/table"
+	"primrosegw/core/work"
 	"primrosegw/io/front"
 	"primrosegw/io/meter"
 	"primrosegw/io/pipe"
@@ -33,7 +34,13 @@
 
 func (headerCodec) ParseRequest(header http.Header) (front.RequestInfo, error) {
 	timeout, _ := strconv.Atoi(header.Get("X-Timeout-Ms"))
-	return front.RequestInfo{ID: header.Get("X-Id"), Key: header.Get("X-Key"), Timeout: time.Duration(timeout) * time.Millisecond}, nil
+	info := front.RequestInfo{ID: header.Get("X-Id"), Key: header.Get("X-Key"), Timeout: time.Duration(timeout) * time.Millisecond}
+	for name := range strings.SplitSeq(header.Get("X-Parts"), ",") {
+		if name != "" {
+			info.Parts = append(info.Parts, work.Part{ID: fleet.ServerHash(name)})
+		}
+	}
+	return info, nil
 }
 
 func (headerCodec) ForwardHeader(caller http.Header, info front.ForwardInfo) http.Header {
--- a/io/front/suspect_test.go
+++ b/io/front/suspect_test.go
@@ -5,8 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -38,6 +41,50 @@
 	require.Contains(t, harness.log.String(), "server_crashed")
 }
 
+// Guards against requests that share one part of their prompts, differ in all else, and
+// crash one backend server after another.
+func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
+	harness := newHarness(t, nil)
+	const engines = 10
+	for index := range engines {
+		harness.addServerCrashedByPart(fmt.Sprintf("engine-%d", index), "b")
+	}
+	for index := range engines {
+		unique := strconv.Itoa(index)
+		harness.post("/once/", unique, "X-Parts", "a,b,"+unique)
+		require.Equal(t, http.StatusOK, harness.post("/once/", "fine"+unique, "X-Parts", "a,c,f"+unique).status)
+		time.Sleep(timeBetweenCrashes)
+	}
+	crashes := 0
+	for _, arrival := range harness.requestsReceived() {
+		if !strings.Contains(arrival, "fine") {
+			crashes++
+		}
+	}
+	require.LessOrEqual(t, crashes, 5)
+	got := harness.post("/once/", "new", "X-Parts", "d,b,new")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Contains(t, got.body, "crashes_servers")
+}
+
+// timeBetweenCrashes keeps the crashes of a test apart: servers that go down together
+// may have a common cause outside the requests.
+const timeBetweenCrashes = 400 * time.Millisecond
+
+// addServerCrashedByPart adds a backend server that stops listening after a request
+// whose prompt has the given part.
+func (harness *harness) addServerCrashedByPart(id, part string) {
+	var listener net.Listener
+	listener = harness.addServer(id, func(request *http.Request, conn net.Conn) {
+		if slices.Contains(strings.Split(request.Header.Get("X-Parts"), ","), part) {
+			_ = listener.Close()
+			resetConnection(request, conn)
+			return
+		}
+		respondWith(http.StatusOK, "fine", signed)(request, conn)
+	})
+}
+
 // addCrashingServer adds a backend server that stops listening after a request with
 // the body "crash".
 func (harness *harness) addCrashingServer(id string) {
