core/poison: crashes are attributed to what requests have in common

Cause: a suspect was a whole request, by method, target, workspace and body. Requests that differ in all else and share a part each had a record of their own with one crash, and the limit of three was never reached. The class: blame by an identity that is narrower than the cause. Besides: the crash of one engine had another id on each host, and a restarted host knew nothing. Ruled out: detection (each of the first twelve crashes has its server_crashed line); spread (the failing test has one host). Change: crashes are reported with the features of the requests in flight, and poison.Attribution finds the feature that explains them: cleared by completion, counted by crashes that are not one event, quarantined together with its companions, so that requests which share only those are served. All hosts exchange crashes and cleared features; quarantines are recorded in the store for hosts that start later.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -37,6 +37,9 @@
 		ServerIgnored(),
 		ServerSuspended(),
 		ServerCrashed(),
+		QuarantineStarted(),
+		QuarantineEnded(),
+		QuarantineIgnored(),
 		HostListed(),
 		HostUnlisted(),
 		EntriesRead(),
@@ -220,6 +223,22 @@
 	return Event{1945, "server_crashed", logrus.WarnLevel, "fleet", "A backend server cut off responses and then refused connections; the affected requests are suspected of crashing it."}
 }
 
+// QuarantineStarted reports that requests with certain features are refused, because they
+// crash backend servers.
+func QuarantineStarted() Event {
+	return Event{1946, "quarantine_started", logrus.ErrorLevel, "fleet", "Requests that have all of these features are refused, because they crash backend servers."}
+}
+
+// QuarantineEnded reports that requests with certain features are no longer refused.
+func QuarantineEnded() Event {
+	return Event{1947, "quarantine_ended", logrus.WarnLevel, "fleet", "Requests with these features are no longer refused, or only those with some of them."}
+}
+
+// QuarantineIgnored reports that the record of a quarantine could not be parsed.
+func QuarantineIgnored() Event {
+	return Event{1948, "quarantine_ignored", logrus.WarnLevel, "fleet", "The record of a quarantine in the store could not be parsed and was ignored."}
+}
+
 // HostListed reports that another host registered itself or changed its state.
 func HostListed() Event {
 	return Event{1950, "host_listed", logrus.InfoLevel, "roster", "Another host registered itself or changed its state."}
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -17,11 +17,8 @@
 	sameCrashWindow = 500 * time.Millisecond
 	// maxBrokenResponses limits the broken responses kept for each server.
 	maxBrokenResponses = 128
-	// updateLifetime is the time for which a changed record is sent to other hosts.
-	// It is sent repeatedly, so that a lost message doesn't matter.
-	updateLifetime = 2 * time.Second
-	// maxRecordsPerMessage limits the records in one message.
-	maxRecordsPerMessage = 4
+	// maxFeatures limits the features of a request.
+	maxFeatures = 64
 )
 
 /*
@@ -30,32 +27,46 @@
 Neither is sufficient alone, because servers also lose single responses, and also
 crash for reasons other than a request.
 
-A crash cuts off all of a server's responses at once. Each of their requests becomes
-a suspect; a request that later completes on another server is cleared. A
-CrashDetector is safe for concurrent use.
+A crash cuts off all of a server's responses at once. Attribution infers which feature
+of these requests is the cause, from the crashes that all hosts observe. A CrashDetector
+is safe for concurrent use.
 */
 type CrashDetector struct {
-	registry *Registry
-	mutex    sync.Mutex
-	broken   map[string][]brokenResponse
-	pending  []pendingUpdate
+	options     DetectorOptions
+	mutex       sync.Mutex
+	attribution *Attribution
+	broken      map[string][]brokenResponse
+	crashes     outbox[CrashReport]
+	cleared     outbox[ClearedFeature]
+	quarantines outbox[QuarantineReport]
+	records     quarantineRecords
+	// updateAt is when conclusions may change without a new observation.
+	updateAt time.Time
 }
 
-// brokenResponse is a response that a server cut off.
-type brokenResponse struct {
-	fingerprint uint64
-	at          time.Time
+// DetectorOptions configures a CrashDetector.
+type DetectorOptions struct {
+	// OnQuarantine is called for each change of the quarantines, without a lock held. It
+	// may be nil.
+	OnQuarantine func(change QuarantineChange)
 }
 
-// pendingUpdate is a changed record that is still sent to other hosts.
-type pendingUpdate struct {
-	record Record
-	until  time.Time
+// brokenResponse is a response that a server cut off.
+type brokenResponse struct {
+	features []uint64
+	sentAt   time.Time
+	at       time.Time
 }
 
-// NewCrashDetector returns a detector that records crashes in the given registry.
-func NewCrashDetector(registry *Registry) *CrashDetector {
-	return &CrashDetector{registry: registry, broken: make(map[string][]brokenResponse)}
+// NewCrashDetector returns a detector that knows of no crashes.
+func NewCrashDetector(options DetectorOptions) *CrashDetector {
+	if options.OnQuarantine == nil {
+		options.OnQuarantine = func(QuarantineChange) {}
+	}
+	return &CrashDetector{
+		options: options, attribution: NewAttribution(), broken: make(map[string][]brokenResponse),
+		records: newQuarantineRecords(),
+	}
 }
 
 // Fingerprint returns a hash of a request's method, target, caller and body, by
@@ -71,84 +82,164 @@
 	return max(1, digest.Sum64())
 }
 
-// ObserveBrokenResponse records that a server cut off the response to a request.
-// It reports whether this is the first broken response of a possible crash. If so,
-// the caller should try to connect to the server, to find out whether it crashed.
-func (detector *CrashDetector) ObserveBrokenResponse(server string, fingerprint uint64, now time.Time) bool {
+// Features returns the sorted features of a request: its fingerprint and the parts of its
+// prompt.
+func Features(fingerprint uint64, parts []uint64) []uint64 {
+	features := append([]uint64{fingerprint}, parts[:min(len(parts), maxFeatures-1)]...)
+	slices.Sort(features)
+	return slices.Compact(features)
+}
+
+// ObserveBrokenResponse records that a process of a server cut off the response to a
+// request with the given features that was sent at sentAt. It reports whether this is the first broken response
+// of a possible crash. If so, the caller should try to connect to the server, to find out
+// whether it crashed.
+func (detector *CrashDetector) ObserveBrokenResponse(process string, features []uint64, sentAt, now time.Time) bool {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
-	responses := dropStale(detector.broken[server], now)
+	responses := dropStale(detector.broken[process], now)
 	first := len(responses) == 0 || now.Sub(responses[len(responses)-1].at) > sameCrashWindow
-	responses = append(responses, brokenResponse{fingerprint, now})
-	detector.broken[server] = responses[max(0, len(responses)-maxBrokenResponses):]
+	responses = append(responses, brokenResponse{features, sentAt, now})
+	detector.broken[process] = responses[max(0, len(responses)-maxBrokenResponses):]
 	return first
 }
 
-// ObserveConnectionFailure records that a server accepts no connections. The
+// ObserveConnectionFailure records that a process of a server accepts no connections. The
 // requests whose responses it cut off last become suspects. It returns their number.
-func (detector *CrashDetector) ObserveConnectionFailure(server string, now time.Time) int {
+func (detector *CrashDetector) ObserveConnectionFailure(process string, now time.Time) int {
 	detector.mutex.Lock()
-	responses := dropStale(detector.broken[server], now)
-	delete(detector.broken, server)
-	detector.mutex.Unlock()
+	responses := dropStale(detector.broken[process], now)
+	delete(detector.broken, process)
 	if len(responses) == 0 {
+		detector.mutex.Unlock()
 		return 0
 	}
 	crashTime := responses[len(responses)-1].at
-	id := xxhash.Sum64String(server + crashTime.UTC().String())
-	suspects := 0
+	var requests []InFlightRequest
 	for _, response := range responses {
 		if crashTime.Sub(response.at) <= sameCrashWindow {
-			suspects++
-			detector.queueUpdates(detector.registry.Crash(response.fingerprint, id), now)
+			requests = append(requests, InFlightRequest{Features: response.features, SentBefore: crashTime.Sub(response.sentAt)})
 		}
 	}
-	return suspects
+	// All hosts give the crash of a process the same ID.
+	report := CrashReport{ID: xxhash.Sum64String(process), Requests: requests[:min(len(requests), maxRequestsPerCrash)]}
+	detector.crashes.add(report, crashTime, now)
+	detector.attribution.AddCrash(report.ID, crashTime, true, report.Requests)
+	detector.updateAndUnlock(true, now)
+	return len(requests)
 }
 
-// ObserveCompletion records that a request ran to completion, which clears it of the
-// crashes recorded so far.
-func (detector *CrashDetector) ObserveCompletion(fingerprint uint64, now time.Time) {
-	if record, changed := detector.registry.Clear(fingerprint); changed {
-		detector.queueUpdates([]Record{record}, now)
+// ObserveCompletion records that a request ran to completion, so that no feature of it
+// caused the crashes recorded so far.
+func (detector *CrashDetector) ObserveCompletion(features []uint64, now time.Time) {
+	detector.mutex.Lock()
+	changed := detector.attribution.Clear(features, now)
+	for _, feature := range changed {
+		detector.cleared.add(ClearedFeature{Feature: feature}, now, now)
+	}
+	if len(changed) == 0 {
+		detector.mutex.Unlock()
+		return
 	}
+	detector.updateAndUnlock(true, now)
 }
 
 // HasSuspects reports whether there are any suspects. If there are none, callers
 // don't need to compute fingerprints.
-func (detector *CrashDetector) HasSuspects() bool { return detector.registry.Size() > 0 }
-
-// Verdict returns how a request with the given fingerprint may be run.
-func (detector *CrashDetector) Verdict(fingerprint uint64) Verdict {
-	return detector.registry.Verdict(fingerprint)
+func (detector *CrashDetector) HasSuspects() bool {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	return detector.attribution.HasSuspects()
 }
 
-// PendingUpdates returns the records to send to other hosts now: the most recently
-// changed ones, at most maxRecordsPerMessage.
-func (detector *CrashDetector) PendingUpdates(now time.Time) []Record {
+// Refuses reports whether a request with the given features must not run.
+func (detector *CrashDetector) Refuses(features []uint64, now time.Time) bool {
+	detector.Advance(now)
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
-	detector.pending = slices.DeleteFunc(detector.pending, func(update pendingUpdate) bool { return now.After(update.until) })
-	var records []Record
-	for _, update := range detector.pending[max(0, len(detector.pending)-maxRecordsPerMessage):] {
-		records = append(records, update.record)
-	}
-	return records
+	return detector.attribution.Refuses(features)
 }
 
-// ApplyUpdates merges records received from another host.
-func (detector *CrashDetector) ApplyUpdates(records []Record) { detector.registry.Merge(records) }
+// Advance draws the conclusions that follow from the time that has passed.
+func (detector *CrashDetector) Advance(now time.Time) {
+	detector.mutex.Lock()
+	if detector.updateAt.IsZero() || now.Before(detector.updateAt) {
+		detector.mutex.Unlock()
+		return
+	}
+	detector.updateAndUnlock(false, now)
+}
 
-// queueUpdates schedules changed records for sending. A newer copy replaces a queued
-// one.
-func (detector *CrashDetector) queueUpdates(records []Record, now time.Time) {
+// PendingEvidence returns what is to be sent to other hosts now.
+func (detector *CrashDetector) PendingEvidence(now time.Time) Evidence {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
-	for _, record := range records {
-		detector.pending = slices.DeleteFunc(detector.pending, func(update pendingUpdate) bool {
-			return update.record.Fingerprint == record.Fingerprint
-		})
-		detector.pending = append(detector.pending, pendingUpdate{record, now.Add(updateLifetime)})
+	return Evidence{
+		Crashes: detector.crashes.due(now, func(report CrashReport, ageMs int64) CrashReport {
+			report.AgeMs = ageMs
+			return report
+		}),
+		Cleared: detector.cleared.due(now, func(report ClearedFeature, ageMs int64) ClearedFeature {
+			report.AgeMs = ageMs
+			return report
+		}),
+		Quarantines: detector.quarantines.due(now, func(report QuarantineReport, ageMs int64) QuarantineReport {
+			report.AgeMs = ageMs
+			return report
+		}),
+	}
+}
+
+// ApplyEvidence adds what another host has observed.
+func (detector *CrashDetector) ApplyEvidence(evidence Evidence, now time.Time) {
+	detector.mutex.Lock()
+	changed := false
+	for _, report := range evidence.Crashes {
+		for _, request := range report.Requests {
+			slices.Sort(request.Features)
+		}
+		changed = detector.attribution.AddCrash(report.ID, timeOfAge(report.AgeMs, now), false, report.Requests) || changed
+	}
+	for _, report := range evidence.Cleared {
+		cleared := detector.attribution.Clear([]uint64{report.Feature}, timeOfAge(report.AgeMs, now))
+		changed = changed || len(cleared) > 0
+	}
+	var change QuarantineChange
+	for _, report := range evidence.Quarantines {
+		quarantine := newQuarantine(report.Features, timeOfAge(report.AgeMs, now))
+		if detector.attribution.AddQuarantine(quarantine) {
+			change.Added = append(change.Added, quarantine)
+		}
+	}
+	detector.records.add(change.Added, now)
+	if !changed && len(change.Added) == 0 {
+		detector.mutex.Unlock()
+		return
+	}
+	detector.updateAndUnlock(false, now)
+	detector.notify(change)
+}
+
+// updateAndUnlock draws the conclusions from new observations and releases the mutex. Own is
+// set for observations of this host, from which the other hosts are told the conclusions.
+func (detector *CrashDetector) updateAndUnlock(own bool, now time.Time) {
+	change := detector.attribution.Update(own, now)
+	for _, quarantine := range change.Added {
+		if quarantine.Own {
+			detector.quarantines.add(QuarantineReport{Features: quarantine.Features}, quarantine.At, now)
+		}
+	}
+	detector.records.add(change.Added, now)
+	detector.records.end(change.Ended)
+	detector.updateAt = detector.attribution.NextUpdate(now)
+	detector.mutex.Unlock()
+	detector.notify(change)
+}
+
+// notify reports a change unless it is empty.
+func (detector *CrashDetector) notify(change QuarantineChange) {
+	if len(change.Added)+len(change.Ended) > 0 {
+		detector.options.OnQuarantine(change)
 	}
 }
 
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -206,7 +206,7 @@
 	now := time.Now()
 	if !call.callerGone() && now.Before(call.work.Deadline) {
 		call.handler.options.Fleet.RecordBrokenAnswer(exchange.server.ID, now)
-		if call.handler.options.CrashDetector.ObserveBrokenResponse(exchange.server.ID, call.fingerprint(), now) {
+		if call.handler.options.CrashDetector.ObserveBrokenResponse(connectionKey(exchange.server), call.features(), exchange.started, now) {
 			go call.handler.probe(exchange.server, call.connectionLimit(exchange.server))
 		}
 		call.handler.logSuspension(exchange.server, err, now)
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -39,7 +39,7 @@
 			return
 		}
 		if call.crashesServers() {
-			call.giveUp(false, "crashes_servers")
+			call.giveUp(false, crashesServersReason)
 			return
 		}
 		step := call.nextStep(time.Now())
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -187,6 +187,8 @@
 	fallback *bufferedResponse
 	// cachedFingerprint is the result of fingerprint; 0: not computed yet.
 	cachedFingerprint uint64
+	// cachedFeatures is the result of features; nil: not computed yet.
+	cachedFeatures []uint64
 }
 
 // bufferedResponse is a complete response held in memory.
--- a/io/front/suspect.go
+++ b/io/front/suspect.go
@@ -23,18 +23,30 @@
 	return call.cachedFingerprint
 }
 
-// crashesServers reports whether the request has crashed so many servers that it
-// must not run again.
+// features returns what other requests may have in common with this one.
+func (call *call) features() []uint64 {
+	if call.cachedFeatures == nil {
+		parts := make([]uint64, len(call.work.Parts))
+		for index, part := range call.work.Parts {
+			parts[index] = part.ID
+		}
+		call.cachedFeatures = poison.Features(call.fingerprint(), parts)
+	}
+	return call.cachedFeatures
+}
+
+// crashesServers reports whether the request, or others with a feature of it, have crashed
+// so many servers that it must not run again.
 func (call *call) crashesServers() bool {
 	detector := call.handler.options.CrashDetector
-	return detector.HasSuspects() && detector.Verdict(call.fingerprint()) == poison.Refused
+	return detector.HasSuspects() && detector.Refuses(call.features(), time.Now())
 }
 
 // recordHarmless records that the request ran to completion without crashing a
 // server.
 func (call *call) recordHarmless() {
 	if detector := call.handler.options.CrashDetector; detector.HasSuspects() {
-		detector.ObserveCompletion(call.fingerprint(), time.Now())
+		detector.ObserveCompletion(call.features(), time.Now())
 	}
 }
 
@@ -45,7 +57,7 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
-	if suspects := handler.options.CrashDetector.ObserveConnectionFailure(server.ID, now); suspects > 0 {
+	if suspects := handler.options.CrashDetector.ObserveConnectionFailure(connectionKey(server), now); suspects > 0 {
 		handler.options.Logger.Log(event.ServerCrashed(), logrus.Fields{"server": server.ID, "suspects": suspects})
 	}
 }
