io/front: a response that ends with its connection clears no suspect

Cause: an engine that crashes while it writes such an answer ends it in the same way. The request counted as complete, which cleared its features of all earlier crashes, so its part was never quarantined. Change: only responses with a length or chunks clear features. After others, the request counts among those in flight if the engine then refuses connections.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -152,6 +152,9 @@
 		return exchange.failAttempt(fault.New("front.complete", pipe.Malformed, "the response is too long"))
 	}
 	exchange.releaseConn(response)
+	if response.StatusCode < http.StatusInternalServerError {
+		exchange.recordEnd(response)
+	}
 	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if success {
 		call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
@@ -191,14 +194,29 @@
 // releaseConn returns the connection to the pool after a complete response, or
 // closes it if it can't be reused.
 func (exchange *exchange) releaseConn(response pipe.Response) {
-	hasLength := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	if exchange.reusable && response.KeepAlive && hasLength {
+	if exchange.reusable && response.KeepAlive && isDelimited(response) {
 		exchange.conn.Release(response.Header)
 		return
 	}
 	exchange.conn.Discard()
 }
 
+// isDelimited reports whether the end of a response can be told from a lost connection.
+func isDelimited(response pipe.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// recordEnd records the end of a response for the crash detector. One that ends with its
+// connection does not show that the server is still there.
+func (exchange *exchange) recordEnd(response pipe.Response) {
+	call := exchange.call
+	if isDelimited(response) {
+		call.recordHarmless()
+		return
+	}
+	call.handler.options.CrashDetector.ObserveBrokenResponse(connectionKey(exchange.server), call.features(), exchange.started, time.Now())
+}
+
 // failAttempt ends an attempt without a valid response. It counts as a failure of
 // the server unless the caller has gone or the deadline has passed.
 func (exchange *exchange) failAttempt(err error) work.Result {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -57,7 +57,6 @@
 		switch result {
 		case work.Served:
 			call.countReached()
-			call.recordHarmless()
 			return
 		case work.NoConnection:
 			if connectFailures++; connectFailures >= maxConnectFailures {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -38,6 +38,7 @@
 		return exchange.failAttempt(err)
 	}
 	exchange.releaseConn(response)
+	exchange.recordEnd(response)
 	call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
 	call.recordResponse(response.StatusCode)
 	return work.Served
--- a/io/front/suspect_test.go
+++ b/io/front/suspect_test.go
@@ -67,8 +67,38 @@
 	require.Contains(t, got.body, "crashes_servers")
 }
 
-// timeBetweenCrashes keeps the crashes of a test apart: servers that go down together
-// may have a common cause outside the requests.
+// Guards against taking responses that end with their connection for a sign that their
+// request is harmless: a server that crashes ends them in the same way.
+func TestCrashThatLooksLikeTheEndOfAResponse(t *testing.T) {
+	harness := newHarness(t, nil)
+	const engines = 10
+	for index := range engines {
+		var listener net.Listener
+		listener = harness.addServer(fmt.Sprintf("engine-%d", index), func(request *http.Request, conn net.Conn) {
+			if strings.Contains(request.Header.Get("X-Parts"), "b") {
+				_ = listener.Close()
+				writeResponse(conn, http.StatusOK, request.Header.Get("X-Id"), []string{signed, "Content-Type: text/event-stream", "Connection: close"}, "id: 1\ndata: a\n\n")
+				_ = conn.Close()
+				return
+			}
+			respondWith(http.StatusOK, "fine", signed)(request, conn)
+		})
+	}
+	refused := 0
+	for index := range engines {
+		unique := strconv.Itoa(index)
+		if harness.post("/stream/", unique, "X-Parts", "a,b,"+unique).status == http.StatusServiceUnavailable {
+			refused++
+		}
+		for fine := range 2 * engines {
+			require.Equal(t, http.StatusOK, harness.post("/once/", "fine", "X-Parts", "a,c,"+unique+strconv.Itoa(fine)).status)
+		}
+		time.Sleep(timeBetweenCrashes)
+	}
+	require.GreaterOrEqual(t, refused, engines-5)
+}
+
+// timeBetweenCrashes leaves time for hosts to report their requests.
 const timeBetweenCrashes = 400 * time.Millisecond
 
 // addServerCrashedByPart adds a backend server that stops listening after a request
