core/pacer, platform: limits that backend servers name are read and logged

No line of any host mentions a limit, so it can't be told whether hosts read it (hypothesis 1), apply it one by one (2) or pass by it (3). Change: the header Server-Limit is parsed, kept in core/pacer and logged when it changes (server_limit_changed). Nothing else uses it yet. Reading the code decides for hypothesis 1: before this commit no source file names the header.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -40,6 +40,7 @@
 		QuarantineStarted(),
 		QuarantineEnded(),
 		QuarantineIgnored(),
+		ServerLimitChanged(),
 		HostListed(),
 		HostUnlisted(),
 		EntriesRead(),
@@ -239,6 +240,12 @@
 	return Event{1948, "quarantine_ignored", logrus.WarnLevel, "fleet", "The record of a quarantine in the store could not be parsed and was ignored."}
 }
 
+// ServerLimitChanged reports that a backend server named another limit of requests per second
+// than before, or none any longer.
+func ServerLimitChanged() Event {
+	return Event{1949, "server_limit_changed", logrus.InfoLevel, "fleet", "A backend server named another limit of requests per second than before, or none any longer."}
+}
+
 // HostListed reports that another host registered itself or changed its state.
 func HostListed() Event {
 	return Event{1950, "host_listed", logrus.InfoLevel, "roster", "Another host registered itself or changed its state."}
--- a/core/fleet/peers.go
+++ b/core/fleet/peers.go
@@ -49,6 +49,12 @@
 // ServerHash returns the hash that identifies a server in messages between hosts.
 func ServerHash(id string) uint64 { return xxhash.Sum64String(id) }
 
+// ProcessHash identifies a process of the server, which starts without the state of the one
+// before it.
+func (server Server) ProcessHash() uint64 {
+	return ServerHash(server.ID) ^ uint64(server.Started.UnixNano())
+}
+
 // UpdatePeer replaces the report of another host.
 func (fleet *Fleet) UpdatePeer(host string, report HostReport, now time.Time) {
 	fleet.mutex.Lock()
--- a/core/pick/cached.go
+++ b/core/pick/cached.go
@@ -43,7 +43,7 @@
 	if parts == nil || len(request.Parts) < 2 {
 		return
 	}
-	id, engine := sessionPart(request).ID, processHash(server)
+	id, engine := sessionPart(request).ID, server.ProcessHash()
 	parts.mutex.Lock()
 	defer parts.mutex.Unlock()
 	copies := slices.DeleteFunc(parts.parts[id], func(known partCopy) bool {
@@ -72,7 +72,7 @@
 }
 
 // engines returns the engines that are assumed to have the session's part of a
-// request cached, by processHash.
+// request cached, by ProcessHash.
 func (parts *CachedParts) engines(request *work.Request, now time.Time) []uint64 {
 	if parts == nil || len(request.Parts) < 2 {
 		return nil
@@ -87,8 +87,3 @@
 	}
 	return engines
 }
-
-// processHash identifies a process of a server, which starts with an empty cache.
-func processHash(server fleet.Server) uint64 {
-	return fleet.ServerHash(server.ID) ^ uint64(server.Started.UnixNano())
-}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -113,7 +113,7 @@
 	best := Choice{Candidates: len(candidates)}
 	for index := range candidates {
 		member := &candidates[index]
-		isPreferred := member.ID == preferred || slices.Contains(holders, processHash(member.Server))
+		isPreferred := member.ID == preferred || slices.Contains(holders, member.ProcessHash())
 		evaluated := options.evaluate(request, member, isPreferred, now)
 		if best.Member.ID == "" || evaluated.Loss < best.Loss {
 			evaluated.Candidates = best.Candidates
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -82,9 +82,17 @@
 	if info.Load != nil {
 		call.handler.options.Fleet.ReportLoad(exchange.server.ID, *info.Load)
 	}
+	exchange.observeRateLimit(info.RateLimit)
 	return exchange.handleResponse(response, info)
 }
 
+// observeRateLimit records the limit that the server named, and logs a change.
+func (exchange *exchange) observeRateLimit(perSecond float64) {
+	if exchange.call.handler.options.Pacer.Observe(exchange.server, perSecond, time.Now()) {
+		exchange.call.log(event.ServerLimitChanged(), logrus.Fields{"server": exchange.server.ID, "per_second": perSecond})
+	}
+}
+
 func (exchange *exchange) forwardInfo() ForwardInfo {
 	call := exchange.call
 	return ForwardInfo{
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -19,6 +19,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
+	"primrosegw/core/pacer"
 	"primrosegw/core/pick"
 	"primrosegw/core/poison"
 	"primrosegw/core/retry"
@@ -70,6 +71,9 @@
 	NotRun bool
 	// Load is the load that the server reports; nil: not reported.
 	Load *fleet.Load
+	// RateLimit is the number of requests per second that the server accepts from all hosts
+	// together; 0: it names none.
+	RateLimit float64
 }
 
 // HeaderCodec reads and writes the headers of the platform's protocol.
@@ -94,7 +98,9 @@
 	RetryBudgets *retry.Budgets
 	// CrashDetector finds requests that crash backend servers.
 	CrashDetector *poison.CrashDetector
-	Pick          pick.Options
+	// Pacer keeps to the rates that backend servers accept.
+	Pacer *pacer.Pacer
+	Pick  pick.Options
 	// ConnectionShare returns this host's share of a server's connection limit.
 	ConnectionShare func(limit int) int
 	Logger          *event.Logger
