--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -31,6 +31,40 @@
 	// Cached remembers where sessions' parts of prompts are cached. If nil, only the
 	// preferred engine is assumed to have them.
 	Cached *CachedParts
+	// Pacer excludes servers that accept no request now. If nil, none are.
+	Pacer Pacer
+}
+
+// Pacer tells when servers that name a rate limit accept requests.
+type Pacer interface {
+	// Wait returns the time after which this host may send a request to the server; 0: now.
+	Wait(server fleet.Server, now time.Time) time.Duration
+}
+
+// ShortestWait returns the shortest time after which one of the untried members accepts a
+// request. It is 0 if that is now, or if there are none.
+func (options Options) ShortestWait(members []fleet.Member, tried map[string]bool, now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for _, member := range members {
+		if tried[member.ID] {
+			continue
+		}
+		wait := options.wait(member, now)
+		if wait == 0 {
+			return 0
+		}
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
+func (options Options) wait(member fleet.Member, now time.Time) time.Duration {
+	if options.Pacer == nil {
+		return 0
+	}
+	return options.Pacer.Wait(member.Server, now)
 }
 
 // Terms of the expected loss of a choice, in units of the request's value.
@@ -101,7 +135,7 @@
 // Server selects the member of a service with the lowest expected loss, excluding
 // those already tried. It returns false if no member can take the request.
 func Server(options Options, request *work.Request, members []fleet.Member, tried map[string]bool, now time.Time) (Choice, bool) {
-	candidates := eligible(members, tried, now)
+	candidates := options.eligible(members, tried, now)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -124,14 +158,15 @@
 	return best, true
 }
 
-// eligible returns the members that are neither tried nor suspended. If only
+// eligible returns the members that accept a request now and are neither tried nor
+// suspended. If only
 // suspended members are left, it returns the one whose suspension ends first, rather
 // than failing the request.
-func eligible(members []fleet.Member, tried map[string]bool, now time.Time) []fleet.Member {
+func (options Options) eligible(members []fleet.Member, tried map[string]bool, now time.Time) []fleet.Member {
 	var candidates, suspended []fleet.Member
 	for _, member := range members {
 		switch {
-		case tried[member.ID]:
+		case tried[member.ID] || options.wait(member, now) > 0:
 		case member.Suspended(now):
 			suspended = append(suspended, member)
 		default:
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -32,6 +32,8 @@
 	Deadline = "deadline"
 	NoRetry  = "no_retry"
 	NoServer = "no_server"
+	// ServerLimit: the servers that could take the request accept none now.
+	ServerLimit = "server_limit"
 )
 
 // Progress is the history of a request's attempts.
@@ -73,7 +75,7 @@
 	}
 	choice, ok := pick.Server(options, request, members, progress.Tried, now)
 	if !ok {
-		return Decision{Action: GiveUp, Reason: NoServer}
+		return withoutServer(options, progress, members, now)
 	}
 	admission := admit.Decide(request, admit.Prediction{QueueDelay: choice.QueueDelay, FirstEvent: choice.FirstEvent}, now)
 	if !admission.Admitted && progress.Reached == 0 {
@@ -82,6 +84,16 @@
 	return Decision{Action: Send, Choice: &choice}
 }
 
+// withoutServer decides about a request that no server can take. If one will accept it
+// later, a caller whose request has not run is told when.
+func withoutServer(options pick.Options, progress Progress, members []fleet.Member, now time.Time) Decision {
+	wait := options.ShortestWait(members, progress.Tried, now)
+	if wait > 0 && progress.Reached == 0 {
+		return Decision{Action: Refuse, Reason: ServerLimit, RetryAfter: wait}
+	}
+	return Decision{Action: GiveUp, Reason: NoServer}
+}
+
 // acquireRetry reports whether the request may be sent to another server, and if so
 // takes one retry out of the budget.
 func acquireRetry(request *work.Request, progress Progress, budget Budget) bool {
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -69,3 +69,29 @@
 		}
 	}
 }
+
+// fakePacer holds the waits of limited servers.
+type fakePacer map[string]time.Duration
+
+func (pacer fakePacer) Wait(server fleet.Server, _ time.Time) time.Duration { return pacer[server.ID] }
+
+// Guards against sending to a server that accepts no requests now, and against callers that
+// are not told when it will.
+func TestLimitedServers(t *testing.T) {
+	now := time.Now()
+	members := []fleet.Member{{Server: fleet.Server{ID: "a"}}, {Server: fleet.Server{ID: "b"}}}
+	next := func(progress steer.Progress, pacer fakePacer) steer.Decision {
+		retries := fakeBudget(1)
+		return steer.Next(pick.Options{TokensPerMs: 50, Pacer: pacer}, bulk(now), progress, &retries, members, now)
+	}
+	decision := next(steer.Progress{}, fakePacer{"a": time.Second})
+	require.Equal(t, steer.Send, decision.Action)
+	require.Equal(t, "b", decision.Choice.Member.ID)
+	decision = next(steer.Progress{}, fakePacer{"a": time.Second, "b": 300 * time.Millisecond})
+	require.Equal(t, steer.Refuse, decision.Action)
+	require.Equal(t, steer.ServerLimit, decision.Reason)
+	require.Equal(t, 300*time.Millisecond, decision.RetryAfter)
+	decision = next(steer.Progress{Reached: 1, State: work.Refused, Tried: map[string]bool{"b": true}}, fakePacer{"a": time.Second})
+	require.Equal(t, steer.GiveUp, decision.Action)
+	require.Equal(t, steer.NoServer, decision.Reason)
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -82,17 +82,25 @@
 	if info.Load != nil {
 		call.handler.options.Fleet.ReportLoad(exchange.server.ID, *info.Load)
 	}
-	exchange.observeRateLimit(info.RateLimit)
+	exchange.observeRateLimit(response, info)
 	return exchange.handleResponse(response, info)
 }
 
-// observeRateLimit records the limit that the server named, and logs a change.
-func (exchange *exchange) observeRateLimit(perSecond float64) {
-	if exchange.call.handler.options.Pacer.Observe(exchange.server, perSecond, time.Now()) {
-		exchange.call.log(event.ServerLimitChanged(), logrus.Fields{"server": exchange.server.ID, "per_second": perSecond})
+// observeRateLimit records the limit that the server named, and logs a change. Only a success
+// without a limit shows that the server names none.
+func (exchange *exchange) observeRateLimit(response pipe.Response, info ResponseInfo) {
+	if info.RateLimit == 0 && (!isSuccess(response) || !info.Signed) {
+		return
+	}
+	if exchange.call.handler.options.Pacer.Observe(exchange.server, info.RateLimit, exchange.started, time.Now()) {
+		exchange.call.log(event.ServerLimitChanged(), logrus.Fields{"server": exchange.server.ID, "per_second": info.RateLimit})
 	}
 }
 
+func isSuccess(response pipe.Response) bool {
+	return response.StatusCode >= 200 && response.StatusCode < 300
+}
+
 func (exchange *exchange) forwardInfo() ForwardInfo {
 	call := exchange.call
 	return ForwardInfo{
@@ -128,7 +136,7 @@
 // handleResponse determines the result of the attempt from the response and relays
 // the response if the caller is to get it.
 func (exchange *exchange) handleResponse(response pipe.Response, info ResponseInfo) work.Result {
-	success := response.StatusCode >= 200 && response.StatusCode < 300
+	success := isSuccess(response)
 	switch {
 	case info.NotRun:
 		exchange.drainBody(response)
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -51,6 +51,10 @@
 			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: step.Reason, retryAfter: step.RetryAfter, choice: step.Choice})
 			return
 		}
+		if !call.handler.options.Pacer.Take(step.Choice.Member.Server, time.Now()) {
+			// Another request has taken the permission since the decision.
+			continue
+		}
 		call.tried[step.Choice.Member.ID] = true
 		result := call.attempt(*step.Choice)
 		call.state = call.state.Next(result)
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -130,7 +130,7 @@
 	harness.proof.Confirm(1)
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
-		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: poison.NewCrashDetector(poison.DetectorOptions{}), Pacer: pacer.New(), Pick: pick.Options{TokensPerMs: 50},
+		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: poison.NewCrashDetector(poison.DetectorOptions{}), Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
 		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{},
 	})
 	harness.server = httptest.NewServer(harness.handler)
