io/front: an error response clears no suspect

Requests of which some are rejected would have kept a bad part out of quarantine. Change: only successes clear features. Measured: TestErrorResponseClearsNoSuspect failed without the change (all eight engines) and passes.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -168,7 +168,7 @@
 		return exchange.failAttempt(fault.New("front.complete", pipe.Malformed, "the response is too long"))
 	}
 	exchange.releaseConn(response)
-	if response.StatusCode < http.StatusInternalServerError {
+	if success {
 		exchange.recordEnd(response)
 	}
 	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
@@ -222,7 +222,7 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// recordEnd records the end of a response for the crash detector. One that ends with its
+// recordEnd records the end of a success for the crash detector. One that ends with its
 // connection does not show that the server is still there.
 func (exchange *exchange) recordEnd(response pipe.Response) {
 	call := exchange.call
--- a/io/front/suspect_test.go
+++ b/io/front/suspect_test.go
@@ -98,6 +98,33 @@
 	require.GreaterOrEqual(t, refused, engines-5)
 }
 
+// Guards against taking an error response for a sign that the request is harmless: the
+// server has not begun to generate.
+func TestErrorResponseClearsNoSuspect(t *testing.T) {
+	harness := newHarness(t, nil)
+	const engines = 8
+	for index := range engines {
+		var listener net.Listener
+		listener = harness.addServer(fmt.Sprintf("engine-%d", index), func(request *http.Request, conn net.Conn) {
+			if body, _ := io.ReadAll(request.Body); string(body) == "reject" {
+				respondWith(http.StatusBadRequest, "no", signed)(request, conn)
+				return
+			}
+			_ = listener.Close()
+			resetConnection(request, conn)
+		})
+	}
+	for index := range engines {
+		unique := strconv.Itoa(index)
+		harness.post("/once/", unique, "X-Parts", "a,b,"+unique)
+		harness.post("/once/", "reject", "X-Parts", "a,b,reject"+unique)
+		time.Sleep(timeBetweenCrashes)
+	}
+	got := harness.post("/once/", "new", "X-Parts", "a,b,new")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Contains(t, got.body, "crashes_servers")
+}
+
 // timeBetweenCrashes leaves time for hosts to report their requests.
 const timeBetweenCrashes = 400 * time.Millisecond
 
