core/poison: bounds for broken servers and for messages; expired records start no quarantine

Change: at most 1,024 servers with broken responses, 512 features a crash, two crashes a message; expired records are only removed.

--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -15,10 +15,14 @@
 	// sameCrashWindow is the maximum time between broken responses that are
 	// attributed to the same crash.
 	sameCrashWindow = 500 * time.Millisecond
-	// maxBrokenResponses limits the broken responses kept for each server.
+	// maxBrokenResponses limits the broken responses kept for each server, and
+	// maxBrokenServers the servers for which any are kept.
 	maxBrokenResponses = 128
-	// maxFeatures limits the features of a request.
-	maxFeatures = 64
+	maxBrokenServers   = 1024
+	// maxFeatures limits the features of a request, and maxReportedFeatures those of all
+	// requests of a crash.
+	maxFeatures         = 64
+	maxReportedFeatures = 512
 )
 
 /*
@@ -97,6 +101,9 @@
 func (detector *CrashDetector) ObserveBrokenResponse(process string, features []uint64, sentAt, now time.Time) bool {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
+	if len(detector.broken) >= maxBrokenServers {
+		detector.forgetBroken(now)
+	}
 	responses := dropStale(detector.broken[process], now)
 	first := len(responses) == 0 || now.Sub(responses[len(responses)-1].at) > sameCrashWindow
 	responses = append(responses, brokenResponse{features, sentAt, now})
@@ -104,6 +111,16 @@
 	return first
 }
 
+// forgetBroken forgets the servers that cut off nothing lately. The caller must hold the
+// mutex.
+func (detector *CrashDetector) forgetBroken(now time.Time) {
+	for process, responses := range detector.broken {
+		if now.Sub(responses[len(responses)-1].at) > crashConfirmWindow {
+			delete(detector.broken, process)
+		}
+	}
+}
+
 // ObserveConnectionFailure records that a process of a server accepts no connections. The
 // requests whose responses it cut off last become suspects. It returns their number.
 func (detector *CrashDetector) ObserveConnectionFailure(process string, now time.Time) int {
@@ -116,8 +133,10 @@
 	}
 	crashTime := responses[len(responses)-1].at
 	var requests []InFlightRequest
+	features := 0
 	for _, response := range responses {
-		if crashTime.Sub(response.at) <= sameCrashWindow {
+		features += len(response.features)
+		if crashTime.Sub(response.at) <= sameCrashWindow && features <= maxReportedFeatures {
 			requests = append(requests, InFlightRequest{Features: response.features, SentBefore: crashTime.Sub(response.sentAt)})
 		}
 	}
@@ -175,15 +194,15 @@
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
 	return Evidence{
-		Crashes: detector.crashes.due(now, func(report CrashReport, ageMs int64) CrashReport {
+		Crashes: detector.crashes.due(now, maxCrashesPerMessage, func(report CrashReport, ageMs int64) CrashReport {
 			report.AgeMs = ageMs
 			return report
 		}),
-		Cleared: detector.cleared.due(now, func(report ClearedFeature, ageMs int64) ClearedFeature {
+		Cleared: detector.cleared.due(now, maxReportsPerMessage, func(report ClearedFeature, ageMs int64) ClearedFeature {
 			report.AgeMs = ageMs
 			return report
 		}),
-		Quarantines: detector.quarantines.due(now, func(report QuarantineReport, ageMs int64) QuarantineReport {
+		Quarantines: detector.quarantines.due(now, maxReportsPerMessage, func(report QuarantineReport, ageMs int64) QuarantineReport {
 			report.AgeMs = ageMs
 			return report
 		}),
--- a/core/poison/evidence.go
+++ b/core/poison/evidence.go
@@ -43,8 +43,10 @@
 	// time, until the report is reportLifetime old.
 	firstResendDelay = 140 * time.Millisecond
 	reportLifetime   = 2 * time.Second
-	// maxReportsPerMessage limits the reports of each kind in a message.
+	// maxReportsPerMessage limits the reports of each kind in a message, and
+	// maxCrashesPerMessage the crashes, whose reports are longer.
 	maxReportsPerMessage = 16
+	maxCrashesPerMessage = 2
 	// maxPendingReports limits the reports that wait to be sent.
 	maxPendingReports = 256
 	// maxReportAge limits the age in a message.
@@ -70,12 +72,12 @@
 }
 
 // due returns the reports to send now, with their ages.
-func (outbox *outbox[T]) due(now time.Time, withAge func(report T, ageMs int64) T) []T {
+func (outbox *outbox[T]) due(now time.Time, limit int, withAge func(report T, ageMs int64) T) []T {
 	outbox.reports = slices.DeleteFunc(outbox.reports, func(report outgoing[T]) bool { return now.Sub(report.queuedAt) > reportLifetime })
 	var due []T
 	for index := range outbox.reports {
 		report := &outbox.reports[index]
-		if now.Before(report.sendAt) || len(due) >= maxReportsPerMessage {
+		if now.Before(report.sendAt) || len(due) >= limit {
 			continue
 		}
 		report.sendAt = now.Add(report.delay)
--- a/core/poison/records.go
+++ b/core/poison/records.go
@@ -134,6 +134,11 @@
 	detector.mutex.Lock()
 	quarantine := newQuarantine(record.Features, timeOfAge(now.UnixMilli()-record.AtMs, now))
 	detector.records.settleCovered(quarantine)
+	if now.Sub(quarantine.At) >= CrashTTL {
+		detector.records.end([]Quarantine{quarantine})
+		detector.mutex.Unlock()
+		return
+	}
 	var change QuarantineChange
 	if detector.attribution.AddQuarantine(quarantine) {
 		change.Added = []Quarantine{quarantine}
