core/cell, io/daemon: serve finds what crashing requests have in common, too

Each request that shares the beginning of its prompt with others that crash engines crashed two engines of its own before it was refused; twenty of them, 40 crashes. Cause: suspects of serve are whole requests, too (workspace and body). Change: cells report crashes to poison.CrashDetector with the fingerprint and the prefixes of the requests in flight, and refuse those that it quarantines; hosts exchange evidence over their links, and a host that starts asks for the quarantines. What is known of single requests (claims, runs on an engine of their own) stays. Measured: TestPrefixThatCrashesEnginesIsRefused: 40 crashes before, at most 5 now; TestPromptBeginningThatCrashesEnginesIsRefused, three hosts over HTTP: failed without the check (10 engine processes lost in 26 s, nobody served), passes with it. go test -race of core/cell, core/poison, core/pacer, io/daemon, io/demo, io/front passes.

--- a/core/cell/failure_test.go
+++ b/core/cell/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -186,6 +187,43 @@
 	requireIdle(t, subject)
 }
 
+// Guards against requests that have the beginning of their prompts in common, differ in all
+// else, and crash engine after engine; and against refusing others that share a part of it.
+func TestPrefixThatCrashesEnginesIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const system, crashing, sound = 10, 11, 12
+		engines := make([]*engine, 6)
+		for index := range engines {
+			engines[index] = newEngine(firstToken, tokenGap)
+			engines[index].crashAt(3, func(call cell.Call) bool { return slices.Contains(call.Request.Prefixes, crashing) })
+		}
+		subject := cell.New(cell.Options{Servers: servers(4, engines...)})
+		send := func(fingerprint int, prefixes ...uint64) *answer {
+			return startCall(t.Context(), subject, cell.Request{
+				ID: fmt.Sprint("r", fingerprint), Fingerprint: uint64(fingerprint), Prefixes: prefixes, MaxTokens: 40, Idempotent: true,
+			})
+		}
+		refused := 0
+		for index := range 20 {
+			bad := send(1000+index, system, crashing, uint64(5000+index))
+			send(2000+index, system, sound, uint64(6000+index)).requireComplete(t)
+			<-bad.ended
+			require.True(t, fault.Is(bad.err, cell.Poison), bad.err)
+			if bad.outcome.Run == cell.NotRun {
+				refused++
+			}
+			time.Sleep(time.Second)
+		}
+		crashes := 0
+		for _, engine := range engines {
+			crashes += engine.crashes
+		}
+		require.LessOrEqual(t, crashes, 5)
+		require.GreaterOrEqual(t, refused, 17)
+		requireIdle(t, subject)
+	})
+}
+
 // Guards against top-tier calls that wait behind a burst of low-tier calls, and
 // against preempted answers that lose text. Fails with DisablePreempt.
 func TestBurstBeforeTopTier(t *testing.T) {
--- a/core/cell/options.go
+++ b/core/cell/options.go
@@ -52,6 +52,9 @@
 	// Suspects records the requests that may crash servers. Cells of one host
 	// share it; nil creates one for this cell.
 	Suspects *poison.Registry
+	// Crashes finds what requests that crash servers have in common. Cells of one host
+	// share it; nil creates one for this cell.
+	Crashes *poison.CrashDetector
 	// Claims grants the exclusive right to run a suspect; nil uses Suspects.
 	Claims poison.Claims
 	// Announce sends new crash records to the other hosts; nil discards them.
@@ -174,6 +177,9 @@
 	if options.Suspects == nil {
 		options.Suspects = poison.New(poison.Options{})
 	}
+	if options.Crashes == nil {
+		options.Crashes = poison.NewCrashDetector(poison.DetectorOptions{Logger: options.Logger})
+	}
 	if options.Claims == nil {
 		options.Claims = options.Suspects
 	}
--- a/core/cell/request.go
+++ b/core/cell/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"primrosegw/core/fault"
+	"primrosegw/core/poison"
 	"primrosegw/core/stream"
 )
 
@@ -87,6 +88,12 @@
 	ResumeText   string `cbor:"resume_text"`
 }
 
+// features returns what other requests may have in common with this one: its fingerprint and
+// the prefixes of its prompt.
+func (request *Request) features() []uint64 {
+	return poison.Features(request.Fingerprint, request.Prefixes)
+}
+
 // Chunk is a piece of an answer. The last chunk has a Finish; an answer that
 // ends without one is incomplete.
 type Chunk = stream.Chunk
--- a/core/cell/server.go
+++ b/core/cell/server.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"slices"
+	"time"
 
 	"primrosegw/core/poison"
 )
@@ -140,5 +141,8 @@
 	if cell.options.Switches.DisablePoison {
 		return poison.Shared
 	}
+	if crashes := cell.options.Crashes; crashes.HasSuspects() && crashes.Refuses(request.features(), time.Now()) {
+		return poison.Refused
+	}
 	return cell.options.Suspects.Verdict(request.Fingerprint)
 }
--- a/core/cell/suspect.go
+++ b/core/cell/suspect.go
@@ -37,7 +37,9 @@
 	if cell.options.Switches.DisablePoison {
 		return nil
 	}
-	records := cell.options.Suspects.Crash(attempt.call.request.Fingerprint, server.crashID)
+	request := &attempt.call.request
+	cell.options.Crashes.ObserveCrash(server.crashID, request.features(), attempt.dispatched, time.Now())
+	records := cell.options.Suspects.Crash(request.Fingerprint, server.crashID)
 	cell.withdrawSuspects()
 	return records
 }
@@ -68,7 +70,7 @@
 	cell.log(event.CellPoison(), logrus.Fields{
 		"request_id": call.request.ID, "workspace": call.request.Workspace, "fingerprint": call.request.Fingerprint,
 	})
-	detail := fmt.Sprintf("the request crashed %d backend servers and is not run again for %s", poison.DefaultCrashLimit, poison.CrashTTL)
+	detail := fmt.Sprintf("the request, or others with a part of its prompt, crashed %d backend servers or more; it is not run again for %s", poison.DefaultCrashLimit, poison.CrashTTL)
 	return fault.New("cell.Serve", Poison, detail)
 }
 
@@ -116,6 +118,9 @@
 	if call.holdsClaim {
 		call.releaseClaim(poison.RunResult{Completed: err == nil})
 	}
+	if crashes := call.cell.options.Crashes; err == nil && crashes.HasSuspects() {
+		crashes.ObserveCompletion(call.request.features(), time.Now())
+	}
 	if err != nil || call.cell.poisonVerdict(&call.request) != poison.Exclusive {
 		return
 	}
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -2,10 +2,15 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"primrosegw/core/event"
 )
 
 const (
@@ -50,8 +55,10 @@
 
 // DetectorOptions configures a CrashDetector.
 type DetectorOptions struct {
-	// OnQuarantine is called for each change of the quarantines, without a lock held. It
-	// may be nil.
+	// Logger logs the changes of the quarantines; nil: they are not logged.
+	Logger *event.Logger
+	// OnQuarantine is called for each change of the quarantines, without the lock of the
+	// detector held. It may be nil.
 	OnQuarantine func(change QuarantineChange)
 }
 
@@ -67,6 +74,9 @@
 	if options.OnQuarantine == nil {
 		options.OnQuarantine = func(QuarantineChange) {}
 	}
+	if options.Logger == nil {
+		options.Logger = event.Discard()
+	}
 	return &CrashDetector{
 		options: options, attribution: NewAttribution(), broken: make(map[string][]brokenResponse),
 		records: newQuarantineRecords(),
@@ -86,10 +96,13 @@
 	return max(1, digest.Sum64())
 }
 
-// Features returns the sorted features of a request: its fingerprint and the parts of its
-// prompt.
+// Features returns the sorted features of a request: its fingerprint, unless that is 0, and
+// the parts of its prompt.
 func Features(fingerprint uint64, parts []uint64) []uint64 {
-	features := append([]uint64{fingerprint}, parts[:min(len(parts), maxFeatures-1)]...)
+	features := slices.Clone(parts[:min(len(parts), maxFeatures-1)])
+	if fingerprint != 0 {
+		features = append(features, fingerprint)
+	}
 	slices.Sort(features)
 	return slices.Compact(features)
 }
@@ -148,6 +161,16 @@
 	return len(requests)
 }
 
+// ObserveCrash records the crash of a server that is known by other means, with a request that
+// was in flight there. All requests have the same ID of the crash.
+func (detector *CrashDetector) ObserveCrash(id uint64, features []uint64, sentAt, now time.Time) {
+	detector.mutex.Lock()
+	requests := []InFlightRequest{{Features: features, SentBefore: now.Sub(sentAt)}}
+	detector.crashes.add(CrashReport{ID: id, Requests: requests}, now, now)
+	detector.attribution.AddCrash(id, now, true, requests)
+	detector.updateAndUnlock(true, now)
+}
+
 // ObserveCompletion records that a request ran to completion, so that no feature of it
 // caused the crashes recorded so far.
 func (detector *CrashDetector) ObserveCompletion(features []uint64, now time.Time) {
@@ -209,6 +232,17 @@
 	}
 }
 
+// Quarantines returns the quarantines in force, for hosts that have just started.
+func (detector *CrashDetector) Quarantines(now time.Time) Evidence {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	var evidence Evidence
+	for _, quarantine := range detector.attribution.quarantines {
+		evidence.Quarantines = append(evidence.Quarantines, QuarantineReport{quarantine.Features, now.Sub(quarantine.At).Milliseconds()})
+	}
+	return evidence
+}
+
 // ApplyEvidence adds what another host has observed.
 func (detector *CrashDetector) ApplyEvidence(evidence Evidence, now time.Time) {
 	detector.mutex.Lock()
@@ -255,11 +289,28 @@
 	detector.notify(change)
 }
 
-// notify reports a change unless it is empty.
+// notify logs and reports a change unless it is empty.
 func (detector *CrashDetector) notify(change QuarantineChange) {
-	if len(change.Added)+len(change.Ended) > 0 {
-		detector.options.OnQuarantine(change)
+	if len(change.Added)+len(change.Ended) == 0 {
+		return
+	}
+	for _, quarantine := range change.Added {
+		detector.log(event.QuarantineStarted(), quarantine)
+	}
+	for _, quarantine := range change.Ended {
+		detector.log(event.QuarantineEnded(), quarantine)
+	}
+	detector.options.OnQuarantine(change)
+}
+
+func (detector *CrashDetector) log(event event.Event, quarantine Quarantine) {
+	texts := make([]string, len(quarantine.Features))
+	for index, feature := range quarantine.Features {
+		texts[index] = strconv.FormatUint(feature, 16)
 	}
+	detector.options.Logger.Log(event, logrus.Fields{
+		"features": strings.Join(texts, ","), "age_ms": time.Since(quarantine.At).Milliseconds(),
+	})
 }
 
 // dropStale removes the broken responses that are too old to be attributed to a
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -95,6 +95,7 @@
 	heads    *heads.Client
 	recent   recent
 	suspects *poison.Registry
+	crashes  *poison.CrashDetector
 	reports  *engines
 	// forwards counts the requests that other hosts sent here.
 	forwards sync.WaitGroup
@@ -126,6 +127,7 @@
 		suspects: poison.New(poison.Options{}),
 	}
 	daemon.cells = newCells(daemon.buildCell)
+	daemon.crashes = poison.NewCrashDetector(poison.DetectorOptions{Logger: options.Logger, OnQuarantine: daemon.reviewCells})
 	daemon.reports = newEngines(daemon)
 	daemon.directory.current.Store(newView(0, spec.Document{}))
 	if err := daemon.listen(options.Packets); err != nil {
--- a/io/daemon/documents.go
+++ b/io/daemon/documents.go
@@ -145,7 +145,7 @@
 func (daemon *Daemon) loops() []func(context.Context) {
 	return []func(context.Context){
 		daemon.members.Run, daemon.followMembers, daemon.followHostList, daemon.spread.Run,
-		daemon.watcher.Run, daemon.followIsolation, daemon.learnSuspects, daemon.followUsage,
+		daemon.watcher.Run, daemon.followIsolation, daemon.learnSuspects, daemon.shareEvidence, daemon.followUsage,
 		daemon.reports.follow, daemon.followPlacement,
 	}
 }
--- a/io/daemon/message.go
+++ b/io/daemon/message.go
@@ -21,6 +21,9 @@
 	messageClaim    = "claim"
 	messageSuspects = "suspects"
 	messageRecords  = "records"
+	messageEvidence = "evidence"
+
+	messageQuarantines = "quarantines"
 )
 
 // forward asks a cell's owner to run a request.
--- a/io/daemon/place.go
+++ b/io/daemon/place.go
@@ -44,6 +44,9 @@
 		messageClaim:    daemon.serveClaim,
 		messageSuspects: daemon.serveSuspects,
 		messageRecords:  daemon.serveRecords,
+		messageEvidence: daemon.serveEvidence,
+
+		messageQuarantines: daemon.serveQuarantines,
 	}
 }
 
@@ -96,7 +99,7 @@
 	return cell.New(cell.Options{
 		Name: name, Servers: servers, Logger: daemon.logger, Capacity: limits.QueuedPerCell,
 		MinimumShares: view.shares(), RetryShare: limits.RetryShare, HedgeShare: limits.HedgeShare,
-		Suspects: daemon.suspects, Claims: &claims{daemon: daemon}, Announce: daemon.announce,
+		Suspects: daemon.suspects, Crashes: daemon.crashes, Claims: &claims{daemon: daemon}, Announce: daemon.announce,
 		Random: rand.New(rand.NewPCG(daemon.random.Uint64(), daemon.random.Uint64())),
 	}), true
 }
--- a/io/daemon/suspects.go
+++ b/io/daemon/suspects.go
@@ -92,18 +92,7 @@
 }
 
 // announce hands new crash records to all hosts.
-func (daemon *Daemon) announce(records []poison.Record) {
-	for _, member := range daemon.members.Alive() {
-		if member.Name == daemon.self.Name {
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
-			defer cancel()
-			_ = daemon.link.Send(ctx, member.LinkAddress, messageSuspects, records)
-		}()
-	}
-}
+func (daemon *Daemon) announce(records []poison.Record) { daemon.sendAll(messageSuspects, records) }
 
 // serveSuspects takes crash records of another host.
 func (daemon *Daemon) serveSuspects(_ context.Context, stream *link.Stream) {
@@ -121,21 +110,30 @@
 	}
 }
 
-// learnSuspects asks the first other host that answers for its crash records.
+// learnSuspects asks the first other host that answers for its crash records and
+// quarantines.
 func (daemon *Daemon) learnSuspects(ctx context.Context) {
 	for pause(ctx, ownershipSettle) {
 		for _, member := range daemon.members.Alive() {
-			if member.Name == daemon.self.Name {
-				continue
-			}
-			asking, cancel := context.WithTimeout(ctx, claimTimeout)
-			var records []poison.Record
-			err := daemon.link.Ask(asking, member.LinkAddress, messageRecords, struct{}{}, &records)
-			cancel()
-			if err == nil {
-				daemon.suspects.Merge(records)
+			if member.Name != daemon.self.Name && daemon.learnSuspectsFrom(ctx, member.LinkAddress) == nil {
 				return
 			}
 		}
 	}
 }
+
+func (daemon *Daemon) learnSuspectsFrom(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	var records []poison.Record
+	if err := daemon.link.Ask(ctx, address, messageRecords, struct{}{}, &records); err != nil {
+		return err
+	}
+	daemon.suspects.Merge(records)
+	var evidence poison.Evidence
+	if err := daemon.link.Ask(ctx, address, messageQuarantines, struct{}{}, &evidence); err != nil {
+		return err
+	}
+	daemon.crashes.ApplyEvidence(evidence, time.Now())
+	return nil
+}
--- a/io/demo/poison_test.go
+++ b/io/demo/poison_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -64,3 +65,39 @@
 	}
 	assert.LessOrEqual(t, crashes, 2)
 }
+
+// TestPromptBeginningThatCrashesEnginesIsRefused guards against requests through all hosts
+// that share the beginning of their prompts, differ in the rest, and crash one engine after
+// the other; and against refusing those that share less of it.
+func TestPromptBeginningThatCrashesEnginesIsRefused(t *testing.T) {
+	const marker = "POISON"
+	world := start(t, func(options *demo.Options) {
+		options.Engine.Poison = marker
+		options.Engine.RestartAfter = 300 * time.Millisecond
+		options.Engines[demo.PoolSketch] = 6
+	})
+	// The marker is in the second block of the prompt; the first one is common to all.
+	system := func(text string) string { return strings.Repeat("a", 300) + text + strings.Repeat("b", 300) }
+	send := func(number int, text string) int {
+		body, err := json.Marshal(map[string]any{
+			"model": demo.ModelSketch, "max_tokens": 20,
+			"messages": []map[string]string{
+				{"role": "system", "content": system(text)}, {"role": "user", "content": fmt.Sprint("question ", number)},
+			},
+		})
+		require.NoError(t, err)
+		response, _ := call(t, "POST", world.Nodes[number%3].URL()+"/v1/chat/completions", body, nil)
+		return response.StatusCode
+	}
+	for number := range 12 {
+		send(number, marker)
+		time.Sleep(500 * time.Millisecond)
+	}
+	assert.Equal(t, http.StatusUnprocessableEntity, send(12, marker))
+	assert.Eventually(t, func() bool { return send(13, "sound") == http.StatusOK }, 20*time.Second, 100*time.Millisecond)
+	crashes := 0
+	for _, model := range world.Models {
+		crashes += model.Stats().Crashes
+	}
+	assert.LessOrEqual(t, crashes, 6)
+}
