--- a/core/trail/trail.go
+++ b/core/trail/trail.go
@@ -131,7 +131,7 @@
 func affectsRequests(name string) bool {
 	return slices.Contains([]string{
 		"store_lost", "store_regained", "proof_lost", "proof_regained", "table_adopted", "table_rejected", "history_gone",
-		"gateway_started", "gateway_draining", "gateway_stopped", "lines_dropped",
+		"gateway_started", "gateway_draining", "gateway_stopped", "lines_dropped", "quarantine_started", "quarantine_ended",
 	}, name)
 }
 
