--- a/core/poison/attribution.go
+++ b/core/poison/attribution.go
@@ -39,9 +39,9 @@
 
 Servers that go down together may have a common cause outside the requests. So a crash
 counts for a feature only if a request with it was sent after the previous crash that
-counts. Crashes that a quarantine explains do not count for other features. If two features that
-are not companions have the same number of crashes, there is no decision before
-crashesDespiteDoubt.
+counts. Crashes that a quarantine explains do not count for other features. If two
+features that are not companions have the same number of crashes, there is no decision
+before crashesDespiteDoubt.
 
 All operations are commutative and idempotent, so hosts that exchange crashes and cleared
 features come to the same result. An Attribution is not safe for concurrent use.
@@ -179,6 +179,11 @@
 	Ended []Quarantine
 }
 
+// join returns both changes together.
+func (change QuarantineChange) join(other QuarantineChange) QuarantineChange {
+	return QuarantineChange{Added: slices.Concat(change.Added, other.Added), Ended: slices.Concat(change.Ended, other.Ended)}
+}
+
 // Update draws the conclusions from what was added since the last call, and from the time
 // that has passed. Own is set if this host made the last observation. Crashes and quarantines
 // that are older than CrashTTL are dropped.
@@ -262,10 +267,11 @@
 // hypothesis is a feature that may be the cause of crashes.
 type hypothesis struct {
 	feature uint64
-	// crashes is the number of crashes that count, settled that of those before settleDelay.
+	// crashes is the number of crashes that count, settled that of those older than
+	// settleDelay.
 	crashes int
 	settled int
-	// lastCrash is the time of the last one. Own is set if this host observed it.
+	// lastCrash is the time of the last crash that counts, own whether this host observed it.
 	lastCrash time.Time
 	own       bool
 	// request holds the features of the first suspected request with the feature. Single is
@@ -325,27 +331,27 @@
 }
 
 // count counts a crash if the request was sent after the last one that counts.
-func (one *hypothesis) count(crash *trackedCrash, request InFlightRequest, settledBefore time.Time) {
-	if !crash.at.Add(-request.SentBefore).After(one.lastCrash) {
+func (hypothesis *hypothesis) count(crash *trackedCrash, request InFlightRequest, settledBefore time.Time) {
+	if !crash.at.Add(-request.SentBefore).After(hypothesis.lastCrash) {
 		return
 	}
-	one.crashes++
+	hypothesis.crashes++
 	if !crash.at.After(settledBefore) {
-		one.settled++
+		hypothesis.settled++
 	}
-	one.lastCrash, one.own = crash.at, crash.own
+	hypothesis.lastCrash, hypothesis.own = crash.at, crash.own
 }
 
 // narrow reduces the companions to the suspected features of another request.
-func (one *hypothesis) narrow(features, suspected []uint64) {
-	one.single = one.single && slices.Equal(features, one.request)
-	one.companions = slices.DeleteFunc(slices.Clone(one.companions), func(companion uint64) bool {
+func (hypothesis *hypothesis) narrow(features, suspected []uint64) {
+	hypothesis.single = hypothesis.single && slices.Equal(features, hypothesis.request)
+	hypothesis.companions = slices.DeleteFunc(slices.Clone(hypothesis.companions), func(companion uint64) bool {
 		_, shared := slices.BinarySearch(suspected, companion)
 		return !shared
 	})
 }
 
-// suspectedFeatures returns the features that no request has cleared of a crash.
+// suspectedFeatures returns the features that have not been cleared since a crash.
 func (attribution *Attribution) suspectedFeatures(features []uint64, crashAt time.Time) []uint64 {
 	return slices.DeleteFunc(slices.Clone(features), func(feature uint64) bool { return attribution.cleared[feature].After(crashAt) })
 }
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -55,6 +55,8 @@
 
 // DetectorOptions configures a CrashDetector.
 type DetectorOptions struct {
+	// Recorded is set if the caller writes and removes the records of quarantines.
+	Recorded bool
 	// Logger logs the changes of the quarantines; nil: they are not logged.
 	Logger *event.Logger
 	// OnQuarantine is called for each change of the quarantines, without the lock of the
@@ -79,7 +81,7 @@
 	}
 	return &CrashDetector{
 		options: options, attribution: NewAttribution(), broken: make(map[string][]brokenResponse),
-		records: newQuarantineRecords(),
+		records: newQuarantineRecords(options.Recorded),
 	}
 }
 
@@ -108,9 +110,9 @@
 }
 
 // ObserveBrokenResponse records that a process of a server cut off the response to a
-// request with the given features that was sent at sentAt. It reports whether this is the first broken response
-// of a possible crash. If so, the caller should try to connect to the server, to find out
-// whether it crashed.
+// request with the given features that was sent at sentAt. It reports whether this is the
+// first broken response of a possible crash. If so, the caller should try to connect to the
+// server, to find out whether it crashed.
 func (detector *CrashDetector) ObserveBrokenResponse(process string, features []uint64, sentAt, now time.Time) bool {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
@@ -137,12 +139,20 @@
 // ObserveConnectionFailure records that a process of a server accepts no connections. The
 // requests whose responses it cut off last become suspects. It returns their number.
 func (detector *CrashDetector) ObserveConnectionFailure(process string, now time.Time) int {
+	suspects, change := detector.addOwnCrash(process, now)
+	detector.notify(change)
+	return suspects
+}
+
+// addOwnCrash adds the crash of a process that cut off responses lately. It returns the
+// number of suspects.
+func (detector *CrashDetector) addOwnCrash(process string, now time.Time) (int, QuarantineChange) {
 	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
 	responses := dropStale(detector.broken[process], now)
 	delete(detector.broken, process)
 	if len(responses) == 0 {
-		detector.mutex.Unlock()
-		return 0
+		return 0, QuarantineChange{}
 	}
 	crashTime := responses[len(responses)-1].at
 	var requests []InFlightRequest
@@ -157,8 +167,7 @@
 	report := CrashReport{ID: xxhash.Sum64String(process), Requests: requests[:min(len(requests), maxRequestsPerCrash)]}
 	detector.crashes.add(report, crashTime, now)
 	detector.attribution.AddCrash(report.ID, crashTime, true, report.Requests)
-	detector.updateAndUnlock(true, now)
-	return len(requests)
+	return len(requests), detector.update(true, now)
 }
 
 // ObserveCrash records the crash of a server that is known by other means, with a request that
@@ -168,22 +177,29 @@
 	requests := []InFlightRequest{{Features: features, SentBefore: now.Sub(sentAt)}}
 	detector.crashes.add(CrashReport{ID: id, Requests: requests}, now, now)
 	detector.attribution.AddCrash(id, now, true, requests)
-	detector.updateAndUnlock(true, now)
+	change := detector.update(true, now)
+	detector.mutex.Unlock()
+	detector.notify(change)
 }
 
 // ObserveCompletion records that a request ran to completion, so that no feature of it
 // caused the crashes recorded so far.
 func (detector *CrashDetector) ObserveCompletion(features []uint64, now time.Time) {
+	detector.notify(detector.clear(features, now))
+}
+
+// clear clears the features of a request that this host completed.
+func (detector *CrashDetector) clear(features []uint64, now time.Time) QuarantineChange {
 	detector.mutex.Lock()
-	changed := detector.attribution.Clear(features, now)
-	for _, feature := range changed {
-		detector.cleared.add(ClearedFeature{Feature: feature}, now, now)
+	defer detector.mutex.Unlock()
+	cleared := detector.attribution.Clear(features, now)
+	if len(cleared) == 0 {
+		return QuarantineChange{}
 	}
-	if len(changed) == 0 {
-		detector.mutex.Unlock()
-		return
+	for _, feature := range cleared {
+		detector.cleared.add(ClearedFeature{Feature: feature}, now, now)
 	}
-	detector.updateAndUnlock(true, now)
+	return detector.update(true, now)
 }
 
 // HasSuspects reports whether there are any suspects. If there are none, callers
@@ -204,12 +220,13 @@
 
 // Advance draws the conclusions that follow from the time that has passed.
 func (detector *CrashDetector) Advance(now time.Time) {
+	var change QuarantineChange
 	detector.mutex.Lock()
-	if detector.updateAt.IsZero() || now.Before(detector.updateAt) {
-		detector.mutex.Unlock()
-		return
+	if !detector.updateAt.IsZero() && !now.Before(detector.updateAt) {
+		change = detector.update(false, now)
 	}
-	detector.updateAndUnlock(false, now)
+	detector.mutex.Unlock()
+	detector.notify(change)
 }
 
 // PendingEvidence returns what is to be sent to other hosts now.
@@ -217,18 +234,9 @@
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
 	return Evidence{
-		Crashes: detector.crashes.due(now, maxCrashesPerMessage, func(report CrashReport, ageMs int64) CrashReport {
-			report.AgeMs = ageMs
-			return report
-		}),
-		Cleared: detector.cleared.due(now, maxReportsPerMessage, func(report ClearedFeature, ageMs int64) ClearedFeature {
-			report.AgeMs = ageMs
-			return report
-		}),
-		Quarantines: detector.quarantines.due(now, maxReportsPerMessage, func(report QuarantineReport, ageMs int64) QuarantineReport {
-			report.AgeMs = ageMs
-			return report
-		}),
+		Crashes:     detector.crashes.due(now, maxCrashesPerMessage),
+		Cleared:     detector.cleared.due(now, maxReportsPerMessage),
+		Quarantines: detector.quarantines.due(now, maxReportsPerMessage),
 	}
 }
 
@@ -246,6 +254,18 @@
 // ApplyEvidence adds what another host has observed.
 func (detector *CrashDetector) ApplyEvidence(evidence Evidence, now time.Time) {
 	detector.mutex.Lock()
+	observed := detector.addObservations(evidence, now)
+	change := detector.addQuarantines(evidence.Quarantines, now)
+	if observed || len(change.Added) > 0 {
+		change = change.join(detector.update(false, now))
+	}
+	detector.mutex.Unlock()
+	detector.notify(change)
+}
+
+// addObservations adds the crashes and cleared features that another host has observed, and
+// reports whether any were unknown. The caller must hold the mutex.
+func (detector *CrashDetector) addObservations(evidence Evidence, now time.Time) bool {
 	changed := false
 	for _, report := range evidence.Crashes {
 		for _, request := range report.Requests {
@@ -257,25 +277,27 @@
 		cleared := detector.attribution.Clear([]uint64{report.Feature}, timeOfAge(report.AgeMs, now))
 		changed = changed || len(cleared) > 0
 	}
+	return changed
+}
+
+// addQuarantines adds the quarantines that another host has decided. The caller must hold the
+// mutex.
+func (detector *CrashDetector) addQuarantines(reports []QuarantineReport, now time.Time) QuarantineChange {
 	var change QuarantineChange
-	for _, report := range evidence.Quarantines {
+	for _, report := range reports {
 		quarantine := newQuarantine(report.Features, timeOfAge(report.AgeMs, now))
 		if detector.attribution.AddQuarantine(quarantine) {
 			change.Added = append(change.Added, quarantine)
 		}
 	}
 	detector.records.add(change.Added, now)
-	if !changed && len(change.Added) == 0 {
-		detector.mutex.Unlock()
-		return
-	}
-	detector.updateAndUnlock(false, now)
-	detector.notify(change)
+	return change
 }
 
-// updateAndUnlock draws the conclusions from new observations and releases the mutex. Own is
-// set for observations of this host, from which the other hosts are told the conclusions.
-func (detector *CrashDetector) updateAndUnlock(own bool, now time.Time) {
+// update draws the conclusions from new observations. Own is set for observations of this
+// host, from which the other hosts are told the conclusions. The caller must hold the mutex,
+// and notify of the change after it has released it.
+func (detector *CrashDetector) update(own bool, now time.Time) QuarantineChange {
 	change := detector.attribution.Update(own, now)
 	for _, quarantine := range change.Added {
 		if quarantine.Own {
@@ -285,8 +307,7 @@
 	detector.records.add(change.Added, now)
 	detector.records.end(change.Ended)
 	detector.updateAt = detector.attribution.NextUpdate(now)
-	detector.mutex.Unlock()
-	detector.notify(change)
+	return change
 }
 
 // notify logs and reports a change unless it is empty.
--- a/core/poison/detector_test.go
+++ b/core/poison/detector_test.go
@@ -30,7 +30,7 @@
 }
 
 func newDetector() *poison.CrashDetector {
-	return poison.NewCrashDetector(poison.DetectorOptions{})
+	return poison.NewCrashDetector(poison.DetectorOptions{Recorded: true})
 }
 
 // advance lets time pass, in which the hosts exchange messages.
--- a/core/poison/evidence.go
+++ b/core/poison/evidence.go
@@ -53,8 +53,26 @@
 	maxReportAge = CrashTTL
 )
 
+func (report CrashReport) withAge(ageMs int64) CrashReport {
+	report.AgeMs = ageMs
+	return report
+}
+
+func (report ClearedFeature) withAge(ageMs int64) ClearedFeature {
+	report.AgeMs = ageMs
+	return report
+}
+
+func (report QuarantineReport) withAge(ageMs int64) QuarantineReport {
+	report.AgeMs = ageMs
+	return report
+}
+
+// aged is a report that states the age of what it reports.
+type aged[T any] interface{ withAge(ageMs int64) T }
+
 // outbox holds reports that are sent several times, as messages may be lost.
-type outbox[T any] struct{ reports []outgoing[T] }
+type outbox[T aged[T]] struct{ reports []outgoing[T] }
 
 // outgoing is a report with the time of what it reports and its next transmission.
 type outgoing[T any] struct {
@@ -71,8 +89,8 @@
 	outbox.reports = outbox.reports[max(0, len(outbox.reports)-maxPendingReports):]
 }
 
-// due returns the reports to send now, with their ages.
-func (outbox *outbox[T]) due(now time.Time, limit int, withAge func(report T, ageMs int64) T) []T {
+// due returns the reports to send now, with their ages; at most limit of them.
+func (outbox *outbox[T]) due(now time.Time, limit int) []T {
 	outbox.reports = slices.DeleteFunc(outbox.reports, func(report outgoing[T]) bool { return now.Sub(report.queuedAt) > reportLifetime })
 	var due []T
 	for index := range outbox.reports {
@@ -82,7 +100,7 @@
 		}
 		report.sendAt = now.Add(report.delay)
 		report.delay *= 2
-		due = append(due, withAge(report.report, now.Sub(report.at).Milliseconds()))
+		due = append(due, report.report.withAge(now.Sub(report.at).Milliseconds()))
 	}
 	return due
 }
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -1,5 +1,6 @@
 // Package poison tracks suspects: requests that may crash the backend servers
-// that run them. A suspect is identified by its fingerprint.
+// that run them. A Registry identifies a suspect by its fingerprint, and lets it run
+// alone. A CrashDetector finds what the requests that crash servers have in common.
 package poison
 
 import (
--- a/core/poison/records.go
+++ b/core/poison/records.go
@@ -46,14 +46,16 @@
 
 // quarantineRecords holds the records that this host has to write or to remove.
 type quarantineRecords struct {
+	// enabled is set if records are written and removed at all.
+	enabled bool
 	// writeAt is when a record that is not known to exist is to be written.
 	writeAt map[string]time.Time
 	pending map[string]Quarantine
 	remove  []string
 }
 
-func newQuarantineRecords() quarantineRecords {
-	return quarantineRecords{writeAt: make(map[string]time.Time), pending: make(map[string]Quarantine)}
+func newQuarantineRecords(enabled bool) quarantineRecords {
+	return quarantineRecords{enabled: enabled, writeAt: make(map[string]time.Time), pending: make(map[string]Quarantine)}
 }
 
 // add schedules records to be written: own decisions at once, others later, unless another
@@ -69,6 +71,9 @@
 }
 
 func (records *quarantineRecords) schedule(quarantine Quarantine, at time.Time) {
+	if !records.enabled {
+		return
+	}
 	name := recordName(quarantine.Features)
 	records.pending[name], records.writeAt[name] = quarantine, at
 }
@@ -78,7 +83,9 @@
 	for _, quarantine := range quarantines {
 		name := recordName(quarantine.Features)
 		records.settle(name)
-		records.remove = append(records.remove, name)
+		if records.enabled {
+			records.remove = append(records.remove, name)
+		}
 	}
 }
 
@@ -129,20 +136,19 @@
 	return names
 }
 
-// ApplyRecord adds a quarantine that was recorded by any host.
+// ApplyRecord adds a quarantine that was recorded by any host. A record that has expired is to
+// be removed.
 func (detector *CrashDetector) ApplyRecord(record QuarantineRecord, now time.Time) {
-	detector.mutex.Lock()
 	quarantine := newQuarantine(record.Features, timeOfAge(now.UnixMilli()-record.AtMs, now))
+	var change QuarantineChange
+	detector.mutex.Lock()
 	detector.records.settleCovered(quarantine)
 	if now.Sub(quarantine.At) >= CrashTTL {
 		detector.records.end([]Quarantine{quarantine})
-		detector.mutex.Unlock()
-		return
-	}
-	var change QuarantineChange
-	if detector.attribution.AddQuarantine(quarantine) {
+	} else if detector.attribution.AddQuarantine(quarantine) {
 		change.Added = []Quarantine{quarantine}
+		change = change.join(detector.update(false, now))
 	}
-	detector.updateAndUnlock(false, now)
+	detector.mutex.Unlock()
 	detector.notify(change)
 }
--- a/io/daemon/message.go
+++ b/io/daemon/message.go
@@ -13,16 +13,15 @@
 
 // The names of messages between hosts.
 const (
-	messageForward  = "forward"
-	messageProbe    = "probe"
-	messageMember   = "member"
-	messageSpread   = "spread"
-	messageLedger   = "ledger"
-	messageClaim    = "claim"
-	messageSuspects = "suspects"
-	messageRecords  = "records"
-	messageEvidence = "evidence"
-
+	messageForward     = "forward"
+	messageProbe       = "probe"
+	messageMember      = "member"
+	messageSpread      = "spread"
+	messageLedger      = "ledger"
+	messageClaim       = "claim"
+	messageSuspects    = "suspects"
+	messageRecords     = "records"
+	messageEvidence    = "evidence"
 	messageQuarantines = "quarantines"
 )
 
--- a/io/daemon/place.go
+++ b/io/daemon/place.go
@@ -37,15 +37,14 @@
 			defer daemon.forwards.Done()
 			daemon.serveForward(ctx, stream)
 		},
-		messageProbe:    daemon.serveProbe,
-		messageMember:   daemon.serveMember,
-		messageSpread:   daemon.serveSpread,
-		messageLedger:   daemon.serveLedger,
-		messageClaim:    daemon.serveClaim,
-		messageSuspects: daemon.serveSuspects,
-		messageRecords:  daemon.serveRecords,
-		messageEvidence: daemon.serveEvidence,
-
+		messageProbe:       daemon.serveProbe,
+		messageMember:      daemon.serveMember,
+		messageSpread:      daemon.serveSpread,
+		messageLedger:      daemon.serveLedger,
+		messageClaim:       daemon.serveClaim,
+		messageSuspects:    daemon.serveSuspects,
+		messageRecords:     daemon.serveRecords,
+		messageEvidence:    daemon.serveEvidence,
 		messageQuarantines: daemon.serveQuarantines,
 	}
 }
