io/front: quarantine is checked again after connecting

Cause: found by reading: a request that passed the check before its connection was opened was sent although it had been quarantined meanwhile, for up to 0.4 s, and longer by a host that was paused while connecting. Change: mayStillSend checks it like the other permissions. Measured: TestQuarantineWhileConnecting failed before (200) and passes.

--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -120,12 +120,12 @@
 
 // mayStillSend reports whether what allowed an attempt still holds. While the connection
 // was being established, the server may have started to shut down, the routing table may
-// have changed, and, if the process was paused, the proof of the table may have lapsed or
-// the deadline may have passed.
+// have changed, the request may have been quarantined, and, if the process was paused, the
+// proof of the table may have lapsed or the deadline may have passed.
 func (call *call) mayStillSend(server fleet.Server) bool {
 	options, now := call.handler.options, time.Now()
 	return options.Fleet.Usable(server.ID, call.work.Service, now) && options.Table.Load() == call.table &&
-		(!call.table.RequiresKey() || options.Proof.Valid(options.Now())) && call.work.Remaining(now) > 0
+		(!call.table.RequiresKey() || options.Proof.Valid(options.Now())) && call.work.Remaining(now) > 0 && !call.crashesServers()
 }
 
 func (call *call) logSent(choice pick.Choice, exchange *exchange) {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -74,6 +74,7 @@
 	fleet   *fleet.Fleet
 	proof   *fresh.Proof
 	handler *front.Handler
+	crashes *poison.CrashDetector
 	server  *httptest.Server
 	log     *lockedBuffer
 	// now is the clock against which the proof expires. The proof was confirmed at 1.
@@ -128,9 +129,10 @@
 	require.NoError(t, err)
 	harness.table.Adopt(built)
 	harness.proof.Confirm(1)
+	harness.crashes = poison.NewCrashDetector(poison.DetectorOptions{})
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
-		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: poison.NewCrashDetector(poison.DetectorOptions{}), Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
+		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
 		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{},
 	})
 	harness.server = httptest.NewServer(harness.handler)
--- a/io/front/suspect_test.go
+++ b/io/front/suspect_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/fleet"
+	"primrosegw/core/poison"
 )
 
 // Guards against a request that crashes one backend server after another, and
@@ -125,6 +128,20 @@
 	require.Contains(t, got.body, "crashes_servers")
 }
 
+// Guards against sending a request that was quarantined while the connection was opened.
+func TestQuarantineWhileConnecting(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addServer("a", respondWith(http.StatusOK, "fine", signed))
+	harness.whileDialing = func() {
+		record := poison.QuarantineRecord{Features: []uint64{fleet.ServerHash("b")}, AtMs: time.Now().UnixMilli()}
+		harness.crashes.ApplyRecord(record, time.Now())
+	}
+	got := harness.post("/once/", "new", "X-Parts", "a,b,new")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Contains(t, got.body, "crashes_servers")
+	require.Empty(t, harness.requestsReceived())
+}
+
 // timeBetweenCrashes leaves time for hosts to report their requests.
 const timeBetweenCrashes = 400 * time.Millisecond
 
