core/poison: an ambiguous end hides no crash; hosts of earlier releases are asked once

Cause: found by reading the diff: a response that ends with its connection counted as the first broken response of a crash, so the broken one right after it caused no connection attempt, and the crash was noticed only with the next request. And in serve, a host that starts beside hosts of an earlier release would have asked them for quarantines every 0.2 s for as long as they run. Change: such ends are recorded apart; the question for quarantines is not repeated. Measured: TestAmbiguousEndHidesNoCrash; with ObserveBrokenResponse in its place, as before, its first expectation fails by construction (the earlier code returned false within 0.5 s); go test of core/poison, core/pacer, io/daemon, io/front, platform passes.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -18,8 +18,8 @@
 	burst = 1
 	// perSenderRate is the rate, in requests per second, for which another sender is added.
 	perSenderRate = 1
-	// idleTimeout is the time without a response after which other hosts become the senders,
-	// in addition to idleRequests intervals between requests.
+	// idleTimeout, and idleRequests intervals between requests, are the time without a
+	// response after which other hosts become the senders.
 	idleTimeout  = 5 * time.Second
 	idleRequests = 2
 	// otherSenderWait is the wait of a host that is not a sender: the senders may change.
@@ -201,7 +201,7 @@
 	rate := server.perSecond / float64(senders)
 	idle := idleTimeout + time.Duration(idleRequests/rate*float64(time.Second))
 	turn := int(max(0, now.Sub(server.observedAt)) / idle)
-	if server.rank < 0 || (server.rank+turn*(hosts-1))%hosts >= senders {
+	if server.rank < 0 || positionInTurn(server.rank, turn, hosts) >= senders {
 		server.tokens = 0
 		return 0
 	}
@@ -209,6 +209,10 @@
 	return rate
 }
 
+// positionInTurn returns the position of a host after the hosts have moved up by one in each
+// turn; the first ones are the senders.
+func positionInTurn(rank, turn, hosts int) int { return (rank + turn*(hosts-1)) % hosts }
+
 // PendingReports returns what is to be sent to other hosts now: the changes that this host
 // observed, and limits that it has observed again.
 func (pacer *Pacer) PendingReports(now time.Time) []Report {
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -69,6 +69,8 @@
 	features []uint64
 	sentAt   time.Time
 	at       time.Time
+	// ambiguous is set if the response may have been complete.
+	ambiguous bool
 }
 
 // NewCrashDetector returns a detector that knows of no crashes.
@@ -116,14 +118,28 @@
 func (detector *CrashDetector) ObserveBrokenResponse(process string, features []uint64, sentAt, now time.Time) bool {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
+	earlier := slices.ContainsFunc(detector.broken[process], func(response brokenResponse) bool {
+		return !response.ambiguous && now.Sub(response.at) <= sameCrashWindow
+	})
+	detector.addBroken(process, brokenResponse{features: features, sentAt: sentAt, at: now}, now)
+	return !earlier
+}
+
+// ObserveAmbiguousEnd records a response that ended with its connection, as complete responses
+// without a length do, and those of a server that crashes.
+func (detector *CrashDetector) ObserveAmbiguousEnd(process string, features []uint64, sentAt, now time.Time) {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	detector.addBroken(process, brokenResponse{features: features, sentAt: sentAt, at: now, ambiguous: true}, now)
+}
+
+// addBroken adds a response that a process cut off. The caller must hold the mutex.
+func (detector *CrashDetector) addBroken(process string, response brokenResponse, now time.Time) {
 	if len(detector.broken) >= maxBrokenServers {
 		detector.forgetBroken(now)
 	}
-	responses := dropStale(detector.broken[process], now)
-	first := len(responses) == 0 || now.Sub(responses[len(responses)-1].at) > sameCrashWindow
-	responses = append(responses, brokenResponse{features, sentAt, now})
+	responses := append(dropStale(detector.broken[process], now), response)
 	detector.broken[process] = responses[max(0, len(responses)-maxBrokenResponses):]
-	return first
 }
 
 // forgetBroken forgets the servers that cut off nothing lately. The caller must hold the
--- a/core/poison/detector_test.go
+++ b/core/poison/detector_test.go
@@ -114,6 +114,16 @@
 	require.False(t, detector.Refuses([]uint64{7}, now.Add(time.Second)))
 }
 
+// Guards against a response that ends with its connection and hides the first broken response
+// of a crash, so that nobody finds out whether the server is still there.
+func TestAmbiguousEndHidesNoCrash(t *testing.T) {
+	detector, now := newDetector(), time.Now()
+	detector.ObserveAmbiguousEnd("a", []uint64{7}, now, now)
+	require.True(t, detector.ObserveBrokenResponse("a", []uint64{8}, now, now.Add(100*time.Millisecond)))
+	require.False(t, detector.ObserveBrokenResponse("a", []uint64{9}, now, now.Add(200*time.Millisecond)))
+	require.Equal(t, 3, detector.ObserveConnectionFailure("a", now.Add(300*time.Millisecond)))
+}
+
 // Guards against a request that is refused for crashes that another request caused,
 // although it completed on another server in between.
 func TestRequestThatEndsWellIsCleared(t *testing.T) {
--- a/io/daemon/suspects.go
+++ b/io/daemon/suspects.go
@@ -131,9 +131,9 @@
 	}
 	daemon.suspects.Merge(records)
 	var evidence poison.Evidence
-	if err := daemon.link.Ask(ctx, address, messageQuarantines, struct{}{}, &evidence); err != nil {
-		return err
+	// Hosts of earlier releases do not know this message.
+	if daemon.link.Ask(ctx, address, messageQuarantines, struct{}{}, &evidence) == nil {
+		daemon.crashes.ApplyEvidence(evidence, time.Now())
 	}
-	daemon.crashes.ApplyEvidence(evidence, time.Now())
 	return nil
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -230,7 +230,7 @@
 		call.recordHarmless()
 		return
 	}
-	call.handler.options.CrashDetector.ObserveBrokenResponse(connectionKey(exchange.server), call.features(), exchange.started, time.Now())
+	call.handler.options.CrashDetector.ObserveAmbiguousEnd(connectionKey(exchange.server), call.features(), exchange.started, time.Now())
 }
 
 // failAttempt ends an attempt without a valid response. It counts as a failure of
