core/mirror: the tests' first key is written before the mirror's first read

The set-up started the mirror and wrote the first key beside it. If the first read came before the write, the mirror read again after absentRetryDelay, 0.7 s, at the moment at which the test writes the second value; the first one then is never read, as it is no longer in the store. A fault of the test, not of the mirror. Evidence: with synctest.Wait() before the write the test fails the same way each time. Change: the key is written first.

--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -240,8 +240,9 @@
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		var group sync.WaitGroup
-		group.Go(func() { harness.mirror.Run(ctx) })
+		// Before the first read: a mirror that finds no key reads it again 0.7 s later.
 		harness.source.put("config", "1")
+		group.Go(func() { harness.mirror.Run(ctx) })
 		test(harness)
 		cancel()
 		group.Wait()
