--- a/core/pacer/pacer_test.go
+++ b/core/pacer/pacer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -30,6 +31,11 @@
 	now      time.Time
 	arrivals []time.Time
 	inFlight []flight
+	// lost is the share of the messages that are lost, random its source.
+	lost   float64
+	random *rand.Rand
+	// frozen hosts neither send nor receive.
+	frozen []bool
 }
 
 // flight is a request that the server will respond to.
@@ -39,7 +45,7 @@
 }
 
 func newCluster(hosts int, limit float64) *cluster {
-	cluster := &cluster{server: fleet.Server{ID: "i-1"}, limit: limit, now: time.Now()}
+	cluster := &cluster{server: fleet.Server{ID: "i-1"}, limit: limit, now: time.Now(), random: rand.New(rand.NewPCG(1, uint64(hosts))), frozen: make([]bool, hosts)}
 	for index := range hosts {
 		name := fmt.Sprint("host-", index)
 		cluster.hosts, cluster.names, cluster.busy = append(cluster.hosts, pacer.New(name)), append(cluster.names, name), append(cluster.busy, true)
@@ -56,7 +62,7 @@
 	end := cluster.now.Add(duration)
 	for next := cluster.now; cluster.now.Before(end); cluster.now = cluster.now.Add(step) {
 		for index, host := range cluster.hosts {
-			if cluster.busy[index] && host.Take(cluster.server, cluster.now) {
+			if cluster.busy[index] && !cluster.frozen[index] && host.Take(cluster.server, cluster.now) {
 				cluster.arrivals = append(cluster.arrivals, cluster.now)
 				cluster.inFlight = append(cluster.inFlight, flight{index, cluster.now})
 			}
@@ -74,10 +80,13 @@
 }
 
 func (cluster *cluster) exchange() {
-	for _, from := range cluster.hosts {
+	for index, from := range cluster.hosts {
+		if cluster.frozen[index] {
+			continue
+		}
 		reports := from.PendingReports(cluster.now)
-		for _, to := range cluster.hosts {
-			if len(reports) > 0 && to != from {
+		for other, to := range cluster.hosts {
+			if len(reports) > 0 && to != from && !cluster.frozen[other] && cluster.random.Float64() >= cluster.lost {
 				to.ApplyReports(reports, cluster.now)
 			}
 		}
@@ -106,7 +115,7 @@
 // Guards against hosts that together exceed a server's limit, and against a limit that
 // leaves the server idle, for fleets and limits of all sizes.
 func TestHostsTogetherKeepToALimit(t *testing.T) {
-	for _, hosts := range []int{1, 8, 73, 195} {
+	for _, hosts := range []int{1, 3, 8, 73, 91, 195} {
 		for _, limit := range []float64{0.3, 1, 1.2, 1.9, 7, 40} {
 			cluster := newCluster(hosts, limit)
 			started := cluster.now
@@ -168,6 +177,28 @@
 	}
 }
 
+// Guards against exceeding a limit while messages are lost, a host is frozen and goes on, and
+// another one restarts and knows neither the limit nor, at first, the other hosts.
+func TestDisturbedHostsKeepToALimit(t *testing.T) {
+	for _, hosts := range []int{3, 8, 91, 195} {
+		for _, limit := range []float64{1, 5, 40} {
+			cluster := newCluster(hosts, limit)
+			cluster.lost = 0.3
+			started := cluster.now
+			cluster.run(contactTime)
+			cluster.frozen[0] = true
+			cluster.run(2 * time.Second)
+			cluster.hosts[1] = pacer.New(cluster.names[1])
+			cluster.busy[1] = false
+			cluster.run(time.Second)
+			cluster.hosts[1].SetHosts(cluster.names)
+			cluster.busy[1], cluster.frozen[0] = true, false
+			cluster.run(2 * window)
+			require.LessOrEqual(t, cluster.largestWindow(started.Add(contactTime)), allowed(limit), "%d hosts, limit %g", hosts, limit)
+		}
+	}
+}
+
 // Guards against messages lost: a change is reported several times.
 func TestLostReportsOfLimits(t *testing.T) {
 	local, other, now := pacer.New("a"), pacer.New("b"), time.Now()
