core/poison: one map of pending records, one lock to refuse, no option without a caller

Read in the diff: writeAt and pending had the same keys; Refuses locked the detector twice for each request; Attribution.covers and Refuses were one check; Registry's CrashLimit lost its only caller when gateway went over to the detector. No behaviour changes. cluster_test.go is formatted.

--- a/core/cell/suspect.go
+++ b/core/cell/suspect.go
@@ -70,7 +70,7 @@
 	cell.log(event.CellPoison(), logrus.Fields{
 		"request_id": call.request.ID, "workspace": call.request.Workspace, "fingerprint": call.request.Fingerprint,
 	})
-	detail := fmt.Sprintf("the request, or others with a part of its prompt, crashed %d backend servers or more; it is not run again for %s", poison.DefaultCrashLimit, poison.CrashTTL)
+	detail := fmt.Sprintf("the request, or others with a part of its prompt, crashed %d backend servers or more; it is not run again for %s", poison.CrashLimit, poison.CrashTTL)
 	return fault.New("cell.Serve", Poison, detail)
 }
 
--- a/core/poison/attribution.go
+++ b/core/poison/attribution.go
@@ -151,7 +151,7 @@
 // AddQuarantine adds a quarantine that another host decided, unless a known one covers
 // it. It reports whether it was added.
 func (attribution *Attribution) AddQuarantine(quarantine Quarantine) bool {
-	if len(quarantine.Features) == 0 || attribution.covers(quarantine.Features) {
+	if len(quarantine.Features) == 0 || attribution.Refuses(quarantine.Features) {
 		return false
 	}
 	attribution.quarantines = append(attribution.quarantines, quarantine)
@@ -160,11 +160,8 @@
 	return true
 }
 
-// Refuses reports whether a request with the sorted features is refused.
-func (attribution *Attribution) Refuses(features []uint64) bool { return attribution.covers(features) }
-
-// covers reports whether a quarantine applies to requests with the features.
-func (attribution *Attribution) covers(features []uint64) bool {
+// Refuses reports whether requests with the sorted features are refused.
+func (attribution *Attribution) Refuses(features []uint64) bool {
 	return slices.ContainsFunc(attribution.quarantines, func(quarantine Quarantine) bool { return containsAll(features, quarantine.Features) })
 }
 
@@ -288,7 +285,7 @@
 func (attribution *Attribution) bestHypothesis(now time.Time) *hypothesis {
 	var found []*hypothesis
 	for _, one := range attribution.hypotheses(now.Add(-settleDelay)) {
-		if one.crashes >= crashesToQuarantine && !attribution.covers(one.companions) {
+		if one.crashes >= crashesToQuarantine && !attribution.Refuses(one.companions) {
 			found = append(found, one)
 		}
 	}
--- a/core/poison/cluster_test.go
+++ b/core/poison/cluster_test.go
@@ -141,8 +141,12 @@
 // refusing sound requests that share a part or a session with them.
 func TestCrashingPartAmongSoundRequests(t *testing.T) {
 	disturbances := []disturbance{
-		{name: "none"}, {name: "messages lost", lost: 0.3}, {name: "hosts frozen", frozen: 2}, {name: "hosts restarted", restarted: 2},
-		{name: "all restart", allRestart: true}, {name: "all of it", lost: 0.3, frozen: 1, restarted: 2, allRestart: true},
+		{name: "none"},
+		{name: "messages lost", lost: 0.3},
+		{name: "hosts frozen", frozen: 2},
+		{name: "hosts restarted", restarted: 2},
+		{name: "all restart", allRestart: true},
+		{name: "all of it", lost: 0.3, frozen: 1, restarted: 2, allRestart: true},
 	}
 	for _, hosts := range []int{3, 8, 91, 195} {
 		for _, badFirst := range []bool{false, true} {
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -228,23 +228,31 @@
 
 // Refuses reports whether a request with the given features must not run.
 func (detector *CrashDetector) Refuses(features []uint64, now time.Time) bool {
-	detector.Advance(now)
 	detector.mutex.Lock()
-	defer detector.mutex.Unlock()
-	return detector.attribution.Refuses(features)
+	change := detector.updateIfDue(now)
+	refused := detector.attribution.Refuses(features)
+	detector.mutex.Unlock()
+	detector.notify(change)
+	return refused
 }
 
 // Advance draws the conclusions that follow from the time that has passed.
 func (detector *CrashDetector) Advance(now time.Time) {
-	var change QuarantineChange
 	detector.mutex.Lock()
-	if !detector.updateAt.IsZero() && !now.Before(detector.updateAt) {
-		change = detector.update(false, now)
-	}
+	change := detector.updateIfDue(now)
 	detector.mutex.Unlock()
 	detector.notify(change)
 }
 
+// updateIfDue is update if conclusions may have changed with time. The caller must hold the
+// mutex.
+func (detector *CrashDetector) updateIfDue(now time.Time) QuarantineChange {
+	if detector.updateAt.IsZero() || now.Before(detector.updateAt) {
+		return QuarantineChange{}
+	}
+	return detector.update(false, now)
+}
+
 // PendingEvidence returns what is to be sent to other hosts now.
 func (detector *CrashDetector) PendingEvidence(now time.Time) Evidence {
 	detector.mutex.Lock()
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -13,9 +13,9 @@
 const (
 	// CrashTTL is the time for which a crash is remembered.
 	CrashTTL = time.Hour
-	// DefaultCrashLimit is the default number of crashes at which a request is
-	// refused: a single request must not crash more than two engines.
-	DefaultCrashLimit = 2
+	// CrashLimit is the number of crashes at which a registry refuses a request: a
+	// single request must not crash more than two engines.
+	CrashLimit = 2
 	// DefaultCapacity is the number of fingerprints that a registry holds.
 	DefaultCapacity = 4096
 	// maxCrashesPerRecord limits the crashes in a record. Two uncleared crashes are
@@ -56,18 +56,14 @@
 type Options struct {
 	// Capacity is the maximum number of fingerprints. 0 means DefaultCapacity.
 	Capacity int
-	// CrashLimit is the number of crashes at which a request is refused. 0 means
-	// DefaultCrashLimit.
-	CrashLimit int
 }
 
 // Registry holds the suspects known to a host. It is safe for concurrent use.
 type Registry struct {
-	mutex      sync.Mutex
-	capacity   int
-	crashLimit int
-	records    map[uint64]*Record
-	claims     map[uint64]claim
+	mutex    sync.Mutex
+	capacity int
+	records  map[uint64]*Record
+	claims   map[uint64]claim
 }
 
 // New returns an empty registry.
@@ -75,14 +71,10 @@
 	if options.Capacity <= 0 {
 		options.Capacity = DefaultCapacity
 	}
-	if options.CrashLimit <= 0 {
-		options.CrashLimit = DefaultCrashLimit
-	}
 	return &Registry{
-		capacity:   options.Capacity,
-		crashLimit: options.CrashLimit,
-		records:    make(map[uint64]*Record),
-		claims:     make(map[uint64]claim),
+		capacity: options.Capacity,
+		records:  make(map[uint64]*Record),
+		claims:   make(map[uint64]claim),
 	}
 }
 
@@ -101,7 +93,7 @@
 	}
 	record.dropExpired(time.Now())
 	switch count := record.suspectedCrashes(); {
-	case count >= registry.crashLimit:
+	case count >= CrashLimit:
 		return Refused
 	case count > 0:
 		return Exclusive
@@ -126,7 +118,7 @@
 		return nil
 	}
 	changed := []Record{record.clone()}
-	if record.suspectedCrashes() >= registry.crashLimit {
+	if record.suspectedCrashes() >= CrashLimit {
 		changed = append(changed, registry.clearSharedCrashes(record)...)
 	}
 	return changed
@@ -137,7 +129,7 @@
 func (registry *Registry) clearSharedCrashes(cause *Record) []Record {
 	var changed []Record
 	for _, record := range registry.records {
-		if record == cause || record.suspectedCrashes() >= registry.crashLimit {
+		if record == cause || record.suspectedCrashes() >= CrashLimit {
 			continue
 		}
 		cleared := record.clearMatching(func(crash Crash) bool { return cause.hasSuspectedCrash(crash.ID) })
@@ -155,7 +147,7 @@
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	record := registry.records[fingerprint]
-	if record == nil || record.suspectedCrashes() >= registry.crashLimit {
+	if record == nil || record.suspectedCrashes() >= CrashLimit {
 		return Record{}, false
 	}
 	changed := record.clearMatching(func(Crash) bool { return true })
--- a/core/poison/records.go
+++ b/core/poison/records.go
@@ -48,58 +48,53 @@
 type quarantineRecords struct {
 	// enabled is set if records are written and removed at all.
 	enabled bool
-	// writeAt is when a record that is not known to exist is to be written.
-	writeAt map[string]time.Time
-	pending map[string]Quarantine
+	// pending holds the records that are not known to exist, by name.
+	pending map[string]pendingRecord
 	remove  []string
 }
 
+// pendingRecord is a quarantine whose record is to be written at writeAt.
+type pendingRecord struct {
+	quarantine Quarantine
+	writeAt    time.Time
+}
+
 func newQuarantineRecords(enabled bool) quarantineRecords {
-	return quarantineRecords{enabled: enabled, writeAt: make(map[string]time.Time), pending: make(map[string]Quarantine)}
+	return quarantineRecords{enabled: enabled, pending: make(map[string]pendingRecord)}
 }
 
 // add schedules records to be written: own decisions at once, others later, unless another
 // host writes them first.
 func (records *quarantineRecords) add(quarantines []Quarantine, now time.Time) {
+	if !records.enabled {
+		return
+	}
 	for _, quarantine := range quarantines {
 		delay := expectDelayMin + rand.N(expectDelayMax-expectDelayMin)
 		if quarantine.Own {
 			delay = 0
 		}
-		records.schedule(quarantine, now.Add(delay))
+		records.pending[recordName(quarantine.Features)] = pendingRecord{quarantine, now.Add(delay)}
 	}
 }
 
-func (records *quarantineRecords) schedule(quarantine Quarantine, at time.Time) {
+// end schedules the records of ended quarantines for removal.
+func (records *quarantineRecords) end(quarantines []Quarantine) {
 	if !records.enabled {
 		return
 	}
-	name := recordName(quarantine.Features)
-	records.pending[name], records.writeAt[name] = quarantine, at
-}
-
-// end schedules the records of ended quarantines for removal.
-func (records *quarantineRecords) end(quarantines []Quarantine) {
 	for _, quarantine := range quarantines {
 		name := recordName(quarantine.Features)
-		records.settle(name)
-		if records.enabled {
-			records.remove = append(records.remove, name)
-		}
+		delete(records.pending, name)
+		records.remove = append(records.remove, name)
 	}
 }
 
-// settle records that a record exists or is no longer needed.
-func (records *quarantineRecords) settle(name string) {
-	delete(records.pending, name)
-	delete(records.writeAt, name)
-}
-
-// settleCovered settles the records of quarantines that a recorded one makes needless.
+// settleCovered drops the pending records that a recorded quarantine makes needless.
 func (records *quarantineRecords) settleCovered(recorded Quarantine) {
-	for name, quarantine := range records.pending {
-		if containsAll(quarantine.Features, recorded.Features) {
-			records.settle(name)
+	for name, pending := range records.pending {
+		if containsAll(pending.quarantine.Features, recorded.Features) {
+			delete(records.pending, name)
 		}
 	}
 }
@@ -110,11 +105,13 @@
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
 	var due []QuarantineRecord
-	for name, quarantine := range detector.records.pending {
-		if !now.Before(detector.records.writeAt[name]) {
-			detector.records.writeAt[name] = now.Add(recordRetryDelay)
-			due = append(due, QuarantineRecord{Features: quarantine.Features, AtMs: quarantine.At.UnixMilli()})
+	for name, pending := range detector.records.pending {
+		if now.Before(pending.writeAt) {
+			continue
 		}
+		due = append(due, QuarantineRecord{Features: pending.quarantine.Features, AtMs: pending.quarantine.At.UnixMilli()})
+		pending.writeAt = now.Add(recordRetryDelay)
+		detector.records.pending[name] = pending
 	}
 	return due
 }
@@ -123,7 +120,7 @@
 func (detector *CrashDetector) RecordWritten(record QuarantineRecord) {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
-	detector.records.settle(record.Name())
+	delete(detector.records.pending, record.Name())
 }
 
 // RecordsToRemove returns the names of records that are no longer valid, each once. All
