io/front, core/pacer: Retry-After belongs to the refusal; one look-up for a limit

Read in the diff: unservedRefusal knew one reason by name to set another Retry-After; the caller that gives up now passes its refusal. Take looked the limit up three times. Measured: go test ./core/pacer ./io/front passes.

--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -13,6 +13,10 @@
 	"primrosegw/core/host"
 )
 
+// MinRate is the lowest limit, in requests per second: a server that accepts none is asked
+// again from time to time.
+const MinRate = 0.1
+
 const (
 	// burst is the number of requests that a sender may send at once.
 	burst = 1
@@ -157,39 +161,50 @@
 func (pacer *Pacer) Wait(process fleet.Server, now time.Time) time.Duration {
 	pacer.mutex.Lock()
 	defer pacer.mutex.Unlock()
-	return pacer.wait(process, now)
+	if limited := pacer.limited(process); limited != nil {
+		return limited.wait(len(pacer.hosts), now)
+	}
+	return 0
+}
+
+// Take takes the permission to send one request to the server now. It returns false if
+// Wait would not return 0.
+func (pacer *Pacer) Take(process fleet.Server, now time.Time) bool {
+	pacer.mutex.Lock()
+	defer pacer.mutex.Unlock()
+	limited := pacer.limited(process)
+	if limited == nil {
+		return true
+	}
+	if limited.wait(len(pacer.hosts), now) > 0 {
+		return false
+	}
+	limited.tokens--
+	return true
 }
 
-func (pacer *Pacer) wait(process fleet.Server, now time.Time) time.Duration {
+// limited returns the state of a server's process that has a limit, nil if it has none.
+func (pacer *Pacer) limited(process fleet.Server) *server {
 	if len(pacer.servers) == 0 {
-		return 0
+		return nil
 	}
 	known := pacer.servers[process.ProcessHash()]
 	if known == nil || known.perSecond == 0 {
-		return 0
+		return nil
 	}
-	rate := known.refill(len(pacer.hosts), now)
+	return known
+}
+
+// wait returns the time until this host has a token; otherSenderWait if it is not a sender.
+func (server *server) wait(hosts int, now time.Time) time.Duration {
+	rate := server.refill(hosts, now)
 	switch {
 	case rate == 0:
 		return otherSenderWait
-	case known.tokens >= 1:
+	case server.tokens >= 1:
 		return 0
 	}
-	return time.Duration((1 - known.tokens) / rate * float64(time.Second))
-}
-
-// Take takes the permission to send one request to the server now. It returns false if
-// Wait would not return 0.
-func (pacer *Pacer) Take(process fleet.Server, now time.Time) bool {
-	pacer.mutex.Lock()
-	defer pacer.mutex.Unlock()
-	if pacer.wait(process, now) > 0 {
-		return false
-	}
-	if known := pacer.servers[process.ProcessHash()]; known != nil && known.perSecond > 0 {
-		known.tokens--
-	}
-	return true
+	return time.Duration((1 - server.tokens) / rate * float64(time.Second))
 }
 
 // refill adds the tokens for the time since the last call, and returns this host's part of
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -39,13 +39,15 @@
 			return
 		}
 		if call.crashesServers() {
-			call.giveUp(false, crashesServersReason)
+			refusal := unservedRefusal(call.state, false, "crashes_servers")
+			refusal.retryAfter = crashesServersRetryAfter
+			call.giveUp(refusal)
 			return
 		}
 		step := call.nextStep(time.Now())
 		switch step.Action {
 		case steer.GiveUp:
-			call.giveUp(step.Reason == steer.Deadline, step.Reason)
+			call.giveUp(unservedRefusal(call.state, step.Reason == steer.Deadline, step.Reason))
 			return
 		case steer.Refuse:
 			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: step.Reason, retryAfter: step.RetryAfter, choice: step.Choice})
@@ -64,7 +66,7 @@
 			return
 		case work.NoConnection:
 			if connectFailures++; connectFailures >= maxConnectFailures {
-				call.giveUp(false, "unreachable")
+				call.giveUp(unservedRefusal(call.state, false, "unreachable"))
 				return
 			}
 		default:
@@ -181,7 +183,7 @@
 
 // giveUp ends a request that no server has served, with the fallback response if
 // there is one.
-func (call *call) giveUp(late bool, reason string) {
+func (call *call) giveUp(refusal refusal) {
 	if call.callerGone() {
 		call.abandon()
 		return
@@ -190,7 +192,6 @@
 		call.writeBuffered(*call.fallback)
 		return
 	}
-	refusal := unservedRefusal(call.state, late, reason)
 	call.fail(&refusal)
 }
 
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -19,9 +19,8 @@
 	// defaultRetryAfter is the Retry-After when another host or server may accept
 	// the request at once.
 	defaultRetryAfter = 50 * time.Millisecond
-	// crashesServersReason is the reason for refusing a request that crashes servers. A
-	// retry is refused as well, so its callers are kept away for as long as they may wait.
-	crashesServersReason     = "crashes_servers"
+	// crashesServersRetryAfter keeps the callers of requests that crash servers away for as
+	// long as they may wait, because a retry is refused as well.
 	crashesServersRetryAfter = time.Minute
 )
 
@@ -41,8 +40,6 @@
 // has served. The status is 503 only if the request has certainly not run.
 func unservedRefusal(state work.State, late bool, reason string) refusal {
 	switch {
-	case state.NotRun() && reason == crashesServersReason:
-		return refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: crashesServersRetryAfter}
 	case state.NotRun():
 		return refusal{status: http.StatusServiceUnavailable, reason: reason}
 	case late:
