--- a/core/mirror/history.go
+++ b/core/mirror/history.go
@@ -42,11 +42,7 @@
 	}
 	result := Batch{After: position, Until: history.batches[len(history.batches)-1].Until}
 	for _, batch := range history.batches {
-		for _, change := range batch.Events {
-			if change.Entry.Revision > position {
-				result.Events = append(result.Events, change)
-			}
-		}
+		result.Events = append(result.Events, changesAfter(batch.Events, position)...)
 	}
 	return result, result.Until > position
 }
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -199,7 +199,7 @@
 	}
 	mirror := &Mirror{
 		options: options, random: options.Random, wakeProbe: make(chan struct{}, 1), catchUp: make(chan struct{}, 1),
-		caughtUp: make(chan struct{}), startedAt: time.Now(),
+		caughtUp: make(chan struct{}),
 	}
 	mirror.drawProbePhase()
 	return mirror
--- a/io/front/second_test.go
+++ b/io/front/second_test.go
@@ -69,7 +69,6 @@
 			t.Parallel()
 			harness := newHarness(t, nil)
 			var answered atomic.Int32
-			// before is the id of the last request on a connection.
 			harness.addServer("a", func(request *http.Request, conn net.Conn) {
 				id := request.Header.Get("X-Id")
 				respond(conn, id, request.Header.Get("X-Before"))
--- a/io/front/suspect_test.go
+++ b/io/front/suspect_test.go
@@ -76,10 +76,9 @@
 	harness := newHarness(t, nil)
 	const engines = 10
 	for index := range engines {
-		var listener net.Listener
-		listener = harness.addServer(fmt.Sprintf("engine-%d", index), func(request *http.Request, conn net.Conn) {
+		harness.addStoppableServer(fmt.Sprintf("engine-%d", index), func(request *http.Request, conn net.Conn, stop func()) {
 			if strings.Contains(request.Header.Get("X-Parts"), "b") {
-				_ = listener.Close()
+				stop()
 				writeResponse(conn, http.StatusOK, request.Header.Get("X-Id"), []string{signed, "Content-Type: text/event-stream", "Connection: close"}, "id: 1\ndata: a\n\n")
 				_ = conn.Close()
 				return
@@ -107,13 +106,12 @@
 	harness := newHarness(t, nil)
 	const engines = 8
 	for index := range engines {
-		var listener net.Listener
-		listener = harness.addServer(fmt.Sprintf("engine-%d", index), func(request *http.Request, conn net.Conn) {
+		harness.addStoppableServer(fmt.Sprintf("engine-%d", index), func(request *http.Request, conn net.Conn, stop func()) {
 			if body, _ := io.ReadAll(request.Body); string(body) == "reject" {
 				respondWith(http.StatusBadRequest, "no", signed)(request, conn)
 				return
 			}
-			_ = listener.Close()
+			stop()
 			resetConnection(request, conn)
 		})
 	}
@@ -145,28 +143,37 @@
 // timeBetweenCrashes leaves time for hosts to report their requests.
 const timeBetweenCrashes = 400 * time.Millisecond
 
-// addServerCrashedByPart adds a backend server that stops listening after a request
-// whose prompt has the given part.
-func (harness *harness) addServerCrashedByPart(id, part string) {
+// addStoppableServer adds a backend server whose responder can stop it, so that it accepts no
+// more connections.
+func (harness *harness) addStoppableServer(id string, respond func(request *http.Request, conn net.Conn, stop func())) {
 	var listener net.Listener
 	listener = harness.addServer(id, func(request *http.Request, conn net.Conn) {
-		if slices.Contains(strings.Split(request.Header.Get("X-Parts"), ","), part) {
-			_ = listener.Close()
-			resetConnection(request, conn)
-			return
-		}
-		respondWith(http.StatusOK, "fine", signed)(request, conn)
+		respond(request, conn, func() { _ = listener.Close() })
+	})
+}
+
+// addServerCrashedByPart adds a backend server that goes down with a request whose prompt has
+// the given part.
+func (harness *harness) addServerCrashedByPart(id, part string) {
+	harness.addServerCrashedBy(id, func(request *http.Request) bool {
+		return slices.Contains(strings.Split(request.Header.Get("X-Parts"), ","), part)
 	})
 }
 
-// addCrashingServer adds a backend server that stops listening after a request with
-// the body "crash".
+// addCrashingServer adds a backend server that goes down with a request with the body "crash".
 func (harness *harness) addCrashingServer(id string) {
-	var listener net.Listener
-	listener = harness.addServer(id, func(request *http.Request, conn net.Conn) {
+	harness.addServerCrashedBy(id, func(request *http.Request) bool {
 		body, err := io.ReadAll(request.Body)
-		if err == nil && string(body) == "crash" {
-			_ = listener.Close()
+		return err == nil && string(body) == "crash"
+	})
+}
+
+// addServerCrashedBy adds a backend server that goes down with a matching request, without a
+// response.
+func (harness *harness) addServerCrashedBy(id string, match func(request *http.Request) bool) {
+	harness.addStoppableServer(id, func(request *http.Request, conn net.Conn, stop func()) {
+		if match(request) {
+			stop()
 			resetConnection(request, conn)
 			return
 		}
