--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -29,6 +29,8 @@
 		StoreRegained(),
 		WatchDeaf(),
 		HistoryGone(),
+		StoreRestored(),
+		RevisionDropped(),
 		HostRegistered(),
 		RegistrationFailed(),
 		ServerAdded(),
@@ -178,6 +180,18 @@
 	return Event{1933, "history_gone", logrus.InfoLevel, "store", "The store no longer keeps the changes that the host needs next; all keys are read again."}
 }
 
+// StoreRestored reports that the store was restored from a copy; all keys are read
+// again.
+func StoreRestored() Event {
+	return Event{1937, "store_restored", logrus.WarnLevel, "store", "The store was restored from a copy; all keys are read again."}
+}
+
+// RevisionDropped reports that a read configuration was not applied because its
+// revision is lower than that of the configuration in force.
+func RevisionDropped() Event {
+	return Event{1938, "revision_dropped", logrus.WarnLevel, "store", "A configuration was not applied because its revision is lower than a known one."}
+}
+
 // HostRegistered reports that the host is registered under a lease.
 func HostRegistered() Event {
 	return Event{1934, "host_registered", logrus.InfoLevel, "store", "The host is registered under a lease."}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -91,6 +91,9 @@
 	standbyLagTimeout = 1700 * time.Millisecond
 )
 
+// unknownEra is the era before the first response of the store.
+const unknownEra = -1
+
 // Options configure a Mirror.
 type Options struct {
 	Source Source
@@ -148,6 +151,8 @@
 	options Options
 
 	mutex sync.Mutex
+	// era is the era of the store, which rises when the store is restored from a copy.
+	era int64
 	// position is the revision up to which all changes have been applied.
 	position int64
 	// history holds the changes that were applied last.
@@ -198,7 +203,7 @@
 		options.Publish = func(Batch) {}
 	}
 	mirror := &Mirror{
-		options: options, random: options.Random, wakeProbe: make(chan struct{}, 1), catchUp: make(chan struct{}, 1),
+		options: options, era: unknownEra, random: options.Random, wakeProbe: make(chan struct{}, 1), catchUp: make(chan struct{}, 1),
 		caughtUp: make(chan struct{}),
 	}
 	mirror.drawProbePhase()
@@ -262,6 +267,9 @@
 // advanceProbed records a revision of the probed key and reports whether it is newer
 // than the recorded one. The mutex is held.
 func (mirror *Mirror) advanceProbed(revision int64) bool {
+	if revision < mirror.probedRevision {
+		mirror.options.Logger.Log(event.RevisionDropped(), logrus.Fields{"revision": revision, "probed_revision": mirror.probedRevision})
+	}
 	if revision <= mirror.probedRevision {
 		return false
 	}
@@ -269,6 +277,21 @@
 	return true
 }
 
+// ObserveEra records the era of the store in a response.
+func (mirror *Mirror) ObserveEra(era int64) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	if era <= mirror.era {
+		return
+	}
+	if mirror.era != unknownEra {
+		mirror.options.Logger.Log(event.StoreRestored(), logrus.Fields{
+			"era": era, "position": mirror.position, "probed_revision": mirror.probedRevision,
+		})
+	}
+	mirror.era = era
+}
+
 // recordSuccess records that the store answered.
 func (mirror *Mirror) recordSuccess() {
 	mirror.healthMutex.Lock()
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -1,6 +1,7 @@
 package mirror_test
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"primrosegw/core/event"
@@ -37,10 +39,13 @@
 	listDelay time.Duration
 	changed   chan struct{}
 	calls     map[string]int
+	// era counts the restorations; onEra is called with it on each call.
+	era   int64
+	onEra func(era int64)
 }
 
 func newSource() *source {
-	return &source{entries: map[string]store.Entry{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &source{entries: map[string]store.Entry{}, changed: make(chan struct{}), calls: map[string]int{}, onEra: func(int64) {}}
 }
 
 func (source *source) put(key, value string) {
@@ -74,8 +79,25 @@
 	source.changed = make(chan struct{})
 }
 
+// restore brings the state at a revision back and forgets all later changes.
+func (source *source) restore(revision int64) {
+	source.set(func() {
+		source.era++
+		source.revision = revision
+		source.history = slices.DeleteFunc(source.history, func(change store.Event) bool { return change.Entry.Revision > revision })
+		source.entries = map[string]store.Entry{}
+		for _, change := range source.history {
+			source.entries[change.Entry.Key] = change.Entry
+			if change.Deleted {
+				delete(source.entries, change.Entry.Key)
+			}
+		}
+	})
+}
+
 func (source *source) countCall(name string) error {
 	source.calls[name]++
+	source.onEra(source.era)
 	if source.down {
 		return fault.New("source."+name, store.Unavailable, "down")
 	}
@@ -129,7 +151,7 @@
 		if first {
 			err = source.countCall("changes")
 		}
-		if err == nil && after < source.oldest {
+		if err == nil && (after < source.oldest || after > source.revision) {
 			err = fault.New("source.changes", store.Compacted, "")
 		}
 		for _, change := range source.history {
@@ -200,6 +222,7 @@
 	published []mirror.Batch
 	// idle makes the host an idle one.
 	idle atomic.Bool
+	log  bytes.Buffer
 }
 
 func (harness *harness) publish(batch mirror.Batch) {
@@ -235,9 +258,10 @@
 		harness := &harness{source: newSource(), sink: &sink{values: map[string]string{}}, proof: fresh.New(4 * time.Second), start: time.Now()}
 		harness.mirror = mirror.New(mirror.Options{
 			Source: harness.source, Sink: harness.sink, ProbeKey: "config", ProbeInterval: time.Second, StandbyProbeInterval: 4 * time.Second, Proof: harness.proof,
-			Now: harness.now, Logger: event.Discard(), Random: rand.New(rand.NewPCG(1, 2)),
+			Now: harness.now, Logger: event.New(&harness.log, "host", logrus.InfoLevel, nil), Random: rand.New(rand.NewPCG(1, 2)),
 			IsWatcher: func() bool { return watcher }, IsIdle: harness.idle.Load, Publish: harness.publish,
 		})
+		harness.source.onEra = harness.mirror.ObserveEra
 		ctx, cancel := context.WithCancel(t.Context())
 		var group sync.WaitGroup
 		// Before the first read: a mirror that finds no key reads it again 0.7 s later.
