core/mirror: revisions are compared within an era of the store only

Cause: a host remembers the revision of the configuration that it applied last, and drops what is not newer. A restored store gives revisions out again. Class: an order that holds within one life of a store, taken for one that holds for ever. Positions in the history, batches between hosts and proofs that hosts share were compared in the same way. Change: store.Position is an era and a revision; the mirror, its batches and messages between hosts carry both. A new era, seen in any response or told by another host, drops position and history and lists all keys anew, not stale. Proofs that hosts share name the configuration's version. The event revision_dropped goes, as nothing is dropped now.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -30,7 +30,6 @@
 		WatchDeaf(),
 		HistoryGone(),
 		StoreRestored(),
-		RevisionDropped(),
 		HostRegistered(),
 		RegistrationFailed(),
 		ServerAdded(),
@@ -186,12 +185,6 @@
 	return Event{1937, "store_restored", logrus.WarnLevel, "store", "The store was restored from a copy; all keys are read again."}
 }
 
-// RevisionDropped reports that a read configuration was not applied because its
-// revision is lower than that of the configuration in force.
-func RevisionDropped() Event {
-	return Event{1938, "revision_dropped", logrus.WarnLevel, "store", "A configuration was not applied because its revision is lower than a known one."}
-}
-
 // HostRegistered reports that the host is registered under a lease.
 func HostRegistered() Event {
 	return Event{1934, "host_registered", logrus.InfoLevel, "store", "The host is registered under a lease."}
--- a/core/fresh/peers.go
+++ b/core/fresh/peers.go
@@ -14,9 +14,6 @@
 	Incarnation uint64 `cbor:"1,keyasint"`
 	// Sent is when the message was sent, on the sender's clock.
 	Sent Instant `cbor:"2,keyasint"`
-	// Revision is the revision of the configuration that the proof covers, 0 if
-	// there is no proof.
-	Revision int64 `cbor:"3,keyasint,omitempty"`
 	// Age is the age of the proof when the message was sent.
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
 	// EchoSent is the latest Sent that the sender has received from the receiver,
@@ -25,6 +22,9 @@
 	EchoIncarnation uint64        `cbor:"5,keyasint,omitempty"`
 	EchoSent        Instant       `cbor:"6,keyasint,omitempty"`
 	EchoAge         time.Duration `cbor:"7,keyasint,omitempty"`
+	// Version is the version of the configuration that the proof covers, 0 if there is
+	// no proof. Field 3 was in use in earlier releases.
+	Version int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Peers exchanges proofs with other hosts. It is safe for concurrent use.
@@ -33,6 +33,8 @@
 	incarnation uint64
 	mutex       sync.Mutex
 	received    map[string]receivedMessage
+	// newestVersion is the newest version of the configuration that another host had.
+	newestVersion int64
 }
 
 // receivedMessage is the latest message of a host.
@@ -48,12 +50,12 @@
 	return &Peers{proof: proof, incarnation: incarnation, received: make(map[string]receivedMessage)}
 }
 
-// Message returns the message to send to a host. Revision is the revision of the
+// Message returns the message to send to a host. Version is the version of the
 // configuration held.
-func (peers *Peers) Message(host string, revision int64, now Instant) ProofMessage {
+func (peers *Peers) Message(host string, version int64, now Instant) ProofMessage {
 	message := ProofMessage{Incarnation: peers.incarnation, Sent: now}
 	if age, known := peers.proof.Age(now); known {
-		message.Revision, message.Age = revision, age
+		message.Version, message.Age = version, age
 	}
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
@@ -64,20 +66,21 @@
 }
 
 // Receive handles a message of a host and confirms the local proof with it if both
-// hosts hold the same revision.
+// hosts hold the same version.
 //
 // When the sender sent the message, it had received our echoed message EchoAge ago,
 // and its proof was Age old. So its confirmation is EchoAge - Age later than that
 // receipt. The receipt is not earlier than EchoSent, so EchoSent + EchoAge - Age on
 // our clock is never later than the confirmation.
-func (peers *Peers) Receive(host string, message ProofMessage, revision int64, now Instant) {
+func (peers *Peers) Receive(host string, message ProofMessage, version int64, now Instant) {
 	peers.mutex.Lock()
 	last := peers.received[host]
 	if message.Incarnation != last.incarnation || message.Sent > last.sent {
 		peers.received[host] = receivedMessage{message.Incarnation, message.Sent, now}
 	}
+	peers.newestVersion = max(peers.newestVersion, message.Version)
 	peers.mutex.Unlock()
-	if message.EchoIncarnation != peers.incarnation || message.Revision == 0 || message.Revision != revision || message.EchoAge < 0 || message.Age < 0 {
+	if message.EchoIncarnation != peers.incarnation || message.Version == 0 || message.Version != version || message.EchoAge < 0 || message.Age < 0 {
 		return
 	}
 	provenAt := message.EchoSent + Instant(message.EchoAge-message.Age)
@@ -85,3 +88,11 @@
 		peers.proof.Confirm(provenAt)
 	}
 }
+
+// NewestVersion returns the newest version of the configuration that another host had
+// when it sent its proof, 0 if there was none.
+func (peers *Peers) NewestVersion() int64 {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	return peers.newestVersion
+}
--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -17,12 +17,16 @@
 
 The first listing is a stale read, which is cheaper, because many hosts may start
 together. A call for the changes since then makes it current. After a compaction the
-listing must not be stale: the history after its revision might be gone too.
+listing must not be stale: the history after its revision might be gone too. Nor must
+it be after the store was restored: the copy that is read might be older than that.
 */
 func (mirror *Mirror) followChanges(ctx context.Context) {
 	delay, listed, stale := pollDelayBase, false, true
 	for ctx.Err() == nil {
 		mirror.WaitReachable(ctx)
+		if mirror.isRestored() {
+			listed, stale = false, false
+		}
 		var err error
 		changed := false
 		switch {
@@ -63,34 +67,40 @@
 func (mirror *Mirror) waitForOthers(ctx context.Context) {
 	mirror.mutex.Lock()
 	delay := startDelayMin + time.Duration(mirror.random.Float64()*float64(startDelayMax-startDelayMin))
-	exists := mirror.probedRevision > 0
+	exists := mirror.probed.Revision > 0
 	mirror.mutex.Unlock()
 	if !exists {
 		sleep(ctx, delay)
 	}
 }
 
-// list reads all keys and passes them to the sink.
+// list reads all keys and passes them to the sink. It fails with store.Compacted if the
+// store was restored meanwhile.
 func (mirror *Mirror) list(ctx context.Context, stale bool) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	entries, revision, err := mirror.options.Source.Range(ctx, mirror.options.Prefix, stale)
+	entries, position, err := mirror.options.Source.Range(ctx, mirror.options.Prefix, stale)
 	if err != nil {
 		return err
 	}
 	mirror.recordSuccess()
+	mirror.ObserveEra(position.Era)
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	mirror.position = revision
+	if position.Era != mirror.position.Era {
+		return fault.New("mirror.list", store.Compacted, "the store was restored while its keys were listed")
+	}
+	restored := mirror.restored
+	mirror.position, mirror.restored = position, false
 	mirror.history.reset()
 	kept := entries[:0]
 	for _, entry := range entries {
-		if entry.Key == mirror.options.ProbeKey && !mirror.advanceProbed(entry.Revision) {
+		if entry.Key == mirror.options.ProbeKey && !mirror.advanceProbed(store.Position{Era: position.Era, Revision: entry.Revision}) {
 			continue
 		}
 		kept = append(kept, entry)
 	}
-	mirror.options.Sink.Listed(kept)
+	mirror.options.Sink.Listed(kept, restored)
 	return nil
 }
 
@@ -112,48 +122,55 @@
 // the position and the batch, the missing changes are read from the store unless they
 // arrive in time.
 func (mirror *Mirror) ApplyBatch(batch Batch) {
+	mirror.ObserveEra(batch.Era)
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
+	position := mirror.position
 	switch {
-	case mirror.position == 0 || batch.Until <= mirror.position:
-	case batch.After > mirror.position:
-		mirror.expectRevision(batch.Until)
+	case position.Revision == 0 || batch.Era != position.Era || batch.Until <= position.Revision:
+	case batch.After > position.Revision:
+		mirror.expectPosition(store.Position{Era: batch.Era, Revision: batch.Until})
 	default:
-		mirror.advance(mirror.applyEvents(batch.Events), batch.Until)
+		mirror.advance(mirror.applyEvents(batch.Events), store.Position{Era: batch.Era, Revision: batch.Until})
 	}
 }
 
-// advance moves the position and keeps the changes up to it for other hosts. The mutex
-// is held.
-func (mirror *Mirror) advance(applied []store.Event, position int64) {
-	if position <= mirror.position {
+// advance moves the position within its era and keeps the changes up to it for other
+// hosts. The mutex is held.
+func (mirror *Mirror) advance(applied []store.Event, position store.Position) {
+	if !mirror.position.Before(position) {
 		return
 	}
-	mirror.history.add(Batch{After: mirror.position, Until: position, Events: changesAfter(applied, mirror.position)})
+	after := mirror.position.Revision
+	mirror.history.add(Batch{Era: position.Era, After: after, Until: position.Revision, Events: changesAfter(applied, after)})
 	mirror.position = position
 }
 
 // Since returns all changes with new information after a position, for a host that
 // missed them. It returns false if there are none or if not all of them are kept.
-func (mirror *Mirror) Since(position int64) (Batch, bool) {
+func (mirror *Mirror) Since(position store.Position) (Batch, bool) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	return mirror.history.since(position)
+	if position.Era != mirror.position.Era {
+		return Batch{}, false
+	}
+	return mirror.history.since(position.Revision)
 }
 
-// Position returns the revision up to which all changes have been applied.
-func (mirror *Mirror) Position() int64 {
+// Position returns the position up to which all changes have been applied.
+func (mirror *Mirror) Position() store.Position {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	return mirror.position
 }
 
-// ExpectRevision records that another host has applied the changes up to a revision.
+// ExpectPosition records that another host has applied the changes up to a position.
 // If they do not arrive in time, they are read from the store.
-func (mirror *Mirror) ExpectRevision(revision int64) {
+func (mirror *Mirror) ExpectPosition(position store.Position) {
+	mirror.ObserveEra(position.Era)
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	mirror.expectRevision(revision)
+	mirror.expectPosition(position)
 }
 
 // applyEvents applies changes after the position. It returns the changes to publish:
@@ -163,10 +180,10 @@
 func (mirror *Mirror) applyEvents(events []store.Event) []store.Event {
 	var published []store.Event
 	for _, change := range events {
-		known := change.Entry.Revision <= mirror.position
+		known := change.Entry.Revision <= mirror.position.Revision
 		isProbeKey := change.Entry.Key == mirror.options.ProbeKey
 		changed := false
-		if !known && (!isProbeKey || mirror.advanceProbed(change.Entry.Revision)) {
+		if !known && (!isProbeKey || mirror.advanceProbed(store.Position{Era: mirror.position.Era, Revision: change.Entry.Revision})) {
 			changed = mirror.options.Sink.Changed(change)
 		}
 		if known || isProbeKey || changed {
@@ -185,7 +202,7 @@
 	after := mirror.position
 	mirror.cancelPoll = cancel
 	mirror.mutex.Unlock()
-	events, revision, err := mirror.options.Source.Changes(ctx, mirror.options.Prefix, after, timeout)
+	events, position, err := mirror.options.Source.Changes(ctx, mirror.options.Prefix, after, timeout)
 	if err != nil {
 		if ctx.Err() != nil {
 			// The call was cancelled as stalled or Run is ending. Neither is a
@@ -194,34 +211,41 @@
 		}
 		return false, err
 	}
+	mirror.ObserveEra(position.Era)
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
+	if after.Era != mirror.position.Era || position.Era != after.Era {
+		// The store was restored meanwhile.
+		return false, nil
+	}
 	published := mirror.applyEvents(events)
-	mirror.advance(published, revision)
+	mirror.advance(published, position)
 	if len(events) > 0 && publish {
-		mirror.options.Publish(Batch{After: after, Until: revision, Events: published})
+		mirror.options.Publish(Batch{Era: after.Era, After: after.Revision, Until: position.Revision, Events: published})
 	}
 	return len(events) > 0, nil
 }
 
-// expectRevision implements ExpectRevision. The mutex is held.
-func (mirror *Mirror) expectRevision(revision int64) {
-	if revision > max(mirror.position, mirror.expectedRevision) && mirror.position > 0 {
-		mirror.expectedRevision = revision
-		timeout := pollStallTimeout
-		if !mirror.options.IsWatcher() {
-			timeout = standbyLagTimeout
-		}
-		time.AfterFunc(timeout, func() { mirror.restartStalledPoll(revision) })
+// expectPosition implements ExpectPosition. The mutex is held.
+func (mirror *Mirror) expectPosition(position store.Position) {
+	known := mirror.position
+	if known.Revision == 0 || position.Era != known.Era || !known.Before(position) || !mirror.expected.Before(position) {
+		return
+	}
+	mirror.expected = position
+	timeout := pollStallTimeout
+	if !mirror.options.IsWatcher() {
+		timeout = standbyLagTimeout
 	}
+	time.AfterFunc(timeout, func() { mirror.restartStalledPoll(position) })
 }
 
-// restartStalledPoll cancels a poll that has not delivered a revision which the store
+// restartStalledPoll cancels a poll that has not delivered a position which the store
 // is known to have reached. A standby host reads the missing changes instead.
-func (mirror *Mirror) restartStalledPoll(revision int64) {
+func (mirror *Mirror) restartStalledPoll(position store.Position) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	if mirror.position >= revision {
+	if !mirror.position.Before(position) {
 		return
 	}
 	select {
@@ -229,7 +253,7 @@
 	default:
 	}
 	if mirror.cancelPoll != nil && mirror.options.IsWatcher() {
-		mirror.options.Logger.Log(event.WatchDeaf(), logrus.Fields{"position": mirror.position, "revision": revision})
+		mirror.options.Logger.Log(event.WatchDeaf(), logrus.Fields{"position": mirror.position.Revision, "revision": position.Revision})
 		mirror.cancelPoll()
 	}
 }
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -19,16 +19,16 @@
 
 // Source is the read interface of the store that a mirror uses.
 type Source interface {
-	// Get reads one key with the store's revision. It fails with store.Absent or
+	// Get reads one key with the store's position. It fails with store.Absent or
 	// store.Unavailable.
-	Get(ctx context.Context, key string) (entry store.Entry, revision int64, err error)
-	// Range reads all keys with a prefix, with a revision after which changes may be
+	Get(ctx context.Context, key string) (entry store.Entry, position store.Position, err error)
+	// Range reads all keys with a prefix, with a position after which changes may be
 	// missing in them. A stale read is cheaper, and may be seconds old.
-	Range(ctx context.Context, prefix string, stale bool) ([]store.Entry, int64, error)
-	// Changes waits for changes after a revision and returns them with the
-	// revision to continue from. It fails with store.Compacted if the history
-	// after the revision is no longer kept.
-	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error)
+	Range(ctx context.Context, prefix string, stale bool) ([]store.Entry, store.Position, error)
+	// Changes waits for changes after a position and returns them with the
+	// position to continue from. It fails with store.Compacted if the history
+	// after the position is no longer kept.
+	Changes(ctx context.Context, prefix string, after store.Position, wait time.Duration) ([]store.Event, store.Position, error)
 }
 
 // Sink receives what the mirror reads. Its methods are never called concurrently.
@@ -37,9 +37,11 @@
 	// reports whether the change carries new information: many writes are only
 	// heartbeats that repeat the previous value.
 	Changed(change store.Event) bool
-	// Listed is called with all keys on the first listing and after a compaction.
-	// It leaves out the probed key if its revision was delivered before.
-	Listed(entries []store.Entry)
+	// Listed is called with all keys on the first listing, after a compaction and
+	// after the store was restored from a copy. It leaves out the probed key if its
+	// position was delivered before. If restored is set, entries may be older than
+	// those that were delivered before.
+	Listed(entries []store.Entry, restored bool)
 }
 
 // ReregistrationGrace is the time after the end of a store outage within which the
@@ -91,9 +93,6 @@
 	standbyLagTimeout = 1700 * time.Millisecond
 )
 
-// unknownEra is the era before the first response of the store.
-const unknownEra = -1
-
 // Options configure a Mirror.
 type Options struct {
 	Source Source
@@ -121,6 +120,12 @@
 	// requests, so that it can wait longer before it calls the store. Nil means that
 	// it is not idle.
 	IsIdle func() bool
+	// IsCurrent reports whether what the store holds under ProbeKey is the newest value
+	// that is known, so that reading it is a proof. Nil means that it always is.
+	IsCurrent func() bool
+	// OnRestored is called after the store was restored from a copy, in which all that
+	// was written lately is missing. It may be nil.
+	OnRestored func()
 	// Publish is called with the changes that this host has read from the store. It
 	// may be nil.
 	Publish func(Batch)
@@ -133,16 +138,18 @@
 	After  int64         `cbor:"1,keyasint"`
 	Until  int64         `cbor:"2,keyasint"`
 	Events []store.Event `cbor:"3,keyasint,omitempty"`
+	// Era is the era of the revisions.
+	Era int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Prepend returns the batch extended by the previous one, so that a host which lost
 // the previous one misses nothing. It returns the batch unchanged if the two are not
 // contiguous.
 func (batch Batch) Prepend(previous Batch) Batch {
-	if previous.Until != batch.After || previous.Until == 0 {
+	if previous.Era != batch.Era || previous.Until != batch.After || previous.Until == 0 {
 		return batch
 	}
-	return Batch{After: previous.After, Until: batch.Until, Events: slices.Concat(previous.Events, batch.Events)}
+	return Batch{Era: batch.Era, After: previous.After, Until: batch.Until, Events: slices.Concat(previous.Events, batch.Events)}
 }
 
 // Mirror delivers the copy to its sink and tracks the position in the store's change
@@ -151,17 +158,18 @@
 	options Options
 
 	mutex sync.Mutex
-	// era is the era of the store, which rises when the store is restored from a copy.
-	era int64
-	// position is the revision up to which all changes have been applied.
-	position int64
+	// position is the position up to which all changes have been applied. Its era is
+	// the newest that is known, and its revision is 0 until the keys of the era have
+	// been listed.
+	position store.Position
+	// restored is set until the keys of a restored store have been listed.
+	restored bool
 	// history holds the changes that were applied last.
 	history history
-	// probedRevision is the newest revision of the probed key that was applied.
-	probedRevision int64
-	// expectedRevision is the newest revision that the store is known to have
-	// reached.
-	expectedRevision int64
+	// probed is the newest position of the probed key that was applied.
+	probed store.Position
+	// expected is the newest position that the store is known to have reached.
+	expected store.Position
 	// catchUp makes a standby host read missing changes from the store.
 	catchUp chan struct{}
 	// cancelPoll cancels the call for changes that is in progress.
@@ -182,8 +190,10 @@
 	healthMutex sync.Mutex
 	// lostAt is when the store became unreachable, zero while it is reachable.
 	lostAt time.Time
-	// regainedAt is when the store last became reachable again.
+	// regainedAt is when the store last became reachable again or was found restored.
 	regainedAt time.Time
+	// restoredAt is when the store was last found restored.
+	restoredAt time.Time
 	// regained is closed when the store becomes reachable again; nil while it is
 	// reachable.
 	regained chan struct{}
@@ -199,11 +209,17 @@
 	if options.IsIdle == nil {
 		options.IsIdle = func() bool { return false }
 	}
+	if options.IsCurrent == nil {
+		options.IsCurrent = func() bool { return true }
+	}
+	if options.OnRestored == nil {
+		options.OnRestored = func() {}
+	}
 	if options.Publish == nil {
 		options.Publish = func(Batch) {}
 	}
 	mirror := &Mirror{
-		options: options, era: unknownEra, random: options.Random, wakeProbe: make(chan struct{}, 1), catchUp: make(chan struct{}, 1),
+		options: options, position: store.Position{Era: unknownEra}, random: options.Random, wakeProbe: make(chan struct{}, 1), catchUp: make(chan struct{}, 1),
 		caughtUp: make(chan struct{}),
 	}
 	mirror.drawProbePhase()
@@ -248,11 +264,15 @@
 	}
 }
 
-// ProbedRevision returns the newest revision of the probed key that was applied.
-func (mirror *Mirror) ProbedRevision() int64 {
-	mirror.mutex.Lock()
-	defer mirror.mutex.Unlock()
-	return mirror.probedRevision
+// Era returns the newest era of the store that is known.
+func (mirror *Mirror) Era() int64 { return mirror.Position().Era }
+
+// RecentlyRestored reports whether the store was found restored so recently that its
+// clients may still be writing again what was lost.
+func (mirror *Mirror) RecentlyRestored(now time.Time) bool {
+	mirror.healthMutex.Lock()
+	defer mirror.healthMutex.Unlock()
+	return !mirror.restoredAt.IsZero() && now.Before(mirror.restoredAt.Add(ReregistrationGrace))
 }
 
 // WaitCaughtUp waits until the changes since the first listing have been applied, a
@@ -264,34 +284,16 @@
 	}
 }
 
-// advanceProbed records a revision of the probed key and reports whether it is newer
+// advanceProbed records a position of the probed key and reports whether it is newer
 // than the recorded one. The mutex is held.
-func (mirror *Mirror) advanceProbed(revision int64) bool {
-	if revision < mirror.probedRevision {
-		mirror.options.Logger.Log(event.RevisionDropped(), logrus.Fields{"revision": revision, "probed_revision": mirror.probedRevision})
-	}
-	if revision <= mirror.probedRevision {
+func (mirror *Mirror) advanceProbed(position store.Position) bool {
+	if !mirror.probed.Before(position) {
 		return false
 	}
-	mirror.probedRevision = revision
+	mirror.probed = position
 	return true
 }
 
-// ObserveEra records the era of the store in a response.
-func (mirror *Mirror) ObserveEra(era int64) {
-	mirror.mutex.Lock()
-	defer mirror.mutex.Unlock()
-	if era <= mirror.era {
-		return
-	}
-	if mirror.era != unknownEra {
-		mirror.options.Logger.Log(event.StoreRestored(), logrus.Fields{
-			"era": era, "position": mirror.position, "probed_revision": mirror.probedRevision,
-		})
-	}
-	mirror.era = era
-}
-
 // recordSuccess records that the store answered.
 func (mirror *Mirror) recordSuccess() {
 	mirror.healthMutex.Lock()
--- a/core/mirror/probe.go
+++ b/core/mirror/probe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"primrosegw/core/fault"
+	"primrosegw/core/fresh"
 	"primrosegw/core/store"
 )
 
@@ -101,22 +102,34 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	before := mirror.options.Now()
-	entry, revision, err := mirror.options.Source.Get(ctx, mirror.options.ProbeKey)
+	entry, position, err := mirror.options.Source.Get(ctx, mirror.options.ProbeKey)
 	if err != nil && !fault.Is(err, store.Absent) {
 		return err
 	}
 	mirror.recordSuccess()
-	if err != nil {
-		// There is no configuration to confirm yet.
+	if err != nil || !mirror.applyProbed(entry, position, before) {
+		// There is nothing to confirm yet.
 		sleep(ctx, mirror.jitter(absentRetryDelay))
-		return nil
 	}
+	return nil
+}
+
+// applyProbed applies the entry of the probed key that was read at a position, and reports
+// whether it confirms the proof as of the start of the read.
+func (mirror *Mirror) applyProbed(entry store.Entry, position store.Position, before fresh.Instant) bool {
+	mirror.ObserveEra(position.Era)
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	if mirror.advanceProbed(entry.Revision) {
+	if position.Era != mirror.position.Era {
+		return false
+	}
+	if mirror.advanceProbed(store.Position{Era: position.Era, Revision: entry.Revision}) {
 		mirror.options.Sink.Changed(store.Event{Entry: entry})
 	}
+	mirror.expectPosition(position)
+	if !mirror.options.IsCurrent() {
+		return false
+	}
 	mirror.options.Proof.Confirm(before)
-	mirror.expectRevision(revision)
-	return nil
+	return true
 }
