--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -264,9 +264,6 @@
 	}
 }
 
-// Era returns the newest era of the store that is known.
-func (mirror *Mirror) Era() int64 { return mirror.Position().Era }
-
 // RecentlyRestored reports whether the store was found restored so recently that its
 // clients may still be writing again what was lost.
 func (mirror *Mirror) RecentlyRestored(now time.Time) bool {
