core/roster: a host that has left is not listed again in the same incarnation

If a store comes back from a copy that is older than a planned stop, the entry of the host says alive again, and callers are sent to a host that is leaving or gone. Cause: an entry is believed by the order of arrival; after a restoration an older one arrives later. Change: the roster remembers the latest incarnation of each host that was leaving. Evidence: TestHostThatLeftIsNotListedAgain failed before ([a b] instead of [b]) and passes.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -40,6 +40,8 @@
 	mutex sync.Mutex
 	own   host.Host
 	hosts map[string]trackedHost
+	// left holds the latest incarnation of each host that has left.
+	left map[string]uint64
 }
 
 // trackedHost is a host with the expiry of its listing.
@@ -51,17 +53,24 @@
 
 // New returns a roster that contains only the local host.
 func New(own host.Host) *Roster {
-	return &Roster{own: own, hosts: make(map[string]trackedHost)}
+	return &Roster{own: own, hosts: make(map[string]trackedHost), left: make(map[string]uint64)}
 }
 
 // Put adds or updates a host and reports whether it is a new host or a new
-// incarnation of a known one.
-func (roster *Roster) Put(host host.Host) bool {
+// incarnation of a known one. An incarnation that was leaving stays so: its entry of
+// before may come back when the store is restored from a copy.
+func (roster *Roster) Put(put host.Host) bool {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
-	known, ok := roster.hosts[host.Name]
-	roster.hosts[host.Name] = trackedHost{Host: host}
-	return !ok || known.Incarnation != host.Incarnation
+	if incarnation, left := roster.left[put.Name]; left && incarnation == put.Incarnation {
+		put.State = host.Leaving
+	}
+	known, ok := roster.hosts[put.Name]
+	roster.hosts[put.Name] = trackedHost{Host: put}
+	if put.State == host.Leaving {
+		roster.left[put.Name] = put.Incarnation
+	}
+	return !ok || known.Incarnation != put.Incarnation
 }
 
 // Remove deletes a host whose entry disappeared. If the store was unavailable, an
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -199,3 +199,22 @@
 	require.Equal(t, 700, peak.Observe(20, start.Add(10*time.Second)))
 	require.Equal(t, 20, peak.Observe(20, start.Add(11*time.Second)))
 }
+
+// Guards against callers that are sent to a host which has left, because a restored store still
+// has its entry of before.
+func TestHostThatLeftIsNotListedAgain(t *testing.T) {
+	now := time.Now()
+	hosts := roster.New(host.Host{Name: "b", State: host.Alive})
+	alive := host.Host{Name: "a", State: host.Alive, Incarnation: 5}
+	leaving := host.Host{Name: "a", State: host.Leaving, Incarnation: 5}
+	hosts.Put(alive)
+	hosts.Put(leaving)
+	hosts.Put(alive)
+	require.Equal(t, []string{"b"}, names(hosts.Live(now)))
+	hosts.Remove("a", false, now)
+	hosts.Put(alive)
+	require.Equal(t, []string{"b"}, names(hosts.Live(now)))
+	hosts.Remove("a", false, now)
+	hosts.Put(host.Host{Name: "a", State: host.Alive, Incarnation: 6})
+	require.Equal(t, []string{"a", "b"}, names(hosts.Live(now)))
+}
