core/fleet: a registration of a restored store brings no server back

Callers: none seen. A restored store lists servers as ready that had said they were leaving, or that were gone; a host that knew so sent them requests again (DRAIN binds it). Cause: entries are believed by revision; those of a copy come after what the host has learned since. Change: Server.Sequence, the server's own count of its writes; in the listing after a restoration, a registration that is older than what is known of the server, or of a removed one, is ignored. Later writes count as ever. A host that gets changes from watchers knows the sequence of the last informative write only, so it may take a removed server back until the copy's lease ends.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -36,6 +36,8 @@
 	// Started is the start time of the server process. A restarted server
 	// registers under the same ID with a later time.
 	Started time.Time
+	// Sequence rises with each write of the registration since Started.
+	Sequence int64
 }
 
 // Load is the latest load report of a server.
@@ -101,6 +103,8 @@
 	members   map[string]*Member
 	byService map[string][]*Member
 	byHash    map[uint64]*Member
+	// removed holds the servers that were removed lately, by ID.
+	removed map[string]removedServer
 	// reports holds the latest report of each other host, by host name.
 	reports map[string]receivedReport
 	// nextExpiry is when the reports are next checked for expiry.
@@ -111,6 +115,7 @@
 func New() *Fleet {
 	return &Fleet{
 		members: make(map[string]*Member), byService: make(map[string][]*Member), byHash: make(map[uint64]*Member), reports: make(map[string]receivedReport),
+		removed: make(map[string]removedServer),
 	}
 }
 
@@ -120,7 +125,7 @@
 	Added bool
 	// Leaving is set if the server was not known to be leaving.
 	Leaving bool
-	// Changed is set if any part of the registration changed.
+	// Changed is set if any part of the registration but its sequence changed.
 	Changed bool
 }
 
@@ -129,6 +134,11 @@
 func (fleet *Fleet) Put(server Server) PutResult {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
+	return fleet.put(server)
+}
+
+// put implements Put. The mutex is held.
+func (fleet *Fleet) put(server Server) PutResult {
 	known := fleet.members[server.ID]
 	if known == nil || known.Address != server.Address || !known.Started.Equal(server.Started) {
 		member := &Member{Server: server, hash: ServerHash(server.ID)}
@@ -137,6 +147,7 @@
 		fleet.rebuildIndex()
 		return PutResult{Added: true, Leaving: server.Leaving, Changed: true}
 	}
+	known.Sequence = server.Sequence
 	result := PutResult{Leaving: server.Leaving && !known.Leaving, Changed: known.Server != server || !known.ExpiresAt.IsZero()}
 	serviceChanged := known.Service != server.Service
 	known.Server, known.ExpiresAt = server, time.Time{}
@@ -153,7 +164,7 @@
 	if fleet.members[id] == nil {
 		return false
 	}
-	delete(fleet.members, id)
+	fleet.delete(id)
 	fleet.rebuildIndex()
 	return true
 }
@@ -189,7 +200,7 @@
 	for id, member := range fleet.members {
 		if !member.ExpiresAt.IsZero() && !now.Before(member.ExpiresAt) {
 			removed = append(removed, id)
-			delete(fleet.members, id)
+			fleet.delete(id)
 		}
 	}
 	if len(removed) > 0 {
