core/poison: quarantines that a restored store lacks are written again

Callers: none seen. A quarantine that was recorded in the seconds that the copy lacks is unknown to hosts that start afterwards, and requests that crash servers reach servers again through them. Cause: a record once written is taken to exist. Change: after a restoration the records of quarantines in force that the listing lacks are scheduled like new ones.

--- a/core/poison/records.go
+++ b/core/poison/records.go
@@ -116,6 +116,22 @@
 	return due
 }
 
+// RecordsLost schedules the records of quarantines in force that are not among the existing
+// ones to be written again, after the place where they are kept was restored from a copy.
+// A record exists by its name.
+func (detector *CrashDetector) RecordsLost(exists func(name string) bool, now time.Time) {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	var lost []Quarantine
+	for _, quarantine := range detector.attribution.quarantines {
+		name := recordName(quarantine.Features)
+		if _, pending := detector.records.pending[name]; !pending && !exists(name) {
+			lost = append(lost, quarantine)
+		}
+	}
+	detector.records.add(lost, now)
+}
+
 // RecordWritten records that a record exists.
 func (detector *CrashDetector) RecordWritten(record QuarantineRecord) {
 	detector.mutex.Lock()
