io/etcd, standin/kv: revisions and leases of before a restoration do not count

Callers: none seen; found by looking for the cause of the restored store in serve. A host's compare-and-swap succeeds on somebody else's write, or it renews a lease whose ID was given to another host, so that two hosts hold one lock. Cause: a service that is restored from a copy gives revisions and lease IDs out again; the client kept them as they were. Change: the client keeps the cluster ID (in the header of each reply, a new one after a restoration) beside each key's revision and each lease; those of another cluster are a conflict and an expired lease. A write that is the first call after a restoration is sent before the new cluster ID is known.

--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -66,6 +66,7 @@
 	budget    *rate.Limiter
 	mutex     sync.Mutex
 	calls     map[string]int
+	cluster   cluster
 }
 
 // New returns a client. It fails with Refused when an option is bad.
@@ -76,7 +77,8 @@
 	options = options.withDefaults()
 	client := &Client{
 		http: options.HTTP, timeout: options.Timeout, calls: map[string]int{},
-		budget: rate.NewLimiter(rate.Limit(options.CallsPerSecond), options.Burst),
+		cluster: cluster{revisions: map[string]uint64{}, leases: map[int64]uint64{}},
+		budget:  rate.NewLimiter(rate.Limit(options.CallsPerSecond), options.Burst),
 		endpoints: endpoints{
 			random: options.Random, minimum: minimumBackoff, maximum: maximumBackoff,
 			first: options.Random.IntN(len(options.Endpoints)),
@@ -199,6 +201,9 @@
 		return refusal(call.kind, response)
 	}
 	err = json.NewDecoder(io.LimitReader(response.Body, replyLimit)).Decode(call.answer)
+	if answer, ok := call.answer.(reply); ok && err == nil {
+		client.cluster.observe(answer.head())
+	}
 	return attempt{err: err, sent: true, failed: err != nil}
 }
 
--- a/io/etcd/store.go
+++ b/io/etcd/store.go
@@ -16,6 +16,7 @@
 	if err != nil {
 		return store.Entry{}, err
 	}
+	client.cluster.recordRevision(key, answer.Header)
 	if len(answer.Pairs) == 0 {
 		return store.Entry{}, fault.New("etcd.range", store.Absent, key)
 	}
@@ -32,19 +33,27 @@
 	}
 	entries := make([]store.Entry, 0, len(answer.Pairs))
 	for _, pair := range answer.Pairs {
+		client.cluster.recordRevision(string(pair.Key), answer.Header)
 		entries = append(entries, pair.entry())
 	}
 	return entries, answer.Header.Revision, nil
 }
 
-// Swap writes a key if it is at the expected revision.
+// Swap writes a key if it is at the expected revision. A revision that the service gave out
+// before it was restored from a copy is a Conflict, and a lease of before is Expired.
 func (client *Client) Swap(ctx context.Context, swap store.Swap) (int64, error) {
+	if kind, refused := client.cluster.refusal(swap); refused {
+		return 0, fault.New("etcd.txn", kind, "the service was restored from a copy meanwhile")
+	}
 	put := &putRequest{Key: []byte(swap.Key), Value: swap.Value, Lease: swap.Lease}
 	return client.transact(ctx, swap.Key, swap.Expect, operation{Put: put})
 }
 
 // Delete removes a key if it is at the expected revision.
 func (client *Client) Delete(ctx context.Context, key string, expect int64) error {
+	if kind, refused := client.cluster.refusal(store.Swap{Key: key, Expect: expect}); refused {
+		return fault.New("etcd.txn", kind, "the service was restored from a copy meanwhile")
+	}
 	_, err := client.transact(ctx, key, expect, operation{Delete: &rangeRequest{Key: []byte(key)}})
 	return err
 }
@@ -63,6 +72,7 @@
 	if !answer.Succeeded {
 		return 0, fault.New("etcd.txn", store.Conflict, key)
 	}
+	client.cluster.recordRevision(key, answer.Header)
 	return answer.Header.Revision, nil
 }
 
@@ -71,12 +81,16 @@
 func (client *Client) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	message := leaseMessage{TTL: max(seconds, 1)}
-	var answer leaseMessage
+	var answer leaseReply
 	err := client.do(ctx, call{kind: "grant", path: "/v3/lease/grant", write: true, message: message, answer: &answer})
+	if err == nil {
+		client.cluster.recordLease(answer.ID, answer.Header)
+	}
 	return answer.ID, err
 }
 
-// KeepAlive renews a lease and returns its time to live.
+// KeepAlive renews a lease and returns its time to live. A lease that was granted before
+// the service was restored from a copy is Expired: its ID may be somebody else's.
 func (client *Client) KeepAlive(ctx context.Context, lease int64) (time.Duration, error) {
 	var answer keepAliveReply
 	message := leaseMessage{ID: lease}
@@ -86,7 +100,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if answer.Result.TTL <= 0 {
+	if answer.Result.TTL <= 0 || !client.cluster.keepsLease(lease) {
 		return 0, fault.New("etcd.keepalive", store.Expired, "the lease does not exist")
 	}
 	return time.Duration(answer.Result.TTL) * time.Second, nil
@@ -94,8 +108,12 @@
 
 // Revoke ends a lease and deletes its keys.
 func (client *Client) Revoke(ctx context.Context, lease int64) error {
+	if !client.cluster.keepsLease(lease) {
+		return fault.New("etcd.revoke", store.Expired, "the service was restored from a copy meanwhile")
+	}
 	var answer struct{}
 	message := leaseMessage{ID: lease}
+	client.cluster.forgetLease(lease)
 	return client.do(ctx, call{kind: "revoke", path: "/v3/lease/revoke", write: true, message: message, answer: &answer})
 }
 
--- a/io/etcd/wire.go
+++ b/io/etcd/wire.go
@@ -4,7 +4,8 @@
 // integers are strings and bytes are base64.
 
 type header struct {
-	Revision int64 `json:"revision,string"`
+	ClusterID uint64 `json:"cluster_id,string"`
+	Revision  int64  `json:"revision,string"`
 }
 
 type pair struct {
@@ -58,8 +59,13 @@
 	TTL int64 `json:"TTL,string,omitempty"`
 }
 
+type leaseReply struct {
+	Header header `json:"header"`
+	leaseMessage
+}
+
 type keepAliveReply struct {
-	Result leaseMessage `json:"result"`
+	Result leaseReply `json:"result"`
 }
 
 type watchRequest struct {
@@ -84,3 +90,8 @@
 	} `json:"result"`
 	Error any `json:"error"`
 }
+
+func (reply *rangeReply) head() header     { return reply.Header }
+func (reply *txnReply) head() header       { return reply.Header }
+func (reply *leaseReply) head() header     { return reply.Header }
+func (reply *keepAliveReply) head() header { return reply.Result.Header }
--- a/standin/kv/gateway.go
+++ b/standin/kv/gateway.go
@@ -19,7 +19,8 @@
 // integers are strings, bytes are base64, and fields with zero values are left
 // out.
 type header struct {
-	Revision int64 `json:"revision,string"`
+	ClusterID uint64 `json:"cluster_id,string,omitempty"`
+	Revision  int64  `json:"revision,string"`
 }
 
 type pair struct {
@@ -143,7 +144,16 @@
 }
 
 // header returns the header of a reply. The lock is held.
-func (service *Service) header() header { return header{Revision: service.model.revision} }
+func (service *Service) header() header {
+	return header{ClusterID: service.clusterID, Revision: service.model.revision}
+}
+
+// lockedHeader is header for a caller that does not hold the lock.
+func (service *Service) lockedHeader() header {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return service.header()
+}
 
 func (service *Service) serveRange(_ context.Context, message rangeRequest) (reply, error) {
 	service.mutex.Lock()
@@ -292,9 +302,9 @@
 func (service *Service) serveKeepAlive(ctx context.Context, message leaseRequest) (result, error) {
 	ttl, err := service.KeepAlive(ctx, message.ID)
 	if fault.Is(err, store.Expired) {
-		return result{Result: reply{ID: message.ID}}, nil
+		return result{Result: reply{Header: service.lockedHeader(), ID: message.ID}}, nil
 	}
-	return result{Result: reply{ID: message.ID, TTL: int64(ttl / time.Second)}}, err
+	return result{Result: reply{Header: service.lockedHeader(), ID: message.ID, TTL: int64(ttl / time.Second)}}, err
 }
 
 func (service *Service) serveFaults(writer http.ResponseWriter, request *http.Request) {
--- a/standin/kv/model.go
+++ b/standin/kv/model.go
@@ -119,9 +119,9 @@
 }
 
 // since returns the changes from a revision on to keys in a span. It reports
-// false when some of them are compacted away.
+// false when some of them are compacted away, or if the revision was never reached.
 func (model *model) since(from int64, key, end string) ([]change, bool) {
-	if from <= model.compacted {
+	if from <= model.compacted || from > model.revision+1 {
 		return nil, false
 	}
 	found := []change{}
--- a/standin/kv/service.go
+++ b/standin/kv/service.go
@@ -38,6 +38,8 @@
 	mutex  sync.Mutex
 	model  *model
 	faults Faults
+	// clusterID changes when the service is restored from a copy.
+	clusterID uint64
 	// altered is closed and replaced when the faults change, which ends the
 	// watches of a service that goes down.
 	altered chan struct{}
@@ -47,7 +49,7 @@
 // New returns an empty service.
 func New(options Options) *Service {
 	return &Service{
-		model: newModel(), faults: options.Faults,
+		model: newModel(), faults: options.Faults, clusterID: 1,
 		altered: make(chan struct{}), calls: map[string]int{},
 	}
 }
@@ -207,8 +209,7 @@
 func (service *Service) grant(ttl time.Duration) int64 {
 	service.model.nextLease++
 	lease := service.model.nextLease
-	timer := time.AfterFunc(ttl, func() { service.expire(lease) })
-	service.model.leases[lease] = &tenure{ttl: ttl, until: time.Now().Add(ttl), timer: timer}
+	service.model.leases[lease] = service.startLease(lease, ttl)
 	return lease
 }
 
