core/heads, core/spread: a generation that a restored store lacks is written again

Operators: found by looking for the cause of the restored store in serve: a promotion or a recall that had been confirmed is gone from the store. Hosts keep it, but hosts that start afterwards don't have it, and the next change gets its generation once more, which the hosts take for known. Cause: a generation counts what the store holds; a restored store counts on from an older one. Change: a relay that reads heads which lack those in force writes them again by compare-and-swap: an older generation becomes the one in force, another change of the same generation gets a new one, recalled lots stay recalled. Event heads_reinstated.

--- a/core/event/heads.go
+++ b/core/event/heads.go
@@ -25,6 +25,11 @@
 	return Event{3103, "heads_recalled", logrus.WarnLevel, HeadsSubsystem, "A lot was recalled."}
 }
 
+// HeadsReinstated reports that heads which a restored store lacked were written again.
+func HeadsReinstated() Event {
+	return Event{3107, "heads_reinstated", logrus.WarnLevel, HeadsSubsystem, "Heads that a restored store lacked were written again."}
+}
+
 // HeadsRefused reports that a change of the heads was refused, and was not
 // made.
 func HeadsRefused() Event {
@@ -69,7 +74,7 @@
 // to the hosts.
 func HeadsEvents() []Event {
 	return []Event{
-		HeadsTried(), HeadsJudged(), HeadsPromoted(), HeadsRecalled(), HeadsRefused(), HeadsSettled(),
+		HeadsTried(), HeadsJudged(), HeadsPromoted(), HeadsRecalled(), HeadsReinstated(), HeadsRefused(), HeadsSettled(),
 		HeadsUnsettled(), SpreadApplied(), SpreadRepaired(), SpreadRejected(), SpreadIsolated(),
 	}
 }
--- a/core/heads/heads.go
+++ b/core/heads/heads.go
@@ -69,6 +69,8 @@
 	ActionVerdict Action = "verdict"
 	ActionPromote Action = "promote"
 	ActionRecall  Action = "recall"
+	// ActionReinstate: a host wrote again what a restored store lacked.
+	ActionReinstate Action = "reinstate"
 )
 
 // Heads is the state of an environment's documents.
--- a/core/spread/cache.go
+++ b/core/spread/cache.go
@@ -25,6 +25,22 @@
 	return nil
 }
 
+// Document returns a document, or nil if it is not cached.
+func (distributor *Distributor) Document(digest string) []byte {
+	distributor.mutex.Lock()
+	compressed := distributor.findCompressed(digest)
+	distributor.mutex.Unlock()
+	if compressed == nil {
+		return nil
+	}
+	document, err := decompress(compressed, digest)
+	if err != nil {
+		distributor.options.Log.Log(event.SpreadRejected(), logrus.Fields{"digest": digest, "error": err.Error()})
+		return nil
+	}
+	return document
+}
+
 // cacheDocument caches a document from the key-value service.
 func (distributor *Distributor) cacheDocument(digest string, document []byte) {
 	if distributor.HasDocument(digest) {
--- a/core/spread/watcher.go
+++ b/core/spread/watcher.go
@@ -122,7 +122,24 @@
 		return 0, err
 	}
 	watcher.options.Spread.RecordStoreContact()
-	return revision, watcher.update(ctx, value)
+	if err := watcher.update(ctx, value); err != nil {
+		return 0, err
+	}
+	return revision, watcher.reinstate(ctx, value)
+}
+
+// reinstate writes the heads in force again if the stored ones lack them, because the store
+// was restored from a copy. The watch shows what was written.
+func (watcher *Watcher) reinstate(ctx context.Context, stored heads.Heads) error {
+	applied := watcher.options.Spread.Current()
+	if applied.Generation == 0 || !stored.Lacks(applied) {
+		return nil
+	}
+	_, err := watcher.options.Client.Reinstate(ctx, applied, watcher.options.Spread.Document(applied.Production.Digest))
+	if fault.Is(err, heads.Conflict) {
+		return nil
+	}
+	return err
 }
 
 // handleEvent processes one watch event. A value that cannot be parsed is
