io/front: the log names the version of an attempt's server, the event it goes on after and the stream it resumes

Change: request_sent has server_version, from_event and resumes (the header Resumes). No decision changes.

--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -137,7 +137,7 @@
 	}
 	call.log(event.RequestSent(), logrus.Fields{
 		"route": call.work.Route.Name, "workspace": call.work.Workspace,
-		"server": call.serverID, "attempt": call.reached + 1, "rank": call.work.Rank, "loss": choice.Loss, "over": choice.Candidates,
+		"server": call.serverID, "server_version": choice.Member.Version, "from_event": call.events.lastID, "resumes": call.info.Resumes, "attempt": call.reached + 1, "rank": call.work.Rank, "loss": choice.Loss, "over": choice.Candidates,
 		"left_ms": call.work.Remaining(exchange.started).Milliseconds(), "preferred": choice.Preferred,
 		"table_version": call.tableVersion(), "proof_age_ms": call.proofAgeMs(),
 		"running": choice.Member.Own.Running, "reading": choice.Member.Own.TotalPrefill(), "peer_running": choice.Member.Peers.Running,
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -45,6 +45,9 @@
 	// LastEventID is the id of the event after which a stream resumes; empty: the
 	// stream starts from the beginning.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the
+	// stream; empty: not given.
+	Resumes string
 }
 
 // ForwardInfo is the information that a host adds to the caller's headers for a
