--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -35,7 +35,10 @@
 
 func (headerCodec) ParseRequest(header http.Header) (front.RequestInfo, error) {
 	timeout, _ := strconv.Atoi(header.Get("X-Timeout-Ms"))
-	info := front.RequestInfo{ID: header.Get("X-Id"), Key: header.Get("X-Key"), Timeout: time.Duration(timeout) * time.Millisecond}
+	info := front.RequestInfo{
+		ID: header.Get("X-Id"), Key: header.Get("X-Key"), Timeout: time.Duration(timeout) * time.Millisecond,
+		LastEventID: header.Get("X-Last"), Resumes: header.Get("X-Resumes"),
+	}
 	for name := range strings.SplitSeq(header.Get("X-Parts"), ",") {
 		if name != "" {
 			info.Parts = append(info.Parts, work.Part{ID: fleet.ServerHash(name)})
@@ -146,6 +149,12 @@
 // addServer starts and registers a backend server that handles each request with
 // respond.
 func (harness *harness) addServer(id string, respond responder) net.Listener {
+	harness.t.Helper()
+	return harness.addVersion(id, "", respond)
+}
+
+// addVersion is addServer for a server with a software version.
+func (harness *harness) addVersion(id, version string, respond responder) net.Listener {
 	harness.t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(harness.t, err)
@@ -159,7 +168,7 @@
 			go harness.serveConn(id, conn, respond)
 		}
 	}()
-	harness.fleet.Put(fleet.Server{ID: id, Service: "engines", Address: listener.Addr().String()})
+	harness.fleet.Put(fleet.Server{ID: id, Service: "engines", Address: listener.Addr().String(), Version: version})
 	return listener
 }
 
