core/origin, io/front: a stream goes on only at the software version that began it

Cause: versions were not compared when a host resumed a broken stream within a response, and when a caller took a stream up, the header Resumes was not read and no host but the one that began the stream knew the version. Class: work is continued elsewhere without what ties it to where it began. Change: core/origin holds for each stream the service and version that began it, for as long as its caller waits. Hosts tell the entry hosts at each broadcast; a host that does not know a stream asks them, at most twice 0.1 s. The stream then goes to servers of that service and version only, checked again after connecting. If nobody knows: at the only version that has served since the stream may have begun, else 503 unknown_origin. Event stream_taken_up, metric stream_origins.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -20,6 +20,7 @@
 		CallerLeft(),
 		AnswerBroken(),
 		StreamResumed(),
+		StreamTakenUp(),
 		ForeignAnswer(),
 		TableAdopted(),
 		TableRejected(),
@@ -124,6 +125,11 @@
 	return Event{1915, "answer_broken", logrus.WarnLevel, "forward", "A response that had started could not be completed; the client's connection was closed."}
 }
 
+// StreamTakenUp reports that a caller takes up a stream that was broken off.
+func StreamTakenUp() Event {
+	return Event{1918, "stream_taken_up", logrus.InfoLevel, "forward", "A caller takes up a stream, which goes on at the version of the servers that began it."}
+}
+
 // StreamResumed reports that a stream was resumed on another backend server.
 func StreamResumed() Event {
 	return Event{1916, "stream_resumed", logrus.InfoLevel, "forward", "A stream was resumed on another backend server."}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -141,6 +141,9 @@
 func (fleet *Fleet) put(server Server) PutResult {
 	known := fleet.members[server.ID]
 	if known == nil || known.Address != server.Address || !known.Started.Equal(server.Started) {
+		if known != nil {
+			fleet.delete(server.ID)
+		}
 		member := &Member{Server: server, hash: ServerHash(server.ID)}
 		fleet.members[server.ID] = member
 		fleet.addReportsFor(member)
--- /dev/null
+++ b/core/fleet/removed.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// removedRetention is how long a removed server is remembered. It is longer than a copy
+// from which the service is restored may be old, and than a stream lasts.
+const removedRetention = 5 * time.Minute
+
+// removedServer is the last registration of a server that was removed.
+type removedServer struct {
+	Server
+	removedAt time.Time
+}
+
+// delete deletes a server and remembers its last registration. The mutex is held.
+func (fleet *Fleet) delete(id string) {
+	member, now := fleet.members[id], time.Now()
+	delete(fleet.members, id)
+	for other, removed := range fleet.removed {
+		if now.Sub(removed.removedAt) > removedRetention {
+			delete(fleet.removed, other)
+		}
+	}
+	fleet.removed[id] = removedServer{Server: member.Server, removedAt: now}
+}
+
+// Versions returns the software versions of a service's servers, in order. It includes those
+// of servers that were removed or replaced after since.
+func (fleet *Fleet) Versions(service string, since time.Time) []string {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	var versions []string
+	for _, member := range fleet.byService[service] {
+		versions = append(versions, member.Version)
+	}
+	for _, removed := range fleet.removed {
+		if removed.Service == service && removed.removedAt.After(since) {
+			versions = append(versions, removed.Version)
+		}
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
+// Version returns the software version of a server, empty if it is unknown.
+func (fleet *Fleet) Version(id string) string {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if member := fleet.members[id]; member != nil {
+		return member.Version
+	}
+	return ""
+}
--- /dev/null
+++ b/core/origin/origin_test.go
@@ -0,0 +1,149 @@
+package origin_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/origin"
+)
+
+// cluster is several hosts whose messages arrive after a delay, or are lost.
+type cluster struct {
+	hosts []*origin.Registry
+	// lost hosts neither get nor send messages.
+	lost map[int]bool
+	// asked counts the questions.
+	asked int
+}
+
+const messageDelay = 20 * time.Millisecond
+
+func newCluster(size int) *cluster {
+	cluster := &cluster{lost: map[int]bool{}}
+	for range size {
+		cluster.hosts = append(cluster.hosts, origin.New())
+	}
+	return cluster
+}
+
+// tell delivers the reports of a host to the others.
+func (cluster *cluster) tell(from int) {
+	for _, reports := range cluster.hosts[from].TakeReports(time.Now()) {
+		for to := range cluster.hosts {
+			cluster.send(from, to, func() { cluster.hosts[to].Apply(reports, time.Now()) })
+		}
+	}
+}
+
+func (cluster *cluster) send(from, to int, deliver func()) {
+	if from != to && !cluster.lost[from] && !cluster.lost[to] {
+		time.AfterFunc(messageDelay, deliver)
+	}
+}
+
+// ask asks for a stream at a host.
+func (cluster *cluster) ask(ctx context.Context, at int, requestID string) (origin.Origin, bool) {
+	return cluster.hosts[at].Ask(ctx, requestID, func(key uint64) {
+		cluster.asked++
+		for to := range cluster.hosts {
+			cluster.send(at, to, func() {
+				reports := cluster.hosts[to].Answer([]uint64{key}, time.Now())
+				cluster.send(to, at, func() { cluster.hosts[at].Apply(reports, time.Now()) })
+			})
+		}
+	})
+}
+
+func v1() origin.Origin { return origin.Origin{Service: "engines", Version: "v1"} }
+
+// Guards against a stream whose origin is lost with the host that began it.
+func TestOriginOutlivesItsHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(8)
+		cluster.hosts[0].Record("a", v1(), time.Now().Add(10*time.Second), time.Now())
+		cluster.tell(0)
+		time.Sleep(100 * time.Millisecond)
+		cluster.lost[0] = true
+		for host := 1; host < 8; host++ {
+			found, known := cluster.hosts[host].LookUp("a", time.Now())
+			require.True(t, known)
+			require.Equal(t, v1(), found)
+		}
+	})
+}
+
+// Guards against a host that refuses a stream which others know, because it has just started or
+// a message was lost.
+func TestOtherHostsAreAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(3)
+		cluster.hosts[0].Record("a", v1(), time.Now().Add(10*time.Second), time.Now())
+		started := time.Now()
+		found, known := cluster.ask(t.Context(), 2, "a")
+		require.True(t, known)
+		require.Equal(t, v1(), found)
+		require.Equal(t, 2*messageDelay, time.Since(started))
+		require.Equal(t, 1, cluster.asked)
+	})
+}
+
+// Guards against a caller that waits for an answer which nobody has, or after it has left.
+func TestUnknownOriginIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(3)
+		started := time.Now()
+		_, known := cluster.ask(t.Context(), 2, "a")
+		require.False(t, known)
+		require.Equal(t, 200*time.Millisecond, time.Since(started))
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		started = time.Now()
+		_, known = cluster.ask(ctx, 2, "a")
+		require.False(t, known)
+		require.Equal(t, 10*time.Millisecond, time.Since(started))
+	})
+}
+
+// Guards against streams that are forgotten while their callers may take them up, and against
+// memory that grows with all streams of a day.
+func TestOriginsAreKeptAsLongAsCallersWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(2)
+		const each, seconds = 300, 400
+		for second := range seconds {
+			for number := range each {
+				cluster.hosts[0].Record(fmt.Sprintf("%d/%d", second, number), v1(), time.Now().Add(15*time.Second), time.Now())
+			}
+			cluster.tell(0)
+			time.Sleep(time.Second)
+		}
+		for _, host := range cluster.hosts {
+			_, known := host.LookUp(fmt.Sprintf("%d/7", seconds-15), time.Now())
+			require.True(t, known)
+			_, known = host.LookUp(fmt.Sprintf("%d/7", seconds-20), time.Now())
+			require.False(t, known)
+			require.Less(t, host.Size(), 20*each)
+		}
+		for number := range 100_000 {
+			cluster.hosts[0].Record(fmt.Sprint(number), v1(), time.Now().Add(15*time.Second), time.Now())
+		}
+		require.LessOrEqual(t, cluster.hosts[0].Size(), 1<<16)
+	})
+}
+
+// Guards against messages that are too long for a datagram.
+func TestReportsAreSplit(t *testing.T) {
+	registry := origin.New()
+	for number := range 100 {
+		registry.Record(fmt.Sprint(number), v1(), time.Now().Add(time.Minute), time.Now())
+	}
+	messages := registry.TakeReports(time.Now())
+	require.Len(t, messages, 4)
+	require.Len(t, messages[3], 4)
+	require.Empty(t, registry.TakeReports(time.Now()))
+}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -29,6 +29,10 @@
 // responds or no attempt is left.
 func (call *call) forward() {
 	call.tried = make(map[string]bool)
+	if refusal := call.findOrigin(); refusal != nil {
+		call.refuse(*refusal)
+		return
+	}
 	for connectFailures := 0; ; {
 		if call.callerGone() {
 			call.abandon()
@@ -79,8 +83,8 @@
 // up.
 func (call *call) nextStep(now time.Time) steer.Decision {
 	options := call.handler.options
-	progress := steer.Progress{State: call.state, Reached: call.reached, Tried: call.tried}
 	members := options.Fleet.Members(call.work.Service, now)
+	progress := steer.Progress{State: call.state, Reached: call.reached, Tried: call.excluded(members)}
 	return steer.Next(options.Pick, &call.work, progress, options.RetryBudgets, members, now)
 }
 
@@ -123,10 +127,11 @@
 // mayStillSend reports whether what allowed an attempt still holds. While the connection
 // was being established, the server may have started to shut down, the routing table may
 // have changed, the request may have been quarantined, and, if the process was paused, the
-// proof of the table may have lapsed or the deadline may have passed.
+// proof of the table may have lapsed or the deadline may have passed. A server may also have
+// started again with another version of its software.
 func (call *call) mayStillSend(server fleet.Server) bool {
 	options, now := call.handler.options, time.Now()
-	return options.Fleet.Usable(server.ID, call.work.Service, now) && options.Table.Load() == call.table &&
+	return options.Fleet.Usable(server.ID, call.work.Service, now) && call.mayServe(server.Service, options.Fleet.Version(server.ID)) && options.Table.Load() == call.table &&
 		(!call.table.RequiresKey() || options.Proof.Valid(options.Now())) && call.work.Remaining(now) > 0 && !call.crashesServers()
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
+	"primrosegw/core/origin"
 	"primrosegw/core/pacer"
 	"primrosegw/core/pick"
 	"primrosegw/core/poison"
@@ -99,6 +101,9 @@
 	Fleet        *fleet.Fleet
 	Pool         *pipe.Pool
 	RetryBudgets *retry.Budgets
+	// Origins holds where streams began. AskOrigin asks the other hosts about a stream.
+	Origins   *origin.Registry
+	AskOrigin func(key uint64)
 	// CrashDetector finds requests that crash backend servers.
 	CrashDetector *poison.CrashDetector
 	// Pacer keeps to the rates that backend servers accept.
@@ -117,7 +122,8 @@
 
 // Handler handles callers' requests.
 type Handler struct {
-	options Options
+	options   Options
+	startedAt time.Time
 	// drainDeadline is when the host stops; nil unless it is draining.
 	drainDeadline atomic.Pointer[time.Time]
 	inFlight      atomic.Int64
@@ -126,7 +132,7 @@
 }
 
 // New returns a Handler.
-func New(options Options) *Handler { return &Handler{options: options} }
+func New(options Options) *Handler { return &Handler{options: options, startedAt: time.Now()} }
 
 // Drain makes the handler close each connection after its response, and refuse
 // requests that would not end before the deadline, at which the host stops.
@@ -188,6 +194,8 @@
 	// responseStarted: a part of a response has been written to the caller.
 	responseStarted bool
 	events          sequence
+	// origin is where the stream began that is resumed; nil for a new stream.
+	origin          *origin.Origin
 	firstEventDelay time.Duration
 	lastEventAt     time.Time
 	maxEventGap     time.Duration
@@ -295,7 +303,7 @@
 	call.work.Route, call.work.Rank = route, current.Rank(route, workspace)
 	call.work.PromptTokens, call.work.OutputTokens = call.info.PromptTokens, call.info.OutputTokens
 	call.work.Parts = call.info.Parts
-	call.work.Service = route.Pick(pick.SplitHash(call.work.ID))
+	call.work.Service = call.pickService(route)
 	if route.Resumable && !call.responseStarted {
 		call.events.lastID = call.info.LastEventID
 	}
@@ -305,6 +313,18 @@
 	return nil
 }
 
+// pickService returns the service for the request. A stream goes on at the one where it
+// began, unless the route no longer leads there.
+func (call *call) pickService(route table.Route) string {
+	if call.origin != nil {
+		began := func(target table.Target) bool { return target.Service == call.origin.Service }
+		if slices.ContainsFunc(route.Targets, began) {
+			return call.origin.Service
+		}
+	}
+	return route.Pick(pick.SplitHash(cmp.Or(call.info.Resumes, call.work.ID)))
+}
+
 // limitWrites ends writes to a caller that does not read, callerReadGrace after the
 // deadline of its request.
 func (call *call) limitWrites(deadline time.Time) {
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -19,6 +19,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
+	"primrosegw/core/origin"
 	"primrosegw/core/pacer"
 	"primrosegw/core/pick"
 	"primrosegw/core/poison"
@@ -82,6 +83,8 @@
 	log     *lockedBuffer
 	// now is the clock against which the proof expires. The proof was confirmed at 1.
 	now atomic.Int64
+	// asked counts the questions to other hosts where a stream began.
+	asked atomic.Int64
 	// whileDialing is called before each connection to a backend server is opened.
 	whileDialing func()
 
@@ -135,7 +138,7 @@
 	harness.crashes = poison.NewCrashDetector(poison.DetectorOptions{})
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
-		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
+		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
 		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{},
 	})
 	harness.server = httptest.NewServer(harness.handler)
@@ -143,6 +146,8 @@
 	return harness
 }
 
+func (harness *harness) askOrigin(uint64) { harness.asked.Add(1) }
+
 // responder responds to one request on a connection.
 type responder func(request *http.Request, conn net.Conn)
 
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -30,6 +30,7 @@
 		copyHeader(call.writer.Header(), response.Header)
 		call.writer.WriteHeader(response.StatusCode)
 		call.responseStarted = true
+		call.recordOrigin(exchange.server)
 	}
 	exchange.conn.SetReadDeadline(call.work.Deadline.Add(responseGrace))
 	err := exchange.copyEvents(response.Body)
--- a/io/front/version_test.go
+++ b/io/front/version_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -56,3 +57,66 @@
 		require.Contains(t, harness.requestsReceived()[1], "c ")
 	}
 }
+
+// Guards against a stream that goes on at a guess, because nobody knows where it began.
+func TestStreamOfUnknownOriginIsRefused(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addVersion("a", "v1", breakThenResume())
+	harness.addVersion("b", "v2", breakThenResume())
+	for _, resumes := range []string{"first", ""} {
+		got := harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", resumes, "X-Last", "3")
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.Contains(t, got.body, "unknown_origin")
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+	}
+	require.Empty(t, harness.requestsReceived())
+}
+
+// Guards against streams that are refused although there is no choice of versions.
+func TestStreamGoesOnAtTheOnlyVersion(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addVersion("a", "v1", breakThenResume())
+	got := harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", "first", "X-Last", "3")
+	require.NoError(t, got.err)
+	require.Equal(t, events(4, 6), got.body)
+	harness.addVersion("b", "v2", breakThenResume())
+	for range 10 {
+		got = harness.post("/resume/", "x", "X-Id", "again", "X-Resumes", "first", "X-Last", "3")
+		require.NoError(t, got.err)
+	}
+	for _, received := range harness.requestsReceived() {
+		require.Contains(t, received, "a ")
+	}
+}
+
+// Guards against a version that was replaced a moment ago and is taken for the only one.
+func TestReplacedVersionCounts(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addVersion("a", "v1", breakThenResume())
+	harness.fleet.Remove("a")
+	harness.addVersion("b", "v2", breakThenResume())
+	got := harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", "first", "X-Last", "3")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Positive(t, harness.asked.Load())
+}
+
+// Guards against a stream that goes on at a server which starts again with another version while
+// the connection is established.
+func TestServerThatChangesItsVersionGetsNoStream(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addVersion("a", "v1", breakThenResume())
+	got := harness.post("/resume/", "x", "X-Id", "first")
+	require.Error(t, got.err)
+	harness.fleet.Remove("a")
+	harness.addVersion("b", "v1", breakThenResume())
+	before := len(harness.requestsReceived())
+	harness.whileDialing = func() {
+		member := harness.fleet.Members("engines", time.Now())[0]
+		member.Version = "v2"
+		harness.fleet.Put(member.Server)
+	}
+	got = harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", "first", "X-Last", "3")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Len(t, harness.requestsReceived(), before)
+}
