core/steer: a stream that its caller takes up is not refused for overload

Change: overload refuses no request that takes a stream up. Evidence: the case "taken up at overload" of TestNext failed before (refuse instead of send) and passes.

--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -65,7 +65,8 @@
 
 // Next decides the next action for a request. Members are the servers of its service.
 // Overload refuses only requests that no server has received yet; a retry is sent
-// regardless.
+// regardless, and so is a stream that its caller takes up: few servers may go on with it,
+// and what the caller has of it would be lost.
 func Next(options pick.Options, request *work.Request, progress Progress, budget Budget, members []fleet.Member, now time.Time) Decision {
 	if request.Remaining(now) <= 0 {
 		return Decision{Action: GiveUp, Reason: Deadline}
@@ -78,7 +79,7 @@
 		return withoutServer(options, progress, members, now)
 	}
 	admission := admit.Decide(request, admit.Prediction{QueueDelay: choice.QueueDelay, FirstEvent: choice.FirstEvent}, now)
-	if !admission.Admitted && progress.Reached == 0 {
+	if !admission.Admitted && progress.Reached == 0 && !request.TakenUp {
 		return Decision{Action: Refuse, Reason: Overload, Choice: &choice, RetryAfter: admission.RetryAfter}
 	}
 	return Decision{Action: Send, Choice: &choice}
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -40,6 +40,7 @@
 		progress steer.Progress
 		retries  fakeBudget
 		members  []fleet.Member
+		takenUp  bool
 		at       time.Duration
 		action   steer.Action
 		reason   string
@@ -48,6 +49,7 @@
 		{name: "no server", action: steer.GiveUp, reason: steer.NoServer},
 		{name: "deadline passed", members: idle, at: 5 * time.Second, action: steer.GiveUp, reason: steer.Deadline},
 		{name: "overload", members: overloaded, action: steer.Refuse, reason: steer.Overload},
+		{name: "taken up at overload", members: overloaded, takenUp: true, action: steer.Send},
 		{
 			name: "retry", members: idle, retries: 1, action: steer.Send,
 			progress: steer.Progress{State: work.Unsure, Reached: 1},
@@ -61,7 +63,9 @@
 			progress: steer.Progress{State: work.Refused, Reached: 1},
 		},
 	} {
-		decision := steer.Next(pick.Options{TokensPerMs: 50}, bulk(now), test.progress, &test.retries, test.members, now.Add(test.at))
+		request := bulk(now)
+		request.TakenUp = test.takenUp
+		decision := steer.Next(pick.Options{TokensPerMs: 50}, request, test.progress, &test.retries, test.members, now.Add(test.at))
 		require.Equal(t, test.action, decision.Action, test.name)
 		require.Equal(t, test.reason, decision.Reason, test.name)
 		if decision.Action == steer.Refuse {
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -35,6 +35,8 @@
 	PromptTokens int
 	OutputTokens int
 	Parts        []Part
+	// TakenUp is set if the caller takes up a stream that was broken off.
+	TakenUp bool
 }
 
 // Remaining returns the time until the deadline; it is negative after the deadline.
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -45,7 +45,7 @@
 	if !known {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_origin", retryAfter: unknownOriginRetryAfter}
 	}
-	call.origin = &found
+	call.origin, call.work.TakenUp = &found, true
 	call.work.Service = call.pickService(call.work.Route)
 	call.log(event.StreamTakenUp(), logrus.Fields{
 		"resumes": call.info.Resumes, "from_event": call.events.lastID, "service": found.Service, "server_version": found.Version, "source": source,
