core/fresh: the version of a shared proof is read after the proof

Cause: found while looking for what is kept beside a revision. The version (before: the revision) was read first. A host that is paused, or whose probe reads a new configuration in between, tells others that the version before is proven as of now, and a host that holds it goes on accepting keys that were taken away. Class: a process acts on a permission that ran out while it was paused. Change: Peers.Message reads the proof, then the version. Evidence: TestProofIsNotOlderThanItsVersion plays the read in between; with the order of before it is told version 7 with an age of 0.

--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -47,6 +47,8 @@
 	version, proverVersion      int64
 }
 
+func (exchange *exchange) requesterVersion() int64 { return exchange.version }
+
 func newExchange() *exchange {
 	exchange := &exchange{requesterProof: fresh.New(4 * time.Second), proverProof: fresh.New(4 * time.Second), clockOffset: 5000, version: 7, proverVersion: 7}
 	exchange.requester, exchange.prover = fresh.NewPeers(exchange.requesterProof, 11), fresh.NewPeers(exchange.proverProof, 22)
@@ -55,13 +57,13 @@
 
 // deliverRequest delivers a message of the requester after a delay.
 func (exchange *exchange) deliverRequest(sent, delay float64) {
-	message := exchange.requester.Message("prover", exchange.version, at(sent))
+	message := exchange.requester.Message("prover", exchange.requesterVersion, at(sent))
 	exchange.prover.Receive("requester", message, exchange.proverVersion, at(sent+delay+exchange.clockOffset))
 }
 
 // deliverAnswer delivers a message of the prover after a delay.
 func (exchange *exchange) deliverAnswer(sent, delay float64) {
-	message := exchange.prover.Message("requester", exchange.proverVersion, at(sent+exchange.clockOffset))
+	message := exchange.prover.Message("requester", func() int64 { return exchange.proverVersion }, at(sent+exchange.clockOffset))
 	exchange.requester.Receive("prover", message, exchange.version, at(sent+delay))
 }
 
@@ -110,3 +112,17 @@
 	_, known = restarted.requesterProof.Age(at(2000))
 	require.False(t, known)
 }
+
+// Guards against a proof of a newer version that is sent as one of the version before, because the
+// host was paused between reading the two.
+func TestProofIsNotOlderThanItsVersion(t *testing.T) {
+	proof := fresh.New(4 * time.Second)
+	proof.Confirm(at(10))
+	message := fresh.NewPeers(proof, 1).Message("other", func() int64 {
+		// The new version is read, and with it the proof.
+		proof.Confirm(at(12))
+		return 8
+	}, at(12))
+	require.Equal(t, int64(8), message.Version)
+	require.Equal(t, 2*time.Second, message.Age)
+}
--- a/core/fresh/peers.go
+++ b/core/fresh/peers.go
@@ -50,12 +50,13 @@
 	return &Peers{proof: proof, incarnation: incarnation, received: make(map[string]receivedMessage)}
 }
 
-// Message returns the message to send to a host. Version is the version of the
-// configuration held.
-func (peers *Peers) Message(host string, version int64, now Instant) ProofMessage {
+// Message returns the message to send to a host. Version returns the version of the
+// configuration held. It is called after the proof has been read: a proof holds for later
+// versions, too, but not for earlier ones.
+func (peers *Peers) Message(host string, version func() int64, now Instant) ProofMessage {
 	message := ProofMessage{Incarnation: peers.incarnation, Sent: now}
 	if age, known := peers.proof.Age(now); known {
-		message.Version, message.Age = version, age
+		message.Version, message.Age = version(), age
 	}
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
