io/front: a stream that is taken up without Resumes is not taken for another one

A take-up without the header Resumes at the only version was recorded under the empty id, so that the next one without the header, with several versions in the service by then, went to the version of the first. Cause: the empty id was looked up and recorded like any other. Change: only ids that are given are looked up and recorded. findOrigin is split, the source is a type. Evidence: TestStreamGoesOnAtTheOnlyVersion has the case; it fails with the code of before (200 instead of 503). The test of a server that changes its version no longer races with the crash probe.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -63,9 +63,11 @@
 	expiresAt time.Time
 }
 
-// waiter is closed when the origin of a stream becomes known.
+// waiter is shared by those who wait for the origin of a stream.
 type waiter struct {
-	known   chan struct{}
+	// known is closed when the origin becomes known.
+	known chan struct{}
+	// waiting is the number of those who wait.
 	waiting int
 }
 
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -17,32 +17,26 @@
 // not known where it began.
 const unknownOriginRetryAfter = 300 * time.Millisecond
 
-/*
-findOrigin finds where a stream began that the caller takes up, so that it goes on at the same
-version of the servers' software only. It refuses the request if that is not known.
+// originSource is how a host found out where a stream began.
+type originSource string
 
-Other hosts are asked only if it makes a difference: if servers of several versions were in the
-service since the stream may have begun, or if this host has not run for so long.
-*/
+const (
+	// knownOrigin: this host began the stream, or another one had told it.
+	knownOrigin originSource = "known"
+	// askedOrigin: another host answered.
+	askedOrigin originSource = "asked"
+	// onlyVersion: no other version can have begun the stream.
+	onlyVersion originSource = "only_version"
+)
+
+// findOrigin finds where a stream began that the caller takes up, so that it goes on at the same
+// version of the servers' software only. It refuses the request if that is not known.
 func (call *call) findOrigin() *refusal {
 	if call.events.lastID == "" {
 		return nil
 	}
-	options, now := call.handler.options, time.Now()
-	found, known := options.Origins.LookUp(call.info.Resumes, now)
-	source := "known"
-	oldest := now.Add(-cmp.Or(call.work.Route.Timeout, defaultTimeout))
-	versions := options.Fleet.Versions(call.work.Service, oldest)
-	isOnly := len(versions) == 1
-	if !known && call.info.Resumes != "" && (!isOnly || call.handler.startedAt.After(oldest)) {
-		found, known = options.Origins.Ask(call.ctx, call.info.Resumes, options.AskOrigin)
-		source = "asked"
-	}
-	if !known && isOnly {
-		found, known, source = origin.Origin{Service: call.work.Service, Version: versions[0]}, true, "only_version"
-		call.tellOrigin(call.info.Resumes, found)
-	}
-	if !known {
+	found, source := call.lookUpOrigin(time.Now())
+	if source == "" {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_origin", retryAfter: unknownOriginRetryAfter}
 	}
 	call.origin, call.work.TakenUp = &found, true
@@ -53,6 +47,36 @@
 	return nil
 }
 
+/*
+lookUpOrigin returns where the stream began that the caller takes up. The source is empty if
+that is not known.
+
+Other hosts are asked only if it makes a difference: if servers of several versions were in the
+service since the stream may have begun, or if this host has not run for so long.
+*/
+func (call *call) lookUpOrigin(now time.Time) (origin.Origin, originSource) {
+	options, began := call.handler.options, call.info.Resumes
+	if found, known := options.Origins.LookUp(began, now); known && began != "" {
+		return found, knownOrigin
+	}
+	oldest := now.Add(-cmp.Or(call.work.Route.Timeout, defaultTimeout))
+	versions := options.Fleet.Versions(call.work.Service, oldest)
+	isOnly := len(versions) == 1
+	if began != "" && (!isOnly || call.handler.startedAt.After(oldest)) {
+		if found, known := options.Origins.Ask(call.ctx, began, options.AskOrigin); known {
+			return found, askedOrigin
+		}
+	}
+	if !isOnly {
+		return origin.Origin{}, ""
+	}
+	found := origin.Origin{Service: call.work.Service, Version: versions[0]}
+	if began != "" {
+		call.tellOrigin(began, found)
+	}
+	return found, onlyVersion
+}
+
 // recordOrigin records where the stream began that the server sends, and tells the other hosts.
 func (call *call) recordOrigin(server fleet.Server) {
 	if call.origin != nil || !call.work.Route.Resumable {
--- a/io/front/version_test.go
+++ b/io/front/version_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,7 @@
 		require.NoError(t, got.err)
 		require.Equal(t, events(4, 6), got.body)
 		require.Contains(t, harness.requestsReceived()[1], "c ")
+		require.Contains(t, harness.log.String(), "stream_taken_up")
 	}
 }
 
@@ -77,10 +79,14 @@
 func TestStreamGoesOnAtTheOnlyVersion(t *testing.T) {
 	harness := newHarness(t, nil)
 	harness.addVersion("a", "v1", breakThenResume())
-	got := harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", "first", "X-Last", "3")
+	got := harness.post("/resume/", "x", "X-Id", "next", "X-Last", "3")
+	require.Equal(t, events(4, 6), got.body, "without the id of the first attempt")
+	got = harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", "first", "X-Last", "3")
 	require.NoError(t, got.err)
 	require.Equal(t, events(4, 6), got.body)
 	harness.addVersion("b", "v2", breakThenResume())
+	got = harness.post("/resume/", "x", "X-Id", "next", "X-Last", "3")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	for range 10 {
 		got = harness.post("/resume/", "x", "X-Id", "again", "X-Resumes", "first", "X-Last", "3")
 		require.NoError(t, got.err)
@@ -105,17 +111,22 @@
 // the connection is established.
 func TestServerThatChangesItsVersionGetsNoStream(t *testing.T) {
 	harness := newHarness(t, nil)
+	var changes atomic.Bool
+	harness.whileDialing = func() {
+		for _, member := range harness.fleet.Members("engines", time.Now()) {
+			if changes.Load() {
+				member.Version = "v2"
+				harness.fleet.Put(member.Server)
+			}
+		}
+	}
 	harness.addVersion("a", "v1", breakThenResume())
 	got := harness.post("/resume/", "x", "X-Id", "first")
 	require.Error(t, got.err)
 	harness.fleet.Remove("a")
 	harness.addVersion("b", "v1", breakThenResume())
 	before := len(harness.requestsReceived())
-	harness.whileDialing = func() {
-		member := harness.fleet.Members("engines", time.Now())[0]
-		member.Version = "v2"
-		harness.fleet.Put(member.Server)
-	}
+	changes.Store(true)
 	got = harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", "first", "X-Last", "3")
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.Len(t, harness.requestsReceived(), before)
