--- a/core/mirror/restored_test.go
+++ b/core/mirror/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -17,6 +18,7 @@
 		time.Sleep(time.Second)
 		harness.source.restore(1)
 		time.Sleep(3 * time.Second)
+		synctest.Wait()
 		require.Contains(t, harness.log.String(), `"event_name":"store_restored"`)
 	})
 }
