--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -13,12 +13,13 @@
 
 /*
 followChanges lists all keys and then applies changes as they arrive. The position in
-the history is kept through an outage; only a compaction requires a new listing.
+the history is kept through an outage; only a compaction or a restoration of the store
+requires a new listing.
 
 The first listing is a stale read, which is cheaper, because many hosts may start
 together. A call for the changes since then makes it current. After a compaction the
-listing must not be stale: the history after its revision might be gone too. Nor must
-it be after the store was restored: the copy that is read might be older than that.
+listing must not be stale: the history after its revision might be gone too. After a
+restoration a stale listing might hold what the restored store has lost.
 */
 func (mirror *Mirror) followChanges(ctx context.Context) {
 	delay, listed, stale := pollDelayBase, false, true
