--- a/core/heads/change.go
+++ b/core/heads/change.go
@@ -138,13 +138,21 @@
 // checkNotRecalled fails with Recalled if the lot or one of the component lots is
 // recalled.
 func (heads Heads) checkNotRecalled(op, lot string, componentLots []string) error {
-	for _, entry := range heads.RecalledLots {
-		if entry.Lot == lot || slices.Contains(componentLots, entry.Lot) {
-			return fault.Field(op, Recalled, "lot", fmt.Sprintf("lot %q was recalled by %q at %s in generation %d: %s",
-				entry.Lot, entry.Operator, entry.At.Format(time.RFC3339), entry.Generation, entry.Reason))
-		}
+	index := heads.recallIndex(lot, componentLots)
+	if index < 0 {
+		return nil
 	}
-	return nil
+	entry := heads.RecalledLots[index]
+	return fault.Field(op, Recalled, "lot", fmt.Sprintf("lot %q was recalled by %q at %s in generation %d: %s",
+		entry.Lot, entry.Operator, entry.At.Format(time.RFC3339), entry.Generation, entry.Reason))
+}
+
+// recallIndex returns the index of the first recalled lot that is the lot or one of the
+// component lots, -1 if there is none.
+func (heads Heads) recallIndex(lot string, componentLots []string) int {
+	return slices.IndexFunc(heads.RecalledLots, func(recalled RecalledLot) bool {
+		return recalled.Lot == lot || slices.Contains(componentLots, recalled.Lot)
+	})
 }
 
 // notTriedError returns a NotTried error, which also names the current trial if it
--- a/core/heads/reinstate.go
+++ b/core/heads/reinstate.go
@@ -69,14 +69,15 @@
 		next = next.withNewGeneration(change)
 	}
 	next.RecalledLots = append(next.RecalledLots, heads.missingLots(applied)...)
-	if trial := next.Trial; trial != nil && next.recalls(AcceptedDocument{Lot: trial.Lot, ComponentLots: trial.ComponentLots}) {
+	if trial := next.Trial; trial != nil && next.recallIndex(trial.Lot, trial.ComponentLots) >= 0 {
 		next.Trial = nil
 	}
+	isRecalled := func(entry AcceptedDocument) bool { return next.recallIndex(entry.Lot, entry.ComponentLots) >= 0 }
 	next.Accepted = slices.DeleteFunc(next.Accepted, func(entry AcceptedDocument) bool {
-		return entry.Digest == next.Production.Digest || next.recalls(entry)
+		return entry.Digest == next.Production.Digest || isRecalled(entry)
 	})
 	switch {
-	case !next.recalls(next.Production) && next.Production.Digest != "":
+	case !isRecalled(next.Production) && next.Production.Digest != "":
 		next.Accepted = append(next.Accepted, next.Production)
 		next.Accepted = next.Accepted[max(0, len(next.Accepted)-maximumAccepted):]
 	case len(next.Accepted) > 0:
@@ -86,10 +87,3 @@
 	}
 	return next
 }
-
-// recalls reports whether a document or a part of it belongs to a recalled lot.
-func (heads Heads) recalls(document AcceptedDocument) bool {
-	return slices.ContainsFunc(heads.RecalledLots, func(lot RecalledLot) bool {
-		return lot.Lot == document.Lot || slices.Contains(document.ComponentLots, lot.Lot)
-	})
-}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -131,7 +131,7 @@
 // started again with another version of its software.
 func (call *call) mayStillSend(server fleet.Server) bool {
 	options, now := call.handler.options, time.Now()
-	return options.Fleet.Usable(server.ID, call.work.Service, now) && call.mayServe(server.Service, options.Fleet.Version(server.ID)) && options.Table.Load() == call.table &&
+	return options.Fleet.Usable(server.ID, call.work.Service, now) && call.keepsVersion(server.ID) && options.Table.Load() == call.table &&
 		(!call.table.RequiresKey() || options.Proof.Valid(options.Now())) && call.work.Remaining(now) > 0 && !call.crashesServers()
 }
 
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -98,6 +98,11 @@
 	return call.origin == nil || *call.origin == origin.Origin{Service: service, Version: version}
 }
 
+// keepsVersion reports whether a server that may serve the stream still has its version.
+func (call *call) keepsVersion(serverID string) bool {
+	return call.origin == nil || call.handler.options.Fleet.Version(serverID) == call.origin.Version
+}
+
 // excluded returns the IDs of the members that may not get the request: those that were tried,
 // and those that may not send events of the stream.
 func (call *call) excluded(members []fleet.Member) map[string]bool {
