io/front: a test of a stream whose version has no server for a while

Change: test only: the caller is told to come back, new streams go on at the other version, and the stream does once a server of its version is there again. Measured: passes, three times with -race.

--- a/io/front/version_test.go
+++ b/io/front/version_test.go
@@ -131,3 +131,24 @@
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.Len(t, harness.requestsReceived(), before)
 }
+
+// Guards against a stream that goes on at another version when no server of its own is left, and
+// against new streams that are refused meanwhile.
+func TestStreamWaitsForAServerOfItsVersion(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addVersion("a", "v1", breakThenResume())
+	got := harness.post("/resume/", "x", "X-Id", "first")
+	require.Error(t, got.err)
+	harness.fleet.Remove("a")
+	harness.addVersion("b", "v2", breakThenResume())
+	takeUp := []string{"X-Id", "next", "X-Resumes", "first", "X-Last", "3"}
+	got = harness.post("/resume/", "x", takeUp...)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	got = harness.post("/resume/", "x", "X-Id", "new")
+	require.Equal(t, events(1, 3), got.body)
+	harness.addVersion("c", "v1", breakThenResume())
+	got = harness.post("/resume/", "x", takeUp...)
+	require.NoError(t, got.err)
+	require.Equal(t, events(4, 6), got.body)
+}
