review: consumers of case 2 wait twice as long between their tries; record of case 3

Cause: the tries came each 200 ms, more often than consumers are said to retry; case 3 had a race in its own stand-in and let the operator write again late (1.5 s, now 1.0 s).

--- a/review/harness/case_revoked.go
+++ b/review/harness/case_revoked.go
@@ -59,12 +59,13 @@
 				case <-time.After(50 * time.Millisecond):
 				}
 				attempt := request{method: http.MethodPost, path: "/puxa403/1", id: newID(), key: taken, deadline: 4 * time.Second, body: "notice"}
+				sentAt := time.Now()
 				mutex.Lock()
-				sent[attempt.id] = time.Now()
+				sent[attempt.id] = sentAt
 				mutex.Unlock()
 				status, _ := do(one.entry, attempt)
 				if status != 0 && time.Since(confirmed) > 5*time.Second {
-					record("%s: request %s, sent %d ms after the confirmation, gets %d", one.settings.name, attempt.id, sent[attempt.id].Sub(confirmed).Milliseconds(), status)
+					record("%s: request %s, sent %d ms after the confirmation, gets %d", one.settings.name, attempt.id, sentAt.Sub(confirmed).Milliseconds(), status)
 				}
 			}
 		})
@@ -80,7 +81,7 @@
 		restored := time.Now()
 		record("the store is back from a copy that is %d ms old; host %s starts again", time.Since(copiedAt).Milliseconds(), hosts[0].settings.name)
 		hosts[0].Start()
-		time.Sleep(time.Until(restored.Add(1500 * time.Millisecond)))
+		time.Sleep(time.Until(restored.Add(1000 * time.Millisecond)))
 		store.Put("op/config", config(9, kept))
 		record("the operator has written version 9 again, %d ms after the store's return", time.Since(restored).Milliseconds())
 	} else {
--- a/review/harness/streamer.go
+++ b/review/harness/streamer.go
@@ -22,17 +22,19 @@
 	complete bool
 }
 
-// run sends the request, and takes the stream up after a broken connection until it is complete or
-// the time limit is over.
+// run sends the request, and takes the stream up after a broken connection: up to five more tries,
+// each after twice the wait of the one before.
 func (streamer *streamer) run(next func(try int) *host) {
 	streamer.began = time.Now()
-	for try := 0; try < 12 && !streamer.complete; try++ {
+	wait := 300 * time.Millisecond
+	for try := 0; try <= 5 && !streamer.complete; try++ {
 		left := streamer.limit - time.Since(streamer.began)
-		if left < 200*time.Millisecond {
+		if left < time.Second {
 			return
 		}
-		wait := streamer.try(next(try), left)
-		time.Sleep(max(wait, 200*time.Millisecond))
+		retryAfter := streamer.try(next(try), left)
+		time.Sleep(max(wait, retryAfter))
+		wait *= 2
 	}
 }
 
@@ -40,7 +42,7 @@
 func (streamer *streamer) try(host *host, left time.Duration) time.Duration {
 	consumer, err := connect(host.entry)
 	if err != nil {
-		return 200 * time.Millisecond
+		return 0
 	}
 	defer consumer.Close()
 	_ = consumer.conn.SetDeadline(time.Now().Add(left))
