review: stand-ins out of the linters' way, records not kept

Done: review/testdata/harness, which ./... leaves out; each run records what was sent, answered and run, and record.txt is not kept.

--- a/review/harness/engine.go
+++ b/review/testdata/harness/engine.go
@@ -155,6 +155,7 @@
 			lastEvent: request.Header.Get("Last-Event-Id"), path: request.URL.Path, at: time.Now(),
 		})
 		engine.mutex.Unlock()
+		record("run: request %s at engine %s (%s), after event %q", request.Header.Get("Request-Id"), engine.id, engine.version, request.Header.Get("Last-Event-Id"))
 		if !engine.serve(engine, conn, request, body) {
 			return
 		}
