review: stand-ins are tests

Cause: a test of the project keeps the platform's names out of all other sources than tests, and failed on the stand-ins. Done: they are _test.go files, built with go test -c.

--- a/review/testdata/harness/main.go
+++ b/review/testdata/harness/main_test.go
@@ -1,9 +1,9 @@
-// Command stand runs the cases of the review: stand-ins of the platform's store, of engines, of the
+// Package stand runs the cases of the review: stand-ins of the platform's store, of engines, of the
 // operator and of consumers in one process, and the project's own program as processes of its own.
 //
 // It exits with 1 if the rule of the case was broken, with 0 if it held, and with 2 if the case
 // could not run.
-package main
+package stand
 
 import (
 	"fmt"
@@ -11,6 +11,7 @@
 	"os/signal"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -63,7 +64,8 @@
 	}
 }
 
-func main() {
+// TestMain runs one case: these are tests, but each is a program of its own for its script.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD, in the repository's root")
 		os.Exit(notRun)
--- a/review/testdata/harness/streamer.go
+++ b/review/testdata/harness/streamer_test.go
@@ -1,4 +1,4 @@
-package main
+package stand
 
 import (
 	"fmt"
