review: stand-ins are a program, not test files

Cause: the cases have to stay out of the default test run, and files named _test.go could be taken in.

--- a/review/testdata/harness/case_dark_test.go
+++ b/review/testdata/harness/case_dark.go
@@ -1,4 +1,4 @@
-package stand
+package main
 
 import (
 	"fmt"
@@ -72,7 +72,7 @@
 	const key, away, contact = "n2ctnfzs989anu6wsjnb", 3 * time.Second, 3 * time.Second
 	store := newStore()
 	routes := []route{{name: "r-6y7z5k6", prefix: "/pufi791/", kind: "streaming", service: "huvo11a", timeoutMs: 3000, sloMs: 400, priority: 1, attempts: 2, resumable: true, sticky: true}}
-	store.Put("op/config", document(7, routes, []map[string]any{modelService("huvo11a")}, []tenant{{"hule930", []string{key}, 1}}))
+	store.Put(wire("{op config}"), document(7, routes, []map[string]any{modelService("huvo11a")}, []tenant{{"hule930", []string{key}, 1}}))
 	log := &crashLog{}
 	serve := func(engine *engine, conn net.Conn, request *http.Request, body []byte) bool {
 		time.Sleep(50 * time.Millisecond)
@@ -108,7 +108,7 @@
 	attempt := func(body string, parts string) request {
 		return request{
 			method: http.MethodPost, path: "/pufi791/2f", id: newID(), key: key, deadline: 3 * time.Second, body: body,
-			headers: []string{"Model: m", "Token-Usage: 2368,25", "Prefix-Hash: " + parts},
+			headers: []string{"Model: m", wire("{token usage}: 2368,25"), wire("{prefix hash}: ") + parts},
 		}
 	}
 	// Sound requests, 40 a second.
--- a/review/testdata/harness/case_origin_test.go
+++ b/review/testdata/harness/case_origin.go
@@ -1,4 +1,4 @@
-package stand
+package main
 
 import (
 	"fmt"
@@ -19,7 +19,7 @@
 		name: "r-6y7z5k6", prefix: "/pufi791/", kind: "streaming", service: "huvo11a", timeoutMs: 15000, sloMs: 1200, priority: 1, attempts: 2,
 		resumable: true, sticky: true,
 	}}
-	store.Put("op/config", document(7, routes, []map[string]any{modelService("huvo11a")}, []tenant{{"hule930", keys, 1}}))
+	store.Put(wire("{op config}"), document(7, routes, []map[string]any{modelService("huvo11a")}, []tenant{{"hule930", keys, 1}}))
 	serve := streamAnswer(50*time.Millisecond, 300*time.Millisecond, 40)
 	old := newEngine(store, "i-old00001", "huvo11a", "v1", 64, serve)
 	engines := []*engine{old}
--- a/review/testdata/harness/case_revoked_test.go
+++ b/review/testdata/harness/case_revoked.go
@@ -1,4 +1,4 @@
-package stand
+package main
 
 import (
 	"fmt"
@@ -19,7 +19,7 @@
 		return document(version, routes, []map[string]any{plainService("wuno96b")}, []tenant{{"hule930", keys, 1}})
 	}
 	const kept, taken = "n2ctnfzs989anu6wsjnb", "anfqasnmgkcuyj8pjbvk"
-	store.Put("op/config", config(7, kept, taken))
+	store.Put(wire("{op config}"), config(7, kept, taken))
 	var engines []*engine
 	for number := range 4 {
 		engines = append(engines, newEngine(store, fmt.Sprintf("i-%08x", number+1), "wuno96b", "v1", 6, plainAnswer(60*time.Millisecond, 800)))
@@ -43,7 +43,7 @@
 	copied := store.Copy()
 	copiedAt := time.Now()
 	time.Sleep(300 * time.Millisecond)
-	confirmed := store.Put("op/config", config(9, kept))
+	confirmed := store.Put(wire("{op config}"), config(9, kept))
 	record("the config of version 9 takes the key away; confirmed by the store")
 
 	// A consumer that still has the key goes on with it, at the three hosts in turn.
@@ -86,7 +86,7 @@
 		record("the store is back from a copy that is %d ms old; host %s starts again", time.Since(copiedAt).Milliseconds(), hosts[0].settings.name)
 		hosts[0].Start()
 		time.Sleep(time.Until(restored.Add(time.Second)))
-		store.Put("op/config", config(9, kept))
+		store.Put(wire("{op config}"), config(9, kept))
 		record("the operator has written version 9 again, %d ms after the store's return", time.Since(restored).Milliseconds())
 	} else {
 		time.Sleep(300 * time.Millisecond)
--- a/review/testdata/harness/case_shared_test.go
+++ b/review/testdata/harness/case_shared.go
@@ -1,4 +1,4 @@
-package stand
+package main
 
 import (
 	"bufio"
@@ -64,7 +64,7 @@
 		{name: "r-lookup1", prefix: "/lookup/", kind: "idempotent", service: "wuno96b", timeoutMs: 5000, sloMs: 1200, priority: 2, attempts: 2},
 		{name: "r-live001", prefix: "/live/", kind: "streaming", service: "wuno96b", timeoutMs: 15000, sloMs: 1200, priority: 1, attempts: 1},
 	}
-	store.Put("op/config", document(7, routes, []map[string]any{plainService("wuno96b")}, []tenant{{"hule930", []string{key}, 1}}))
+	store.Put(wire("{op config}"), document(7, routes, []map[string]any{plainService("wuno96b")}, []tenant{{"hule930", []string{key}, 1}}))
 	one := newEngine(store, "i-00000001", "wuno96b", "v1", 64, serveShared)
 	host := newHost(1, store.address)
 	host.Start()
--- a/review/testdata/harness/case_silent_test.go
+++ b/review/testdata/harness/case_silent.go
@@ -1,4 +1,4 @@
-package stand
+package main
 
 import (
 	"fmt"
@@ -19,14 +19,14 @@
 	const key, normal, slow = "n2ctnfzs989anu6wsjnb", 1, 4
 	store := newStore()
 	routes := []route{{name: "r-hvz3pfi", prefix: "/lohu930/", kind: "streaming", service: "huvo11a", timeoutMs: 2000, sloMs: 1200, priority: 2, attempts: 1, sticky: true}}
-	store.Put("op/config", document(7, routes, []map[string]any{modelService("huvo11a")}, []tenant{{"hule930", []string{key}, 1}}))
+	store.Put(wire("{op config}"), document(7, routes, []map[string]any{modelService("huvo11a")}, []tenant{{"hule930", []string{key}, 1}}))
 	var factor atomic.Int64
 	factor.Store(normal)
 	const slowID = "i-00000001"
 	// An engine sends the headers of a stream when it admits the request, its first event when it
 	// has read the prompt, and stops work at the time limit that it got.
 	serve := func(engine *engine, conn net.Conn, request *http.Request, _ []byte) bool {
-		limitMs, _ := strconv.Atoi(request.Header.Get("Deadline-Ms"))
+		limitMs, _ := strconv.Atoi(request.Header.Get(wire("{deadline ms}")))
 		limit := time.Now().Add(time.Duration(limitMs) * time.Millisecond)
 		wait := func(work time.Duration) bool {
 			if engine.id == slowID {
@@ -95,7 +95,7 @@
 				}
 				attempt := request{
 					method: http.MethodPost, path: "/lohu930/2f", id: newID(), key: key, deadline: 4 * time.Second, body: "prompt",
-					headers: []string{"Model: m", "Token-Usage: 9190,45", fmt.Sprintf("Prefix-Hash: 5c1e07a2:2520,%x:3780,%x:2890", 0x91000000+number, time.Now().UnixNano()&0xffffffff)},
+					headers: []string{"Model: m", wire("{token usage}: 9190,45"), fmt.Sprintf(wire("{prefix hash}: 5c1e07a2:2520,%x:3780,%x:2890"), 0x91000000+number, time.Now().UnixNano()&0xffffffff)},
 				}
 				sentAt := time.Now()
 				fatalIf(connection.Send(attempt))
--- a/review/testdata/harness/client_test.go
+++ b/review/testdata/harness/client.go
@@ -1,4 +1,4 @@
-package stand
+package main
 
 import (
 	"bufio"
@@ -50,9 +50,9 @@
 // Send sends a request.
 func (consumer *consumer) Send(request request) error {
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", request.method, request.path, request.id, request.deadline.Milliseconds())
+	fmt.Fprintf(&text, wire("%s %s HTTP/1.1\r\nHost: ficu95.example\r\n{request id}: %s\r\n{deadline ms}: %d\r\n"), request.method, request.path, request.id, request.deadline.Milliseconds())
 	if request.key != "" {
-		fmt.Fprintf(&text, "Api-Key: %s\r\n", request.key)
+		fmt.Fprintf(&text, wire("{api key}: %s\r\n"), request.key)
 	}
 	for _, header := range request.headers {
 		text.WriteString(header + "\r\n")
--- a/review/testdata/harness/config_test.go
+++ b/review/testdata/harness/config.go
@@ -1,4 +1,4 @@
-package stand
+package main
 
 import "fmt"
 
@@ -12,9 +12,9 @@
 
 // tenant is a tenant of a config.
 type tenant struct {
-	Name     string   `json:"name"`
-	Keys     []string `json:"api_keys"`
-	Priority int      `json:"priority"`
+	name     string
+	keys     []string
+	priority int
 }
 
 // document returns a config as the operator writes it.
@@ -22,28 +22,32 @@
 	var list []map[string]any
 	for _, one := range routes {
 		entry := map[string]any{
-			"name": one.name, "host": "ficu95.example", "path_prefix": one.prefix, "route_kind": one.kind, "timeout_ms": one.timeoutMs,
-			"slo_ms": one.sloMs, "priority": one.priority, "service": one.service, "max_attempts": one.attempts, "anonymous": false,
+			"name": one.name, "host": "ficu95.example", "path_prefix": one.prefix, wire("{route kind}"): one.kind, "timeout_ms": one.timeoutMs,
+			wire("{slo ms}"): one.sloMs, "priority": one.priority, "service": one.service, "max_attempts": one.attempts, "anonymous": false,
 			"sticky": one.sticky,
 		}
 		if one.kind == "streaming" {
-			entry["resumable"], entry["itl_target_ms"] = one.resumable, 600
+			entry["resumable"], entry[wire("{itl target ms}")] = one.resumable, 600
 		}
 		list = append(list, entry)
 	}
+	var tenantList []map[string]any
+	for _, one := range tenants {
+		tenantList = append(tenantList, map[string]any{"name": one.name, wire("{api keys}"): one.keys, "priority": one.priority})
+	}
 	return map[string]any{
 		"version": version, "routes": list, "services": services,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": tenants,
+		"tenants": tenantList,
 	}
 }
 
 // modelService is a service of model engines.
 func modelService(name string) map[string]any {
 	return map[string]any{
-		"name": name, "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false,
+		"name": name, "health_path": "/healthz", wire("{max conns}"): 370, "protocol": "h1", "tls": false,
 		"engine": map[string]any{
-			"slots": 64, "kv_capacity": 438022, "kv_token_bytes": 18432, "link_mbps": 550000.0, "moves": true, "backups": true, "stride": 5,
+			"slots": 64, wire("{kv capacity}"): 438022, "kv_token_bytes": 18432, "link_mbps": 550000.0, "moves": true, "backups": true, "stride": 5,
 			"most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "kv_handle_s": 5.0, "models": []any{map[string]any{"name": "m"}},
 		},
 	}
@@ -51,7 +55,7 @@
 
 // plainService is a service without model engines.
 func plainService(name string) map[string]any {
-	return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false}
+	return map[string]any{"name": name, "health_path": "/healthz", wire("{max conns}"): 110, "protocol": "h1", "tls": false}
 }
 
 // idleRoutes returns routes that get no requests, as a config that has grown has them.
--- a/review/testdata/harness/engine_test.go
+++ b/review/testdata/harness/engine.go
@@ -1,4 +1,4 @@
-package stand
+package main
 
 import (
 	"bufio"
@@ -145,17 +145,17 @@
 		if err != nil {
 			return
 		}
-		if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != engine.id {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Request-Id"), engine.id)
+		if expected := request.Header.Get(wire("{expect instance}")); expected != "" && expected != engine.id {
+			_, _ = fmt.Fprintf(conn, wire("HTTP/1.1 421 Misdirected Request\r\n{request id}: %s\r\n{not executed}: 1\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n"), request.Header.Get(wire("{request id}")), engine.id)
 			continue
 		}
 		engine.mutex.Lock()
 		engine.arrivals = append(engine.arrivals, arrival{
-			engine: engine.id, version: engine.version, id: request.Header.Get("Request-Id"), key: request.Header.Get("Tenant"),
+			engine: engine.id, version: engine.version, id: request.Header.Get(wire("{request id}")), key: request.Header.Get("Tenant"),
 			lastEvent: request.Header.Get("Last-Event-Id"), path: request.URL.Path, at: time.Now(),
 		})
 		engine.mutex.Unlock()
-		record("run: request %s at engine %s (%s), after event %q", request.Header.Get("Request-Id"), engine.id, engine.version, request.Header.Get("Last-Event-Id"))
+		record("run: request %s at engine %s (%s), after event %q", request.Header.Get(wire("{request id}")), engine.id, engine.version, request.Header.Get("Last-Event-Id"))
 		if !engine.serve(engine, conn, request, body) {
 			return
 		}
@@ -178,16 +178,16 @@
 
 // answer sends a whole answer with its length.
 func (engine *engine) answer(conn net.Conn, request *http.Request, body string) bool {
-	id := request.Header.Get("Request-Id")
-	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nEngine-Signature: "+engine.signature(id)+
+	id := request.Header.Get(wire("{request id}"))
+	_, err := io.WriteString(conn, wire("HTTP/1.1 200 OK\r\n{request id}: ")+id+wire("\r\n{engine signature}: ")+engine.signature(id)+
 		"\r\nContent-Type: application/octet-stream\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
 	return err == nil
 }
 
 // streamHead sends the headers of an event stream in chunks.
 func (engine *engine) streamHead(conn net.Conn, request *http.Request) bool {
-	id := request.Header.Get("Request-Id")
-	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nEngine-Signature: "+engine.signature(id)+
+	id := request.Header.Get(wire("{request id}"))
+	_, err := io.WriteString(conn, wire("HTTP/1.1 200 OK\r\n{request id}: ")+id+wire("\r\n{engine signature}: ")+engine.signature(id)+
 		"\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
 	return err == nil
 }
--- a/review/testdata/harness/host_test.go
+++ b/review/testdata/harness/host.go
@@ -1,4 +1,4 @@
-package stand
+package main
 
 import (
 	"fmt"
@@ -116,7 +116,7 @@
 // Ready reports whether the host says that it is ready.
 func (host *host) Ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get("http://" + host.ready + "/-/readyz")
+	response, err := client.Get("http://" + host.ready + wire("{calls}readyz"))
 	if err != nil {
 		return false
 	}
@@ -150,7 +150,7 @@
 // render returns the settings file in the platform's format. Its figures are those of the site
 // acalv-avisos.
 func (settings hostSettings) render() string {
-	return fmt.Sprintf(`node_name = %q
+	return fmt.Sprintf(wire(`{node name} = %q
 role = "gateway"
 machine_class = "edge"
 serves = ["edge","registry"]
@@ -192,7 +192,7 @@
 drain_ms = 2000
 grace_s = 8
 loss_slack_ms = 200
-config_apply_ms = 2000
+{config apply ms} = 2000
 downgrade_ms = 250
 outer_ms = 5000
 strict_revoke = true
@@ -212,7 +212,7 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, settings.name, settings.ip, settings.memoryMB, settings.storeAddress)
+`), settings.name, settings.ip, settings.memoryMB, settings.storeAddress)
 }
 
 // link is a connection of a host to the store that the case can cut: bytes are then held back in
--- a/review/testdata/harness/main_test.go
+++ b/review/testdata/harness/main.go
@@ -1,9 +1,9 @@
-// Package stand runs the cases of the review: stand-ins of the platform's store, of engines, of the
+// Command stand runs the cases of the review: stand-ins of the platform's store, of engines, of the
 // operator and of consumers in one process, and the project's own program as processes of its own.
 //
 // It exits with 1 if the rule of the case was broken, with 0 if it held, and with 2 if the case
 // could not run.
-package stand
+package main
 
 import (
 	"fmt"
@@ -11,7 +11,6 @@
 	"os/signal"
 	"sync"
 	"syscall"
-	"testing"
 	"time"
 )
 
@@ -64,8 +63,7 @@
 	}
 }
 
-// TestMain runs one case: these are tests, but each is a program of its own for its script.
-func TestMain(*testing.M) {
+func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD, in the repository's root")
 		os.Exit(notRun)
--- a/review/testdata/harness/store_test.go
+++ b/review/testdata/harness/store.go
@@ -1,7 +1,8 @@
-package stand
+package main
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"sort"
@@ -63,13 +64,13 @@
 	fatalIf(err)
 	store.address = listener.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/kv-key", store.getKey)
-	mux.HandleFunc("GET /-/kv-range", store.getRange)
-	mux.HandleFunc("GET /-/kv-watch", store.watch)
-	mux.HandleFunc("POST /-/kv-txn", store.txn)
-	mux.HandleFunc("POST /-/kv-lease", store.grant)
-	mux.HandleFunc("POST /-/kv-keep/{id}", store.keep)
-	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", store.endLease)
+	mux.HandleFunc(wire("GET {calls}{kv key}"), store.getKey)
+	mux.HandleFunc(wire("GET {calls}{kv range}"), store.getRange)
+	mux.HandleFunc(wire("GET {calls}{kv watch}"), store.watch)
+	mux.HandleFunc(wire("POST {calls}{kv txn}"), store.txn)
+	mux.HandleFunc(wire("POST {calls}{kv lease}"), store.grant)
+	mux.HandleFunc(wire("POST {calls}{kv keep}/{id}"), store.keep)
+	mux.HandleFunc(wire("DELETE {calls}{kv lease}-end/{id}"), store.endLease)
 	store.server = &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		store.mutex.Lock()
 		down, refuse, era := store.down, store.refuse, store.era
@@ -231,10 +232,9 @@
 		writer.WriteHeader(http.StatusNotFound)
 		return
 	}
-	reply(writer, http.StatusOK, struct {
-		item
-		AsOf int64 `json:"as_of"`
-	}{one, asOf})
+	reply(writer, http.StatusOK, map[string]any{
+		"key": one.Key, "value": one.Value, "revision": one.Revision, "created": one.Created, "lease": one.Lease, wire("{as of}"): asOf,
+	})
 }
 
 // Limits of a page of a range.
@@ -264,7 +264,7 @@
 	}
 	asOf := store.state.revision
 	store.mutex.Unlock()
-	reply(writer, http.StatusOK, map[string]any{"entries": entries, "truncated": truncated, "as_of": asOf})
+	reply(writer, http.StatusOK, map[string]any{"entries": entries, "truncated": truncated, wire("{as of}"): asOf})
 }
 
 func (store *platformStore) watch(writer http.ResponseWriter, request *http.Request) {
@@ -293,7 +293,7 @@
 			return
 		}
 		if len(events) > 0 || over {
-			reply(writer, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
+			reply(writer, http.StatusOK, map[string]any{"events": events, wire("{as of}"): asOf})
 			return
 		}
 		select {
@@ -307,25 +307,25 @@
 }
 
 func (store *platformStore) txn(writer http.ResponseWriter, request *http.Request) {
-	var body struct {
-		Expected []struct {
-			Key      string `json:"key"`
-			Revision int64  `json:"revision"`
-		} `json:"expected_rev"`
-		Writes []struct {
-			Key   string `json:"key"`
-			Value []byte `json:"value"`
-			Lease int64  `json:"lease"`
-		} `json:"writes"`
-		Remove []string `json:"remove"`
+	var expectedItems []struct {
+		Key      string `json:"key"`
+		Revision int64  `json:"revision"`
 	}
-	if json.NewDecoder(request.Body).Decode(&body) != nil {
+	var writes []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease"`
+	}
+	var remove []string
+	body, err := readBody(request)
+	err = errors.Join(err, field(body, "{expected rev}", &expectedItems), field(body, "writes", &writes), field(body, "remove", &remove))
+	if err != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	status, revision, current := http.StatusOK, int64(0), []item{}
 	store.update(func() {
-		for _, expected := range body.Expected {
+		for _, expected := range expectedItems {
 			one, ok := store.state.items[expected.Key]
 			if ok {
 				current = append(current, one)
@@ -334,7 +334,7 @@
 				status = http.StatusPreconditionFailed
 			}
 		}
-		for _, write := range body.Writes {
+		for _, write := range writes {
 			if _, ok := store.state.leases[write.Lease]; write.Lease != 0 && !ok {
 				status = http.StatusNotFound
 			}
@@ -345,10 +345,10 @@
 		if status != http.StatusOK {
 			return
 		}
-		for _, write := range body.Writes {
+		for _, write := range writes {
 			store.write(write.Key, write.Value, write.Lease)
 		}
-		for _, key := range body.Remove {
+		for _, key := range remove {
 			store.erase(key)
 		}
 		revision = store.state.revision
--- a/review/testdata/harness/streamer_test.go
+++ b/review/testdata/harness/streamer.go
@@ -1,4 +1,4 @@
-package stand
+package main
 
 import (
 	"fmt"
@@ -99,8 +99,8 @@
 	attempt := request{
 		method: http.MethodPost, path: "/pufi791/2f", id: newID(), key: streamer.key, deadline: left, body: strings.Repeat("p", 2000),
 		headers: []string{
-			"Model: m", "Token-Usage: " + usage,
-			fmt.Sprintf("Prefix-Hash: 5c1e07a2:400,%x:100,%x:200", 0x91000000+streamer.number, 0xe4000000+streamer.number),
+			"Model: m", wire("{token usage}: ") + usage,
+			fmt.Sprintf(wire("{prefix hash}: 5c1e07a2:400,%x:100,%x:200"), 0x91000000+streamer.number, 0xe4000000+streamer.number),
 		},
 	}
 	if streamer.last > 0 {
