core/origin: versions at which streams may have begun outlive all hosts

Cause: origins of streams and versions of servers that left are in the hosts' memory only. A host that has just started took the only version that it lists for the only one at which a stream may have begun, and told the others so. Class: what is not known here is taken for what is not so. A host goes on at the only version if it has run as long as a stream may last, or if the records show no other; no record means that it does not know. Streams may be older than their route's timeout, as callers make several attempts: a minute at least. unknown_origin logs the versions. The tests of io/front record the versions of their servers now, as the hosts of a running service do.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -42,6 +42,8 @@
 		QuarantineStarted(),
 		QuarantineEnded(),
 		QuarantineIgnored(),
+		VersionRecorded(),
+		VersionIgnored(),
 		ServerLimitChanged(),
 		HostListed(),
 		HostUnlisted(),
@@ -253,6 +255,16 @@
 	return Event{1948, "quarantine_ignored", logrus.WarnLevel, "fleet", "The record of a quarantine in the store could not be parsed and was ignored."}
 }
 
+// VersionRecorded reports that the store has a record of a software version of a service.
+func VersionRecorded() Event {
+	return Event{1953, "version_recorded", logrus.InfoLevel, "fleet", "The store has a record of a software version of a service; streams may have begun at it."}
+}
+
+// VersionIgnored reports that the record of a software version could not be parsed.
+func VersionIgnored() Event {
+	return Event{1954, "version_ignored", logrus.WarnLevel, "fleet", "The record of a software version in the store could not be parsed and was ignored."}
+}
+
 // ServerLimitChanged reports that a backend server named another limit of requests per second
 // than before, or none any longer.
 func ServerLimitChanged() Event {
--- a/core/fleet/removed.go
+++ b/core/fleet/removed.go
@@ -45,6 +45,21 @@
 	return slices.Compact(versions)
 }
 
+// ServiceVersions returns the software versions of all servers by service.
+func (fleet *Fleet) ServiceVersions() map[string][]string {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	versions := make(map[string][]string, len(fleet.byService))
+	for service, members := range fleet.byService {
+		for _, member := range members {
+			if !slices.Contains(versions[service], member.Version) {
+				versions[service] = append(versions[service], member.Version)
+			}
+		}
+	}
+	return versions
+}
+
 // Version returns the software version of a server, empty if it is unknown.
 func (fleet *Fleet) Version(id string) string {
 	fleet.mutex.Lock()
--- /dev/null
+++ b/core/origin/records.go
@@ -0,0 +1,110 @@
+package origin
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// recordRetention is how long a version that no server has any more stays recorded. It is
+// longer than a stream lasts.
+const recordRetention = 5 * time.Minute
+
+/*
+Records holds the software versions of each service that are recorded in the platform's
+store, where they outlive all hosts. A host that starts cannot know otherwise at which
+versions streams may have begun: a version of which no server is left is in no list.
+
+Hosts record a version when they see its first server, and remove the record when it has had
+no server for recordRetention. It is safe for concurrent use.
+*/
+type Records struct {
+	mutex   sync.Mutex
+	records map[string]record
+}
+
+// record is a recorded version.
+type record struct {
+	origin Origin
+	// usedAt is when this host last knew a server of the version, or learned of the record.
+	usedAt time.Time
+}
+
+// NewRecords returns a Records without entries.
+func NewRecords() *Records { return &Records{records: make(map[string]record)} }
+
+// RecordName returns the name of the record of a version, which is the same on all hosts.
+func RecordName(origin Origin) string {
+	return strconv.FormatUint(xxhash.Sum64String(strconv.Quote(origin.Service)+origin.Version), 16)
+}
+
+// Put adds a record that is in the store, and reports whether it is new.
+func (records *Records) Put(origin Origin, now time.Time) bool {
+	records.mutex.Lock()
+	defer records.mutex.Unlock()
+	name := RecordName(origin)
+	if _, known := records.records[name]; known {
+		return false
+	}
+	records.records[name] = record{origin: origin, usedAt: now}
+	return true
+}
+
+// Remove removes the record with a name.
+func (records *Records) Remove(name string) {
+	records.mutex.Lock()
+	defer records.mutex.Unlock()
+	delete(records.records, name)
+}
+
+// Retain removes the records that are not in the store.
+func (records *Records) Retain(present func(name string) bool) {
+	records.mutex.Lock()
+	defer records.mutex.Unlock()
+	for name := range records.records {
+		if !present(name) {
+			delete(records.records, name)
+		}
+	}
+}
+
+// Versions returns the recorded versions of a service, in order.
+func (records *Records) Versions(service string) []string {
+	records.mutex.Lock()
+	defer records.mutex.Unlock()
+	var versions []string
+	for _, record := range records.records {
+		if record.origin.Service == service {
+			versions = append(versions, record.origin.Version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// Update takes the versions that servers have now, by service. It returns those that are to be
+// recorded, and the names of the records that are to be removed.
+func (records *Records) Update(current map[string][]string, now time.Time) (missing []Origin, unused []string) {
+	records.mutex.Lock()
+	defer records.mutex.Unlock()
+	for service, versions := range current {
+		for _, version := range versions {
+			used := Origin{Service: service, Version: version}
+			name := RecordName(used)
+			if _, known := records.records[name]; !known {
+				missing = append(missing, used)
+				continue
+			}
+			records.records[name] = record{origin: used, usedAt: now}
+		}
+	}
+	for name, record := range records.records {
+		if now.Sub(record.usedAt) > recordRetention {
+			unused = append(unused, name)
+		}
+	}
+	return missing, unused
+}
--- /dev/null
+++ b/core/origin/records_test.go
@@ -0,0 +1,56 @@
+package origin_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/origin"
+)
+
+// Guards against a version that is forgotten while streams which began at it may be taken up,
+// and against records that are never removed.
+func TestVersionIsRecordedUntilItIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		records := origin.NewRecords()
+		both, second := map[string][]string{"engines": {"v1", "v2"}}, map[string][]string{"engines": {"v2"}}
+		missing, unused := records.Update(both, time.Now())
+		require.ElementsMatch(t, []origin.Origin{v1(), {Service: "engines", Version: "v2"}}, missing)
+		require.Empty(t, unused)
+		for _, version := range missing {
+			require.True(t, records.Put(version, time.Now()))
+			require.False(t, records.Put(version, time.Now()))
+		}
+		require.Equal(t, []string{"v1", "v2"}, records.Versions("engines"))
+		require.Empty(t, records.Versions("others"))
+		for range 4 {
+			time.Sleep(time.Minute)
+			missing, unused = records.Update(second, time.Now())
+			require.Empty(t, missing)
+			require.Empty(t, unused)
+		}
+		time.Sleep(2 * time.Minute)
+		_, unused = records.Update(second, time.Now())
+		require.Equal(t, []string{origin.RecordName(v1())}, unused)
+		records.Remove(unused[0])
+		require.Equal(t, []string{"v2"}, records.Versions("engines"))
+		missing, _ = records.Update(both, time.Now())
+		require.Equal(t, []origin.Origin{v1()}, missing, "a version that comes back")
+	})
+}
+
+// Guards against records that a restored store lacks and that no host writes again.
+func TestLostRecordsAreMissing(t *testing.T) {
+	records := origin.NewRecords()
+	records.Put(v1(), time.Now())
+	records.Retain(func(name string) bool { return name != origin.RecordName(v1()) })
+	missing, _ := records.Update(map[string][]string{"engines": {"v1"}}, time.Now())
+	require.Equal(t, []origin.Origin{v1()}, missing)
+}
+
+// Guards against records of different versions under one name.
+func TestRecordNamesDiffer(t *testing.T) {
+	require.NotEqual(t, origin.RecordName(origin.Origin{Service: "a", Version: "bc"}), origin.RecordName(origin.Origin{Service: "ab", Version: "c"}))
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -104,6 +104,8 @@
 	// Origins holds where streams began. AskOrigin asks the other hosts about a stream.
 	Origins   *origin.Registry
 	AskOrigin func(key uint64)
+	// VersionRecords holds the versions that servers have had before this host started.
+	VersionRecords *origin.Records
 	// CrashDetector finds requests that crash backend servers.
 	CrashDetector *poison.CrashDetector
 	// Pacer keeps to the rates that backend servers accept.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -79,6 +79,8 @@
 	proof   *fresh.Proof
 	handler *front.Handler
 	crashes *poison.CrashDetector
+	// records holds the versions that are recorded in the store: those of all servers.
+	records *origin.Records
 	server  *httptest.Server
 	log     *lockedBuffer
 	// now is the clock against which the proof expires. The proof was confirmed at 1.
@@ -135,10 +137,11 @@
 	require.NoError(t, err)
 	harness.table.Adopt(built)
 	harness.proof.Confirm(1)
+	harness.records = origin.NewRecords()
 	harness.crashes = poison.NewCrashDetector(poison.DetectorOptions{})
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
-		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
+		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, VersionRecords: harness.records, Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
 		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{},
 	})
 	harness.server = httptest.NewServer(harness.handler)
@@ -173,6 +176,7 @@
 			go harness.serveConn(id, conn, respond)
 		}
 	}()
+	harness.records.Put(origin.Origin{Service: "engines", Version: version}, time.Now())
 	harness.fleet.Put(fleet.Server{ID: id, Service: "engines", Address: listener.Addr().String(), Version: version})
 	return listener
 }
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -1,9 +1,10 @@
 package front
 
 import (
-	"cmp"
 	"maps"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,9 +14,14 @@
 	"primrosegw/core/origin"
 )
 
-// unknownOriginRetryAfter is the Retry-After for a stream that cannot go on here, because it is
-// not known where it began.
-const unknownOriginRetryAfter = 300 * time.Millisecond
+const (
+	// unknownOriginRetryAfter is the Retry-After for a stream that cannot go on here, because it
+	// is not known where it began.
+	unknownOriginRetryAfter = 300 * time.Millisecond
+	// maxStreamAge is how long ago a stream that a caller takes up may have begun, unless the
+	// timeout of its route is longer: a caller may have waited for several attempts.
+	maxStreamAge = time.Minute
+)
 
 // originSource is how a host found out where a stream began.
 type originSource string
@@ -35,9 +41,12 @@
 	if call.events.lastID == "" {
 		return nil
 	}
-	found, source := call.lookUpOrigin(time.Now())
+	now := time.Now()
+	found, source := call.lookUpOrigin(now)
 	if source == "" {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_origin", retryAfter: unknownOriginRetryAfter}
+		versions, _ := call.possibleVersions(now)
+		detail := "it may have begun at any of the versions " + strings.Join(versions, ", ")
+		return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_origin", detail: detail, retryAfter: unknownOriginRetryAfter}
 	}
 	call.origin, call.work.TakenUp = &found, true
 	call.work.Service = call.pickService(call.work.Route)
@@ -51,18 +60,17 @@
 lookUpOrigin returns where the stream began that the caller takes up. The source is empty if
 that is not known.
 
-Other hosts are asked only if it makes a difference: if servers of several versions were in the
-service since the stream may have begun, or if this host has not run for so long.
+Other hosts are asked only if it makes a difference: unless the stream can have begun at one
+version only.
 */
 func (call *call) lookUpOrigin(now time.Time) (origin.Origin, originSource) {
 	options, began := call.handler.options, call.info.Resumes
 	if found, known := options.Origins.LookUp(began, now); known && began != "" {
 		return found, knownOrigin
 	}
-	oldest := now.Add(-cmp.Or(call.work.Route.Timeout, defaultTimeout))
-	versions := options.Fleet.Versions(call.work.Service, oldest)
-	isOnly := len(versions) == 1
-	if began != "" && (!isOnly || call.handler.startedAt.After(oldest)) {
+	versions, complete := call.possibleVersions(now)
+	isOnly := complete && len(versions) == 1
+	if began != "" && !isOnly {
 		if found, known := options.Origins.Ask(call.ctx, began, options.AskOrigin); known {
 			return found, askedOrigin
 		}
@@ -77,6 +85,22 @@
 	return found, onlyVersion
 }
 
+// possibleVersions returns the versions of the servers at which the stream may have begun, and
+// whether these are all. A host that has not run for so long needs the records of others: it
+// does not know the servers that left before it started.
+func (call *call) possibleVersions(now time.Time) (versions []string, complete bool) {
+	options := call.handler.options
+	oldest := now.Add(-max(call.work.Route.Timeout, maxStreamAge))
+	versions = options.Fleet.Versions(call.work.Service, oldest)
+	if call.handler.startedAt.Before(oldest) {
+		return versions, true
+	}
+	recorded := options.VersionRecords.Versions(call.work.Service)
+	versions = append(versions, recorded...)
+	slices.Sort(versions)
+	return slices.Compact(versions), len(recorded) > 0
+}
+
 // recordOrigin records where the stream began that the server sends, and tells the other hosts.
 func (call *call) recordOrigin(server fleet.Server) {
 	if call.origin != nil || !call.work.Route.Resumable {
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -63,6 +63,9 @@
 		"state": call.state, "attempts": call.reached, "waited_ms": now.Sub(call.work.Received).Milliseconds(),
 		"retry_after_ms": retryAfter.Milliseconds(), "table_version": call.tableVersion(), "proof_age_ms": call.proofAgeMs(),
 	}
+	if refusal.detail != "" {
+		fields["detail"] = refusal.detail
+	}
 	if refusal.choice != nil {
 		fields["server"], fields["first_ms"] = refusal.choice.Member.ID, refusal.choice.FirstEvent.Milliseconds()
 		fields["over"], fields["objective_ms"] = refusal.choice.Candidates, call.work.Route.Objective.Milliseconds()
--- a/io/front/version_test.go
+++ b/io/front/version_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/origin"
 )
 
 // breakThenResume returns a responder that breaks new streams off after three events, and
@@ -96,6 +98,26 @@
 	}
 }
 
+// Guards against a host that has just started and takes the only version that it knows for the
+// only one at which the stream may have begun: servers of another one may have left before.
+func TestHostThatStartsDoesNotGuessTheVersion(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addVersion("b", "v2", breakThenResume())
+	v1, v2 := origin.Origin{Service: "engines", Version: "v1"}, origin.Origin{Service: "engines", Version: "v2"}
+	takeUp := func() response {
+		return harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", "first", "X-Last", "3")
+	}
+	harness.records.Remove(origin.RecordName(v2))
+	require.Equal(t, http.StatusServiceUnavailable, takeUp().status, "nothing is recorded")
+	harness.records.Put(v1, time.Now())
+	require.Equal(t, http.StatusServiceUnavailable, takeUp().status, "another version is recorded")
+	harness.records.Put(v2, time.Now())
+	require.Equal(t, http.StatusServiceUnavailable, takeUp().status, "both versions are recorded")
+	require.Empty(t, harness.requestsReceived())
+	harness.records.Remove(origin.RecordName(v1))
+	require.Equal(t, events(4, 6), takeUp().body, "only its own version is recorded")
+}
+
 // Guards against a version that was replaced a moment ago and is taken for the only one.
 func TestReplacedVersionCounts(t *testing.T) {
 	harness := newHarness(t, nil)
