io/front: a server's error does not stand in a stream that has begun

Callers: a resumable stream had begun and broke off; the next server answered 400, 404, 409 or a redirection, or 200 with another body than events. Cause: only the state of the request decided whether a further server is asked; its response was then relayed as to a caller who has nothing yet: every status under 500, and every success that is no stream, was written after the events. Change: once a response has started, only a signed success that is a stream goes on with it. Any other response is dropped, the attempt has failed, and the next server may go on; if none does, the connection is aborted.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -141,6 +141,8 @@
 	case info.NotRun:
 		exchange.drainBody(response)
 		return exchange.logAttempt(work.Declined, response.StatusCode, nil)
+	case exchange.call.responseStarted && !(success && isStream(response.Header)):
+		return exchange.dropResponse(response)
 	case success && (!info.Signed || response.Header.Get("Content-Encoding") != ""):
 		exchange.conn.Discard()
 		return exchange.failAttempt(fault.New("front.judge", pipe.Malformed, "the response is unsigned or has a content encoding"))
@@ -150,6 +152,16 @@
 	return exchange.relayBuffered(response, success)
 }
 
+// dropResponse drops a response that is not a stream while the caller is already reading one:
+// nothing of it may stand in the caller's stream. Another server may go on with the stream.
+func (exchange *exchange) dropResponse(response pipe.Response) work.Result {
+	if response.StatusCode >= http.StatusInternalServerError {
+		exchange.call.handler.options.Fleet.RecordFailure(exchange.server.ID)
+	}
+	exchange.drainBody(response)
+	return exchange.logAttempt(work.Failed, response.StatusCode, fault.New("front.judge", pipe.Malformed, "the response is not the rest of the stream"))
+}
+
 func isStream(header http.Header) bool {
 	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 }
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/table"
 )
 
 const eventStream = "Content-Type: text/event-stream"
@@ -110,3 +112,52 @@
 		require.Equal(t, events(1, 3), got.body)
 	}
 }
+
+// breakThen returns a responder that breaks the first stream off after three events and then
+// responds as given.
+func breakThen(next responder) responder {
+	return firstThen(respondWithStream(false, events(1, 3)), next)
+}
+
+// Guards against a server's response that is not the rest of a broken stream, such as an error,
+// and stands in the caller's stream, or ends it as if it were complete.
+func TestOtherResponsesDoNotStandInAStream(t *testing.T) {
+	for name, next := range map[string]responder{
+		"bad request":       respondWith(400, "no such event", signed),
+		"not found":         respondWith(404, "error: gone\n\n", signed),
+		"conflict, empty":   respondWith(409, "", signed),
+		"redirection":       respondWith(302, "", signed, "Location: /elsewhere"),
+		"server error":      respondWith(500, "it failed", signed),
+		"unsigned":          respondWith(404, "error: gone\n\n"),
+		"success, JSON":     respondWith(200, `{"error":"it failed"}`, signed, "Content-Type: application/json"),
+		"success, empty":    respondWith(201, "", signed),
+		"error as a stream": respondWith(404, events(4, 6), signed, eventStream),
+		"not run":           respondWith(503, "full", "X-Not-Run: yes"),
+	} {
+		harness := newHarness(t, nil)
+		respond := breakThen(next)
+		harness.addServer("a", respond)
+		harness.addServer("b", respond)
+		got := harness.post("/resume/", "x")
+		require.Error(t, got.err, name)
+		require.Equal(t, events(1, 3), got.body, name)
+		require.Len(t, harness.requestsReceived(), 2, name)
+		require.Contains(t, harness.log.String(), "answer_broken", name)
+	}
+}
+
+// Guards against a stream that ends at a server's error though a further server goes on with it.
+func TestStreamGoesOnAfterAnError(t *testing.T) {
+	harness := newHarness(t, func(data *table.Data) {
+		for index := range data.Routes {
+			data.Routes[index].MaxAttempts = 3
+		}
+	})
+	respond := breakThen(firstThen(respondWith(404, "error: gone\n\n", signed), respondWithStream(true, events(4, 6))))
+	for _, id := range []string{"a", "b", "c"} {
+		harness.addServer(id, respond)
+	}
+	got := harness.post("/resume/", "x")
+	require.NoError(t, got.err)
+	require.Equal(t, events(1, 6), got.body)
+}
