io/front: only events that follow each other are relayed in a stream

Change: lines of events must be fields or comments. Where a stream goes on, its first event must have the next ID. A stream goes on at another server only if its route may be resumed and its last event has an ID; comments don't count as events.

--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -48,6 +48,10 @@
 			call.giveUp(refusal)
 			return
 		}
+		if !call.mayGoOn() {
+			call.giveUp(unservedRefusal(call.state, false, "not_resumable"))
+			return
+		}
 		step := call.nextStep(time.Now())
 		switch step.Action {
 		case steer.GiveUp:
@@ -79,6 +83,11 @@
 	}
 }
 
+// mayGoOn reports whether another server can go on after what the caller has received.
+func (call *call) mayGoOn() bool {
+	return call.events.count == 0 || call.work.Route.Resumable && call.events.mayResume()
+}
+
 // nextStep returns the next step for the request: an attempt, a refusal or giving
 // up.
 func (call *call) nextStep(now time.Time) steer.Decision {
--- a/io/front/sequence.go
+++ b/io/front/sequence.go
@@ -8,38 +8,103 @@
 	"primrosegw/io/pipe"
 )
 
-// sequence tracks the event ids of a stream, so that no event is delivered twice or
-// left out when the stream is resumed at another server. Ids must increase by one;
-// ids that are not numbers are not checked.
+// sequence tracks the events of a stream, so that no event is delivered twice or left out
+// when the stream is resumed at another server, and nothing else is delivered. IDs must
+// increase by one; IDs that are not numbers are not checked.
 type sequence struct {
-	// lastID is the id of the last delivered event, as the server sent it.
+	// lastID is the ID of the last delivered event, as the server sent it.
 	lastID string
 	// count is the number of delivered events.
 	count int
+	// unnumbered: an event without an ID was delivered after the one with lastID.
+	unnumbered bool
+	// resumed: the next event must have an ID, which shows that a server goes on after lastID.
+	resumed bool
 }
 
-// advance checks the ids of complete events and returns the sequence after them. It
-// fails with pipe.Malformed when an event is out of order.
+// mayResume reports whether another server can go on after the delivered events.
+func (sequence sequence) mayResume() bool {
+	return sequence.count == 0 || sequence.lastID != "" && !sequence.unnumbered
+}
+
+// advance checks complete events and returns the sequence after them. It fails with
+// pipe.Malformed when an event is out of order, or when the data are no events.
 func (sequence sequence) advance(data []byte) (sequence, error) {
+	var event streamEvent
 	for line := range bytes.Lines(data) {
 		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
-			sequence.count++
+		if len(line) > 0 {
+			if err := event.addLine(line); err != nil {
+				return sequence, err
+			}
 			continue
 		}
-		value, found := bytes.CutPrefix(line, []byte("id:"))
-		if !found {
-			continue
+		if err := sequence.add(event); err != nil {
+			return sequence, err
 		}
-		id := string(bytes.TrimSpace(value))
-		if !isNextID(sequence.lastID, id) {
-			return sequence, fault.New("front.take", pipe.Malformed, "event "+id+" after event "+sequence.lastID)
-		}
-		sequence.lastID = id
+		event = streamEvent{}
 	}
 	return sequence, nil
 }
 
+// add adds an event at the end of the sequence.
+func (sequence *sequence) add(event streamEvent) error {
+	switch {
+	case event.hasID:
+		if !isNextID(sequence.lastID, event.id) {
+			return fault.New("front.take", pipe.Malformed, "event "+event.id+" after event "+sequence.lastID)
+		}
+		sequence.lastID, sequence.unnumbered, sequence.resumed = event.id, false, false
+	case !event.hasFields:
+		// A comment keeps the connection open and is no part of the stream.
+		return nil
+	case sequence.resumed:
+		return fault.New("front.take", pipe.Malformed, "an event without an ID where the stream goes on after event "+sequence.lastID)
+	default:
+		sequence.unnumbered = true
+	}
+	sequence.count++
+	return nil
+}
+
+// streamEvent is an event of a stream.
+type streamEvent struct {
+	id        string
+	hasID     bool
+	hasFields bool
+}
+
+// addLine adds a line of the event. It fails with pipe.Malformed if the line is neither a field
+// nor a comment.
+func (event *streamEvent) addLine(line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if len(name) == 0 {
+		return nil
+	}
+	if !isFieldName(name) {
+		return fault.New("front.take", pipe.Malformed, "a line that is no field of an event: "+strconv.Quote(string(line[:min(len(line), maxQuotedBytes)])))
+	}
+	event.hasFields = true
+	if string(name) == "id" {
+		event.id, event.hasID = string(bytes.TrimSpace(value)), true
+	}
+	return nil
+}
+
+// maxQuotedBytes limits the part of a line that is quoted in an error.
+const maxQuotedBytes = 60
+
+// isFieldName reports whether a name can be that of a field of an event: lowercase letters and
+// hyphens. Header lines, which may stand in a stream after a fault of a server, differ.
+func isFieldName(name []byte) bool {
+	for _, letter := range name {
+		if (letter < 'a' || letter > 'z') && letter != '-' {
+			return false
+		}
+	}
+	return true
+}
+
 func isNextID(lastID, id string) bool {
 	lastNumber, err := strconv.ParseInt(lastID, 10, 64)
 	if err != nil {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -26,6 +26,7 @@
 	call := exchange.call
 	if call.responseStarted {
 		call.log(event.StreamResumed(), logrus.Fields{"server": exchange.server.ID, "from_event": call.events.lastID})
+		call.events.resumed = call.events.lastID != ""
 	} else {
 		copyHeader(call.writer.Header(), response.Header)
 		call.writer.WriteHeader(response.StatusCode)
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -161,3 +161,57 @@
 	require.NoError(t, got.err)
 	require.Equal(t, events(1, 6), got.body)
 }
+
+// Guards against an error that a server sends as an event where a stream goes on.
+func TestResumedStreamBeginsWithTheNextEvent(t *testing.T) {
+	for _, first := range []string{"event: error\ndata: it failed\n\n", "data: token\n\n", ": comment\n\nevent: error\n\n"} {
+		harness := newHarness(t, nil)
+		respond := breakThen(respondWithStream(true, first+events(4, 6)))
+		harness.addServer("a", respond)
+		harness.addServer("b", respond)
+		got := harness.post("/resume/", "x")
+		require.Error(t, got.err, first)
+		require.Equal(t, events(1, 3), got.body, first)
+	}
+	harness := newHarness(t, nil)
+	respond := breakThen(respondWithStream(true, ": comment\n\nweight-versions: 2\n"+events(4, 6)))
+	harness.addServer("a", respond)
+	harness.addServer("b", respond)
+	got := harness.post("/resume/", "x")
+	require.NoError(t, got.err)
+	require.Contains(t, got.body, "weight-versions: 2\n"+events(4, 6))
+}
+
+// Guards against the headers of another response that a server writes into a stream which ends
+// with its connection.
+func TestHeadersAreNoEvents(t *testing.T) {
+	for _, tail := range []string{"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror", "id: 4\ndata: toHTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n"} {
+		harness := newHarness(t, nil)
+		harness.addServer("a", func(request *http.Request, conn net.Conn) {
+			writeResponse(conn, 200, request.Header.Get("X-Id"), []string{signed, eventStream}, events(1, 3)+tail)
+			_ = conn.Close()
+		})
+		got := harness.post("/stream/", "x")
+		require.Error(t, got.err, tail)
+		require.NotContains(t, got.body, "HTTP", tail)
+	}
+}
+
+// Guards against a stream that begins anew, or goes on, at another server after events by which no
+// server can tell where to go on.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	for _, test := range []struct{ path, sent string }{
+		{"/resume/", "data: token 1\n\ndata: token 2\n\n"},
+		{"/resume/", "id: 1\ndata: token 1\n\ndata: token 2\n\n"},
+		{"/safe/", events(1, 2)},
+	} {
+		harness := newHarness(t, nil)
+		respond := firstThen(respondWithStream(false, test.sent), respondWithStream(true, events(2, 6)))
+		harness.addServer("a", respond)
+		harness.addServer("b", respond)
+		got := harness.post(test.path, "x")
+		require.Error(t, got.err, test.sent)
+		require.Equal(t, test.sent, got.body)
+		require.Len(t, harness.requestsReceived(), 1, test.sent)
+	}
+}
