io/front: a stream that its caller takes up gets its rest only

Change: with a last event, a success must be a stream, and its first event must have the next ID, in both cases. A server's error is relayed, as the response has not started. Evidence: TestTakenUpStreamGetsItsRestOnly failed on the commit before and passes.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -141,7 +141,7 @@
 	case info.NotRun:
 		exchange.drainBody(response)
 		return exchange.logAttempt(work.Declined, response.StatusCode, nil)
-	case exchange.call.responseStarted && !(success && isStream(response.Header)):
+	case exchange.isNotTheRest(response):
 		return exchange.dropResponse(response)
 	case success && (!info.Signed || response.Header.Get("Content-Encoding") != ""):
 		exchange.conn.Discard()
@@ -152,8 +152,19 @@
 	return exchange.relayBuffered(response, success)
 }
 
-// dropResponse drops a response that is not a stream while the caller is already reading one:
-// nothing of it may stand in the caller's stream. Another server may go on with the stream.
+// isNotTheRest reports whether the caller has a part of a stream, and the response can't be the
+// rest of it. A caller that takes a stream up gets a server's error, as its response has not
+// started.
+func (exchange *exchange) isNotTheRest(response pipe.Response) bool {
+	call, success := exchange.call, isSuccess(response)
+	if success && isStream(response.Header) {
+		return false
+	}
+	return call.responseStarted || success && call.events.lastID != ""
+}
+
+// dropResponse drops a response that is not the rest of the stream that the caller is reading:
+// nothing of it may stand in the stream. Another server may go on with it.
 func (exchange *exchange) dropResponse(response pipe.Response) work.Result {
 	if response.StatusCode >= http.StatusInternalServerError {
 		exchange.call.handler.options.Fleet.RecordFailure(exchange.server.ID)
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -26,13 +26,13 @@
 	call := exchange.call
 	if call.responseStarted {
 		call.log(event.StreamResumed(), logrus.Fields{"server": exchange.server.ID, "from_event": call.events.lastID})
-		call.events.resumed = call.events.lastID != ""
 	} else {
 		copyHeader(call.writer.Header(), response.Header)
 		call.writer.WriteHeader(response.StatusCode)
 		call.responseStarted = true
 		call.recordOrigin(exchange.server)
 	}
+	call.events.resumed = call.events.lastID != ""
 	exchange.conn.SetReadDeadline(call.work.Deadline.Add(responseGrace))
 	err := exchange.copyEvents(response.Body)
 	if err != nil {
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -182,6 +182,29 @@
 	require.Contains(t, got.body, "weight-versions: 2\n"+events(4, 6))
 }
 
+// Guards against a success that is no stream, and against an error as an event, as the rest of a
+// stream that its caller takes up. A server's error is relayed.
+func TestTakenUpStreamGetsItsRestOnly(t *testing.T) {
+	for name, respond := range map[string]responder{
+		"JSON":          respondWith(200, `{"error":"it failed"}`, signed, "Content-Type: application/json"),
+		"error event":   respondWithStream(true, "event: error\ndata: it failed\n\n"),
+		"wrong event":   respondWithStream(true, events(1, 6)),
+		"no ID":         respondWithStream(true, "data: token\n\n"),
+		"missing event": respondWithStream(true, events(5, 6)),
+	} {
+		harness := newHarness(t, nil)
+		harness.addServer("a", respond)
+		got := harness.post("/resume/", "x", "X-Last", "3")
+		require.True(t, got.err != nil || got.status == http.StatusBadGateway, name)
+		require.NotContains(t, got.body, "failed", name)
+		require.NotContains(t, got.body, "token", name)
+	}
+	harness := newHarness(t, nil)
+	harness.addServer("a", respondWith(404, "no such event", signed))
+	got := harness.post("/resume/", "x", "X-Last", "3")
+	require.Equal(t, response{status: 404, header: got.header, body: "no such event"}, got)
+}
+
 // Guards against the headers of another response that a server writes into a stream which ends
 // with its connection.
 func TestHeadersAreNoEvents(t *testing.T) {
