io/front: a stream goes on only at the process that is registered

Cause: the id that a request expects is the same for the new process, and its registration reaches a host up to 0.5 s later, or later still if the host has no way to the store; the rule holds for such hosts, too. The host sent streams to the new process as to the old one, and recorded the old version for those that began there. Change: an engine says when its process started (born in its report). A host asks on the same connection before a stream goes on there, and on a new connection before other requests if a connection to the engine has broken off before, or if several versions serve. Another process than the registered one gets nothing until it has registered (event server_replaced). Engines that don't say when they started are used as before. Evidence: TestStreamDoesNotGoOnAtAnotherProcess and TestStreamDoesNotBeginAtAnotherProcess failed on the commit before and pass.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -37,6 +37,7 @@
 		ServerLeaving(),
 		ServerRemoved(),
 		ServerIgnored(),
+		ServerReplaced(),
 		ServerSuspended(),
 		ServerCrashed(),
 		QuarantineStarted(),
@@ -255,6 +256,12 @@
 	return Event{1948, "quarantine_ignored", logrus.WarnLevel, "fleet", "The record of a quarantine in the store could not be parsed and was ignored."}
 }
 
+// ServerReplaced reports that another process than the registered one is at a backend server's
+// address.
+func ServerReplaced() Event {
+	return Event{1955, "server_replaced", logrus.WarnLevel, "fleet", "Another process than the registered one is at a backend server's address; it gets no requests until it has registered."}
+}
+
 // VersionRecorded reports that the store has a record of a software version of a service.
 func VersionRecorded() Event {
 	return Event{1953, "version_recorded", logrus.InfoLevel, "fleet", "The store has a record of a software version of a service; streams may have begun at it."}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -76,6 +76,10 @@
 	// ExpiresAt is when a server is removed whose entry disappeared during a store
 	// outage; zero while the entry exists.
 	ExpiresAt time.Time
+	// InDoubt is set when a connection ended unexpectedly, until the server has said that its
+	// registered process still runs. Replaced is set if it said that another one does.
+	InDoubt  bool
+	Replaced bool
 
 	hash uint64
 }
@@ -94,7 +98,7 @@
 // usable reports whether the registration permits sending requests to the
 // server. It ignores suspension.
 func (member *Member) usable(now time.Time) bool {
-	return !member.Leaving && (member.ExpiresAt.IsZero() || now.Before(member.ExpiresAt))
+	return !member.Leaving && !member.Replaced && (member.ExpiresAt.IsZero() || now.Before(member.ExpiresAt))
 }
 
 // Fleet is the set of all known backend servers. It is safe for concurrent use.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -263,8 +263,9 @@
 	now := time.Now()
 	if !call.callerGone() && now.Before(call.work.Deadline) {
 		call.handler.options.Fleet.RecordBrokenAnswer(exchange.server.ID, now)
+		call.handler.options.Fleet.DoubtProcess(exchange.server.ID)
 		if call.handler.options.CrashDetector.ObserveBrokenResponse(connectionKey(exchange.server), call.features(), exchange.started, now) {
-			go call.handler.probe(exchange.server, call.connectionLimit(exchange.server))
+			go call.handler.probe(exchange.server, call.connectionLimit(exchange.server), call.reportsProcess(exchange.server))
 		}
 		call.handler.logSuspension(exchange.server, err, now)
 	}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -120,6 +121,13 @@
 	}
 	stop := context.AfterFunc(call.request.Context(), conn.Close)
 	defer stop()
+	if call.mustCheckProcess(conn, server) {
+		if err := call.handler.checkProcess(conn, server); err != nil {
+			conn.Discard()
+			call.log(event.AttemptEnded(), logrus.Fields{"server": server.ID, "result": work.NoConnection, "state": call.state, "error": err.Error()})
+			return work.NoConnection
+		}
+	}
 	if !call.mayStillSend(server) {
 		conn.Discard()
 		delete(call.tried, server.ID)
@@ -175,6 +183,11 @@
 	return server.ID + "@" + server.Address + "/" + server.Started.String()
 }
 
+// ServerOf returns the ID of the server whose connections have a pool key.
+func ServerOf(connectionKey string) string {
+	return connectionKey[:max(0, strings.LastIndexByte(connectionKey, '@'))]
+}
+
 // connectionLimit returns the number of connections to a server that this host may
 // open; 0: unlimited.
 func (call *call) connectionLimit(server fleet.Server) int {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -87,6 +87,10 @@
 	// ForwardHeader returns the headers of the request to a backend server.
 	ForwardHeader(caller http.Header, info ForwardInfo) http.Header
 	ParseResponse(status int, header http.Header) ResponseInfo
+	// ReportRequest returns a request that asks a server about itself. ParseReport returns from
+	// its response when the server's process started, and false if it does not say so.
+	ReportRequest(server fleet.Server) pipe.Request
+	ParseReport(body []byte) (started time.Time, known bool)
 	// SetRetryAfter sets the header that tells callers when to retry.
 	SetRetryAfter(header http.Header, after time.Duration)
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -63,6 +63,15 @@
 	return front.ResponseInfo{ID: header.Get("X-Id"), Signed: header.Get("X-Signed") != "", NotRun: header.Get("X-Not-Run") != "" || status == 421}
 }
 
+func (headerCodec) ReportRequest(fleet.Server) pipe.Request {
+	return pipe.Request{Method: http.MethodGet, Target: "/report", Host: "h.example"}
+}
+
+func (headerCodec) ParseReport(body []byte) (time.Time, bool) {
+	ms, err := strconv.ParseInt(string(body), 10, 64)
+	return time.UnixMilli(ms), err == nil
+}
+
 func (headerCodec) SetRetryAfter(header http.Header, after time.Duration) {
 	header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 }
@@ -81,6 +90,8 @@
 	crashes *poison.CrashDetector
 	// records holds the versions that are recorded in the store: those of all servers.
 	records *origin.Records
+	// servers holds the registrations of the servers that were added.
+	servers map[string]fleet.Server
 	server  *httptest.Server
 	log     *lockedBuffer
 	// now is the clock against which the proof expires. The proof was confirmed at 1.
@@ -113,7 +124,7 @@
 
 func newHarness(t *testing.T, change func(*table.Data)) *harness {
 	t.Helper()
-	harness := &harness{t: t, table: &table.Current{}, fleet: fleet.New(), proof: fresh.New(time.Minute), log: &lockedBuffer{}, whileDialing: func() {}}
+	harness := &harness{t: t, table: &table.Current{}, fleet: fleet.New(), proof: fresh.New(time.Minute), log: &lockedBuffer{}, servers: map[string]fleet.Server{}, whileDialing: func() {}}
 	target := []table.Target{{Service: "engines", Weight: 1}}
 	route := func(name string, kind table.Kind, resumable bool) table.Route {
 		return table.Route{
@@ -177,7 +188,8 @@
 		}
 	}()
 	harness.records.Put(origin.Origin{Service: "engines", Version: version}, time.Now())
-	harness.fleet.Put(fleet.Server{ID: id, Service: "engines", Address: listener.Addr().String(), Version: version})
+	harness.servers[id] = fleet.Server{ID: id, Service: "engines", Address: listener.Addr().String(), Version: version}
+	harness.fleet.Put(harness.servers[id])
 	return listener
 }
 
--- /dev/null
+++ b/io/front/process.go
@@ -0,0 +1,83 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"primrosegw/core/event"
+	"primrosegw/core/fault"
+	"primrosegw/core/fleet"
+	"primrosegw/io/pipe"
+)
+
+// reportTimeout limits how long a server may take to say which process it is.
+const reportTimeout = 300 * time.Millisecond
+
+/*
+checkProcess asks the server at the other end of a connection which process it is. Afterwards the
+connection can take a request. It fails with Replaced if the process is not the registered one,
+and with the kinds of package pipe if the server does not answer. A server that does not say when
+it started is taken for the registered process.
+
+A server may start again under its ID and address with another version of its software. A request
+that names the ID does not reveal that; until the new registration arrives, only the server can.
+*/
+func (handler *Handler) checkProcess(conn *pipe.Conn, server fleet.Server) error {
+	deadline := time.Now().Add(reportTimeout)
+	if _, err := conn.Send(handler.options.Headers.ReportRequest(server), deadline); err != nil {
+		return err
+	}
+	response, err := conn.AwaitResponse(http.MethodGet, deadline)
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxForeignBytes))
+	if err != nil {
+		return fault.Wrap("front.check_process", pipe.Lost, err)
+	}
+	if handler.options.Headers.ParseResponse(response.StatusCode, response.Header).ID != "" {
+		return fault.New("front.check_process", pipe.Malformed, "a response to another request")
+	}
+	started, known := handler.options.Headers.ParseReport(body)
+	if known && !started.Equal(server.Started) {
+		if handler.options.Fleet.RecordReplaced(server) {
+			handler.options.Logger.Log(event.ServerReplaced(), logrus.Fields{
+				"server": server.ID, "registered_ms": server.Started.UnixMilli(), "started_ms": started.UnixMilli(),
+			})
+		}
+		return fault.New("front.check_process", pipe.Unreachable, "another process is at the server's address")
+	}
+	if !response.KeepAlive || !isDelimited(response) || !conn.Reuse(response.Header) {
+		return fault.New("front.check_process", pipe.Unsent, "the connection can't be used again")
+	}
+	handler.options.Fleet.ConfirmProcess(server)
+	return nil
+}
+
+// reportsProcess reports whether a server can say which process it is.
+func (call *call) reportsProcess(server fleet.Server) bool {
+	service, ok := call.table.Service(server.Service)
+	return ok && service.Engine != nil && !server.Started.IsZero()
+}
+
+// mustCheckProcess reports whether the server must say which process it is before it gets the
+// request on a connection: if the request goes on with a stream, if the server has broken off a
+// connection before this one was opened, or if a stream begins that may go on elsewhere, while
+// servers of several versions serve.
+func (call *call) mustCheckProcess(conn *pipe.Conn, server fleet.Server) bool {
+	switch {
+	case !call.reportsProcess(server):
+		return false
+	case call.events.lastID != "":
+		return true
+	case !conn.Dialed:
+		return false
+	case call.handler.options.Fleet.InDoubt(server.ID):
+		return true
+	}
+	versions, _ := call.possibleVersions(time.Now())
+	return call.work.Route.Resumable && len(versions) > 1
+}
--- /dev/null
+++ b/io/front/process_test.go
@@ -0,0 +1,120 @@
+package front_test
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/table"
+)
+
+// withReports makes the servers of a harness say which process they are.
+func withReports(data *table.Data) { data.Services[0].Engine = &table.Engine{Slots: 8} }
+
+// reporting returns a responder that says when its process started, and responds to all other
+// requests as given.
+func reporting(startedMs int, respond responder) responder {
+	return func(request *http.Request, conn net.Conn) {
+		if request.URL.Path == "/report" {
+			respondWith(200, strconv.Itoa(startedMs))(request, conn)
+			return
+		}
+		respond(request, conn)
+	}
+}
+
+// startedAt registers a server as a process that started at a time.
+func (harness *harness) startedAt(id string, startedMs int64) {
+	server := harness.servers[id]
+	server.Started = time.UnixMilli(startedMs)
+	harness.fleet.Put(server)
+}
+
+// streamsAt returns the requests that a server got, but those for its report.
+func (harness *harness) streamsAt(id string) int {
+	count := 0
+	for _, received := range harness.requestsReceived() {
+		if strings.HasPrefix(received, id+" ") && !strings.Contains(received, "/report") {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a stream that goes on at a server which has started again under its ID, maybe
+// with another version, and has not registered yet.
+func TestStreamDoesNotGoOnAtAnotherProcess(t *testing.T) {
+	for _, takenUp := range []bool{false, true} {
+		harness := newHarness(t, withReports)
+		harness.addVersion("a", "v1", reporting(1, breakThenResume()))
+		harness.startedAt("a", 1)
+		got := harness.post("/resume/", "x", "X-Id", "first")
+		require.Equal(t, events(1, 3), got.body)
+		harness.fleet.Remove("a")
+		harness.addVersion("b", "v1", reporting(2, breakThenResume()))
+		harness.startedAt("b", 1)
+		if takenUp {
+			got = harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", "first", "X-Last", "3")
+			require.Equal(t, http.StatusServiceUnavailable, got.status)
+		} else {
+			harness.addVersion("c", "v1", reporting(1, respondWithStream(false, events(1, 3))))
+			harness.startedAt("c", 1)
+			got = harness.post("/resume/", "x", "X-Id", "other")
+			require.Equal(t, events(1, 3), got.body)
+		}
+		require.LessOrEqual(t, harness.streamsAt("b"), 1)
+		harness.fleet.Remove("c")
+		got = harness.post("/resume/", "x", "X-Id", "again", "X-Resumes", "first", "X-Last", "3")
+		require.Equal(t, http.StatusServiceUnavailable, got.status, "the server gets no requests")
+		require.Contains(t, harness.log.String(), "server_replaced")
+		harness.startedAt("b", 2)
+		got = harness.post("/resume/", "x", "X-Id", "last", "X-Resumes", "first", "X-Last", "3")
+		require.Equal(t, events(4, 6), got.body, "the new process has registered")
+	}
+}
+
+// Guards against a stream that begins at another process than the registered one, after a
+// connection of it has broken off: its version would be unknown.
+func TestStreamDoesNotBeginAtAnotherProcess(t *testing.T) {
+	harness := newHarness(t, withReports)
+	var started atomic.Int64
+	started.Store(1)
+	harness.addVersion("a", "v1", func(request *http.Request, conn net.Conn) {
+		reporting(int(started.Swap(2)), respondWithStream(false, events(1, 3)))(request, conn)
+	})
+	harness.startedAt("a", 1)
+	got := harness.post("/once/", "x")
+	require.Equal(t, events(1, 3), got.body)
+	got = harness.post("/once/", "x")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, 1, harness.streamsAt("a"))
+}
+
+// Guards against servers that get nothing any more because they do not say which process they are.
+func TestServersWithoutReportsAreUsed(t *testing.T) {
+	for name, report := range map[string]responder{
+		"not found": respondWith(404, ""), "no time": respondWith(200, "{}"), "the registered one": respondWith(200, "1"),
+	} {
+		harness := newHarness(t, withReports)
+		respond := func(request *http.Request, conn net.Conn) {
+			if request.URL.Path == "/report" {
+				report(request, conn)
+				return
+			}
+			breakThenResume()(request, conn)
+		}
+		harness.addVersion("a", "v1", respond)
+		harness.addVersion("b", "v1", respond)
+		harness.startedAt("a", 1)
+		harness.startedAt("b", 1)
+		got := harness.post("/resume/", "x")
+		require.NoError(t, got.err, name)
+		require.Equal(t, events(1, 6), got.body, name)
+	}
+}
--- a/io/front/suspect.go
+++ b/io/front/suspect.go
@@ -64,10 +64,10 @@
 
 // probe connects to a server whose response broke off and keeps the connection for
 // the next request. It detects a crash at once, without delaying a request.
-func (handler *Handler) probe(server fleet.Server, limit int) {
+func (handler *Handler) probe(server fleet.Server, limit int, reportsProcess bool) {
 	conn, err := handler.options.Pool.Get(context.Background(), connectionKey(server), server.Address, limit)
 	if err == nil {
-		conn.ReleaseUnused()
+		handler.releaseProbe(conn, server, reportsProcess)
 		return
 	}
 	if fault.Is(err, pipe.Unreachable) {
@@ -75,10 +75,21 @@
 	}
 }
 
+// releaseProbe keeps the connection of a probe, unless another process may be at its other end.
+func (handler *Handler) releaseProbe(conn *pipe.Conn, server fleet.Server, reportsProcess bool) {
+	isDoubtful := reportsProcess && conn.Dialed && handler.options.Fleet.InDoubt(server.ID)
+	if isDoubtful && handler.checkProcess(conn, server) != nil {
+		conn.Discard()
+		return
+	}
+	conn.ReleaseUnused()
+}
+
 // recordUnreachable records that a connection to a server could not be established.
 func (handler *Handler) recordUnreachable(server fleet.Server, err error) {
 	now := time.Now()
 	handler.options.Fleet.RecordUnreachable(server.ID, now)
+	handler.options.Fleet.DoubtProcess(server.ID)
 	handler.logSuspension(server, err, now)
 	handler.recordRefusedConnection(server, err, now)
 }
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -54,8 +54,12 @@
 		_, err := conn.reader.Peek(1)
 		conn.mutex.Lock()
 		if !conn.inUse {
+			closedHere := conn.closed || errors.Is(err, net.ErrClosed)
 			conn.closed = true
 			conn.mutex.Unlock()
+			if !closedHere {
+				conn.pool.options.OnClosedIdle(conn.key)
+			}
 			return
 		}
 		if conn.writing && err == nil {
@@ -236,6 +240,17 @@
 	conn.pool.putIdle(conn)
 }
 
+// Reuse makes the connection ready for another request of its holder, after a complete response
+// with the given headers. It returns false if the server does not keep it open, or has sent more.
+func (conn *Conn) Reuse(header http.Header) bool {
+	if keepAliveTimeout(header) <= 0 || conn.reader.Buffered() > 0 {
+		return false
+	}
+	conn.raw.SetReadDeadline(time.Time{})
+	conn.rearm <- struct{}{}
+	return true
+}
+
 // Discard closes the connection whatever its state and unblocks its watch
 // goroutine.
 func (conn *Conn) Discard() {
--- a/io/pipe/pipe.go
+++ b/io/pipe/pipe.go
@@ -64,6 +64,9 @@
 	DialTimeout time.Duration
 	// OnDial is called before each dial; may be nil.
 	OnDial func(address string)
+	// OnClosedIdle is called with the key of each idle connection that a server closes, or on
+	// which it sends something; may be nil.
+	OnClosedIdle func(key string)
 }
 
 // Pool holds the idle connections to all backend servers and counts the open ones.
@@ -89,6 +92,9 @@
 	if options.OnDial == nil {
 		options.OnDial = func(string) {}
 	}
+	if options.OnClosedIdle == nil {
+		options.OnClosedIdle = func(string) {}
+	}
 	return &Pool{
 		options: options,
 		dialer:  net.Dialer{Timeout: options.DialTimeout, Control: SetTCPUserTimeout, KeepAlive: -1},
