io/front: a response that ends with its server's process is not complete

Cause: such a response ends with its connection, and the end of a process ends its connections as well: the kernel closes them without a reset if nothing unread is left. The host took each end between two events for the whole stream. Change: before such a response counts as complete, the host makes sure that the process still runs: by its report where engines have one, else by a connection, which is kept for the next request. If it has ended, the attempt is broken. Evidence: TestResponseThatEndsWithItsServerIsNotComplete failed before and passes.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -190,6 +190,10 @@
 		exchange.conn.Discard()
 		return exchange.failAttempt(fault.New("front.complete", pipe.Malformed, "the response is too long"))
 	}
+	if success && !isDelimited(response) && exchange.hasEnded() {
+		exchange.conn.Discard()
+		return exchange.failAttempt(fault.New("front.complete", pipe.Lost, "the server ended with the response"))
+	}
 	exchange.releaseConn(response)
 	if success {
 		exchange.recordEnd(response)
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -16,6 +17,9 @@
 // reportTimeout limits how long a server may take to say which process it is.
 const reportTimeout = 300 * time.Millisecond
 
+// maxLifeChecks is the number of connections on which a server is asked whether it still runs.
+const maxLifeChecks = 3
+
 /*
 checkProcess asks the server at the other end of a connection which process it is. Afterwards the
 connection can take a request. It fails with Replaced if the process is not the registered one,
@@ -81,3 +85,31 @@
 	versions, _ := call.possibleVersions(time.Now())
 	return call.work.Route.Resumable && len(versions) > 1
 }
+
+/*
+hasEnded reports whether the server's process has ended. It is asked for after a response without
+a length that ended with its connection: the end of a process ends its connections, too, and the
+response is then not complete.
+*/
+func (exchange *exchange) hasEnded() bool {
+	call := exchange.call
+	for range maxLifeChecks {
+		conn, err := call.handler.options.Pool.Get(context.Background(), connectionKey(exchange.server), exchange.server.Address, call.connectionLimit(exchange.server))
+		if err != nil {
+			return fault.Is(err, pipe.Unreachable)
+		}
+		if !call.reportsProcess(exchange.server) {
+			conn.ReleaseUnused()
+			return false
+		}
+		if err = call.handler.checkProcess(conn, exchange.server); err == nil {
+			conn.ReleaseUnused()
+			return false
+		}
+		conn.Discard()
+		if fault.Is(err, pipe.Unreachable) {
+			return true
+		}
+	}
+	return false
+}
--- a/io/front/process_test.go
+++ b/io/front/process_test.go
@@ -118,3 +118,45 @@
 		require.Equal(t, events(1, 6), got.body, name)
 	}
 }
+
+// endsWithItsServer returns a responder of a server whose process ends in its first response, and
+// whether that response is a stream.
+func endsWithItsServer(server *net.Listener, contentType, body string) responder {
+	return func(request *http.Request, conn net.Conn) {
+		_ = (*server).Close()
+		writeResponse(conn, 200, request.Header.Get("X-Id"), []string{signed, contentType}, body)
+		_ = conn.Close()
+	}
+}
+
+// Guards against a response without a length that looks complete though its server's process ended
+// in the middle of it.
+func TestResponseThatEndsWithItsServerIsNotComplete(t *testing.T) {
+	for _, test := range []struct{ path, contentType, body string }{
+		{"/stream/", eventStream, events(1, 3)},
+		{"/resume/", eventStream, events(1, 3)},
+		{"/once/", "Content-Type: text/plain", "a part"},
+	} {
+		harness := newHarness(t, nil)
+		var server net.Listener
+		server = harness.addServer("a", endsWithItsServer(&server, test.contentType, test.body))
+		got := harness.post(test.path, "x")
+		require.True(t, got.err != nil || got.status == http.StatusBadGateway, test.path)
+	}
+	harness := newHarness(t, nil)
+	var first, second net.Listener
+	respond := func(server *net.Listener) responder {
+		return func(request *http.Request, conn net.Conn) {
+			if request.Header.Get("X-Last") == "" {
+				endsWithItsServer(server, eventStream, events(1, 3))(request, conn)
+				return
+			}
+			respondWithStream(true, events(4, 6))(request, conn)
+		}
+	}
+	first = harness.addServer("a", respond(&first))
+	second = harness.addServer("b", respond(&second))
+	got := harness.post("/resume/", "x")
+	require.NoError(t, got.err)
+	require.Equal(t, events(1, 6), got.body, "another server goes on")
+}
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -35,6 +35,9 @@
 	call.events.resumed = call.events.lastID != ""
 	exchange.conn.SetReadDeadline(call.work.Deadline.Add(responseGrace))
 	err := exchange.copyEvents(response.Body)
+	if err == nil && !isDelimited(response) && exchange.hasEnded() {
+		err = fault.New("front.relay", pipe.Lost, "the server ended with the stream")
+	}
 	if err != nil {
 		exchange.conn.Discard()
 		return exchange.failAttempt(err)
