--- a/core/store/store.go
+++ b/core/store/store.go
@@ -27,6 +27,8 @@
 	Expired Kind = "expired"
 	// Refused: the service rejected the call, for example because of its size.
 	Refused Kind = "refused"
+	// Oversized: the response is longer than the client reads.
+	Oversized Kind = "oversized"
 	// Compacted: the requested revision is no longer in the service's history.
 	Compacted Kind = "compacted"
 )
