io/engine, io/plain: each call has a connection of its own

Callers: (serve) an engine that wrote an earlier refusal once more on a kept connection, while it ran the next call: that call counted as not run, its caller was told so or it ran at a second engine; an earlier answer went to the caller of the next call. The same for plain services, also for calls that must run once. Cause: the connections of net/http are kept after an answer that was read to its end. Answers of these engines and services don't say to which call they belong, so a copy that comes after the next call was sent can't be told from its answer. Change: calls of engines and services keep no connection. Reports and orders, which may come twice, keep theirs (NewControlClient). TestPostIsSentOnce broke a kept connection, which there is none of any more: its service now breaks the connection of the POST itself, and the test also fails if any connection gets a second call. One connection more for each call.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -79,9 +79,11 @@
 	cells     *cells
 	loads     *loads
 	affinity  *affinity
-	engines   *http.Client
-	store     store.Store
-	random    *lockedRandom
+	// engines is the client for calls of engines, and controls that for their reports and orders.
+	engines  *http.Client
+	controls *http.Client
+	store    store.Store
+	random   *lockedRandom
 
 	chooser *route.Router
 	limiter *limit.Limiter
@@ -120,6 +122,7 @@
 		affinity: newAffinity(),
 		built:    make(chan struct{}),
 		engines:  engine.NewClient(),
+		controls: engine.NewControlClient(),
 		store:    options.Store,
 		random:   &lockedRandom{random: options.Random},
 		chooser:  route.New(route.Options{}),
--- a/io/daemon/engines.go
+++ b/io/daemon/engines.go
@@ -82,7 +82,7 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	engines.readers[server.Name] = stop
-	reader := &reader{engines: engines, cell: cell, server: server, control: engine.NewControl(server.Address, engines.daemon.engines)}
+	reader := &reader{engines: engines, cell: cell, server: server, control: engine.NewControl(server.Address, engines.daemon.controls)}
 	random := rand.New(rand.NewPCG(engines.daemon.random.Uint64(), 0))
 	engines.group.Go(func() {
 		reader.control.Poll(ctx, loadInterval, random, func(load health.Load, err error) { reader.read(ctx, load, err) })
--- a/io/daemon/placer.go
+++ b/io/daemon/placer.go
@@ -112,7 +112,7 @@
 	servers := view.Servers(placer.pool)
 	controls := make(engine.Controls, len(servers))
 	for _, server := range servers {
-		controls[server.Name] = engine.NewControl(server.Address, placer.daemon.engines)
+		controls[server.Name] = engine.NewControl(server.Address, placer.daemon.controls)
 	}
 	states := placer.states(ctx, controls)
 	position := slices.IndexFunc(view.Document.Pools, func(pool spec.Pool) bool { return pool.Name == placer.pool })
--- a/io/engine/backend.go
+++ b/io/engine/backend.go
@@ -44,19 +44,30 @@
 // MaxHeaderBytes limits the headers of an engine's response.
 const MaxHeaderBytes = 64 << 10
 
-// NewClient returns the HTTP client for engines. One client serves them all.
+// NewClient returns the HTTP client for calls of engines. One client serves them all. Each call
+// has a connection of its own: on a kept one, an answer that an engine writes once more could be
+// taken for that of the next call, as answers do not say to which call they belong.
 func NewClient() *http.Client {
+	transport := newTransport()
+	transport.DisableKeepAlives = true
+	return &http.Client{Transport: transport}
+}
+
+// NewControlClient returns the HTTP client for reports of engines and orders, which may come twice.
+// One client serves all engines.
+func NewControlClient() *http.Client {
+	transport := newTransport()
+	transport.MaxIdleConnsPerHost = idleConnections
+	return &http.Client{Transport: transport}
+}
+
+func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:            dialer.DialContext,
-		MaxIdleConnsPerHost:    idleConnections,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: MaxHeaderBytes,
-	}}
+	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: MaxHeaderBytes}
 }
 
 // New returns the backend of the engine at an address such as
-// http://10.0.0.7:8000.
+// http://10.0.0.7:8000. The client is that of NewClient.
 func New(address string, client *http.Client) *Backend {
 	return &Backend{address: address, client: client}
 }
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -100,7 +100,9 @@
 		budget:  retry.New(options.Retries),
 		backoff: retry.Backoff{BaseDelay: retry.DefaultBaseDelay, MaxDelay: retry.DefaultMaxDelay, Random: options.Random},
 		client: &http.Client{
-			Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32, MaxResponseHeaderBytes: maxHeaderBytes},
+			// Each call has a connection of its own: on a kept one, an answer that a service writes
+			// once more would be taken for that of the next call.
+			Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
@@ -208,8 +210,8 @@
 	return Answer{Status: response.StatusCode, Header: passed(response.Header), Body: body, URL: address}, nil
 }
 
-// keepSingle stops net/http from sending a request again by itself. It does so
-// when a kept connection breaks, for requests with a key under the canonical
+// keepSingle stops net/http from sending a request again by itself, whatever connection
+// it uses. It does so when a kept connection breaks, for requests with a key under the canonical
 // name of the header; the key goes out under the name in lower case instead.
 func keepSingle(request *http.Request) {
 	const name = "Idempotency-Key"
--- a/io/plain/single_test.go
+++ b/io/plain/single_test.go
@@ -17,11 +17,13 @@
 	"primrosegw/io/plain"
 )
 
-// fickle is a service that answers the first request of a connection and breaks
-// the connection after it has taken a second one.
+// fickle is a service that answers the first request of a connection unless it is a POST, and
+// breaks the connection after it has taken a POST or a second request.
 type fickle struct {
 	posts atomic.Int64
-	url   string
+	// kept counts the requests on connections that had another one before.
+	kept atomic.Int64
+	url  string
 }
 
 func newFickle(t *testing.T) *fickle {
@@ -54,6 +56,9 @@
 			fickle.posts.Add(1)
 		}
 		if taken > 0 {
+			fickle.kept.Add(1)
+		}
+		if taken > 0 || request.Method == http.MethodPost {
 			return
 		}
 		if _, err := connection.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")); err != nil {
@@ -68,7 +73,7 @@
 
 // TestPostIsSentOnce guards against net/http, which sends a request again by
 // itself when a kept connection breaks and the request has an Idempotency-Key:
-// the filing would run twice.
+// the filing would run twice. No connection is kept for a second call.
 func TestPostIsSentOnce(t *testing.T) {
 	for name, body := range map[string][]byte{"with a body": []byte(`{"n":1}`), "without a body": nil} {
 		t.Run(name, func(t *testing.T) {
@@ -82,6 +87,7 @@
 			_, err = service.Do(ctx, target(fickle.url), plain.Call{Method: http.MethodPost, Path: "x", Header: header, Body: body})
 			assert.True(t, fault.Is(err, plain.Broken), "%v", err)
 			assert.Equal(t, int64(1), fickle.posts.Load())
+			assert.Zero(t, fickle.kept.Load())
 		})
 	}
 }
