io/front: the version of a stream counts also if its route may be resumed later only

Callers: (by a test) a stream of a route that may not be resumed broke off after a new configuration had allowed it, and went on at another software version within one response (ORDER). Cause: where a stream began was recorded only if its route could be resumed at that moment. Change: it is recorded for each stream; the other hosts are told as before. Evidence: TestStreamThatMayBeResumedLaterStaysAtItsVersion failed before and passes.

--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -82,8 +83,10 @@
 
 // harness is a Handler with backend servers whose responses are scripted.
 type harness struct {
-	t       *testing.T
-	table   *table.Current
+	t     *testing.T
+	table *table.Current
+	// data is the table that newHarness makes, without changes.
+	data    table.Data
 	fleet   *fleet.Fleet
 	proof   *fresh.Proof
 	handler *front.Handler
@@ -141,12 +144,11 @@
 		Workspaces: []table.Workspace{{Name: "space", Keys: []string{"key"}}},
 		Limits:     table.Limits{BodyBytes: 1 << 20},
 	}
-	if change != nil {
-		change(&data)
+	harness.data = data
+	if change == nil {
+		change = func(*table.Data) {}
 	}
-	built, err := table.New(data)
-	require.NoError(t, err)
-	harness.table.Adopt(built)
+	harness.adopt(change)
 	harness.proof.Confirm(1)
 	harness.records = origin.NewRecords()
 	harness.crashes = poison.NewCrashDetector(poison.DetectorOptions{})
@@ -160,6 +162,16 @@
 	return harness
 }
 
+// adopt puts a changed table in force.
+func (harness *harness) adopt(change func(*table.Data)) {
+	data := harness.data
+	data.Routes, data.Services = slices.Clone(data.Routes), slices.Clone(data.Services)
+	change(&data)
+	built, err := table.New(data)
+	require.NoError(harness.t, err)
+	harness.table.Adopt(built)
+}
+
 func (harness *harness) askOrigin(uint64) { harness.asked.Add(1) }
 
 // responder responds to one request on a connection.
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -101,13 +101,17 @@
 	return slices.Compact(versions), len(recorded) > 0
 }
 
-// recordOrigin records where the stream began that the server sends, and tells the other hosts.
+// recordOrigin records where the stream began that the server sends. If the stream may be resumed,
+// it tells the other hosts.
 func (call *call) recordOrigin(server fleet.Server) {
-	if call.origin != nil || !call.work.Route.Resumable {
+	if call.origin != nil {
 		return
 	}
+	// A new configuration may allow later that the stream is resumed.
 	call.origin = &origin.Origin{Service: server.Service, Version: server.Version}
-	call.tellOrigin(call.work.ID, *call.origin)
+	if call.work.Route.Resumable {
+		call.tellOrigin(call.work.ID, *call.origin)
+	}
 }
 
 // tellOrigin records where the stream began whose first event the request with the given ID
--- a/io/front/version_test.go
+++ b/io/front/version_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosegw/core/origin"
+	"primrosegw/core/table"
 )
 
 // breakThenResume returns a responder that breaks new streams off after three events, and
@@ -118,6 +119,31 @@
 	require.Equal(t, events(4, 6), takeUp().body, "only its own version is recorded")
 }
 
+// Guards against a stream that goes on at another version because a new configuration allows, while
+// it runs, that it is resumed.
+func TestStreamThatMayBeResumedLaterStaysAtItsVersion(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addVersion("a", "v1", func(request *http.Request, conn net.Conn) {
+		harness.adopt(func(data *table.Data) {
+			data.Version = 2
+			for index := range data.Routes {
+				data.Routes[index].Resumable = true
+			}
+		})
+		breakThenResume()(request, conn)
+	})
+	harness.addVersion("b", "v2", func(request *http.Request, conn net.Conn) {
+		if request.Header.Get("X-Last") == "" {
+			respondWith(421, "", "X-Not-Run: yes")(request, conn)
+			return
+		}
+		breakThenResume()(request, conn)
+	})
+	got := harness.post("/stream/", "x")
+	require.Error(t, got.err)
+	require.Equal(t, events(1, 3), got.body)
+}
+
 // Guards against a version that was replaced a moment ago and is taken for the only one.
 func TestReplacedVersionCounts(t *testing.T) {
 	harness := newHarness(t, nil)
