core/fleet, io/front: engines that say that they leave or turn a host away are left alone

Nothing read either; the engine that refused fastest looked idlest and drew the load, so that retries ran out. Change: what a process of an engine says of itself is kept by process in core/fleet, beside its registration: from an answer that says so on, whatever its status and to whatever request, a leaving engine gets nothing; one that turns away gets nothing until its time ends (5 minutes at most). If all do, callers whose request has not run are told the earliest end, spread over a quarter of the wait (turned_away). An engine that refuses is less preferred for 2 s, with or without a time. docs/decisions/21 has the ways weighed.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -38,6 +38,7 @@
 		ServerRemoved(),
 		ServerIgnored(),
 		ServerReplaced(),
+		ServerTurnedAway(),
 		ServerSuspended(),
 		ServerCrashed(),
 		QuarantineStarted(),
@@ -262,6 +263,12 @@
 	return Event{1955, "server_replaced", logrus.WarnLevel, "fleet", "Another process than the registered one is at a backend server's address; it gets no requests until it has registered."}
 }
 
+// ServerTurnedAway reports that a backend server turned a request away and wants none of this host
+// for a time.
+func ServerTurnedAway() Event {
+	return Event{1956, "server_turned_away", logrus.InfoLevel, "fleet", "A backend server turned a request away and wants none of this host for a time."}
+}
+
 // VersionRecorded reports that the store has a record of a software version of a service.
 func VersionRecorded() Event {
 	return Event{1953, "version_recorded", logrus.InfoLevel, "fleet", "The store has a record of a software version of a service; streams may have begun at it."}
--- /dev/null
+++ b/core/fleet/announce.go
@@ -0,0 +1,90 @@
+package fleet
+
+import "time"
+
+// announcementRetention is how long what a server's process has said of itself is kept after it was
+// last said. It is longer than a leaving process runs.
+const announcementRetention = 5 * time.Minute
+
+const (
+	// declineMemory is how long after its last refusal a server is less preferred.
+	declineMemory = 2 * time.Second
+	// declineRateAlpha is the weight of the newest response in the moving average of refusals.
+	declineRateAlpha = 0.3
+)
+
+// announcement is what a process of a server has said of itself in its responses. It holds whatever
+// the server's registration says, and outlives the registration.
+type announcement struct {
+	leaving   bool
+	awayUntil time.Time
+	heardAt   time.Time
+}
+
+// RecordLeaving records that a server says in a response that it is leaving. It gets no requests any
+// more, unless it starts again. It reports whether this was not known.
+func (fleet *Fleet) RecordLeaving(server Server, now time.Time) bool {
+	return fleet.announce(server, now, func(known *announcement) bool {
+		isNew := !known.leaving
+		known.leaving = true
+		return isNew
+	})
+}
+
+// RecordTurnedAway records that a server wants no requests of this host until a time, unless it
+// starts again. It reports whether this is later than was known.
+func (fleet *Fleet) RecordTurnedAway(server Server, until, now time.Time) bool {
+	return fleet.announce(server, now, func(known *announcement) bool {
+		isLater := until.After(known.awayUntil)
+		if isLater {
+			known.awayUntil = until
+		}
+		return isLater
+	})
+}
+
+// announce changes what a server's process has said of itself.
+func (fleet *Fleet) announce(server Server, now time.Time, change func(*announcement) bool) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	process := server.ProcessHash()
+	known := fleet.announcements[process]
+	changed := change(&known)
+	known.heardAt = now
+	for other, old := range fleet.announcements {
+		if now.Sub(old.heardAt) > announcementRetention {
+			delete(fleet.announcements, other)
+		}
+	}
+	fleet.announcements[process] = known
+	if member := fleet.members[server.ID]; member != nil && member.ProcessHash() == process {
+		member.announcement = known
+	}
+	return changed
+}
+
+// SaysLeaving reports whether the server has said in a response that it is leaving.
+func (member *Member) SaysLeaving() bool { return member.announcement.leaving }
+
+// AwayFor returns how long the server wants no requests of this host; 0: it wants them now.
+func (member *Member) AwayFor(now time.Time) time.Duration {
+	return max(0, member.announcement.awayUntil.Sub(now))
+}
+
+// RecordDeclined records that a server refused a request without running it.
+func (fleet *Fleet) RecordDeclined(id string, now time.Time) {
+	fleet.update(id, func(member *Member) {
+		member.declineRate = member.DeclineRate(now)*(1-declineRateAlpha) + declineRateAlpha
+		member.declinedAt = now
+	})
+}
+
+// DeclineRate returns the share of requests that the server has refused lately. It falls to 0 within
+// declineMemory, so that a server without requests is tried again.
+func (member *Member) DeclineRate(now time.Time) float64 {
+	age := now.Sub(member.declinedAt)
+	if member.declinedAt.IsZero() || age >= declineMemory {
+		return 0
+	}
+	return member.declineRate * (1 - float64(age)/float64(declineMemory))
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -81,6 +81,10 @@
 	InDoubt  bool
 	Replaced bool
 
+	announcement announcement
+	declineRate  float64
+	declinedAt   time.Time
+
 	hash uint64
 }
 
@@ -98,7 +102,7 @@
 // usable reports whether the registration permits sending requests to the
 // server. It ignores suspension.
 func (member *Member) usable(now time.Time) bool {
-	return !member.Leaving && !member.Replaced && (member.ExpiresAt.IsZero() || now.Before(member.ExpiresAt))
+	return !member.Leaving && !member.announcement.leaving && !member.Replaced && (member.ExpiresAt.IsZero() || now.Before(member.ExpiresAt))
 }
 
 // Fleet is the set of all known backend servers. It is safe for concurrent use.
@@ -109,6 +113,8 @@
 	byHash    map[uint64]*Member
 	// removed holds the servers that were removed lately, by ID.
 	removed map[string]removedServer
+	// announcements holds what processes of servers have said of themselves, by process hash.
+	announcements map[uint64]announcement
 	// reports holds the latest report of each other host, by host name.
 	reports map[string]receivedReport
 	// nextExpiry is when the reports are next checked for expiry.
@@ -119,7 +125,7 @@
 func New() *Fleet {
 	return &Fleet{
 		members: make(map[string]*Member), byService: make(map[string][]*Member), byHash: make(map[uint64]*Member), reports: make(map[string]receivedReport),
-		removed: make(map[string]removedServer),
+		removed: make(map[string]removedServer), announcements: make(map[uint64]announcement),
 	}
 }
 
@@ -148,7 +154,7 @@
 		if known != nil {
 			fleet.delete(server.ID)
 		}
-		member := &Member{Server: server, hash: ServerHash(server.ID)}
+		member := &Member{Server: server, hash: ServerHash(server.ID), announcement: fleet.announcements[server.ProcessHash()]}
 		fleet.members[server.ID] = member
 		fleet.addReportsFor(member)
 		fleet.rebuildIndex()
@@ -255,7 +261,7 @@
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	member := fleet.members[id]
-	return member != nil && member.Service == service && member.usable(now)
+	return member != nil && member.Service == service && member.usable(now) && member.AwayFor(now) == 0
 }
 
 // Size returns the number of servers.
@@ -311,6 +317,7 @@
 		member.ConsecutiveFailures = 0
 		member.SuspendedUntil = time.Time{}
 		member.FailureRate *= 1 - failureRateAlpha
+		member.declineRate *= 1 - declineRateAlpha
 	})
 }
 
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -169,3 +169,52 @@
 		require.Positive(t, servers.SuspendedFor("a", time.Now()))
 	})
 }
+
+// Guards against what a process has said of itself that is forgotten with its registration, kept for
+// a new process, or kept for ever.
+func TestAnnouncementsBelongToAProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		servers := fleet.New()
+		first := fleet.Server{ID: "a", Service: "engines", Address: "10.0.0.1:80", Started: time.UnixMilli(1)}
+		second := first
+		second.Started = time.UnixMilli(2)
+		usable := func() bool { return servers.Usable("a", "engines", time.Now()) }
+		servers.Put(first)
+		require.True(t, usable())
+		require.True(t, servers.RecordLeaving(first, time.Now()))
+		require.False(t, servers.RecordLeaving(first, time.Now()))
+		require.False(t, usable())
+		servers.Remove("a")
+		servers.Put(first)
+		require.False(t, usable(), "listed again")
+		servers.Put(second)
+		require.True(t, usable(), "a new process")
+		require.True(t, servers.RecordTurnedAway(second, time.Now().Add(time.Second), time.Now()))
+		require.False(t, servers.RecordTurnedAway(second, time.Now().Add(500*time.Millisecond), time.Now()), "a shorter time")
+		require.False(t, usable())
+		time.Sleep(time.Second)
+		require.True(t, usable())
+		time.Sleep(10 * time.Minute)
+		servers.RecordTurnedAway(second, time.Now(), time.Now())
+		servers.Put(first)
+		require.True(t, usable(), "forgotten")
+	})
+}
+
+// Guards against a server that is avoided for ever because it once refused requests.
+func TestDeclineRateFades(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		servers := fleet.New()
+		servers.Put(fleet.Server{ID: "a", Service: "engines"})
+		rate := func() float64 { return servers.Members("engines", time.Now())[0].DeclineRate(time.Now()) }
+		require.Zero(t, rate())
+		for range 20 {
+			servers.RecordDeclined("a", time.Now())
+		}
+		require.Greater(t, rate(), 0.9)
+		servers.RecordSuccess("a")
+		require.Less(t, rate(), 0.8)
+		time.Sleep(3 * time.Second)
+		require.Zero(t, rate())
+	})
+}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -41,15 +41,15 @@
 	Wait(server fleet.Server, now time.Time) time.Duration
 }
 
-// ShortestWait returns the shortest time after which one of the untried members accepts a
-// request. It is 0 if that is now, or if there are none.
+// ShortestWait returns the shortest time after which one of the members accepts a request. Tried
+// ones count if they named that time. It is 0 if that is now, or if there are none.
 func (options Options) ShortestWait(members []fleet.Member, tried map[string]bool, now time.Time) time.Duration {
 	shortest := time.Duration(0)
 	for _, member := range members {
-		if tried[member.ID] {
+		wait := options.wait(member, now)
+		if wait == 0 && tried[member.ID] {
 			continue
 		}
-		wait := options.wait(member, now)
 		if wait == 0 {
 			return 0
 		}
@@ -60,11 +60,13 @@
 	return shortest
 }
 
+// wait returns the time after which a member accepts a request of this host; 0: now.
 func (options Options) wait(member fleet.Member, now time.Time) time.Duration {
+	wait := member.AwayFor(now)
 	if options.Pacer == nil {
-		return 0
+		return wait
 	}
-	return options.Pacer.Wait(member.Server, now)
+	return max(wait, options.Pacer.Wait(member.Server, now))
 }
 
 // Terms of the expected loss of a choice, in units of the request's value.
@@ -85,6 +87,9 @@
 	cacheMissLoss = 1.4
 	// failureLoss is the loss at a server whose failure rate is 1.
 	failureLoss = 1.5
+	// declineLoss is the loss at a server that refuses all requests. Without it the server that
+	// refuses fastest would look idlest.
+	declineLoss = 1.0
 	// crossDomainLoss is the loss when a request goes to another failure domain.
 	crossDomainLoss = 0.02
 	// slownessLoss is the loss at a server that takes twice as long as normal.
@@ -185,7 +190,7 @@
 func (options Options) evaluate(request *work.Request, member *fleet.Member, preferred bool, now time.Time) Choice {
 	choice := Choice{Member: *member, Preferred: preferred}
 	running := member.Own.Running + member.Peers.Running
-	loss := float64(running)*runningRequestLoss + member.FailureRate*failureLoss
+	loss := float64(running)*runningRequestLoss + member.FailureRate*failureLoss + member.DeclineRate(now)*declineLoss
 	if member.FailureDomain != options.FailureDomain {
 		loss += crossDomainLoss
 	}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -4,6 +4,7 @@
 package steer
 
 import (
+	"slices"
 	"time"
 
 	"primrosegw/core/admit"
@@ -34,6 +35,8 @@
 	NoServer = "no_server"
 	// ServerLimit: the servers that could take the request accept none now.
 	ServerLimit = "server_limit"
+	// TurnedAway: the servers that could take the request want none of this host for a time.
+	TurnedAway = "turned_away"
 )
 
 // Progress is the history of a request's attempts.
@@ -76,7 +79,7 @@
 	}
 	choice, ok := pick.Server(options, request, members, progress.Tried, now)
 	if !ok {
-		return withoutServer(options, progress, members, now)
+		return withoutServer(options, request, progress, members, now)
 	}
 	admission := admit.Decide(request, admit.Prediction{QueueDelay: choice.QueueDelay, FirstEvent: choice.FirstEvent}, now)
 	if !admission.Admitted && progress.Reached == 0 && !request.TakenUp {
@@ -87,14 +90,35 @@
 
 // withoutServer decides about a request that no server can take. If one will accept it
 // later, a caller whose request has not run is told when.
-func withoutServer(options pick.Options, progress Progress, members []fleet.Member, now time.Time) Decision {
+func withoutServer(options pick.Options, request *work.Request, progress Progress, members []fleet.Member, now time.Time) Decision {
 	wait := options.ShortestWait(members, progress.Tried, now)
-	if wait > 0 && progress.Reached == 0 {
+	hasNotRun := progress.Reached == 0 || progress.State.NotRun()
+	isAway := func(member fleet.Member) bool { return member.AwayFor(now) > 0 }
+	switch {
+	case wait > 0 && hasNotRun && slices.ContainsFunc(members, isAway):
+		return Decision{Action: Refuse, Reason: TurnedAway, RetryAfter: wait + spread(request.ID, wait)}
+	case wait > 0 && progress.Reached == 0:
 		return Decision{Action: Refuse, Reason: ServerLimit, RetryAfter: wait}
 	}
 	return Decision{Action: GiveUp, Reason: NoServer}
 }
 
+// maxSpread and spreadShare bound the time over which callers that wait for the same server are
+// spread.
+const (
+	maxSpread   = time.Second
+	spreadShare = 0.25
+)
+
+// spread returns a time that differs between requests, so that their callers do not return together.
+func spread(requestID string, wait time.Duration) time.Duration {
+	most := min(maxSpread, time.Duration(float64(wait)*spreadShare))
+	return time.Duration(float64(most) * float64(pick.SplitHash(requestID)%spreadSteps) / spreadSteps)
+}
+
+// spreadSteps is the number of different times.
+const spreadSteps = 64
+
 // acquireRetry reports whether the request may be sent to another server, and if so
 // takes one retry out of the budget.
 func acquireRetry(request *work.Request, progress Progress, budget Budget) bool {
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -99,3 +100,30 @@
 	require.Equal(t, steer.GiveUp, decision.Action)
 	require.Equal(t, steer.NoServer, decision.Reason)
 }
+
+// Guards against callers that are told nothing of when a server wants requests again, that return
+// together, or that are told "not run" of a request which may have run.
+func TestTurnedAway(t *testing.T) {
+	now := time.Now()
+	servers := fleet.New()
+	away := fleet.Server{ID: "a", Service: "engines"}
+	servers.Put(away)
+	servers.RecordTurnedAway(away, now.Add(400*time.Millisecond), now)
+	members := servers.Members("engines", now)
+	times := map[time.Duration]bool{}
+	for number := range 40 {
+		request := &work.Request{ID: strconv.Itoa(number), Service: "engines", Route: table.Route{MaxAttempts: 2}, Received: now, Deadline: now.Add(time.Second)}
+		budget := fakeBudget(2)
+		progress := steer.Progress{State: work.Refused, Reached: 1, Tried: map[string]bool{"a": true}}
+		decision := steer.Next(pick.Options{}, request, progress, &budget, members, now)
+		require.Equal(t, steer.Refuse, decision.Action)
+		require.Equal(t, steer.TurnedAway, decision.Reason)
+		require.GreaterOrEqual(t, decision.RetryAfter, 400*time.Millisecond)
+		require.LessOrEqual(t, decision.RetryAfter, 500*time.Millisecond)
+		times[decision.RetryAfter] = true
+		progress.State = work.Unsure
+		request.Route.Kind = table.Idempotent
+		require.Equal(t, steer.GiveUp, steer.Next(pick.Options{}, request, progress, &budget, members, now).Action)
+	}
+	require.Greater(t, len(times), 20)
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -83,6 +83,7 @@
 		call.handler.options.Fleet.ReportLoad(exchange.server.ID, *info.Load)
 	}
 	exchange.observeRateLimit(response, info)
+	exchange.observeRefusal(info)
 	return exchange.handleResponse(response, info)
 }
 
@@ -97,6 +98,24 @@
 	}
 }
 
+// observeRefusal records that the server refused the request, and for how long it wants none.
+func (exchange *exchange) observeRefusal(info ResponseInfo) {
+	call, now := exchange.call, time.Now()
+	if info.NotRun {
+		call.handler.options.Fleet.RecordDeclined(exchange.server.ID, now)
+	}
+	if info.RetryAfter > 0 && call.handler.options.Fleet.RecordTurnedAway(exchange.server, now.Add(info.RetryAfter), now) {
+		call.log(event.ServerTurnedAway(), logrus.Fields{"server": exchange.server.ID, "for_ms": info.RetryAfter.Milliseconds()})
+	}
+}
+
+// observeLeaving records that a server says in a response, to whatever request, that it is leaving.
+func (handler *Handler) observeLeaving(server fleet.Server, info ResponseInfo) {
+	if info.Leaving && handler.options.Fleet.RecordLeaving(server, time.Now()) {
+		handler.options.Logger.Log(event.ServerLeaving(), logrus.Fields{"server": server.ID, "service": server.Service})
+	}
+}
+
 func isSuccess(response pipe.Response) bool {
 	return response.StatusCode >= 200 && response.StatusCode < 300
 }
@@ -116,6 +135,7 @@
 	response, err := exchange.conn.AwaitResponse(call.request.Method, deadline)
 	for foreign := 0; err == nil; foreign++ {
 		info := call.handler.options.Headers.ParseResponse(response.StatusCode, response.Header)
+		call.handler.observeLeaving(exchange.server, info)
 		if info.ID == call.work.ID {
 			return response, info, nil
 		}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -79,6 +79,11 @@
 	// RateLimit is the number of requests per second that the server accepts from all hosts
 	// together; 0: it names none.
 	RateLimit float64
+	// Leaving: the server says that it is leaving.
+	Leaving bool
+	// RetryAfter is the time for which a server that turned the request away wants none of this
+	// host; 0: it names none.
+	RetryAfter time.Duration
 }
 
 // HeaderCodec reads and writes the headers of the platform's protocol.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -61,7 +61,8 @@
 }
 
 func (headerCodec) ParseResponse(status int, header http.Header) front.ResponseInfo {
-	return front.ResponseInfo{ID: header.Get("X-Id"), Signed: header.Get("X-Signed") != "", NotRun: header.Get("X-Not-Run") != "" || status == 421}
+	retryAfter, _ := time.ParseDuration(header.Get("X-Away"))
+	return front.ResponseInfo{ID: header.Get("X-Id"), Signed: header.Get("X-Signed") != "", NotRun: header.Get("X-Not-Run") != "" || status == 421, Leaving: header.Get("X-Leaving") != "", RetryAfter: retryAfter}
 }
 
 func (headerCodec) ReportRequest(fleet.Server) pipe.Request {
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -42,7 +42,9 @@
 	if err != nil {
 		return fault.Wrap("front.check_process", pipe.Lost, err)
 	}
-	if handler.options.Headers.ParseResponse(response.StatusCode, response.Header).ID != "" {
+	info := handler.options.Headers.ParseResponse(response.StatusCode, response.Header)
+	handler.observeLeaving(server, info)
+	if info.ID != "" {
 		return fault.New("front.check_process", pipe.Malformed, "a response to another request")
 	}
 	started, known := handler.options.Headers.ParseReport(body)
