io/front: a caller that leaves does not cut another caller's request

Cause: the connection was back in the pool while the first caller's hold on it lasted until its answer was written. Change: the hold ends before the connection is returned; if the caller has left by then, the connection is closed instead. Evidence: TestCallerThatLeavesDoesNotCutAnotherRequest failed before (502) and passes under the race detector.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -32,8 +32,11 @@
 
 // exchange is an attempt: one request and its response on one connection.
 type exchange struct {
-	call    *call
-	conn    *pipe.Conn
+	call *call
+	conn *pipe.Conn
+	// disown ends the hold of the caller, which closes the connection by leaving. It returns false
+	// if the caller has left.
+	disown  func() bool
 	server  fleet.Server
 	started time.Time
 	choice  pick.Choice
@@ -255,9 +258,10 @@
 }
 
 // releaseConn returns the connection to the pool after a complete response, or
-// closes it if it can't be reused.
+// closes it if it can't be reused. The next request may take it at once, so from here on this
+// one's caller must not close it.
 func (exchange *exchange) releaseConn(response pipe.Response) {
-	if exchange.reusable && response.KeepAlive && isDelimited(response) {
+	if exchange.disown() && exchange.reusable && response.KeepAlive && isDelimited(response) {
 		exchange.conn.Release(response.Header)
 		return
 	}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -119,8 +119,8 @@
 		}
 		return work.NoConnection
 	}
-	stop := context.AfterFunc(call.request.Context(), conn.Close)
-	defer stop()
+	disown := context.AfterFunc(call.request.Context(), conn.Close)
+	defer disown()
 	if call.mustCheckProcess(conn, server) {
 		if err := call.handler.checkProcess(conn, server); err != nil {
 			conn.Discard()
@@ -135,7 +135,7 @@
 	}
 	options.Fleet.RequestStarted(server.ID, choice.Share)
 	defer options.Fleet.RequestEnded(server.ID, choice.Share)
-	exchange := &exchange{call: call, conn: conn, server: server, started: time.Now(), choice: choice}
+	exchange := &exchange{call: call, conn: conn, disown: disown, server: server, started: time.Now(), choice: choice}
 	defer exchange.markPromptRead()
 	call.logSent(choice, exchange)
 	return exchange.run()
