io/front: a stream's response starts with its first event

Cause: the response counted as started when the engine's head was received, before anything was written to the caller. Change: the response starts with the first event, or with the end of a stream without events. Until then a stream can fail with a status, or begin at another server with that one's headers. Events before a faulty one in the same read are delivered; comments before the first event are dropped.

--- a/io/front/sequence.go
+++ b/io/front/sequence.go
@@ -27,27 +27,30 @@
 	return sequence.count == 0 || sequence.lastID != "" && !sequence.unnumbered
 }
 
-// advance checks complete events and returns the sequence after them. It fails with
-// pipe.Malformed when an event is out of order, or when the data are no events.
-func (sequence sequence) advance(data []byte) (sequence, error) {
+// advance checks complete events and returns the sequence after them and their length. It fails
+// with pipe.Malformed when an event is out of order, or when the data are no events; the sequence
+// and the length are then those of the events before.
+func (sequence sequence) advance(data []byte) (next sequence, length int, err error) {
 	var event streamEvent
+	next, read := sequence, 0
 	for line := range bytes.Lines(data) {
+		read += len(line)
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) > 0 {
 			if err := event.addLine(line); err != nil {
-				return sequence, err
+				return next, length, err
 			}
 			continue
 		}
-		if err := sequence.add(event); err != nil {
-			return sequence, err
+		if err := next.add(event); err != nil {
+			return next, length, err
 		}
-		event = streamEvent{}
+		event, length = streamEvent{}, read
 	}
-	return sequence, nil
+	return next, length, nil
 }
 
-// add adds an event at the end of the sequence.
+// add adds an event at the end of the sequence. If it fails, the sequence is as before.
 func (sequence *sequence) add(event streamEvent) error {
 	switch {
 	case event.hasID:
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -26,15 +26,10 @@
 	call := exchange.call
 	if call.responseStarted {
 		call.log(event.StreamResumed(), logrus.Fields{"server": exchange.server.ID, "from_event": call.events.lastID})
-	} else {
-		copyHeader(call.writer.Header(), response.Header)
-		call.writer.WriteHeader(response.StatusCode)
-		call.responseStarted = true
-		call.recordOrigin(exchange.server)
 	}
 	call.events.resumed = call.events.lastID != ""
 	exchange.conn.SetReadDeadline(call.work.Deadline.Add(responseGrace))
-	err := exchange.copyEvents(response.Body)
+	err := exchange.copyEvents(response)
 	if err == nil && !isDelimited(response) && exchange.hasEnded() {
 		err = fault.New("front.relay", pipe.Lost, "the server ended with the stream")
 	}
@@ -42,6 +37,7 @@
 		exchange.conn.Discard()
 		return exchange.failAttempt(err)
 	}
+	exchange.startResponse(response)
 	exchange.releaseConn(response)
 	exchange.recordEnd(response)
 	call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
@@ -49,17 +45,30 @@
 	return work.Served
 }
 
+// startResponse starts the response to the caller with the headers of the server's, unless it has
+// started. It is called with the first event, so that a stream without one can still fail.
+func (exchange *exchange) startResponse(response pipe.Response) {
+	call := exchange.call
+	if call.responseStarted {
+		return
+	}
+	copyHeader(call.writer.Header(), response.Header)
+	call.writer.WriteHeader(response.StatusCode)
+	call.responseStarted = true
+	call.recordOrigin(exchange.server)
+}
+
 // copyEvents copies complete events to the caller until the stream ends. It drops a
 // truncated event.
-func (exchange *exchange) copyEvents(body io.Reader) error {
+func (exchange *exchange) copyEvents(response pipe.Response) error {
 	var pending []byte
 	buffer := make([]byte, streamBufferBytes)
 	for {
-		count, err := body.Read(buffer)
+		count, err := response.Body.Read(buffer)
 		pending = append(pending, buffer[:count]...)
 		complete := completeEventsLength(pending)
 		if complete > 0 {
-			if writeErr := exchange.call.writeEvents(pending[:complete]); writeErr != nil {
+			if writeErr := exchange.writeEvents(response, pending[:complete]); writeErr != nil {
 				return writeErr
 			}
 			pending = append(pending[:0], pending[complete:]...)
@@ -91,12 +100,13 @@
 	return end
 }
 
-// writeEvents checks complete events, writes them to the caller and flushes them.
-func (call *call) writeEvents(data []byte) error {
-	now := time.Now()
-	advanced, err := call.events.advance(data)
-	if err != nil {
-		return err
+// writeEvents checks complete events, writes those before a fault to the caller and flushes them.
+// Comments before the first event are dropped: they must not start the response.
+func (exchange *exchange) writeEvents(response pipe.Response, data []byte) error {
+	call, now := exchange.call, time.Now()
+	advanced, length, malformed := call.events.advance(data)
+	if length == 0 || advanced.count == 0 {
+		return malformed
 	}
 	if call.events.count == 0 {
 		call.firstEventDelay = now.Sub(call.work.Received)
@@ -105,8 +115,12 @@
 	}
 	call.lastEventAt = now
 	call.events = advanced
-	if _, err := call.writer.Write(data); err != nil {
+	exchange.startResponse(response)
+	if _, err := call.writer.Write(data[:length]); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(call.writer).Flush(); err != nil {
 		return err
 	}
-	return http.NewResponseController(call.writer).Flush()
+	return malformed
 }
