io/front: engines that don't say which process they are are used

Change: an engine whose answer is no report is not asked again until another process registers, and gets the request on another connection; so does one that closes the connection after its report.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -80,6 +80,8 @@
 	// registered process still runs. Replaced is set if it said that another one does.
 	InDoubt  bool
 	Replaced bool
+	// Mute is set if the server does not say which process it is.
+	Mute bool
 
 	announcement announcement
 	declineRate  float64
--- a/core/fleet/process.go
+++ b/core/fleet/process.go
@@ -29,6 +29,20 @@
 	return isNew
 }
 
+// RecordMute records that a server does not say which process it is. It is not asked again until
+// another process registers.
+func (fleet *Fleet) RecordMute(id string) {
+	fleet.update(id, func(member *Member) { member.Mute = true })
+}
+
+// Mute reports whether a server does not say which process it is.
+func (fleet *Fleet) Mute(id string) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	member := fleet.members[id]
+	return member != nil && member.Mute
+}
+
 // InDoubt reports whether the registered process of a server may have been replaced.
 func (fleet *Fleet) InDoubt(id string) bool {
 	fleet.mutex.Lock()
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -124,6 +124,10 @@
 	if call.mustCheckProcess(conn, server) {
 		if err := call.handler.checkProcess(conn, server); err != nil {
 			conn.Discard()
+			if fault.Is(err, pipe.Unsent) {
+				call.checksWithoutConn++
+				delete(call.tried, server.ID)
+			}
 			call.log(event.AttemptEnded(), logrus.Fields{"server": server.ID, "result": work.NoConnection, "state": call.state, "error": err.Error()})
 			return work.NoConnection
 		}
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -17,14 +17,19 @@
 // reportTimeout limits how long a server may take to say which process it is.
 const reportTimeout = 300 * time.Millisecond
 
+// maxChecksWithoutConn is the number of servers of a request that may close the connection after
+// their report. The request is then sent on another one.
+const maxChecksWithoutConn = 2
+
 // maxLifeChecks is the number of connections on which a server is asked whether it still runs.
 const maxLifeChecks = 3
 
 /*
 checkProcess asks the server at the other end of a connection which process it is. Afterwards the
-connection can take a request. It fails with Replaced if the process is not the registered one,
-and with the kinds of package pipe if the server does not answer. A server that does not say when
-it started is taken for the registered process.
+connection can take a request. It fails with pipe.Unreachable if the process is not the registered
+one, with pipe.Unsent if only the connection can't be used, and with the other kinds of package
+pipe if the server does not answer. A server that does not say when it started is taken for the
+registered process, and not asked again.
 
 A server may start again under its ID and address with another version of its software. A request
 that names the ID does not reveal that; until the new registration arrives, only the server can.
@@ -38,16 +43,16 @@
 	if err != nil {
 		return err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxForeignBytes))
-	if err != nil {
-		return fault.Wrap("front.check_process", pipe.Lost, err)
-	}
+	body, readErr := io.ReadAll(io.LimitReader(response.Body, maxForeignBytes))
 	info := handler.options.Headers.ParseResponse(response.StatusCode, response.Header)
 	handler.observeLeaving(server, info)
 	if info.ID != "" {
 		return fault.New("front.check_process", pipe.Malformed, "a response to another request")
 	}
 	started, known := handler.options.Headers.ParseReport(body)
+	if readErr != nil || !known {
+		handler.options.Fleet.RecordMute(server.ID)
+	}
 	if known && !started.Equal(server.Started) {
 		if handler.options.Fleet.RecordReplaced(server) {
 			handler.options.Logger.Log(event.ServerReplaced(), logrus.Fields{
@@ -56,17 +61,19 @@
 		}
 		return fault.New("front.check_process", pipe.Unreachable, "another process is at the server's address")
 	}
-	if !response.KeepAlive || !isDelimited(response) || !conn.Reuse(response.Header) {
+	if readErr == nil && known {
+		handler.options.Fleet.ConfirmProcess(server)
+	}
+	if readErr != nil || len(body) > maxForeignBytes-1 || !response.KeepAlive || !isDelimited(response) || !conn.Reuse(response.Header) {
 		return fault.New("front.check_process", pipe.Unsent, "the connection can't be used again")
 	}
-	handler.options.Fleet.ConfirmProcess(server)
 	return nil
 }
 
 // reportsProcess reports whether a server can say which process it is.
 func (call *call) reportsProcess(server fleet.Server) bool {
 	service, ok := call.table.Service(server.Service)
-	return ok && service.Engine != nil && !server.Started.IsZero()
+	return ok && service.Engine != nil && !server.Started.IsZero() && !call.handler.options.Fleet.Mute(server.ID)
 }
 
 // mustCheckProcess reports whether the server must say which process it is before it gets the
@@ -75,7 +82,7 @@
 // servers of several versions serve.
 func (call *call) mustCheckProcess(conn *pipe.Conn, server fleet.Server) bool {
 	switch {
-	case !call.reportsProcess(server):
+	case !call.reportsProcess(server) || call.checksWithoutConn >= maxChecksWithoutConn:
 		return false
 	case call.events.lastID != "":
 		return true
@@ -112,6 +119,9 @@
 		if fault.Is(err, pipe.Unreachable) {
 			return true
 		}
+		if fault.Is(err, pipe.Unsent) {
+			return false
+		}
 	}
 	return false
 }
--- a/io/front/process_test.go
+++ b/io/front/process_test.go
@@ -100,6 +100,15 @@
 func TestServersWithoutReportsAreUsed(t *testing.T) {
 	for name, report := range map[string]responder{
 		"not found": respondWith(404, ""), "no time": respondWith(200, "{}"), "the registered one": respondWith(200, "1"),
+		"a stream": func(request *http.Request, conn net.Conn) {
+			writeResponse(conn, 200, "", []string{signed, eventStream, "Transfer-Encoding: chunked"}, chunk(events(1, 1)))
+			time.Sleep(time.Second)
+		},
+		"its connection ends": respondWith(200, "1", "Connection: close"),
+		"without a length": func(_ *http.Request, conn net.Conn) {
+			writeResponse(conn, 200, "", []string{signed}, "1")
+			_ = conn.Close()
+		},
 	} {
 		harness := newHarness(t, withReports)
 		respond := func(request *http.Request, conn net.Conn) {
