--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -135,6 +135,22 @@
 		"success, empty":    respondWith(201, "", signed),
 		"error as a stream": respondWith(404, events(4, 6), signed, eventStream),
 		"not run":           respondWith(503, "full", "X-Not-Run: yes"),
+		"long":              respondWith(400, strings.Repeat("no such event\n\n", 100_000), signed),
+		"chunked":           respondWithChunks(404, "error: ", "gone\n\n"),
+		"without a length": func(request *http.Request, conn net.Conn) {
+			writeResponse(conn, 500, request.Header.Get("X-Id"), []string{signed}, "error: it failed\n\n")
+			_ = conn.Close()
+		},
+		"without an end": func(request *http.Request, conn net.Conn) {
+			writeResponse(conn, 404, request.Header.Get("X-Id"), []string{signed}, "")
+			for err := error(nil); err == nil; {
+				_, err = io.WriteString(conn, "error: it failed\n\n")
+			}
+		},
+		"after an interim response": func(request *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+			respondWith(404, "error: gone\n\n", signed)(request, conn)
+		},
 	} {
 		harness := newHarness(t, nil)
 		respond := breakThen(next)
@@ -148,6 +164,17 @@
 	}
 }
 
+// respondWithChunks returns a responder with a body in chunks.
+func respondWithChunks(status int, chunks ...string) responder {
+	return func(request *http.Request, conn net.Conn) {
+		body := ""
+		for _, text := range chunks {
+			body += chunk(text)
+		}
+		writeResponse(conn, status, request.Header.Get("X-Id"), []string{signed, "Transfer-Encoding: chunked"}, body+"0\r\n\r\n")
+	}
+}
+
 // Guards against a stream that ends at a server's error though a further server goes on with it.
 func TestStreamGoesOnAfterAnError(t *testing.T) {
 	harness := newHarness(t, func(data *table.Data) {
@@ -176,12 +203,12 @@
 		require.Equal(t, events(1, 3), strings.TrimSuffix(got.body, ": comment\n\n"), first)
 	}
 	harness := newHarness(t, nil)
-	respond := breakThen(respondWithStream(true, ": comment\n\nweight-versions: 2\n"+events(4, 6)))
+	respond := breakThen(respondWithStream(true, ": comment\n\nname-of-a-field: 2\n"+events(4, 6)))
 	harness.addServer("a", respond)
 	harness.addServer("b", respond)
 	got := harness.post("/resume/", "x")
 	require.NoError(t, got.err)
-	require.Contains(t, got.body, "weight-versions: 2\n"+events(4, 6))
+	require.Contains(t, got.body, "name-of-a-field: 2\n"+events(4, 6))
 }
 
 // Guards against a success that is no stream, and against an error as an event, as the rest of a
