core/fleet, io/front: one way to look a server up, versions only where they count

SaysLeaving had no caller. - RecordMute did not compare the process, as its two siblings do: a late answer of an earlier process marked its successor. updateProcess serves all three. - io/front: the versions of a service were collected for each new connection, also for routes whose streams can't be resumed. mayResume and mayGoOn both asked for the first event. - core/pick, core/steer: one condition in place of two; the constants stand together.

--- a/core/fleet/announce.go
+++ b/core/fleet/announce.go
@@ -63,9 +63,6 @@
 	return changed
 }
 
-// SaysLeaving reports whether the server has said in a response that it is leaving.
-func (member *Member) SaysLeaving() bool { return member.announcement.leaving }
-
 // AwayFor returns how long the server wants no requests of this host; 0: it wants them now.
 func (member *Member) AwayFor(now time.Time) time.Duration {
 	return max(0, member.announcement.awayUntil.Sub(now))
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -260,10 +260,8 @@
 
 // Usable reports whether a server may be sent requests for a service now.
 func (fleet *Fleet) Usable(id, service string, now time.Time) bool {
-	fleet.mutex.Lock()
-	defer fleet.mutex.Unlock()
-	member := fleet.members[id]
-	return member != nil && member.Service == service && member.usable(now) && member.AwayFor(now) == 0
+	member := fleet.find(id)
+	return member.ID != "" && member.Service == service && member.usable(now) && member.AwayFor(now) == 0
 }
 
 // Size returns the number of servers.
@@ -368,10 +366,15 @@
 // SuspendedFor returns the remaining suspension of a server, 0 if it is not
 // suspended or unknown.
 func (fleet *Fleet) SuspendedFor(id string, now time.Time) time.Duration {
+	return max(0, fleet.find(id).SuspendedUntil.Sub(now))
+}
+
+// find returns a copy of a server, which is empty if the server is unknown.
+func (fleet *Fleet) find(id string) Member {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	if member := fleet.members[id]; member != nil {
-		return max(0, member.SuspendedUntil.Sub(now))
+		return *member
 	}
-	return 0
+	return Member{}
 }
--- a/core/fleet/process.go
+++ b/core/fleet/process.go
@@ -8,11 +8,7 @@
 
 // ConfirmProcess records that the registered process of a server still runs.
 func (fleet *Fleet) ConfirmProcess(server Server) {
-	fleet.update(server.ID, func(member *Member) {
-		if member.Started.Equal(server.Started) {
-			member.InDoubt = false
-		}
-	})
+	fleet.updateProcess(server, func(member *Member) { member.InDoubt = false })
 }
 
 // RecordReplaced records that another process than the registered one answers at the address of
@@ -20,33 +16,30 @@
 // was not known.
 func (fleet *Fleet) RecordReplaced(server Server) bool {
 	isNew := false
-	fleet.update(server.ID, func(member *Member) {
-		if member.Started.Equal(server.Started) {
-			isNew = !member.Replaced
-			member.Replaced = true
-		}
+	fleet.updateProcess(server, func(member *Member) {
+		isNew = !member.Replaced
+		member.Replaced = true
 	})
 	return isNew
 }
 
 // RecordMute records that a server does not say which process it is. It is not asked again until
 // another process registers.
-func (fleet *Fleet) RecordMute(id string) {
-	fleet.update(id, func(member *Member) { member.Mute = true })
+func (fleet *Fleet) RecordMute(server Server) {
+	fleet.updateProcess(server, func(member *Member) { member.Mute = true })
 }
 
-// Mute reports whether a server does not say which process it is.
-func (fleet *Fleet) Mute(id string) bool {
-	fleet.mutex.Lock()
-	defer fleet.mutex.Unlock()
-	member := fleet.members[id]
-	return member != nil && member.Mute
+// updateProcess is update for a server that is still registered as the same process.
+func (fleet *Fleet) updateProcess(server Server, change func(*Member)) {
+	fleet.update(server.ID, func(member *Member) {
+		if member.Started.Equal(server.Started) {
+			change(member)
+		}
+	})
 }
 
+// Mute reports whether a server does not say which process it is.
+func (fleet *Fleet) Mute(id string) bool { return fleet.find(id).Mute }
+
 // InDoubt reports whether the registered process of a server may have been replaced.
-func (fleet *Fleet) InDoubt(id string) bool {
-	fleet.mutex.Lock()
-	defer fleet.mutex.Unlock()
-	member := fleet.members[id]
-	return member != nil && member.InDoubt
-}
+func (fleet *Fleet) InDoubt(id string) bool { return fleet.find(id).InDoubt }
--- a/core/fleet/removed.go
+++ b/core/fleet/removed.go
@@ -62,10 +62,5 @@
 
 // Version returns the software version of a server, empty if it is unknown.
 func (fleet *Fleet) Version(id string) string {
-	fleet.mutex.Lock()
-	defer fleet.mutex.Unlock()
-	if member := fleet.members[id]; member != nil {
-		return member.Version
-	}
-	return ""
+	return fleet.find(id).Version
 }
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -47,13 +47,10 @@
 	shortest := time.Duration(0)
 	for _, member := range members {
 		wait := options.wait(member, now)
-		if wait == 0 && tried[member.ID] {
-			continue
-		}
-		if wait == 0 {
+		if wait == 0 && !tried[member.ID] {
 			return 0
 		}
-		if shortest == 0 || wait < shortest {
+		if wait > 0 && (shortest == 0 || wait < shortest) {
 			shortest = wait
 		}
 	}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -103,11 +103,13 @@
 	return Decision{Action: GiveUp, Reason: NoServer}
 }
 
-// maxSpread and spreadShare bound the time over which callers that wait for the same server are
-// spread.
 const (
+	// maxSpread and spreadShare, a share of the wait, bound the time over which callers that wait
+	// for the same server are spread.
 	maxSpread   = time.Second
 	spreadShare = 0.25
+	// spreadSteps is the number of different times.
+	spreadSteps = 64
 )
 
 // spread returns a time that differs between requests, so that their callers do not return together.
@@ -116,9 +118,6 @@
 	return time.Duration(float64(most) * float64(pick.SplitHash(requestID)%spreadSteps) / spreadSteps)
 }
 
-// spreadSteps is the number of different times.
-const spreadSteps = 64
-
 // acquireRetry reports whether the request may be sent to another server, and if so
 // takes one retry out of the budget.
 func acquireRetry(request *work.Request, progress Progress, budget Budget) bool {
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -51,7 +51,7 @@
 	}
 	started, known := handler.options.Headers.ParseReport(body)
 	if readErr != nil || !known {
-		handler.options.Fleet.RecordMute(server.ID)
+		handler.options.Fleet.RecordMute(server)
 	}
 	if known && !started.Equal(server.Started) {
 		if handler.options.Fleet.RecordReplaced(server) {
@@ -64,7 +64,7 @@
 	if readErr == nil && known {
 		handler.options.Fleet.ConfirmProcess(server)
 	}
-	if readErr != nil || len(body) > maxForeignBytes-1 || !response.KeepAlive || !isDelimited(response) || !conn.Reuse(response.Header) {
+	if readErr != nil || len(body) == maxForeignBytes || !response.KeepAlive || !isDelimited(response) || !conn.Reuse(response.Header) {
 		return fault.New("front.check_process", pipe.Unsent, "the connection can't be used again")
 	}
 	return nil
@@ -90,9 +90,11 @@
 		return false
 	case call.handler.options.Fleet.InDoubt(server.ID):
 		return true
+	case !call.work.Route.Resumable:
+		return false
 	}
 	versions, _ := call.possibleVersions(time.Now())
-	return call.work.Route.Resumable && len(versions) > 1
+	return len(versions) > 1
 }
 
 /*
--- a/io/front/sequence.go
+++ b/io/front/sequence.go
@@ -22,10 +22,8 @@
 	resumed bool
 }
 
-// mayResume reports whether another server can go on after the delivered events.
-func (sequence sequence) mayResume() bool {
-	return sequence.count == 0 || sequence.lastID != "" && !sequence.unnumbered
-}
+// mayResume reports whether a server can tell where to go on after the delivered events.
+func (sequence sequence) mayResume() bool { return sequence.lastID != "" && !sequence.unnumbered }
 
 // advance checks complete events and returns the sequence after them and their length. It fails
 // with pipe.Malformed when an event is out of order, or when the data are no events; the sequence
