--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -29,11 +29,11 @@
 	sweepInterval = time.Second
 )
 
-// Origin is where a stream began.
+// Origin is where a stream began. It is kept outside the hosts as JSON.
 type Origin struct {
-	Service string
+	Service string `json:"service"`
 	// Version is the version of the server's software.
-	Version string
+	Version string `json:"version"`
 }
 
 // Report tells another host where a stream began.
--- a/io/front/version_test.go
+++ b/io/front/version_test.go
@@ -27,17 +27,22 @@
 	}
 }
 
-// Guards against a stream with events of two software versions in one response.
-func TestBrokenStreamIsNotResumedAtAnotherVersion(t *testing.T) {
-	harness := newHarness(t, nil)
-	harness.addVersion("a", "v1", breakThenResume())
-	harness.addVersion("b", "v2", func(request *http.Request, conn net.Conn) {
+// resumeOnly returns a responder that refuses new streams and completes resumed ones.
+func resumeOnly() responder {
+	return func(request *http.Request, conn net.Conn) {
 		if request.Header.Get("X-Last") == "" {
 			respondWith(421, "", "X-Not-Run: yes")(request, conn)
 			return
 		}
 		breakThenResume()(request, conn)
-	})
+	}
+}
+
+// Guards against a stream with events of two software versions in one response.
+func TestBrokenStreamIsNotResumedAtAnotherVersion(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addVersion("a", "v1", breakThenResume())
+	harness.addVersion("b", "v2", resumeOnly())
 	got := harness.post("/resume/", "x")
 	require.Error(t, got.err)
 	require.Equal(t, events(1, 3), got.body)
@@ -132,13 +137,7 @@
 		})
 		breakThenResume()(request, conn)
 	})
-	harness.addVersion("b", "v2", func(request *http.Request, conn net.Conn) {
-		if request.Header.Get("X-Last") == "" {
-			respondWith(421, "", "X-Not-Run: yes")(request, conn)
-			return
-		}
-		breakThenResume()(request, conn)
-	})
+	harness.addVersion("b", "v2", resumeOnly())
 	got := harness.post("/stream/", "x")
 	require.Error(t, got.err)
 	require.Equal(t, events(1, 3), got.body)
