io/front: log on what evidence a response that ends with its connection counts as whole

The decision itself is unchanged. Measured: go test ./io/front ./core/event ./docs. Conclusion: today's decision is visible as it is.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -15,6 +15,7 @@
 		ListenFailed(),
 		RequestSent(),
 		AttemptEnded(),
+		ResponseEndJudged(),
 		RequestEnded(),
 		RequestTurnedAway(),
 		CallerLeft(),
@@ -106,6 +107,12 @@
 	return Event{1911, "attempt_ended", logrus.InfoLevel, "forward", "A backend server did not serve a request that was sent to it."}
 }
 
+// ResponseEndJudged reports whether a response that ended with its connection counts as whole,
+// and on what evidence.
+func ResponseEndJudged() Event {
+	return Event{1919, "response_end_judged", logrus.InfoLevel, "forward", "A response that is framed by nothing but its connection has ended; the verdict says whether it counts as whole."}
+}
+
 // RequestEnded reports that a request was answered with the response of a
 // backend server.
 func RequestEnded() Event {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -129,6 +129,8 @@
 // Meter records the outcomes of requests.
 type Meter interface {
 	RecordForward(end meter.ForwardResult)
+	// AddToCounter adds delta to a counter with one tag.
+	AddToCounter(name, tag, tagValue string, delta int64)
 }
 
 // Handler handles callers' requests.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -82,6 +82,8 @@
 
 func (discardMeter) RecordForward(meter.ForwardResult) {}
 
+func (discardMeter) AddToCounter(string, string, string, int64) {}
+
 // harness is a Handler with backend servers whose responses are scripted.
 type harness struct {
 	t     *testing.T
--- a/io/front/process_test.go
+++ b/io/front/process_test.go
@@ -169,3 +169,17 @@
 	require.NoError(t, got.err)
 	require.Equal(t, events(1, 6), got.body, "another server goes on")
 }
+
+// Guards against responses that end with their connection and leave no line that says why they
+// count as whole.
+func TestEndWithAConnectionIsLogged(t *testing.T) {
+	harness := newHarness(t, withReports)
+	harness.addServer("a", reporting(1, func(request *http.Request, conn net.Conn) {
+		writeResponse(conn, 200, request.Header.Get("X-Id"), []string{signed, eventStream}, events(1, 3))
+		_ = conn.Close()
+	}))
+	harness.startedAt("a", 1)
+	got := harness.post("/stream/", "x", "X-Id", "the-id")
+	require.NoError(t, got.err)
+	require.Regexp(t, `"event_name":"response_end_judged".*"outcome":"registered".*"request_id":"the-id".*"verdict":"whole"`, harness.log.String())
+}
