core/ending, io/front: a response that ends with its connection is whole only by an answer from after its end

Cause: the check whether the server's process still runs rested on what was true before the process had ended: kept connections, answers of an ending process, a connection that the kernel accepted, servers that were not asked. What can't be known is broken off, retried or goes on at another server, and is no failure of the server. Servers that never answer are asked at intervals. A proven end counts as a completed request for the crash detector.

--- /dev/null
+++ b/io/front/ending.go
@@ -0,0 +1,220 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"primrosegw/core/ending"
+	"primrosegw/core/event"
+	"primrosegw/core/fault"
+	"primrosegw/core/work"
+	"primrosegw/io/pipe"
+)
+
+// maxEndConns is the number of connections on which a server is asked after the end of a response.
+const maxEndConns = 2
+
+// proveEnd reports whether a success that has ended is whole. If not, it ends the attempt and
+// returns its result.
+func (exchange *exchange) proveEnd(response pipe.Response) (result work.Result, whole bool) {
+	if isDelimited(response) {
+		return "", true
+	}
+	check := &endCheck{exchange: exchange, Evidence: ending.Evidence{Framing: ending.Connection, EndedAt: time.Now()}}
+	exchange.conn.Discard()
+	check.run()
+	verdict := check.Verdict()
+	check.log(verdict)
+	switch verdict {
+	case ending.Whole:
+		return "", true
+	case ending.Ended:
+		return exchange.failAttempt(fault.New("front.prove_end", pipe.Lost, "the server ended with the response")), false
+	}
+	return exchange.leaveUnproven(), false
+}
+
+// leaveUnproven ends an attempt whose response may be whole, which can't be known. That is no
+// failure of the server.
+func (exchange *exchange) leaveUnproven() work.Result {
+	call := exchange.call
+	call.handler.options.CrashDetector.ObserveAmbiguousEnd(connectionKey(exchange.server), call.features(), exchange.started, time.Now())
+	return exchange.logAttempt(work.Broken, 0, fault.New("front.prove_end", pipe.Lost, "nothing shows that the response is whole"))
+}
+
+// endCheck asks a server after the end of a response which process it is.
+type endCheck struct {
+	ending.Evidence
+	exchange *exchange
+	// lost: the server closed a connection that was opened after the end. One that names its ID only
+	// may have started again since, and proves nothing any more.
+	lost bool
+	err  error
+}
+
+// run asks the server until the time limit and records what came of it.
+func (check *endCheck) run() {
+	call, server := check.exchange.call, check.exchange.server
+	limit := check.EndedAt.Add(ending.TimeLimit)
+	if end := call.work.Deadline.Add(responseGrace); end.Before(limit) {
+		limit = end
+	}
+	ctx, cancel := context.WithDeadline(call.request.Context(), limit)
+	defer cancel()
+	check.Outcome = ending.Unasked
+	for range maxEndConns {
+		question := check.nextQuestion()
+		if question == nil {
+			return
+		}
+		check.OpenedAt = time.Now()
+		conn, err := call.handler.options.Pool.Open(ctx, connectionKey(server), server.Address, call.connectionLimit(server))
+		if err != nil {
+			check.Outcome, check.err = connectOutcome(err), err
+			return
+		}
+		check.ConnectedAt = time.Now()
+		if !check.askOn(ctx, conn, question, limit) {
+			return
+		}
+	}
+}
+
+// connectOutcome returns the outcome of a connection that could not be opened.
+func connectOutcome(err error) ending.Outcome {
+	switch {
+	case fault.Is(err, pipe.TooManyConnections):
+		return ending.NoConnection
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return ending.Refused
+	}
+	return ending.NoAnswer
+}
+
+// askOn asks the server on a new connection, once or, if the first question does not name the
+// process, with the next one. It reports whether another connection may bring more.
+func (check *endCheck) askOn(ctx context.Context, conn *pipe.Conn, question *endQuestion, limit time.Time) bool {
+	silent := check.exchange.call.handler.ending
+	isQuiet := conn.AwaitQuiet(ctx, check.EndedAt.Add(ending.Settle))
+	if !isQuiet || ctx.Err() != nil {
+		conn.Discard()
+		check.Outcome, check.lost = ending.NoAnswer, true
+		return ctx.Err() == nil
+	}
+	for ; question != nil; question = check.nextQuestion() {
+		check.AskedAt = time.Now()
+		var reusable bool
+		check.Outcome, reusable, check.err = check.ask(conn, question, limit)
+		silent.Record(question.key, check.Outcome, time.Now())
+		if !reusable {
+			conn.Discard()
+			check.lost = check.Outcome == ending.NoAnswer
+			return (check.lost || check.Outcome == ending.Unnamed) && ctx.Err() == nil
+		}
+		if check.Outcome != ending.Unnamed {
+			conn.ReleaseUnused()
+			return false
+		}
+	}
+	conn.ReleaseUnused()
+	return false
+}
+
+// endQuestion is a question to a server which process it is.
+type endQuestion struct {
+	key     string
+	request pipe.Request
+	// read returns the outcome of a complete answer.
+	read func(response pipe.Response, info ResponseInfo, body []byte) ending.Outcome
+}
+
+// nextQuestion returns the first question that the server may answer: its report if that says when
+// it started, else its health path. It returns nil if there is none.
+func (check *endCheck) nextQuestion() *endQuestion {
+	call, server := check.exchange.call, check.exchange.server
+	service, ok := call.table.Service(server.Service)
+	if !ok {
+		return nil
+	}
+	headers, silent, now := call.handler.options.Headers, call.handler.ending, time.Now()
+	if key := connectionKey(server) + " report"; service.Engine != nil && !server.Started.IsZero() && silent.MayAsk(key, now) {
+		return &endQuestion{key: key, request: headers.ReportRequest(server), read: check.readReport}
+	}
+	if key := connectionKey(server) + " health"; service.HealthPath != "" && !check.lost && silent.MayAsk(key, now) {
+		return &endQuestion{key: key, request: headers.HealthRequest(server, service.HealthPath), read: check.readHealth}
+	}
+	return nil
+}
+
+func (check *endCheck) readReport(_ pipe.Response, _ ResponseInfo, body []byte) ending.Outcome {
+	handler, server := check.exchange.call.handler, check.exchange.server
+	started, known := handler.options.Headers.ParseReport(body)
+	switch {
+	case !known:
+		return ending.Unnamed
+	case !started.Equal(server.Started):
+		handler.recordReplaced(server, started)
+		return ending.OtherProcess
+	}
+	handler.options.Fleet.ConfirmProcess(server)
+	return ending.Registered
+}
+
+func (check *endCheck) readHealth(response pipe.Response, info ResponseInfo, _ []byte) ending.Outcome {
+	switch {
+	case info.Instance == "" || response.StatusCode != http.StatusOK && response.StatusCode != http.StatusServiceUnavailable:
+		return ending.Unnamed
+	case info.Instance != check.exchange.server.ID:
+		return ending.OtherProcess
+	}
+	return ending.SameID
+}
+
+// ask asks a question on a connection, and reports whether the connection can be used again.
+func (check *endCheck) ask(conn *pipe.Conn, question *endQuestion, limit time.Time) (outcome ending.Outcome, reusable bool, err error) {
+	handler := check.exchange.call.handler
+	if _, err := conn.Send(question.request, limit); err != nil {
+		return ending.NoAnswer, false, err
+	}
+	response, err := conn.AwaitResponse(question.request.Method, limit)
+	if err != nil {
+		return ending.NoAnswer, false, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxForeignBytes))
+	if err != nil {
+		return ending.NoAnswer, false, err
+	}
+	info := handler.options.Headers.ParseResponse(response.StatusCode, response.Header)
+	handler.observeLeaving(check.exchange.server, info)
+	outcome = question.read(response, info, body)
+	return outcome, len(body) < maxForeignBytes && response.KeepAlive && isDelimited(response) && conn.Reuse(response.Header), nil
+}
+
+// log logs and counts the end of a response.
+func (check *endCheck) log(verdict ending.Verdict) {
+	call := check.exchange.call
+	fields := logrus.Fields{
+		"server": check.exchange.server.ID, "framing": check.Framing, "connection": "none", "outcome": check.Outcome,
+		"verdict": verdict, "took_ms": milliseconds(time.Since(check.EndedAt)),
+	}
+	if !check.ConnectedAt.IsZero() {
+		fields["connection"], fields["opened_after_ms"] = "new", milliseconds(check.ConnectedAt.Sub(check.EndedAt))
+	}
+	if !check.AskedAt.IsZero() {
+		fields["asked_after_ms"] = milliseconds(check.AskedAt.Sub(check.EndedAt))
+	}
+	if check.err != nil {
+		fields["error"] = check.err.Error()
+	}
+	call.log(event.ResponseEndJudged(), fields)
+	call.handler.options.Meter.AddToCounter("connection_ends", "outcome", string(check.Outcome), 1)
+}
+
+// milliseconds returns a duration in milliseconds with three decimals.
+func milliseconds(duration time.Duration) float64 { return float64(duration.Microseconds()) / 1000 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -213,14 +213,13 @@
 		exchange.conn.Discard()
 		return exchange.failAttempt(fault.New("front.complete", pipe.Malformed, "the response is too long"))
 	}
-	if success && !isDelimited(response) && exchange.hasEnded() {
-		exchange.conn.Discard()
-		return exchange.failAttempt(fault.New("front.complete", pipe.Lost, "the server ended with the response"))
-	}
-	exchange.releaseConn(response)
 	if success {
-		exchange.recordEnd(response)
+		if result, whole := exchange.proveEnd(response); !whole {
+			return result
+		}
+		call.recordHarmless()
 	}
+	exchange.releaseConn(response)
 	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if success {
 		call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
@@ -273,17 +272,6 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// recordEnd records the end of a success for the crash detector. One that ends with its
-// connection does not show that the server is still there.
-func (exchange *exchange) recordEnd(response pipe.Response) {
-	call := exchange.call
-	if isDelimited(response) {
-		call.recordHarmless()
-		return
-	}
-	call.handler.options.CrashDetector.ObserveAmbiguousEnd(connectionKey(exchange.server), call.features(), exchange.started, time.Now())
-}
-
 // failAttempt ends an attempt without a valid response. It counts as a failure of
 // the server unless the caller has gone or the deadline has passed.
 func (exchange *exchange) failAttempt(err error) work.Result {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"primrosegw/core/admit"
+	"primrosegw/core/ending"
 	"primrosegw/core/event"
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
@@ -84,6 +85,8 @@
 	// RetryAfter is the time for which a server that turned the request away wants none of this
 	// host; 0: it names none.
 	RetryAfter time.Duration
+	// Instance is the ID of the server that responds, empty if it does not say so.
+	Instance string
 }
 
 // HeaderCodec reads and writes the headers of the platform's protocol.
@@ -96,6 +99,9 @@
 	// its response when the server's process started, and false if it does not say so.
 	ReportRequest(server fleet.Server) pipe.Request
 	ParseReport(body []byte) (started time.Time, known bool)
+	// HealthRequest returns a request for the health path of a server. The response may say which
+	// server it is: ResponseInfo.Instance.
+	HealthRequest(server fleet.Server, path string) pipe.Request
 	// SetRetryAfter sets the header that tells callers when to retry.
 	SetRetryAfter(header http.Header, after time.Duration)
 }
@@ -142,10 +148,14 @@
 	inFlight      atomic.Int64
 	// inFlightByRank counts the requests that are being forwarded, by rank.
 	inFlightByRank [fleet.RankCount]atomic.Int64
+	// ending holds the servers that can't be asked which process they are.
+	ending *ending.Silent
 }
 
 // New returns a Handler.
-func New(options Options) *Handler { return &Handler{options: options, startedAt: time.Now()} }
+func New(options Options) *Handler {
+	return &Handler{options: options, startedAt: time.Now(), ending: ending.NewSilent()}
+}
 
 // Drain makes the handler close each connection after its response, and refuse
 // requests that would not end before the deadline, at which the host stops.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -62,7 +62,11 @@
 
 func (headerCodec) ParseResponse(status int, header http.Header) front.ResponseInfo {
 	retryAfter, _ := time.ParseDuration(header.Get("X-Away"))
-	return front.ResponseInfo{ID: header.Get("X-Id"), Signed: header.Get("X-Signed") != "", NotRun: header.Get("X-Not-Run") != "" || status == 421, Leaving: header.Get("X-Leaving") != "", RetryAfter: retryAfter}
+	return front.ResponseInfo{ID: header.Get("X-Id"), Signed: header.Get("X-Signed") != "", NotRun: header.Get("X-Not-Run") != "" || status == 421, Leaving: header.Get("X-Leaving") != "", RetryAfter: retryAfter, Instance: header.Get("X-Instance")}
+}
+
+func (headerCodec) HealthRequest(_ fleet.Server, path string) pipe.Request {
+	return pipe.Request{Method: http.MethodGet, Target: path, Host: "h.example"}
 }
 
 func (headerCodec) ReportRequest(fleet.Server) pipe.Request {
@@ -106,6 +110,8 @@
 	asked atomic.Int64
 	// whileDialing is called before each connection to a backend server is opened.
 	whileDialing func()
+	// scriptsHealth: the responders answer on the health path, too. Else servers name their ID there.
+	scriptsHealth bool
 
 	mutex    sync.Mutex
 	received []string
@@ -139,7 +145,7 @@
 		}
 	}
 	data := table.Data{
-		Version: 1, Services: []table.Service{{Name: "engines"}},
+		Version: 1, Services: []table.Service{{Name: "engines", HealthPath: "/health"}},
 		Routes: []table.Route{
 			route("once", table.Once, false), route("safe", table.Idempotent, false),
 			route("stream", table.Stream, false), route("resume", table.Stream, true),
@@ -221,6 +227,10 @@
 			return
 		}
 		request.Body = io.NopCloser(bytes.NewReader(body))
+		if request.URL.Path == "/health" && !harness.scriptsHealth {
+			respondWith(200, "", "X-Instance: "+id)(request, conn)
+			continue
+		}
 		harness.mutex.Lock()
 		harness.received = append(harness.received, id+" "+request.RequestURI+" "+string(body))
 		harness.mutex.Unlock()
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -30,16 +30,16 @@
 	call.events.resumed = call.events.lastID != ""
 	exchange.conn.SetReadDeadline(call.work.Deadline.Add(responseGrace))
 	err := exchange.copyEvents(response)
-	if err == nil && !isDelimited(response) && exchange.hasEnded() {
-		err = fault.New("front.relay", pipe.Lost, "the server ended with the stream")
-	}
 	if err != nil {
 		exchange.conn.Discard()
 		return exchange.failAttempt(err)
 	}
+	if result, whole := exchange.proveEnd(response); !whole {
+		return result
+	}
 	exchange.startResponse(response)
 	exchange.releaseConn(response)
-	exchange.recordEnd(response)
+	call.recordHarmless()
 	call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
 	call.recordResponse(response.StatusCode)
 	return work.Served
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -104,6 +105,22 @@
 	conn.raw.Close()
 }
 
+// AwaitQuiet waits until a time or the end of the context. It returns false if the server closes
+// the connection, or sends something, before.
+func (conn *Conn) AwaitQuiet(ctx context.Context, until time.Time) bool {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return true
+	case <-conn.readable:
+		conn.readable <- struct{}{}
+		return false
+	}
+}
+
 // Request is a request to a backend server.
 type Request struct {
 	Method string
--- a/io/pipe/pipe.go
+++ b/io/pipe/pipe.go
@@ -127,11 +127,35 @@
 	if !pool.reserveSlot(key, limit) {
 		return nil, fault.New("pipe.get", TooManyConnections, address)
 	}
+	return pool.dial(ctx, key, address)
+}
+
+// slotPollInterval is how often Open looks whether it may open a connection.
+const slotPollInterval = time.Millisecond
+
+// Open opens a connection to a server and takes no idle one. If the limit is reached, it closes an
+// idle one instead, or waits for the end of another until the context ends. It fails like Get.
+func (pool *Pool) Open(ctx context.Context, key, address string, limit int) (*Conn, error) {
+	for !pool.reserveSlot(key, limit) {
+		if conn := pool.takeIdle(key); conn != nil {
+			conn.Discard()
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fault.New("pipe.open", TooManyConnections, address)
+		case <-time.After(slotPollInterval):
+		}
+	}
+	return pool.dial(ctx, key, address)
+}
+
+// dial opens a connection for which a slot is reserved.
+func (pool *Pool) dial(ctx context.Context, key, address string) (*Conn, error) {
 	pool.options.OnDial(address)
 	raw, err := pool.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		pool.releaseSlot(key)
-		return nil, fault.Wrap("pipe.get", Unreachable, err)
+		return nil, fault.Wrap("pipe.dial", Unreachable, err)
 	}
 	limiter := &limiter{reader: raw}
 	conn := &Conn{raw: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), pool: pool, key: key, Dialed: true}
