--- a/core/ending/ending_test.go
+++ b/core/ending/ending_test.go
@@ -24,8 +24,8 @@
 		evidence ending.Evidence
 		verdict  ending.Verdict
 	}{
-		"a length":                                     {ending.Evidence{Framing: ending.Length, EndedAt: end}, ending.Whole},
-		"a last chunk":                                 {ending.Evidence{Framing: ending.Chunks, EndedAt: end}, ending.Whole},
+		"a length":     {ending.Evidence{Framing: ending.Length, EndedAt: end}, ending.Whole},
+		"a last chunk": {ending.Evidence{Framing: ending.Chunks, EndedAt: end}, ending.Whole},
 		"the registered process on a new connection":   {evidence(ending.Registered, after(1), after(90), after(95)), ending.Whole},
 		"asked as soon as it may be":                   {evidence(ending.Registered, end, after(1), settled), ending.Whole},
 		"asked too early":                              {evidence(ending.Registered, after(0.1), after(0.2), after(0.3)), ending.Unknown},
