io/plain: an answer that ends with its connection is no complete answer

Cause: `serve` read a service's answer with neither a length nor chunks to the end of its connection, which is also how the answer of a process ends that ends in the middle of it. Change: io/plain uses core/ending; such a success is Broken, as plain services have no question by which they name their process. Conclusion: services of `serve` must send a length or chunks, or a compressed body.

--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -27,6 +27,18 @@
 	Connection Framing = "connection"
 )
 
+// FramingOf returns the framing of a response with a length, -1 if it has none, and with or without
+// chunks.
+func FramingOf(length int64, isChunked bool) Framing {
+	switch {
+	case isChunked:
+		return Chunks
+	case length >= 0:
+		return Length
+	}
+	return Connection
+}
+
 // Outcome is what came of asking a server, after the end of a response, which process it is.
 type Outcome string
 
--- a/core/ending/ending_test.go
+++ b/core/ending/ending_test.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// Guards against a response whose end is taken from another framing than it has.
+func TestFraming(t *testing.T) {
+	require.Equal(t, ending.Length, ending.FramingOf(0, false))
+	require.Equal(t, ending.Chunks, ending.FramingOf(-1, true))
+	require.Equal(t, ending.Connection, ending.FramingOf(-1, false))
+}
+
 // Guards against callers that each wait for an answer which never comes, and against a server that
 // is never asked again.
 func TestSilentServersAreAskedNowAndThen(t *testing.T) {
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -26,7 +26,7 @@
 	if isDelimited(response) {
 		return "", true
 	}
-	check := &endCheck{exchange: exchange, Evidence: ending.Evidence{Framing: ending.Connection, EndedAt: time.Now()}}
+	check := &endCheck{exchange: exchange, Evidence: ending.Evidence{Framing: framing(response), EndedAt: time.Now()}}
 	exchange.conn.Discard()
 	check.run()
 	verdict := check.Verdict()
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"primrosegw/core/ending"
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/fleet"
@@ -269,7 +270,11 @@
 
 // isDelimited reports whether the end of a response can be told from a lost connection.
 func isDelimited(response pipe.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return framing(response) != ending.Connection
+}
+
+func framing(response pipe.Response) ending.Framing {
+	return ending.FramingOf(response.ContentLength, len(response.TransferEncoding) > 0)
 }
 
 // failAttempt ends an attempt without a valid response. It counts as a failure of
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"primrosegw/core/ending"
 	"primrosegw/core/fault"
 	"primrosegw/core/retry"
 	"primrosegw/core/spec"
@@ -207,9 +208,25 @@
 	if len(body) > maximumAnswerBytes {
 		return Answer{URL: address}, fault.New(op, Oversized, "the answer is larger than 4 MiB")
 	}
+	if !isWhole(response, call.Method) {
+		return Answer{URL: address}, fault.New(op, Broken, "the answer has neither a length nor chunks, and nothing shows that it is whole")
+	}
 	return Answer{Status: response.StatusCode, Header: passed(response.Header), Body: body, URL: address}, nil
 }
 
+// isWhole reports whether the end of an answer is proven. Plain services have no question by which
+// they say which process they are, so that an answer that ends with its connection proves nothing:
+// its process may have ended in the middle. Only successes must be whole. A compressed body ends
+// with its checksum.
+func isWhole(response *http.Response, method string) bool {
+	isSuccess := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+	if !isSuccess || method == http.MethodHead || response.Uncompressed {
+		return true
+	}
+	evidence := ending.Evidence{Framing: ending.FramingOf(response.ContentLength, len(response.TransferEncoding) > 0), Outcome: ending.Unasked}
+	return evidence.Verdict() == ending.Whole
+}
+
 // keepSingle stops net/http from sending a request again by itself, whatever connection
 // it uses. It does so when a kept connection breaks, for requests with a key under the canonical
 // name of the header; the key goes out under the name in lower case instead.
