--- a/io/front/process.go
+++ b/io/front/process.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"time"
@@ -21,9 +20,6 @@
 // their report. The request is then sent on another one.
 const maxChecksWithoutConn = 2
 
-// maxLifeChecks is the number of connections on which a server is asked whether it still runs.
-const maxLifeChecks = 3
-
 /*
 checkProcess asks the server at the other end of a connection which process it is. Afterwards the
 connection can take a request. It fails with pipe.Unreachable if the process is not the registered
@@ -54,11 +50,7 @@
 		handler.options.Fleet.RecordMute(server)
 	}
 	if known && !started.Equal(server.Started) {
-		if handler.options.Fleet.RecordReplaced(server) {
-			handler.options.Logger.Log(event.ServerReplaced(), logrus.Fields{
-				"server": server.ID, "registered_ms": server.Started.UnixMilli(), "started_ms": started.UnixMilli(),
-			})
-		}
+		handler.recordReplaced(server, started)
 		return fault.New("front.check_process", pipe.Unreachable, "another process is at the server's address")
 	}
 	if readErr == nil && known {
@@ -70,6 +62,15 @@
 	return nil
 }
 
+// recordReplaced records that another process than the registered one is at a server's address.
+func (handler *Handler) recordReplaced(server fleet.Server, started time.Time) {
+	if handler.options.Fleet.RecordReplaced(server) {
+		handler.options.Logger.Log(event.ServerReplaced(), logrus.Fields{
+			"server": server.ID, "registered_ms": server.Started.UnixMilli(), "started_ms": started.UnixMilli(),
+		})
+	}
+}
+
 // reportsProcess reports whether a server can say which process it is.
 func (call *call) reportsProcess(server fleet.Server) bool {
 	service, ok := call.table.Service(server.Service)
@@ -96,34 +97,3 @@
 	versions, _ := call.possibleVersions(time.Now())
 	return len(versions) > 1
 }
-
-/*
-hasEnded reports whether the server's process has ended. It is asked for after a response without
-a length that ended with its connection: the end of a process ends its connections, too, and the
-response is then not complete.
-*/
-func (exchange *exchange) hasEnded() bool {
-	call := exchange.call
-	for range maxLifeChecks {
-		conn, err := call.handler.options.Pool.Get(context.Background(), connectionKey(exchange.server), exchange.server.Address, call.connectionLimit(exchange.server))
-		if err != nil {
-			return fault.Is(err, pipe.Unreachable)
-		}
-		if !call.reportsProcess(exchange.server) {
-			conn.ReleaseUnused()
-			return false
-		}
-		if err = call.handler.checkProcess(conn, exchange.server); err == nil {
-			conn.ReleaseUnused()
-			return false
-		}
-		conn.Discard()
-		if fault.Is(err, pipe.Unreachable) {
-			return true
-		}
-		if fault.Is(err, pipe.Unsent) {
-			return false
-		}
-	}
-	return false
-}
