core/poison: TestCrashingPartAmongSoundRequests repeats a failure by its seed

Cause: the hosts of the test choose the time at which they write the record of a quarantine from the default source, and write due records in the order of a map. A failing run could not be repeated. Change: DetectorOptions.Random, due records in the order of their names, the flag -poison-seed. Without the flag the seed is random, as the choices were before; messages of the test name it. Conclusion: the failure is reproducible; its cause is not fixed here.

--- a/core/poison/cluster_test.go
+++ b/core/poison/cluster_test.go
@@ -1,6 +1,7 @@
 package poison_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -11,6 +12,9 @@
 	"primrosegw/core/poison"
 )
 
+// seedFlag selects the random choices of the detectors, so that a failure can be repeated.
+var seedFlag = flag.Uint64("poison-seed", 0, "seed of TestCrashingPartAmongSoundRequests; 0: a random one")
+
 const (
 	// contactTime is the time after the fifth crash from which at most maxLate requests that
 	// crash servers may still be sent.
@@ -45,6 +49,23 @@
 	late        int
 	frozenUntil time.Time
 	records     []poison.QuarantineRecord
+	// seed and started make the random choices of each detector repeatable.
+	seed, started uint64
+}
+
+func newStorm(t *testing.T, hosts int, seed uint64) *storm {
+	storm := &storm{cluster: &cluster{t: t, now: time.Now()}, seed: seed}
+	for range hosts {
+		storm.hosts = append(storm.hosts, storm.newDetector())
+	}
+	return storm
+}
+
+// newDetector returns the detector of a host that starts, with choices of its own.
+func (storm *storm) newDetector() *poison.CrashDetector {
+	storm.started++
+	random := rand.New(rand.NewPCG(storm.seed, storm.started))
+	return poison.NewCrashDetector(poison.DetectorOptions{Recorded: true, Random: random})
 }
 
 // features returns the features of a new request: a session, a first part and a document
@@ -99,7 +120,7 @@
 // restart lets the first hosts start anew, with the records that the store has.
 func (storm *storm) restart(count int) {
 	for host := range min(count, len(storm.hosts)) {
-		storm.hosts[host] = newDetector()
+		storm.hosts[host] = storm.newDetector()
 		for _, record := range storm.records {
 			storm.hosts[host].ApplyRecord(record, storm.now)
 		}
@@ -148,14 +169,17 @@
 		{name: "all restart", allRestart: true},
 		{name: "all of it", lost: 0.3, frozen: 1, restarted: 2, allRestart: true},
 	}
+	seed := *seedFlag
+	if seed == 0 {
+		seed = 1 + rand.Uint64()
+	}
 	for _, hosts := range []int{3, 8, 91, 195} {
 		for _, badFirst := range []bool{false, true} {
 			for index, disturbance := range disturbances {
-				name := fmt.Sprintf("%d hosts, bad part first %t, %s", hosts, badFirst, disturbance.name)
-				storm := &storm{
-					cluster: newCluster(t, hosts), disturbance: disturbance, badFirst: badFirst,
-					random: rand.New(rand.NewPCG(uint64(hosts), uint64(index))),
-				}
+				name := fmt.Sprintf("-poison-seed %d: %d hosts, bad part first %t, %s", seed, hosts, badFirst, disturbance.name)
+				storm := newStorm(t, hosts, seed)
+				storm.disturbance, storm.badFirst = disturbance, badFirst
+				storm.random = rand.New(rand.NewPCG(uint64(hosts), uint64(index)))
 				storm.play(t, name)
 			}
 		}
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -57,6 +58,9 @@
 type DetectorOptions struct {
 	// Recorded is set if the caller writes and removes the records of quarantines.
 	Recorded bool
+	// Random chooses the times at which records are written; nil: the default source. It
+	// must not be shared with others.
+	Random *rand.Rand
 	// Logger logs the changes of the quarantines; nil: they are not logged.
 	Logger *event.Logger
 	// OnQuarantine is called for each change of the quarantines, without the lock of the
@@ -83,7 +87,7 @@
 	}
 	return &CrashDetector{
 		options: options, attribution: NewAttribution(), broken: make(map[string][]brokenResponse),
-		records: newQuarantineRecords(options.Recorded),
+		records: newQuarantineRecords(options),
 	}
 }
 
--- a/core/poison/records.go
+++ b/core/poison/records.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -48,6 +49,8 @@
 type quarantineRecords struct {
 	// enabled is set if records are written and removed at all.
 	enabled bool
+	// random chooses the delays; nil: the default source.
+	random *rand.Rand
 	// pending holds the records that are not known to exist, by name.
 	pending map[string]pendingRecord
 	remove  []string
@@ -59,8 +62,8 @@
 	writeAt    time.Time
 }
 
-func newQuarantineRecords(enabled bool) quarantineRecords {
-	return quarantineRecords{enabled: enabled, pending: make(map[string]pendingRecord)}
+func newQuarantineRecords(options DetectorOptions) quarantineRecords {
+	return quarantineRecords{enabled: options.Recorded, random: options.Random, pending: make(map[string]pendingRecord)}
 }
 
 // add schedules records to be written: own decisions at once, others later, unless another
@@ -70,7 +73,7 @@
 		return
 	}
 	for _, quarantine := range quarantines {
-		delay := expectDelayMin + rand.N(expectDelayMax-expectDelayMin)
+		delay := records.expectDelay()
 		if quarantine.Own {
 			delay = 0
 		}
@@ -78,6 +81,15 @@
 	}
 }
 
+// expectDelay returns a random time to wait for the record of another host.
+func (records *quarantineRecords) expectDelay() time.Duration {
+	const spread = expectDelayMax - expectDelayMin
+	if records.random == nil {
+		return expectDelayMin + rand.N(spread)
+	}
+	return expectDelayMin + time.Duration(records.random.Int64N(int64(spread)))
+}
+
 // end schedules the records of ended quarantines for removal.
 func (records *quarantineRecords) end(quarantines []Quarantine) {
 	if !records.enabled {
@@ -113,6 +125,8 @@
 		pending.writeAt = now.Add(recordRetryDelay)
 		detector.records.pending[name] = pending
 	}
+	// The order of a map must not decide which record is written first.
+	slices.SortFunc(due, func(a, b QuarantineRecord) int { return cmp.Compare(a.Name(), b.Name()) })
 	return due
 }
 
