core/poison: failing tests of sound parts that are quarantined

Measured: go test ./core/poison -run 'TestCompanionIs|TestUnsettled': both fail. Conclusion: two faults of the attribution; neither is the test's share of lost messages.

--- a/core/poison/detector_test.go
+++ b/core/poison/detector_test.go
@@ -303,3 +303,25 @@
 		require.NotEqual(t, one, other)
 	}
 }
+
+// Guards against blaming a sound part a second time, alone, for crashes that a quarantine of
+// it together with the bad part explains.
+func TestCompanionIsNotBlamedForExplainedCrashes(t *testing.T) {
+	cluster := newCluster(t, 2)
+	cluster.crash(map[int][]uint64{0: {7, badPart, soundPart}, 1: {8, soundPart}})
+	cluster.crash(map[int][]uint64{0: {9, badPart, soundPart}})
+	cluster.crash(map[int][]uint64{0: {10, badPart, soundPart}})
+	require.True(t, cluster.refuses(11, badPart, soundPart))
+	require.False(t, cluster.refuses(12, soundPart))
+}
+
+// Guards against a decision between two parts by a crash of which only one host has reported its
+// requests.
+func TestUnsettledCrashDoesNotDecideBetweenParts(t *testing.T) {
+	cluster := newCluster(t, 2)
+	for number := range uint64(3) {
+		cluster.crash(map[int][]uint64{0: {100 + number, soundPart}, 1: {200 + number, badPart}})
+	}
+	cluster.crash(map[int][]uint64{0: {103, soundPart}, 1: {203, badPart}})
+	require.False(t, cluster.refuses(104, soundPart))
+}
