core/poison: a part of a quarantine is not blamed alone for the same crashes

Cause: a crash that a quarantine explains still counted for each feature of that quarantine. A host that decides on a bad part and its companion blamed the companion, a sound part, in the next step of the same update, if a sound request with it had been in flight at one of the crashes. Hosts that hear of the completion have no companion, so only lost messages show it. Class of fault: evidence that counts once more after a conclusion was drawn from it. Change: such crashes count only together with at least one that no quarantine explains.

--- a/core/poison/attribution.go
+++ b/core/poison/attribution.go
@@ -39,8 +39,10 @@
 
 Servers that go down together may have a common cause outside the requests. So a crash
 counts for a feature only if a request with it was sent after the previous crash that
-counts. Crashes that a quarantine explains do not count for other features. If two
-features that are not companions have the same number of crashes, there is no decision
+counts. Crashes that a quarantine explains do not count for other features. For a feature
+of the quarantine itself they count only together with a crash that no quarantine explains:
+it may be that the quarantine has features too many, but the same crashes do not show it.
+If two features that are not companions have the same number of crashes, there is no decision
 before crashesDespiteDoubt.
 
 All operations are commutative and idempotent, so hosts that exchange crashes and cleared
@@ -268,6 +270,8 @@
 	// settleDelay.
 	crashes int
 	settled int
+	// unexplained is set if no quarantine explains one of the crashes that count.
+	unexplained bool
 	// lastCrash is the time of the last crash that counts, own whether this host observed it.
 	lastCrash time.Time
 	own       bool
@@ -285,7 +289,7 @@
 func (attribution *Attribution) bestHypothesis(now time.Time) *hypothesis {
 	var found []*hypothesis
 	for _, one := range attribution.hypotheses(now.Add(-settleDelay)) {
-		if one.crashes >= crashesToQuarantine && !attribution.Refuses(one.companions) {
+		if one.crashes >= crashesToQuarantine && one.unexplained && !attribution.Refuses(one.companions) {
 			found = append(found, one)
 		}
 	}
@@ -319,7 +323,7 @@
 				if found[feature] == nil {
 					found[feature] = &hypothesis{feature: feature, request: request.Features, single: true, companions: suspected}
 				}
-				found[feature].count(crash, request, settledBefore)
+				found[feature].count(crash, request, len(explanations) > 0, settledBefore)
 				found[feature].narrow(request.Features, suspected)
 			}
 		}
@@ -327,12 +331,14 @@
 	return found
 }
 
-// count counts a crash if the request was sent after the last one that counts.
-func (hypothesis *hypothesis) count(crash *trackedCrash, request InFlightRequest, settledBefore time.Time) {
+// count counts a crash if the request was sent after the last one that counts. Explained is
+// set if a quarantine explains the crash.
+func (hypothesis *hypothesis) count(crash *trackedCrash, request InFlightRequest, explained bool, settledBefore time.Time) {
 	if !crash.at.Add(-request.SentBefore).After(hypothesis.lastCrash) {
 		return
 	}
 	hypothesis.crashes++
+	hypothesis.unexplained = hypothesis.unexplained || !explained
 	if !crash.at.After(settledBefore) {
 		hypothesis.settled++
 	}
