core/poison: a crash counts between parts once all hosts have reported it

Cause: a feature needed three settled crashes, but was compared with others by all of its crashes. A tie that keeps the detector from a decision ended as soon as the host of a sound request reported a fourth crash, before the host of the bad request had. Class of fault: two thresholds of one decision that count different evidence. Change: only the crashes of a request that is sent again unchanged count before they have settled. Measured: TestUnsettledCrashDoesNotDecideBetweenParts failed before and passes; go test ./core/poison passes.

--- a/core/poison/attribution.go
+++ b/core/poison/attribution.go
@@ -289,6 +289,11 @@
 func (attribution *Attribution) bestHypothesis(now time.Time) *hypothesis {
 	var found []*hypothesis
 	for _, one := range attribution.hypotheses(now.Add(-settleDelay)) {
+		if !one.single {
+			// The hosts' reports of a crash arrive one by one: until it is settled, it counts
+			// for the features of those that have arrived.
+			one.crashes = one.settled
+		}
 		if one.crashes >= crashesToQuarantine && one.unexplained && !attribution.Refuses(one.companions) {
 			found = append(found, one)
 		}
@@ -296,7 +301,7 @@
 	slices.SortFunc(found, func(a, b *hypothesis) int {
 		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(len(b.companions), len(a.companions)), cmp.Compare(a.feature, b.feature))
 	})
-	if len(found) == 0 || found[0].settled < crashesToQuarantine && !found[0].single {
+	if len(found) == 0 {
 		return nil
 	}
 	best := found[0]
