core/poison, io/front, platform: requests that make engines go dark are refused

Cause: a crash needed a refused connection. An engine that goes dark has its process replaced without one; the attempt that caused it ends by its deadline and was not recorded; and a crash seen at the engine's return had that time, so requests sent during the silence did not count. Class of fault: the one sign of an event that is looked for is taken for the event. Change: unanswered attempts are kept until the process has sent something. A later start time, a report of another process, or the end of the registration makes suspects of them. The time of such a crash is estimated from the last sign of life; servers that end together count once. A crash settles after a host has learned of it.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -235,10 +235,11 @@
 	return Event{1944, "server_suspended", logrus.WarnLevel, "fleet", "A backend server could not be reached or broke a connection; it temporarily gets no requests."}
 }
 
-// ServerCrashed reports that a backend server cut off responses and then
-// refused connections; the affected requests are suspected of crashing it.
+// ServerCrashed reports that a backend server cut off responses and then refused
+// connections, or that its process ended with requests unanswered; the affected requests
+// are suspected of crashing it.
 func ServerCrashed() Event {
-	return Event{1945, "server_crashed", logrus.WarnLevel, "fleet", "A backend server cut off responses and then refused connections; the affected requests are suspected of crashing it."}
+	return Event{1945, "server_crashed", logrus.WarnLevel, "fleet", "A backend server cut off responses and then refused connections, or its process ended with requests unanswered; the affected requests are suspected of crashing it."}
 }
 
 // QuarantineStarted reports that requests with certain features are refused, because they
--- a/core/fleet/process.go
+++ b/core/fleet/process.go
@@ -43,3 +43,10 @@
 
 // InDoubt reports whether the registered process of a server may have been replaced.
 func (fleet *Fleet) InDoubt(id string) bool { return fleet.find(id).InDoubt }
+
+// LiveProcess returns the registered process of a server. It reports false if the server is
+// unknown, leaving, or of unknown age.
+func (fleet *Fleet) LiveProcess(id string) (Server, bool) {
+	member := fleet.find(id)
+	return member.Server, !member.Started.IsZero() && !member.Leaving && !member.announcement.leaving
+}
--- a/core/poison/attribution.go
+++ b/core/poison/attribution.go
@@ -39,7 +39,9 @@
 
 Servers that go down together may have a common cause outside the requests. So a crash
 counts for a feature only if a request with it was sent after the previous crash that
-counts. Crashes that a quarantine explains do not count for other features. For a feature
+counts. A server that goes silent has crashed between its last sign of life and its end; the
+crash counts as early, but servers that end at the same time count once. Crashes that a
+quarantine explains do not count for other features. For a feature
 of the quarantine itself they count only together with a crash that no quarantine explains:
 it may be that the quarantine has features too many, but the same crashes do not show it.
 If two features that are not companions have the same number of crashes, there is no decision
@@ -63,6 +65,11 @@
 type trackedCrash struct {
 	id uint64
 	at time.Time
+	// knownAt is when this host learned of the crash.
+	knownAt time.Time
+	// endedAt is when the server's end was seen: at, unless that is an estimate because the server
+	// went silent.
+	endedAt time.Time
 	// own is set if this host observed the crash.
 	own      bool
 	requests []InFlightRequest
@@ -91,20 +98,27 @@
 	return &Attribution{cleared: make(map[uint64]time.Time), suspectedAt: make(map[uint64]time.Time)}
 }
 
-// AddCrash adds a crash with the requests that were in flight, or adds further requests to
-// a known crash. Own is set if this host observed it. It reports whether it added a request.
-func (attribution *Attribution) AddCrash(id uint64, at time.Time, own bool, requests []InFlightRequest) bool {
-	crash := attribution.crash(id, at)
-	crash.own = crash.own || own
-	if at.Before(crash.at) {
-		crash.at = at
-	}
+// crashObservation is a crash at a time, as a host reports it.
+type crashObservation struct {
+	report CrashReport
+	at     time.Time
+	// own is set if this host observed it.
+	own bool
+}
+
+// addCrash adds a crash with the requests that were in flight, or adds further requests to
+// a known crash. It reports whether it added a request.
+func (attribution *Attribution) addCrash(observation crashObservation, now time.Time) bool {
+	crash := attribution.crash(observation, now)
+	crash.own = crash.own || observation.own
+	crash.adjustTime(observation)
 	changed := false
-	for _, request := range requests {
+	for _, request := range observation.report.Requests {
 		known := slices.ContainsFunc(crash.requests, func(other InFlightRequest) bool { return slices.Equal(other.Features, request.Features) })
 		if known || len(crash.requests) >= maxRequestsPerCrash {
 			continue
 		}
+		request.SentBefore += crash.at.Sub(observation.at)
 		crash.requests = append(crash.requests, request)
 		attribution.markSuspected(request.Features, crash.at)
 		changed = true
@@ -117,17 +131,44 @@
 }
 
 // crash returns a known crash or adds a new one.
-func (attribution *Attribution) crash(id uint64, at time.Time) *trackedCrash {
+func (attribution *Attribution) crash(observation crashObservation, now time.Time) *trackedCrash {
 	for _, crash := range attribution.crashes {
-		if crash.id == id {
+		if crash.id == observation.report.ID {
 			return crash
 		}
 	}
-	crash := &trackedCrash{id: id, at: at}
+	crash := &trackedCrash{id: observation.report.ID, at: observation.at, knownAt: now, endedAt: observation.endedAt()}
 	attribution.crashes = append(attribution.crashes, crash)
 	return crash
 }
 
+// endedAt returns when the server's end was seen.
+func (observation crashObservation) endedAt() time.Time {
+	return observation.at.Add(max(0, observation.report.SilentFor))
+}
+
+// adjustTime sets the times of a crash to the earliest observations.
+func (crash *trackedCrash) adjustTime(observation crashObservation) {
+	if observation.endedAt().Before(crash.endedAt) {
+		crash.endedAt = observation.endedAt()
+	}
+	if !observation.at.Before(crash.at) {
+		return
+	}
+	for index := range crash.requests {
+		crash.requests[index].SentBefore += observation.at.Sub(crash.at)
+	}
+	crash.at = observation.at
+}
+
+// settlesAt is when all hosts have reported their requests in flight.
+func (crash *trackedCrash) settlesAt() time.Time {
+	if crash.knownAt.After(crash.at) {
+		return crash.knownAt.Add(settleDelay)
+	}
+	return crash.at.Add(settleDelay)
+}
+
 func (attribution *Attribution) markSuspected(features []uint64, at time.Time) {
 	for _, feature := range features {
 		if at.After(attribution.suspectedAt[feature]) {
@@ -207,12 +248,13 @@
 	if !attribution.HasSuspects() {
 		return time.Time{}
 	}
+	next := now.Add(expiryInterval)
 	for _, crash := range attribution.crashes {
-		if settledAt := crash.at.Add(settleDelay); settledAt.After(now) {
-			return settledAt
+		if settledAt := crash.settlesAt(); settledAt.After(now) && settledAt.Before(next) {
+			next = settledAt
 		}
 	}
-	return now.Add(expiryInterval)
+	return next
 }
 
 // dropExpired drops old crashes and everything known about features that no crash and no
@@ -272,8 +314,8 @@
 	settled int
 	// unexplained is set if no quarantine explains one of the crashes that count.
 	unexplained bool
-	// lastCrash is the time of the last crash that counts, own whether this host observed it.
-	lastCrash time.Time
+	// lastCrash is the last crash that counts, own whether this host observed it.
+	lastCrash *trackedCrash
 	own       bool
 	// request holds the features of the first suspected request with the feature. Single is
 	// set if all of these requests have the same ones.
@@ -288,7 +330,7 @@
 // nil if there are too few crashes for a decision, or another feature explains as many.
 func (attribution *Attribution) bestHypothesis(now time.Time) *hypothesis {
 	var found []*hypothesis
-	for _, one := range attribution.hypotheses(now.Add(-settleDelay)) {
+	for _, one := range attribution.hypotheses(now) {
 		if !one.single {
 			// The hosts' reports of a crash arrive one by one: until it is settled, it counts
 			// for the features of those that have arrived.
@@ -315,7 +357,7 @@
 }
 
 // hypotheses returns a hypothesis for each suspected feature.
-func (attribution *Attribution) hypotheses(settledBefore time.Time) map[uint64]*hypothesis {
+func (attribution *Attribution) hypotheses(now time.Time) map[uint64]*hypothesis {
 	found := make(map[uint64]*hypothesis)
 	for _, crash := range attribution.crashes {
 		explanations := attribution.explanations(crash)
@@ -328,7 +370,7 @@
 				if found[feature] == nil {
 					found[feature] = &hypothesis{feature: feature, request: request.Features, single: true, companions: suspected}
 				}
-				found[feature].count(crash, request, len(explanations) > 0, settledBefore)
+				found[feature].count(crash, request, len(explanations) > 0, now)
 				found[feature].narrow(request.Features, suspected)
 			}
 		}
@@ -338,16 +380,25 @@
 
 // count counts a crash if the request was sent after the last one that counts. Explained is
 // set if a quarantine explains the crash.
-func (hypothesis *hypothesis) count(crash *trackedCrash, request InFlightRequest, explained bool, settledBefore time.Time) {
-	if !crash.at.Add(-request.SentBefore).After(hypothesis.lastCrash) {
+func (hypothesis *hypothesis) count(crash *trackedCrash, request InFlightRequest, explained bool, now time.Time) {
+	if hypothesis.lastCrash != nil && !crash.follows(hypothesis.lastCrash, request) {
 		return
 	}
 	hypothesis.crashes++
 	hypothesis.unexplained = hypothesis.unexplained || !explained
-	if !crash.at.After(settledBefore) {
+	if !crash.settlesAt().After(now) {
 		hypothesis.settled++
 	}
-	hypothesis.lastCrash, hypothesis.own = crash.at, crash.own
+	hypothesis.lastCrash, hypothesis.own = crash, crash.own
+}
+
+// follows reports whether a request was sent after an earlier crash. If the time of that one is an
+// estimate, servers that end within sameCrashWindow are taken to have gone silent together.
+func (crash *trackedCrash) follows(earlier *trackedCrash, request InFlightRequest) bool {
+	if earlier.endedAt.After(earlier.at) && crash.endedAt.Sub(earlier.endedAt).Abs() <= sameCrashWindow {
+		return false
+	}
+	return crash.at.Add(-request.SentBefore).After(earlier.at)
 }
 
 // narrow reduces the companions to the suspected features of another request.
--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -46,6 +46,7 @@
 	mutex       sync.Mutex
 	attribution *Attribution
 	broken      map[string][]brokenResponse
+	lives       map[string]*processLife
 	crashes     outbox[CrashReport]
 	cleared     outbox[ClearedFeature]
 	quarantines outbox[QuarantineReport]
@@ -87,6 +88,7 @@
 	}
 	return &CrashDetector{
 		options: options, attribution: NewAttribution(), broken: make(map[string][]brokenResponse),
+		lives:   make(map[string]*processLife),
 		records: newQuarantineRecords(options),
 	}
 }
@@ -120,12 +122,16 @@
 // first broken response of a possible crash. If so, the caller should try to connect to the
 // server, to find out whether it crashed.
 func (detector *CrashDetector) ObserveBrokenResponse(process string, features []uint64, sentAt, now time.Time) bool {
+	var change QuarantineChange
+	defer func() { detector.notify(change) }()
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
 	earlier := slices.ContainsFunc(detector.broken[process], func(response brokenResponse) bool {
 		return !response.ambiguous && now.Sub(response.at) <= sameCrashWindow
 	})
-	detector.addBroken(process, brokenResponse{features: features, sentAt: sentAt, at: now}, now)
+	response := brokenResponse{features: features, sentAt: sentAt, at: now}
+	detector.addBroken(process, response, now)
+	change = detector.addUnanswered(process, response, now)
 	return !earlier
 }
 
@@ -175,6 +181,17 @@
 		return 0, QuarantineChange{}
 	}
 	crashTime := responses[len(responses)-1].at
+	life := detector.life(process, now)
+	life.unanswered = life.dropOldUnanswered(now)
+	if life.endedAt.IsZero() && len(life.unanswered) > 0 && life.silentSince().Before(crashTime) {
+		for _, response := range responses {
+			if response.ambiguous {
+				life.unanswered = append(life.unanswered, response)
+			}
+		}
+		life.endedAt = crashTime
+		return len(life.unanswered), detector.reportSilentCrash(process, life, now)
+	}
 	var requests []InFlightRequest
 	features := 0
 	for _, response := range responses {
@@ -186,7 +203,10 @@
 	// All hosts give the crash of a process the same ID.
 	report := CrashReport{ID: xxhash.Sum64String(process), Requests: requests[:min(len(requests), maxRequestsPerCrash)]}
 	detector.crashes.add(report, crashTime, now)
-	detector.attribution.AddCrash(report.ID, crashTime, true, report.Requests)
+	detector.attribution.addCrash(crashObservation{report: report, at: crashTime, own: true}, now)
+	if life.endedAt.IsZero() {
+		life.endedAt, life.seen = now, true
+	}
 	return len(requests), detector.update(true, now)
 }
 
@@ -195,8 +215,9 @@
 func (detector *CrashDetector) ObserveCrash(id uint64, features []uint64, sentAt, now time.Time) {
 	detector.mutex.Lock()
 	requests := []InFlightRequest{{Features: features, SentBefore: now.Sub(sentAt)}}
-	detector.crashes.add(CrashReport{ID: id, Requests: requests}, now, now)
-	detector.attribution.AddCrash(id, now, true, requests)
+	report := CrashReport{ID: id, Requests: requests}
+	detector.crashes.add(report, now, now)
+	detector.attribution.addCrash(crashObservation{report: report, at: now, own: true}, now)
 	change := detector.update(true, now)
 	detector.mutex.Unlock()
 	detector.notify(change)
@@ -299,7 +320,7 @@
 		for _, request := range report.Requests {
 			slices.Sort(request.Features)
 		}
-		changed = detector.attribution.AddCrash(report.ID, timeOfAge(report.AgeMs, now), false, report.Requests) || changed
+		changed = detector.attribution.addCrash(crashObservation{report: report, at: timeOfAge(report.AgeMs, now)}, now) || changed
 	}
 	for _, report := range evidence.Cleared {
 		cleared := detector.attribution.Clear([]uint64{report.Feature}, timeOfAge(report.AgeMs, now))
--- a/core/poison/evidence.go
+++ b/core/poison/evidence.go
@@ -11,6 +11,9 @@
 	AgeMs int64  `cbor:"2,keyasint"`
 	// Requests holds the requests that the sender had in flight.
 	Requests []InFlightRequest `cbor:"3,keyasint"`
+	// SilentFor is the time from the estimated crash of a server that went silent to its end;
+	// 0 if the crash itself was seen.
+	SilentFor time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // ClearedFeature is a suspected feature of a request that completed.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -78,6 +78,7 @@
 		return exchange.failAttempt(err)
 	}
 	exchange.markPromptRead()
+	call.handler.recordAlive(exchange.server)
 	if !info.NotRun {
 		now := time.Now()
 		call.handler.options.Pick.ObserveFirstEvent(&call.work, &exchange.choice, now.Sub(exchange.started), now)
@@ -278,6 +279,7 @@
 func (exchange *exchange) recordEnd(response pipe.Response) {
 	call := exchange.call
 	if isDelimited(response) {
+		call.handler.recordAlive(exchange.server)
 		call.recordHarmless()
 		return
 	}
@@ -289,6 +291,7 @@
 func (exchange *exchange) failAttempt(err error) work.Result {
 	call := exchange.call
 	now := time.Now()
+	exchange.recordLastEvent()
 	if !call.callerGone() && now.Before(call.work.Deadline) {
 		call.handler.options.Fleet.RecordBrokenAnswer(exchange.server.ID, now)
 		call.handler.options.Fleet.DoubtProcess(exchange.server.ID)
@@ -296,6 +299,8 @@
 			go call.handler.probe(exchange.server, call.connectionLimit(exchange.server), call.reportsProcess(exchange.server))
 		}
 		call.handler.logSuspension(exchange.server, err, now)
+	} else {
+		exchange.recordUnanswered(now)
 	}
 	return exchange.logAttempt(work.Broken, 0, err)
 }
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -58,11 +58,13 @@
 			handler.options.Logger.Log(event.ServerReplaced(), logrus.Fields{
 				"server": server.ID, "registered_ms": server.Started.UnixMilli(), "started_ms": started.UnixMilli(),
 			})
+			RecordProcessEnd(handler.options.CrashDetector, handler.options.Logger, server, time.Now())
 		}
 		return fault.New("front.check_process", pipe.Unreachable, "another process is at the server's address")
 	}
 	if readErr == nil && known {
 		handler.options.Fleet.ConfirmProcess(server)
+		handler.recordAlive(server)
 	}
 	if readErr != nil || len(body) == maxForeignBytes || !response.KeepAlive || !isDelimited(response) || !conn.Reuse(response.Header) {
 		return fault.New("front.check_process", pipe.Unsent, "the connection can't be used again")
