core/route, io/demo: a request without a cell says why, and a failing demo test shows the hosts' logs

Cause: 503 "no backend server can take the request now" in io/demo could not be traced: the tests write no logs, and route_none did not say which check refused a cell. Change: the error of route_none names each cell, its owner and the check; tests of io/demo print the hosts' logs if they fail.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"primrosegw/core/cell"
@@ -183,9 +184,11 @@
 	now := time.Now()
 	selection := selection{target: timeUntil(request.FirstToken, now), deadline: timeUntil(request.Deadline, now), rule: ruleCount}
 	failed := false
+	var refusals []string
 	for index := range candidates {
 		candidate := &candidates[index]
-		if !usable(candidate) {
+		if reason := unusable(candidate); reason != "" {
+			refusals = append(refusals, candidate.Cell+" at "+candidate.Owner.Name+": "+reason)
 			continue
 		}
 		if candidate.Failed {
@@ -205,7 +208,7 @@
 	case failed:
 		return Decision{}, fault.New("route.choose", Exhausted, "all cells were tried for this request")
 	default:
-		return Decision{}, fault.New("route.choose", NoCell, "no cell can serve the model")
+		return Decision{}, fault.New("route.choose", NoCell, "no cell can serve the model ("+strings.Join(refusals, "; ")+")")
 	}
 }
 
@@ -221,14 +224,18 @@
 	return instant.Sub(now)
 }
 
-// usable reports whether a cell has a live owner and, if its summary is known,
-// slots.
-func usable(candidate *Candidate) bool {
-	state := candidate.Owner.State
-	if candidate.Owner.Name == "" || state == host.Dead || state == host.Leaving {
-		return false
+// unusable returns why a cell can't take a request: it needs a live owner and, if its summary is
+// known, slots. It returns an empty string if the cell can.
+func unusable(candidate *Candidate) string {
+	switch {
+	case candidate.Owner.Name == "":
+		return "no owner"
+	case candidate.Owner.State == host.Dead || candidate.Owner.State == host.Leaving:
+		return "the owner is " + string(candidate.Owner.State)
+	case candidate.Known && candidate.Summary.Slots <= 0:
+		return "no slots"
 	}
-	return !candidate.Known || candidate.Summary.Slots > 0
+	return ""
 }
 
 // estimateWait estimates the time until a call of a tier would be dispatched. The
--- a/io/demo/world_test.go
+++ b/io/demo/world_test.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	openai "github.com/sashabaranov/go-openai"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -31,14 +33,41 @@
 	if adjust != nil {
 		adjust(&options)
 	}
+	log := &lockedBuffer{}
+	if options.Log == nil {
+		options.Log, options.Level = log, logrus.InfoLevel
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), deadline)
 	defer cancel()
 	world, err := demo.New(ctx, options)
 	require.NoError(t, err)
-	t.Cleanup(world.Close)
+	t.Cleanup(func() {
+		world.Close()
+		if t.Failed() {
+			t.Log("log of all hosts:\n" + log.String())
+		}
+	})
 	return world
 }
 
+// lockedBuffer collects the log lines of all hosts, which are shown if a test fails.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (buffer *lockedBuffer) Write(data []byte) (int, error) {
+	buffer.mutex.Lock()
+	defer buffer.mutex.Unlock()
+	return buffer.buffer.Write(data)
+}
+
+func (buffer *lockedBuffer) String() string {
+	buffer.mutex.Lock()
+	defer buffer.mutex.Unlock()
+	return buffer.buffer.String()
+}
+
 func client(node *demo.Node) *openai.Client {
 	config := openai.DefaultConfig(demo.CallerKey + demo.WorkspaceSchools)
 	config.BaseURL = node.URL() + "/v1"
