--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -79,6 +79,7 @@
 		return exchange.failAttempt(err)
 	}
 	exchange.markPromptRead()
+	call.handler.recordAlive(exchange.server)
 	if !info.NotRun {
 		now := time.Now()
 		call.handler.options.Pick.ObserveFirstEvent(&call.work, &exchange.choice, now.Sub(exchange.started), now)
@@ -218,7 +219,7 @@
 		if result, whole := exchange.proveEnd(response); !whole {
 			return result
 		}
-		call.recordHarmless()
+		exchange.recordProvenEnd()
 	}
 	exchange.releaseConn(response)
 	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
@@ -277,11 +278,18 @@
 	return ending.FramingOf(response.ContentLength, len(response.TransferEncoding) > 0)
 }
 
+// recordProvenEnd records the end of a success that is whole.
+func (exchange *exchange) recordProvenEnd() {
+	exchange.call.handler.recordAlive(exchange.server)
+	exchange.call.recordHarmless()
+}
+
 // failAttempt ends an attempt without a valid response. It counts as a failure of
 // the server unless the caller has gone or the deadline has passed.
 func (exchange *exchange) failAttempt(err error) work.Result {
 	call := exchange.call
 	now := time.Now()
+	exchange.recordLastEvent()
 	if !call.callerGone() && now.Before(call.work.Deadline) {
 		call.handler.options.Fleet.RecordBrokenAnswer(exchange.server.ID, now)
 		call.handler.options.Fleet.DoubtProcess(exchange.server.ID)
@@ -289,6 +297,8 @@
 			go call.handler.probe(exchange.server, call.connectionLimit(exchange.server), call.reportsProcess(exchange.server))
 		}
 		call.handler.logSuspension(exchange.server, err, now)
+	} else {
+		exchange.recordUnanswered(now)
 	}
 	return exchange.logAttempt(work.Broken, 0, err)
 }
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -55,6 +55,7 @@
 	}
 	if readErr == nil && known {
 		handler.options.Fleet.ConfirmProcess(server)
+		handler.recordAlive(server)
 	}
 	if readErr != nil || len(body) == maxForeignBytes || !response.KeepAlive || !isDelimited(response) || !conn.Reuse(response.Header) {
 		return fault.New("front.check_process", pipe.Unsent, "the connection can't be used again")
@@ -68,6 +69,7 @@
 		handler.options.Logger.Log(event.ServerReplaced(), logrus.Fields{
 			"server": server.ID, "registered_ms": server.Started.UnixMilli(), "started_ms": started.UnixMilli(),
 		})
+		RecordProcessEnd(handler.options.CrashDetector, handler.options.Logger, server, time.Now())
 	}
 }
 
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -39,7 +39,7 @@
 	}
 	exchange.startResponse(response)
 	exchange.releaseConn(response)
-	call.recordHarmless()
+	exchange.recordProvenEnd()
 	call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
 	call.recordResponse(response.StatusCode)
 	return work.Served
