platform: a host that starts beside a restored store does not take its configuration for the newest

Cause: a starting host took the store's first answer as a proof of the configuration. Only a host that runs notices a new era, and the versions that other hosts name were compared only for 2.1 s after that. A version below one that another host has named is never confirmed.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -26,6 +26,7 @@
 		TableRejected(),
 		ProofLost(),
 		ProofRegained(),
+		NewestLearned(),
 		StoreLost(),
 		StoreRegained(),
 		WatchDeaf(),
@@ -168,6 +169,12 @@
 	return Event{1923, "proof_regained", logrus.InfoLevel, "gateway", "The configuration is confirmed again."}
 }
 
+// NewestLearned reports that a host has learned which version of the configuration is the newest, at
+// its start or after the store was restored.
+func NewestLearned() Event {
+	return Event{1924, "newest_learned", logrus.InfoLevel, "gateway", "The host has asked others for the newest configuration, and uses what the store holds from now on."}
+}
+
 // StoreLost reports that the store does not respond.
 func StoreLost() Event {
 	return Event{1930, "store_lost", logrus.WarnLevel, "store", "The store does not respond."}
--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -126,3 +126,24 @@
 	require.Equal(t, int64(8), message.Version)
 	require.Equal(t, 2*time.Second, message.Age)
 }
+
+// Guards against an answer that is taken for one to a later message, and against a host without a
+// valid proof that is taken for one in touch with the store.
+func TestAnswersAreOfTheirMessage(t *testing.T) {
+	exchange, hosts := newExchange(), map[string]bool{"prover": true, "silent": true}
+	answers := func(since float64) []any {
+		answered, inTouch := exchange.requester.AnsweredSince(at(since), hosts)
+		return []any{answered, inTouch}
+	}
+	exchange.deliverRequest(1, 0.01)
+	exchange.deliverAnswer(1.1, 0.01)
+	require.Equal(t, []any{1, false}, answers(1))
+	require.Equal(t, []any{0, false}, answers(1.05))
+	exchange.proverProof.Confirm(at(1.2 + exchange.clockOffset))
+	exchange.deliverRequest(2, 0.01)
+	exchange.deliverAnswer(2.1, 0.01)
+	require.Equal(t, []any{1, true}, answers(2))
+	exchange.deliverRequest(6, 0.01)
+	exchange.deliverAnswer(6.1, 0.01)
+	require.Equal(t, []any{1, false}, answers(6))
+}
--- a/core/fresh/peers.go
+++ b/core/fresh/peers.go
@@ -33,6 +33,8 @@
 	incarnation uint64
 	mutex       sync.Mutex
 	received    map[string]receivedMessage
+	// answers holds what each host last sent in answer to a message of this process.
+	answers map[string]answer
 	// newestVersion is the newest version of the configuration that another host had.
 	newestVersion int64
 }
@@ -44,10 +46,18 @@
 	receivedAt  Instant
 }
 
+// answer is a host's answer to a message.
+type answer struct {
+	// echoSent is when the message was sent that the host had received.
+	echoSent Instant
+	// inTouch is set if the host's proof was valid.
+	inTouch bool
+}
+
 // NewPeers returns a Peers that sends and confirms the given proof. Incarnation
 // identifies the local process.
 func NewPeers(proof *Proof, incarnation uint64) *Peers {
-	return &Peers{proof: proof, incarnation: incarnation, received: make(map[string]receivedMessage)}
+	return &Peers{proof: proof, incarnation: incarnation, received: make(map[string]receivedMessage), answers: make(map[string]answer)}
 }
 
 // Message returns the message to send to a host. Version returns the version of the
@@ -79,6 +89,10 @@
 	if message.Incarnation != last.incarnation || message.Sent > last.sent {
 		peers.received[host] = receivedMessage{message.Incarnation, message.Sent, now}
 	}
+	if message.EchoIncarnation == peers.incarnation && message.EchoSent >= peers.answers[host].echoSent {
+		inTouch := message.Version != 0 && (peers.proof.maxAge <= 0 || message.Age < peers.proof.maxAge)
+		peers.answers[host] = answer{message.EchoSent, inTouch}
+	}
 	peers.newestVersion = max(peers.newestVersion, message.Version)
 	peers.mutex.Unlock()
 	if message.EchoIncarnation != peers.incarnation || message.Version == 0 || message.Version != version || message.EchoAge < 0 || message.Age < 0 {
@@ -90,6 +104,27 @@
 	}
 }
 
+// AnsweredSince returns how many of some hosts have answered a message that was sent at or after an
+// instant, and whether one of these had a valid proof then.
+func (peers *Peers) AnsweredSince(since Instant, hosts map[string]bool) (answered int, inTouch bool) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	for host := range hosts {
+		if last, known := peers.answers[host]; known && last.echoSent >= since {
+			answered++
+			inTouch = inTouch || last.inTouch
+		}
+	}
+	return answered, inTouch
+}
+
+// NoteVersion records a version of the configuration that a host had.
+func (peers *Peers) NoteVersion(version int64) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	peers.newestVersion = max(peers.newestVersion, version)
+}
+
 // NewestVersion returns the newest version of the configuration that another host had
 // when it sent its proof, 0 if there was none.
 func (peers *Peers) NewestVersion() int64 {
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -123,6 +123,9 @@
 	// IsCurrent reports whether what the store holds under ProbeKey is the newest value
 	// that is known, so that reading it is a proof. Nil means that it always is.
 	IsCurrent func() bool
+	// BeforeProbe is called before the first read of the probed key, and may wait for proofs of
+	// other hosts. It may be nil.
+	BeforeProbe func(ctx context.Context)
 	// OnRestored is called after the store was restored from a copy, in which all that
 	// was written lately is missing. It may be nil.
 	OnRestored func()
@@ -212,6 +215,9 @@
 	if options.IsCurrent == nil {
 		options.IsCurrent = func() bool { return true }
 	}
+	if options.BeforeProbe == nil {
+		options.BeforeProbe = func(context.Context) {}
+	}
 	if options.OnRestored == nil {
 		options.OnRestored = func() {}
 	}
@@ -318,10 +324,7 @@
 		return
 	}
 	mirror.lostAt, mirror.regained = time.Now(), make(chan struct{})
-	select {
-	case mirror.wakeProbe <- struct{}{}:
-	default:
-	}
+	mirror.WakeProbe()
 	mirror.options.Logger.Log(event.StoreLost(), logrus.Fields{"call": call, "error": err.Error()})
 }
 
--- a/core/mirror/probe.go
+++ b/core/mirror/probe.go
@@ -13,6 +13,7 @@
 // from other hosts renew it too, so that few hosts read the key.
 func (mirror *Mirror) runProbe(ctx context.Context) {
 	mirror.WaitCaughtUp(ctx)
+	mirror.options.BeforeProbe(ctx)
 	delay := retryDelayBase
 	for ctx.Err() == nil {
 		if wait := mirror.untilProbeDue(); wait > 0 {
@@ -86,6 +87,14 @@
 	mirror.probePhase = mirror.random.Float64()
 }
 
+// WakeProbe makes the probed key be read again without delay if its last read confirmed nothing.
+func (mirror *Mirror) WakeProbe() {
+	select {
+	case mirror.wakeProbe <- struct{}{}:
+	default:
+	}
+}
+
 // waitOrWake waits, but returns early when another call fails.
 func (mirror *Mirror) waitOrWake(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
@@ -109,7 +118,7 @@
 	mirror.recordSuccess()
 	if err != nil || !mirror.applyProbed(entry, position, before) {
 		// There is nothing to confirm yet.
-		sleep(ctx, mirror.jitter(absentRetryDelay))
+		mirror.waitOrWake(ctx, mirror.jitter(absentRetryDelay))
 	}
 	return nil
 }
