--- /dev/null
+++ b/io/front/drain_test.go
@@ -0,0 +1,56 @@
+package front_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a draining host that sends a request to a second server after a refusal, although the
+// request would not end before the host stops.
+func TestRefusedRequestIsNotSentAgainLateInADrain(t *testing.T) {
+	harness := newHarness(t, nil)
+	refuse := func(request *http.Request, conn net.Conn) {
+		harness.handler.Drain(time.Now().Add(time.Second))
+		respondWith(503, "", "X-Not-Run: 1")(request, conn)
+	}
+	respond := firstThen(refuse, respondWith(200, "fine", signed))
+	harness.addServer("a", respond)
+	harness.addServer("b", respond)
+	require.Equal(t, http.StatusServiceUnavailable, harness.post("/once/", "x").status)
+	require.Len(t, harness.requestsReceived(), 1)
+}
+
+// Guards against a retry that a draining host sends so late that the host stops while it runs, and
+// against saying of the request that it has not run.
+func TestBrokenRequestIsNotSentAgainLateInADrain(t *testing.T) {
+	harness := newHarness(t, nil)
+	breakLate := func(request *http.Request, conn net.Conn) {
+		harness.handler.Drain(time.Now().Add(3500 * time.Millisecond))
+		time.Sleep(3 * time.Second)
+		resetConnection(request, conn)
+	}
+	respond := firstThen(breakLate, respondWith(200, "fine", signed))
+	harness.addServer("a", respond)
+	harness.addServer("b", respond)
+	require.Equal(t, http.StatusGatewayTimeout, harness.post("/safe/", "x").status)
+	require.Len(t, harness.requestsReceived(), 1)
+}
+
+// Guards against a request without an answer when its host stops before the request ends.
+func TestOpenRequestGetsAnAnswerBeforeItsHostStops(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addServer("a", func(_ *http.Request, conn net.Conn) {
+		harness.handler.Drain(time.Now().Add(500 * time.Millisecond))
+		_, _ = conn.Read(make([]byte, 1))
+	})
+	began := time.Now()
+	got := harness.post("/safe/", "x")
+	require.Equal(t, http.StatusGatewayTimeout, got.status)
+	require.Empty(t, got.header.Get("X-Signed"))
+	require.Less(t, time.Since(began), 500*time.Millisecond)
+	require.NotContains(t, harness.log.String(), "server_suspended")
+}
