io/front: attempts late in a planned stop are refused, and what is open at its end is answered

Cause: whether a request can end before its host stops was decided once, at admission. Retries late in the grace, also of requests taken before SIGTERM, were sent and cut; what was open at the end got no answer. Class: a decision that depends on the time left is made once, and the work that it allows starts later. Change: each attempt is asked again before a server is chosen and before the request is written. TestEnds has the start of the drain as an argument, and a case more.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -77,12 +77,21 @@
 // itself.
 const deadlineGrace = 300 * time.Millisecond
 
+// maxLateSend is the time after the start of a drain in which requests may be sent whose deadline is
+// after the shutdown. One that is sent later must not be cut off; one that is sent by then may be, up to
+// 3 s after the start. The rest covers the time until it is written.
+const maxLateSend = 2800 * time.Millisecond
+
 // FinishesBefore reports whether a request is likely enough to finish before the host
-// shuts down. Streams whose deadline is later are accepted only while at least
+// shuts down, after a drain. Streams whose deadline is later are accepted only while at least
 // streamDrainTime is left, enough for all but the longest ones.
-func FinishesBefore(request *work.Request, shutdown, now time.Time) bool {
+func FinishesBefore(request *work.Request, drainStart, shutdown, now time.Time) bool {
 	if !request.Deadline.Add(deadlineGrace).After(shutdown) {
 		return true
 	}
-	return request.Route.Kind == table.Stream && shutdown.Sub(now) >= streamDrainTime
+	return request.Route.Kind == table.Stream && shutdown.Sub(now) >= streamDrainTime && MayRunToShutdown(drainStart, now)
 }
+
+// MayRunToShutdown reports whether it is early enough in a drain to send a request which may still run
+// when the host shuts down.
+func MayRunToShutdown(drainStart, now time.Time) bool { return now.Sub(drainStart) <= maxLateSend }
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -60,15 +60,19 @@
 	now := time.Now()
 	shutdown := now.Add(5 * time.Second)
 	short := request(now)
-	require.True(t, admit.FinishesBefore(short, shutdown, now))
+	require.True(t, admit.FinishesBefore(short, now, shutdown, now))
 	last := request(now)
 	last.Route.Kind = table.Idempotent
 	last.Deadline = shutdown.Add(-135 * time.Millisecond)
-	require.False(t, admit.FinishesBefore(last, shutdown, now), "the host may answer after the deadline")
+	require.False(t, admit.FinishesBefore(last, now, shutdown, now), "the host may answer after the deadline")
 	long := request(now)
 	long.Deadline = now.Add(12 * time.Second)
-	require.True(t, admit.FinishesBefore(long, shutdown, now))
-	require.False(t, admit.FinishesBefore(long, shutdown, now.Add(time.Second)))
+	require.True(t, admit.FinishesBefore(long, now, shutdown, now))
+	require.False(t, admit.FinishesBefore(long, now, shutdown, now.Add(time.Second)))
+	far := now.Add(time.Minute)
+	long.Deadline = far
+	require.True(t, admit.FinishesBefore(long, now, far, now.Add(2700*time.Millisecond)))
+	require.False(t, admit.FinishesBefore(long, now, far, now.Add(3*time.Second)), "a stream that is sent late must not be cut")
 	long.Route.Kind = table.Once
-	require.False(t, admit.FinishesBefore(long, shutdown, now))
+	require.False(t, admit.FinishesBefore(long, now, shutdown, now))
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -285,11 +285,11 @@
 }
 
 // failAttempt ends an attempt without a valid response. It counts as a failure of
-// the server unless the caller has gone or the deadline has passed.
+// the server unless the caller has gone, the deadline has passed or this host stops.
 func (exchange *exchange) failAttempt(err error) work.Result {
 	call := exchange.call
 	now := time.Now()
-	if !call.callerGone() && now.Before(call.work.Deadline) {
+	if !call.callerGone() && now.Before(call.work.Deadline) && call.handler.stopping.Err() == nil {
 		call.handler.options.Fleet.RecordBrokenAnswer(exchange.server.ID, now)
 		call.handler.options.Fleet.DoubtProcess(exchange.server.ID)
 		if call.handler.options.CrashDetector.ObserveBrokenResponse(connectionKey(exchange.server), call.features(), exchange.started, now) {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"time"
@@ -53,6 +52,10 @@
 			call.giveUp(unservedRefusal(call.state, false, "not_resumable"))
 			return
 		}
+		if !call.finishesInDrain(time.Now()) {
+			call.giveUp(unservedRefusal(call.state, true, "leaving"))
+			return
+		}
 		step := call.nextStep(time.Now())
 		switch step.Action {
 		case steer.GiveUp:
@@ -119,7 +122,7 @@
 		}
 		return work.NoConnection
 	}
-	disown := context.AfterFunc(call.request.Context(), conn.Close)
+	disown := call.closeWhenOver(conn.Close)
 	defer disown()
 	if call.mustCheckProcess(conn, server) {
 		if err := call.handler.checkProcess(conn, server); err != nil {
@@ -149,11 +152,11 @@
 // was being established, the server may have started to shut down, the routing table may
 // have changed, the request may have been quarantined, and, if the process was paused, the
 // proof of the table may have lapsed or the deadline may have passed. A server may also have
-// started again with another version of its software.
+// started again with another version of its software, and this host may be about to stop.
 func (call *call) mayStillSend(server fleet.Server) bool {
 	options, now := call.handler.options, time.Now()
 	return options.Fleet.Usable(server.ID, call.work.Service, now) && call.keepsVersion(server.ID) && options.Table.Load() == call.table &&
-		(!call.table.RequiresKey() || options.Proof.Valid(options.Now())) && call.work.Remaining(now) > 0 && !call.crashesServers()
+		(!call.table.RequiresKey() || options.Proof.Valid(options.Now())) && call.work.Remaining(now) > 0 && call.finishesInDrain(now) && !call.crashesServers()
 }
 
 func (call *call) logSent(choice pick.Choice, exchange *exchange) {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -16,7 +16,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"primrosegw/core/admit"
 	"primrosegw/core/event"
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
@@ -135,19 +134,22 @@
 type Handler struct {
 	options   Options
 	startedAt time.Time
-	// drainDeadline is when the host stops; nil unless it is draining.
-	drainDeadline atomic.Pointer[time.Time]
-	inFlight      atomic.Int64
+	// drain is nil unless the host is draining.
+	drain    atomic.Pointer[drain]
+	inFlight atomic.Int64
+	// stopping ends when the open requests must end, because the host stops.
+	stopping context.Context
+	stop     context.CancelFunc
 	// inFlightByRank counts the requests that are being forwarded, by rank.
 	inFlightByRank [fleet.RankCount]atomic.Int64
 }
 
 // New returns a Handler.
-func New(options Options) *Handler { return &Handler{options: options, startedAt: time.Now()} }
-
-// Drain makes the handler close each connection after its response, and refuse
-// requests that would not end before the deadline, at which the host stops.
-func (handler *Handler) Drain(deadline time.Time) { handler.drainDeadline.Store(&deadline) }
+func New(options Options) *Handler {
+	handler := &Handler{options: options, startedAt: time.Now()}
+	handler.stopping, handler.stop = context.WithCancel(context.Background())
+	return handler
+}
 
 // InFlight returns the number of requests that are being handled.
 func (handler *Handler) InFlight() int { return int(handler.inFlight.Load()) }
@@ -167,7 +169,7 @@
 	defer handler.inFlight.Add(-1)
 	call := &call{handler: handler, writer: writer, request: request, state: work.Unsent}
 	call.work.Received = time.Now()
-	if handler.drainDeadline.Load() != nil {
+	if handler.drain.Load() != nil {
 		writer.Header().Set("Connection", "close")
 	}
 	writer.Header()["Date"] = nil
@@ -252,7 +254,7 @@
 	if refusal := call.matchRoute(); refusal != nil {
 		return refusal
 	}
-	if drainDeadline := call.handler.drainDeadline.Load(); drainDeadline != nil && !admit.FinishesBefore(&call.work, *drainDeadline, time.Now()) {
+	if !call.finishesInDrain(time.Now()) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "leaving"}
 	}
 	return nil
