io/pipe, io/plain: answers whose length or chunks net/http does not see are malformed

Cause: net/http keeps "Content-Length : 10" under another name and drops Transfer-Encoding in HTTP/1.0, both without an error. The answer then ends with its connection, or at a wrong length. Class: what a parser did not understand decides where a message ends. Change: io/pipe fails such heads; for versions other than HTTP/1.1 it records the head and reads it again. io/plain watches its connections, also over interim heads. Services of serve behind TLS are not checked.

--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -185,7 +185,7 @@
 	conn.limiter.limit(maxHeaderBytes)
 	defer conn.limiter.lift()
 	for {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+		response, err := conn.readHead(method)
 		if err != nil {
 			return Response{}, readError(err)
 		}
--- a/io/pipe/limiter.go
+++ b/io/pipe/limiter.go
@@ -1,6 +1,7 @@
 package pipe
 
 import (
+	"bytes"
 	"io"
 
 	"primrosegw/core/fault"
@@ -13,6 +14,9 @@
 	reader  io.Reader
 	limited bool
 	left    int
+	// recording: what is read is added to record.
+	recording bool
+	record    []byte
 }
 
 // limit sets the number of bytes that may be read until lift is called.
@@ -21,6 +25,18 @@
 // lift removes the limit.
 func (limiter *limiter) lift() { limiter.limited = false }
 
+// startRecord records what is read from here on, after what was read before.
+func (limiter *limiter) startRecord(before []byte) {
+	limiter.recording, limiter.record = true, bytes.Clone(before)
+}
+
+// endRecord ends the recording and returns what was recorded.
+func (limiter *limiter) endRecord() []byte {
+	record := limiter.record
+	limiter.recording, limiter.record = false, nil
+	return record
+}
+
 // Read implements io.Reader. It fails with Malformed when the limit is exceeded.
 func (limiter *limiter) Read(buffer []byte) (int, error) {
 	if !limiter.limited {
@@ -31,5 +47,8 @@
 	}
 	count, err := limiter.reader.Read(buffer[:min(len(buffer), limiter.left)])
 	limiter.left -= count
+	if limiter.recording {
+		limiter.record = append(limiter.record, buffer[:count]...)
+	}
 	return count, err
 }
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -102,7 +102,7 @@
 		client: &http.Client{
 			// Each call has a connection of its own: on a kept one, an answer that a service writes
 			// once more would be taken for that of the next call.
-			Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
+			Transport:     &http.Transport{DialContext: dialChecked(dialer), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
