io/front: a test of the length in responses to HEAD (red)

Cause: the response's length is set from the body that was read, which HEAD does not bring. Measured: go test ./io/front -run TestHeadKeepsTheLength: fails, "0" in place of "10". Conclusion: callers are told that the resource is empty.

--- a/io/front/answer_test.go
+++ b/io/front/answer_test.go
@@ -288,3 +288,24 @@
 		require.Equal(t, http.StatusOK, harness.post("/safe/", "x").status, "round %d", round)
 	}
 }
+
+// Guards against telling a caller that a resource is empty: the response to HEAD names the length of what
+// GET would bring.
+func TestHeadKeepsTheLength(t *testing.T) {
+	for _, test := range []struct{ header, want string }{{"Content-Length: 10", "10"}, {"X-Own: 1", ""}, {"Transfer-Encoding: chunked", ""}} {
+		harness := newHarness(t, nil)
+		harness.addServer("a", func(request *http.Request, conn net.Conn) {
+			writeResponse(conn, 200, request.Header.Get("X-Id"), []string{signed, test.header}, "")
+		})
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodHead, harness.server.URL+"/once/", nil)
+		require.NoError(t, err)
+		request.Host = "h.example"
+		request.Header.Set("X-Id", "id-1")
+		request.Header.Set("X-Key", "key")
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, test.want, response.Header.Get("Content-Length"), test.header)
+	}
+}
