io/front, io/pipe, platform: what a host holds of requests and responses has one budget

Cause: each response of an engine is bounded (1 MiB, an event 256 KiB, headers 64 KiB), their sum is not, nor that of the bodies of requests; io.ReadAll and the buffers of events double beyond what they hold, and a body was copied to be sent. Change: one budget of memory_mb / 8 for the process (core/budget). Bodies are read in segments, and events into a buffer, whose memory is taken first; headers take eight times their bytes beyond the buffer of the connection. A request that does not fit gets 503 memory_short with Retry-After before any engine has it, and its body is read and dropped. A response that does not fit is a broken attempt with its connection closed, a failure of the engine only if the engine holds more than its share. Bodies are sent without a copy. Gauges, a counter and the event memory_refused. A faulty engine that serves a service alone still gets all its requests.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -50,6 +50,7 @@
 		HostListed(),
 		HostUnlisted(),
 		EntriesRead(),
+		MemoryRefused(),
 		LinesDropped(),
 		LinesSuppressed(),
 	}
@@ -301,6 +302,12 @@
 	return Event{1952, "entries_read", logrus.InfoLevel, "roster", "The host has read the entries of hosts and backend servers at its start."}
 }
 
+// MemoryRefused reports that bytes of requests or responses were refused, because the host
+// holds too many.
+func MemoryRefused() Event {
+	return Event{1957, "memory_refused", logrus.WarnLevel, "memory", "Bytes of requests or responses were refused, because the host holds too many."}
+}
+
 // LinesDropped reports that log lines were dropped, because the output did not
 // accept them in time.
 func LinesDropped() Event {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"primrosegw/core/budget"
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/fleet"
@@ -45,6 +47,8 @@
 	// reusable: the whole request was sent, and no response to another request was
 	// received, so the connection may be reused.
 	reusable bool
+	// hold is the memory of the response.
+	hold *budget.Hold
 }
 
 // markPromptRead records once that the server has read the prompt.
@@ -135,6 +139,8 @@
 // requests, which servers send late or twice.
 func (exchange *exchange) awaitResponse(deadline time.Time) (pipe.Response, ResponseInfo, error) {
 	call := exchange.call
+	exchange.conn.TakeHeaders(exchange.takeHeader)
+	defer exchange.conn.TakeHeaders(nil)
 	response, err := exchange.conn.AwaitResponse(call.request.Method, deadline)
 	for foreign := 0; err == nil; foreign++ {
 		info := call.handler.options.Headers.ParseResponse(response.StatusCode, response.Header)
@@ -204,12 +210,12 @@
 // that a truncated one can be retried or reported as an error.
 func (exchange *exchange) relayBuffered(response pipe.Response, success bool) work.Result {
 	call := exchange.call
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	segments, length, err := exchange.readBody(response)
 	if err != nil {
 		exchange.conn.Discard()
 		return exchange.failAttempt(err)
 	}
-	if len(body) > maxBufferedBytes {
+	if length > maxBufferedBytes {
 		exchange.conn.Discard()
 		return exchange.failAttempt(fault.New("front.complete", pipe.Malformed, "the response is too long"))
 	}
@@ -221,7 +227,7 @@
 	if success {
 		exchange.recordEnd(response)
 	}
-	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
+	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, segments: segments, length: length}
 	if success {
 		call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
 		call.writeBuffered(buffered)
@@ -229,7 +235,7 @@
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
 		call.handler.options.Fleet.RecordFailure(exchange.server.ID)
-		call.fallback = &buffered
+		call.keepFallback(&buffered, exchange)
 		return exchange.logAttempt(work.Failed, response.StatusCode, nil)
 	}
 	call.writeBuffered(buffered)
@@ -287,6 +293,9 @@
 // failAttempt ends an attempt without a valid response. It counts as a failure of
 // the server unless the caller has gone or the deadline has passed.
 func (exchange *exchange) failAttempt(err error) work.Result {
+	if memoryShortage(err) != "" {
+		return exchange.failShort(err)
+	}
 	call := exchange.call
 	now := time.Now()
 	if !call.callerGone() && now.Before(call.work.Deadline) {
@@ -328,12 +337,12 @@
 // writeBuffered writes a complete response to the caller.
 func (call *call) writeBuffered(response bufferedResponse) {
 	copyHeader(call.writer.Header(), response.header)
-	call.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
+	call.writer.Header().Set("Content-Length", strconv.FormatInt(response.length, 10))
 	call.firstEventDelay = time.Since(call.work.Received)
 	call.writer.WriteHeader(response.status)
 	if call.request.Method != http.MethodHead {
 		// An error means that the caller has gone, so there is nobody to report it to.
-		_, _ = call.writer.Write(response.body)
+		_, _ = (*net.Buffers)(&response.segments).WriteTo(call.writer)
 	}
 	call.recordResponse(response.status)
 }
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -141,6 +141,8 @@
 	defer options.Fleet.RequestEnded(server.ID, choice.Share)
 	exchange := &exchange{call: call, conn: conn, disown: disown, server: server, started: time.Now(), choice: choice}
 	defer exchange.markPromptRead()
+	exchange.openHold()
+	defer func() { exchange.hold.Release() }()
 	call.logSent(choice, exchange)
 	return exchange.run()
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"primrosegw/core/admit"
+	"primrosegw/core/budget"
 	"primrosegw/core/event"
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
@@ -122,8 +123,10 @@
 	Pick  pick.Options
 	// ConnectionShare returns this host's share of a server's connection limit.
 	ConnectionShare func(limit int) int
-	Logger          *event.Logger
-	Meter           Meter
+	// Budget limits the bytes of requests and responses that the host holds.
+	Budget *budget.Budget
+	Logger *event.Logger
+	Meter  Meter
 }
 
 // Meter records the outcomes of requests.
@@ -171,6 +174,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	writer.Header()["Date"] = nil
+	defer call.releaseMemory()
 	call.limitWrites(call.work.Received.Add(defaultTimeout))
 	if refusal := call.admit(); refusal != nil {
 		call.refuse(*refusal)
@@ -192,8 +196,10 @@
 	request *http.Request
 	ctx     context.Context
 
-	info  RequestInfo
-	body  []byte
+	info RequestInfo
+	body []byte
+	// hold is the memory of body; nil if there is none.
+	hold  *budget.Hold
 	work  work.Request
 	table *table.Table
 
@@ -225,7 +231,11 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	// segments are the body, and length is their length in bytes.
+	segments [][]byte
+	length   int64
+	// hold is the memory of a response that is kept; nil for one that is written at once.
+	hold *budget.Hold
 }
 
 // admit reads and checks the request. It returns nil if the request may be
@@ -273,12 +283,9 @@
 	// Errors mean that the writer has no deadlines, as in tests.
 	_ = controller.SetReadDeadline(call.work.Received.Add(cmp.Or(call.info.Timeout, defaultTimeout)))
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	var err error
-	if length := call.request.ContentLength; length > 0 {
-		call.body = make([]byte, length)
-		_, err = io.ReadFull(body, call.body)
-	} else {
-		call.body, err = io.ReadAll(body)
+	err := call.readWhole(body)
+	if memoryShortage(err) != "" {
+		return call.refuseBody(body)
 	}
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: "body_unread", detail: err.Error()}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosegw/core/budget"
 	"primrosegw/core/event"
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
@@ -82,10 +83,14 @@
 
 func (discardMeter) RecordForward(meter.ForwardResult) {}
 
+// harnessBudget is the memory for the requests and responses of a harness.
+const harnessBudget = 64 << 20
+
 // harness is a Handler with backend servers whose responses are scripted.
 type harness struct {
-	t     *testing.T
-	table *table.Current
+	budget *budget.Budget
+	t      *testing.T
+	table  *table.Current
 	// data is the table that newHarness makes, without changes.
 	data    table.Data
 	fleet   *fleet.Fleet
@@ -152,11 +157,12 @@
 	harness.adopt(change)
 	harness.proof.Confirm(1)
 	harness.records = origin.NewRecords()
+	harness.budget = budget.New(harnessBudget)
 	harness.crashes = poison.NewCrashDetector(poison.DetectorOptions{})
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
 		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, VersionRecords: harness.records, Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
-		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{},
+		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{}, Budget: harness.budget,
 	})
 	harness.server = httptest.NewServer(harness.handler)
 	t.Cleanup(harness.server.Close)
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -1,13 +1,14 @@
 package front
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"primrosegw/core/budget"
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/fleet"
@@ -43,13 +44,18 @@
 	if err != nil {
 		return err
 	}
-	body, readErr := io.ReadAll(io.LimitReader(response.Body, maxForeignBytes))
+	hold := handler.options.Budget.Open(budget.Server(server.ID))
+	defer hold.Release()
+	segments, length, readErr := readSegments(response.Body, -1, maxForeignBytes, hold)
+	if memoryShortage(readErr) != "" {
+		return fault.Wrap("front.check_process", pipe.Lost, readErr)
+	}
 	info := handler.options.Headers.ParseResponse(response.StatusCode, response.Header)
 	handler.observeLeaving(server, info)
 	if info.ID != "" {
 		return fault.New("front.check_process", pipe.Malformed, "a response to another request")
 	}
-	started, known := handler.options.Headers.ParseReport(body)
+	started, known := handler.options.Headers.ParseReport(bytes.Join(segments, nil))
 	if readErr != nil || !known {
 		handler.options.Fleet.RecordMute(server)
 	}
@@ -64,7 +70,7 @@
 	if readErr == nil && known {
 		handler.options.Fleet.ConfirmProcess(server)
 	}
-	if readErr != nil || len(body) == maxForeignBytes || !response.KeepAlive || !isDelimited(response) || !conn.Reuse(response.Header) {
+	if readErr != nil || length >= maxForeignBytes || !response.KeepAlive || !isDelimited(response) || !conn.Reuse(response.Header) {
 		return fault.New("front.check_process", pipe.Unsent, "the connection can't be used again")
 	}
 	return nil
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -61,20 +61,18 @@
 // copyEvents copies complete events to the caller until the stream ends. It drops a
 // truncated event.
 func (exchange *exchange) copyEvents(response pipe.Response) error {
-	var pending []byte
-	buffer := make([]byte, streamBufferBytes)
+	pending := newEventBuffer(exchange.hold)
 	for {
-		count, err := response.Body.Read(buffer)
-		pending = append(pending, buffer[:count]...)
-		complete := completeEventsLength(pending)
+		err := pending.fill(response.Body)
+		complete := completeEventsLength(pending.data)
 		if complete > 0 {
-			if writeErr := exchange.writeEvents(response, pending[:complete]); writeErr != nil {
+			if writeErr := exchange.writeEvents(response, pending.data[:complete]); writeErr != nil {
 				return writeErr
 			}
-			pending = append(pending[:0], pending[complete:]...)
+			pending.drop(complete)
 		}
 		if err == io.EOF {
-			if len(pending) > 0 {
+			if len(pending.data) > 0 {
 				return fault.New("front.relay", pipe.Malformed, "the stream ended within an event")
 			}
 			return nil
@@ -82,7 +80,7 @@
 		if err != nil {
 			return err
 		}
-		if len(pending) > maxEventBytes {
+		if len(pending.data) > maxEventBytes {
 			return fault.New("front.relay", pipe.Malformed, "an event of the stream is too long")
 		}
 	}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -138,6 +138,9 @@
 	RetriesLeft      = "retries_left"
 	BackendServers   = "backend_servers"
 	ListedHosts      = "listed_hosts"
+	// MemoryHeldBytes is the part of MemoryBudgetBytes that is in use.
+	MemoryHeldBytes   = "memory_held_bytes"
+	MemoryBudgetBytes = "memory_budget_bytes"
 )
 
 // SetRequestsByRank sets the number of requests in flight of a rank.
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -117,12 +117,13 @@
 // Send writes a request. Complete is false when the server responded before it
 // had received the whole request. Send fails with Unsent or Lost.
 func (conn *Conn) Send(request Request, deadline time.Time) (complete bool, err error) {
-	data := request.encode()
+	// The body is not copied.
+	data := net.Buffers{request.encodeHead(), request.Body}
 	conn.mutex.Lock()
 	conn.writing, conn.earlyResponse = true, false
 	conn.raw.SetWriteDeadline(deadline)
 	conn.mutex.Unlock()
-	count, err := conn.raw.Write(data)
+	count, err := data.WriteTo(conn.raw)
 	conn.mutex.Lock()
 	conn.writing = false
 	earlyResponse := conn.earlyResponse
@@ -139,10 +140,10 @@
 	return false, fault.Wrap("pipe.send", Lost, err)
 }
 
-// encode returns the request in the format of HTTP/1.1.
-func (request Request) encode() []byte {
+// encodeHead returns the request without its body in the format of HTTP/1.1.
+func (request Request) encodeHead() []byte {
 	var buffer bytes.Buffer
-	buffer.Grow(512 + len(request.Body))
+	buffer.Grow(512)
 	buffer.WriteString(request.Method)
 	buffer.WriteByte(' ')
 	buffer.WriteString(request.Target)
@@ -157,7 +158,6 @@
 		buffer.WriteString("\r\n")
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(request.Body)
 	return buffer.Bytes()
 }
 
@@ -198,6 +198,11 @@
 	}
 }
 
+// TakeHeaders makes the following responses call take with the number of bytes of their headers
+// before they are parsed; an error of it ends the response. The first readBufferBytes may be in the
+// buffer of the connection and are left out. Nil stops it.
+func (conn *Conn) TakeHeaders(take func(bytes int) error) { conn.limiter.take = take }
+
 // SetReadDeadline sets the deadline for reading the response's body.
 func (conn *Conn) SetReadDeadline(deadline time.Time) { conn.raw.SetReadDeadline(deadline) }
 
--- a/io/pipe/limiter.go
+++ b/io/pipe/limiter.go
@@ -13,6 +13,8 @@
 	reader  io.Reader
 	limited bool
 	left    int
+	// take is called with the number of bytes read while a limit is set; may be nil.
+	take func(bytes int) error
 }
 
 // limit sets the number of bytes that may be read until lift is called.
@@ -31,5 +33,10 @@
 	}
 	count, err := limiter.reader.Read(buffer[:min(len(buffer), limiter.left)])
 	limiter.left -= count
+	if limiter.take != nil {
+		if takeErr := limiter.take(count); takeErr != nil {
+			return 0, takeErr
+		}
+	}
 	return count, err
 }
