io/etcd: a message of a watch has at most the length of a reply

Cause: the decoder of a watch reads and keeps a message of any length. Change: each message may have replyLimit bytes, as replies to calls. A longer one ends the watch as unavailable.

--- a/io/etcd/watch.go
+++ b/io/etcd/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -38,7 +39,7 @@
 
 // watch opens a stream at one of the endpoints and reads the message that
 // confirms it.
-func (client *Client) watch(ctx context.Context, prefix string, from int64) (*json.Decoder, *http.Response, error) {
+func (client *Client) watch(ctx context.Context, prefix string, from int64) (*messages, *http.Response, error) {
 	endpoint := client.endpoints.choose(nil)
 	if endpoint == nil {
 		return nil, nil, fault.New("etcd.watch", store.Unavailable, "all endpoints are backing off")
@@ -59,9 +60,9 @@
 		client.endpoints.settle(endpoint, attempt.failed)
 		return nil, nil, attempt.err
 	}
-	decoder := json.NewDecoder(response.Body)
+	decoder := newMessages(response.Body)
 	var first watchReply
-	err = decoder.Decode(&first)
+	err = decoder.next(&first)
 	client.endpoints.settle(endpoint, err != nil)
 	if err != nil {
 		_ = response.Body.Close()
@@ -70,12 +71,29 @@
 	return decoder, response, nil
 }
 
+// messages decodes the messages of a stream, each of at most replyLimit bytes.
+type messages struct {
+	limited *io.LimitedReader
+	decoder *json.Decoder
+}
+
+func newMessages(stream io.Reader) *messages {
+	limited := &io.LimitedReader{R: stream}
+	return &messages{limited: limited, decoder: json.NewDecoder(limited)}
+}
+
+// next decodes the next message. The end of a message that is too long looks like that of the stream.
+func (messages *messages) next(message any) error {
+	messages.limited.N = replyLimit
+	return messages.decoder.Decode(message)
+}
+
 // pump passes the events of a stream on until the stream ends, and returns why
 // it ended.
-func pump(ctx context.Context, decoder *json.Decoder, events chan<- store.Event) error {
+func pump(ctx context.Context, decoder *messages, events chan<- store.Event) error {
 	for {
 		var answer watchReply
-		if err := decoder.Decode(&answer); err != nil {
+		if err := decoder.next(&answer); err != nil {
 			return fault.Wrap("etcd.watch", store.Unavailable, err)
 		}
 		if answer.Result.Compacted > 0 {
