--- a/io/pipe/limiter.go
+++ b/io/pipe/limiter.go
@@ -17,6 +17,8 @@
 	// recording: what is read is added to record.
 	recording bool
 	record    []byte
+	// take is called with the number of bytes read while a limit is set; may be nil.
+	take func(bytes int) error
 }
 
 // limit sets the number of bytes that may be read until lift is called.
@@ -47,6 +49,11 @@
 	}
 	count, err := limiter.reader.Read(buffer[:min(len(buffer), limiter.left)])
 	limiter.left -= count
+	if limiter.take != nil {
+		if takeErr := limiter.take(count); takeErr != nil {
+			return 0, takeErr
+		}
+	}
 	if limiter.recording {
 		limiter.record = append(limiter.record, buffer[:count]...)
 	}
