core/origin, platform: the store knows where streams began while several versions serve

Cause: where a stream began was in the memory of hosts only, and all of them can be killed at once. Streams of unknown origin are refused while several versions serve.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -47,6 +47,7 @@
 		QuarantineIgnored(),
 		VersionRecorded(),
 		VersionIgnored(),
+		StreamsIgnored(),
 		ServerLimitChanged(),
 		HostListed(),
 		HostUnlisted(),
@@ -281,6 +282,11 @@
 	return Event{1953, "version_recorded", logrus.InfoLevel, "fleet", "The store has a record of a software version of a service; streams may have begun at it."}
 }
 
+// StreamsIgnored reports a record of where streams began that could not be parsed.
+func StreamsIgnored() Event {
+	return Event{1957, "streams_ignored", logrus.WarnLevel, "fleet", "A record of where streams began could not be parsed and was ignored."}
+}
+
 // VersionIgnored reports that the record of a software version could not be parsed.
 func VersionIgnored() Event {
 	return Event{1954, "version_ignored", logrus.WarnLevel, "fleet", "The record of a software version in the store could not be parsed and was ignored."}
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -61,6 +61,9 @@
 type stream struct {
 	origin    Origin
 	expiresAt time.Time
+	// isOwn is set if the stream began at this host, unwritten if also its origin is not known to be
+	// in the store.
+	isOwn, unwritten bool
 }
 
 // waiter is shared by those who wait for the origin of a stream.
@@ -85,19 +88,26 @@
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	key := Key(requestID)
-	registry.add(key, origin, deadline.Sub(now)+takeUpGrace, now)
+	registry.add(key, stream{origin: origin, expiresAt: expiry(deadline.Sub(now)+takeUpGrace, now), isOwn: true, unwritten: true}, now)
 	if len(registry.untold) < maxStreams {
 		registry.untold = append(registry.untold, key)
 	}
 }
 
+// expiry returns when a stream is forgotten that is to be remembered for a lifetime.
+func expiry(lifetime time.Duration, now time.Time) time.Time {
+	return now.Add(min(lifetime, maxLifetime))
+}
+
 // add remembers a stream. The mutex is held.
-func (registry *Registry) add(key uint64, origin Origin, lifetime time.Duration, now time.Time) {
+func (registry *Registry) add(key uint64, added stream, now time.Time) {
 	registry.sweep(now)
 	if _, known := registry.streams[key]; !known && len(registry.streams) >= maxStreams {
 		registry.evict()
 	}
-	registry.streams[key] = stream{origin: origin, expiresAt: now.Add(min(lifetime, maxLifetime))}
+	known := registry.streams[key]
+	added.isOwn, added.unwritten = added.isOwn || known.isOwn, added.unwritten || known.unwritten
+	registry.streams[key] = added
 	if waiter := registry.waiters[key]; waiter != nil {
 		close(waiter.known)
 		delete(registry.waiters, key)
@@ -230,7 +240,7 @@
 	defer registry.mutex.Unlock()
 	for _, report := range reports {
 		if lifetime := time.Duration(report.LeftMs) * time.Millisecond; lifetime > 0 {
-			registry.add(report.Key, Origin{Service: report.Service, Version: report.Version}, lifetime, now)
+			registry.add(report.Key, stream{origin: Origin{Service: report.Service, Version: report.Version}, expiresAt: expiry(lifetime, now)}, now)
 		}
 	}
 }
