io/front: responses to HEAD keep the server's length

Cause: the length was set from the body that was read, which HEAD does not bring. Class: what was received is stated for what there is. Change: the server's Content-Length is passed on for HEAD; without one, none is stated. Measured: go test -race ./io/front passes; go test -race ./platform -run TestCutAnswers passes.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -328,7 +328,11 @@
 // writeBuffered writes a complete response to the caller.
 func (call *call) writeBuffered(response bufferedResponse) {
 	copyHeader(call.writer.Header(), response.header)
-	call.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
+	if call.request.Method != http.MethodHead {
+		call.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
+	} else if length := response.header.Values("Content-Length"); len(length) > 0 {
+		call.writer.Header()["Content-Length"] = length[:1]
+	}
 	call.firstEventDelay = time.Since(call.work.Received)
 	call.writer.WriteHeader(response.status)
 	if call.request.Method != http.MethodHead {
