--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -15,8 +15,9 @@
 const (
 	// Full: the budget is used up.
 	Full Kind = "full"
-	// ServerShare and WorkspaceShare: the party already has its share.
+	// ServerShare, WorkspaceShare and HeadsShare: the party already has its share.
 	ServerShare    Kind = "server_share"
+	HeadsShare     Kind = "heads_share"
 	WorkspaceShare Kind = "workspace_share"
 	// Ended: the hold was released before.
 	Ended Kind = "ended"
@@ -27,7 +28,7 @@
 
 const (
 	// serverFactor and workspaceFactor are the multiples of the free bytes up to which a party may
-	// hold bytes. One server alone can take half of the budget, one workspace two thirds.
+	// hold bytes. One server alone can take half of the budget, as can heads, and one workspace two thirds.
 	serverFactor    = 1
 	workspaceFactor = 2
 	// smallHold is the number of bytes up to which the share of the parties does not count, so that
@@ -35,7 +36,8 @@
 	smallHold = 4 << 10
 )
 
-// Party is a backend server or a workspace on whose behalf bytes are held.
+// Party is a backend server or a workspace on whose behalf bytes are held, or the heads of requests
+// whose workspace is not known yet.
 type Party struct {
 	kind Kind
 	name string
@@ -44,6 +46,9 @@
 // Server returns the party of a backend server.
 func Server(name string) Party { return Party{kind: ServerShare, name: name} }
 
+// Heads returns the party of the heads of requests.
+func Heads() Party { return Party{kind: HeadsShare} }
+
 // Workspace returns the party of a workspace.
 func Workspace(name string) Party { return Party{kind: WorkspaceShare, name: name} }
 
