--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -15,7 +15,7 @@
 	// MaxConnectTime is the time after the end within which the connection must have been opened on
 	// which a server names its ID only: later, a process that started again under the ID may take it.
 	// 3 ms broke off responses of sound servers on a busy machine.
-	MaxConnectTime = 10 * time.Millisecond
+	MaxConnectTime = 50 * time.Millisecond
 )
 
 // Framing is what shows where a response ends.
@@ -80,8 +80,10 @@
 // Evidence is what is known after the end of a response.
 type Evidence struct {
 	Framing Framing
-	// EndedAt is when the response's connection had ended.
-	EndedAt time.Time
+	// EndedAt is when the response's connection was seen to have ended. It may have ended earlier by
+	// up to UnreadFor, for which the host did not read.
+	EndedAt   time.Time
+	UnreadFor time.Duration
 	// OpenedAt is when the opening of the connection began on which the server was asked,
 	// ConnectedAt when it was open, and AskedAt when the server was asked; zero: it was not.
 	OpenedAt, ConnectedAt, AskedAt time.Time
@@ -105,7 +107,7 @@
 			return Whole
 		}
 	case SameID:
-		if !isEarly && evidence.ConnectedAt.Sub(evidence.EndedAt) <= MaxConnectTime {
+		if !isEarly && evidence.ConnectedAt.Sub(evidence.EndedAt)+evidence.UnreadFor <= MaxConnectTime {
 			return Whole
 		}
 	}
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -20,13 +20,13 @@
 // maxEndConns is the number of connections on which a server is asked after the end of a response.
 const maxEndConns = 2
 
-// proveEnd reports whether a success that has ended is whole. If not, it ends the attempt and
+// proveEnd reports whether a response that has ended is whole. If not, it ends the attempt and
 // returns its result.
 func (exchange *exchange) proveEnd(response pipe.Response) (result work.Result, whole bool) {
 	if isDelimited(response) || exchange.call.request.Method == http.MethodHead {
 		return "", true
 	}
-	check := &endCheck{exchange: exchange, Evidence: ending.Evidence{Framing: framing(response), EndedAt: time.Now()}}
+	check := &endCheck{exchange: exchange, Evidence: ending.Evidence{Framing: framing(response), EndedAt: time.Now(), UnreadFor: exchange.unreadFor}}
 	exchange.conn.Discard()
 	check.run()
 	verdict := check.Verdict()
@@ -152,10 +152,12 @@
 	return nil
 }
 
-func (check *endCheck) readReport(_ pipe.Response, _ ResponseInfo, body []byte) ending.Outcome {
+func (check *endCheck) readReport(response pipe.Response, _ ResponseInfo, body []byte) ending.Outcome {
 	handler, server := check.exchange.call.handler, check.exchange.server
 	started, known := handler.options.Headers.ParseReport(body)
 	switch {
+	case !known && response.StatusCode >= http.StatusInternalServerError:
+		return ending.NoAnswer
 	case !known:
 		return ending.Unnamed
 	case !started.Equal(server.Started):
@@ -168,6 +170,8 @@
 
 func (check *endCheck) readHealth(response pipe.Response, info ResponseInfo, _ []byte) ending.Outcome {
 	switch {
+	case info.Instance == "" && response.StatusCode >= http.StatusInternalServerError:
+		return ending.NoAnswer
 	case info.Instance == "" || response.StatusCode != http.StatusOK && response.StatusCode != http.StatusServiceUnavailable:
 		return ending.Unnamed
 	case info.Instance != check.exchange.server.ID:
@@ -192,6 +196,9 @@
 	}
 	info := handler.options.Headers.ParseResponse(response.StatusCode, response.Header)
 	handler.observeLeaving(check.exchange.server, info)
+	if info.ID != "" {
+		return ending.NoAnswer, false, fault.New("front.ask", pipe.Malformed, "a response to another request")
+	}
 	outcome = question.read(response, info, body)
 	return outcome, len(body) < maxForeignBytes && response.KeepAlive && isDelimited(response) && conn.Reuse(response.Header), nil
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -43,6 +43,9 @@
 	server  fleet.Server
 	started time.Time
 	choice  pick.Choice
+	// unreadFor is how long the end of the response's connection may have gone unnoticed, because the
+	// caller did not read.
+	unreadFor time.Duration
 	// promptRead: the server has read the prompt.
 	promptRead bool
 	// reusable: the whole request was sent, and no response to another request was
@@ -221,10 +224,10 @@
 		exchange.conn.Discard()
 		return exchange.failAttempt(fault.New("front.complete", pipe.Malformed, "the response is too long"))
 	}
+	if result, whole := exchange.proveEnd(response); !whole {
+		return result
+	}
 	if success {
-		if result, whole := exchange.proveEnd(response); !whole {
-			return result
-		}
 		exchange.recordProvenEnd()
 	}
 	exchange.releaseConn(response)
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -18,6 +18,8 @@
 	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes     = 256 << 10
 	streamBufferBytes = 4 << 10
+	// minReadWait is the least duration of a read that had to wait for the server.
+	minReadWait = time.Millisecond
 )
 
 // relayStream relays an event stream, event by event. If the response to the caller
@@ -62,8 +64,16 @@
 // truncated event.
 func (exchange *exchange) copyEvents(response pipe.Response) error {
 	pending := newEventBuffer(exchange.hold)
+	lastRead := time.Now()
 	for {
+		startedAt := time.Now()
 		err := pending.fill(response.Body)
+		exchange.unreadFor += startedAt.Sub(lastRead)
+		lastRead = time.Now()
+		if lastRead.Sub(startedAt) >= minReadWait {
+			// There was nothing to read before, so the connection was still open.
+			exchange.unreadFor = 0
+		}
 		complete := completeEventsLength(pending.data)
 		if complete > 0 {
 			if writeErr := exchange.writeEvents(response, pending.data[:complete]); writeErr != nil {
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -103,7 +103,7 @@
 		client: &http.Client{
 			// Each call has a connection of its own: on a kept one, an answer that a service writes
 			// once more would be taken for that of the next call.
-			Transport:     &http.Transport{DialContext: dialChecked(dialer), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
+			Transport:     &http.Transport{DialContext: dialChecked(dialer), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
@@ -216,11 +216,11 @@
 
 // isWhole reports whether the end of an answer is proven. Plain services have no question by which
 // they say which process they are, so that an answer that ends with its connection proves nothing:
-// its process may have ended in the middle. Only successes must be whole. A compressed body ends
-// with its checksum.
+// its process may have ended in the middle. Only
+// successes must be whole: the status of an error counts without its text.
 func isWhole(response *http.Response, method string) bool {
 	isSuccess := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
-	if !isSuccess || method == http.MethodHead || response.Uncompressed {
+	if !isSuccess || method == http.MethodHead {
 		return true
 	}
 	evidence := ending.Evidence{Framing: ending.FramingOf(response.ContentLength, len(response.TransferEncoding) > 0), Outcome: ending.Unasked}
