io/front: a stream that breaks off looks broken to callers on HTTP/1.0

Class: an ending that has two causes is taken for the harmless one. Change: the connection is reset. Measured: go test ./io/front -run TestBrokenStreamLooksBroken fails without the change (HTTP/1.0 200 and a clean end) and passes.

--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -249,9 +249,31 @@
 		"after_ms": now.Sub(call.work.Received).Milliseconds(),
 	})
 	call.recordOutcome("broken", call.firstEventDelay)
+	call.abort()
+}
+
+// abort ends a response that has started, so that it does not look complete. Without chunks, as for
+// callers on HTTP/1.0, only a reset of the connection shows that.
+func (call *call) abort() {
+	if !call.request.ProtoAtLeast(1, 1) {
+		resetConnection(call.writer)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection closes the connection of a response with a reset.
+func resetConnection(writer http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		// An error means that the connection has already failed.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // abandon ends a request whose caller has gone.
 func (call *call) abandon() {
 	total := time.Since(call.work.Received)
--- a/io/front/heads.go
+++ b/io/front/heads.go
@@ -104,6 +104,14 @@
 	conn.inHead, conn.read, conn.taken = true, 0, 0
 }
 
+// SetLinger sets what Close does with bytes that have not been sent.
+func (conn *headConn) SetLinger(seconds int) error {
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // CloseWrite closes the sending side, which net/http does before it closes a connection on which
 // the caller still sends.
 func (conn *headConn) CloseWrite() error {
