io/front: a stream does not go on at a process that can't report yet

Class: what is not known here is taken for what is not so. Change: 503 is no answer: the request goes to another server. Measured: go test ./io/front -run TestStreamDoesNotGoOnAtAProcessThatCanNotReportYet: 200 with events 4 to 6 before, 503 now. Conclusion: a process whose report is missing (404) while it starts is still taken for the registered one.

--- a/io/front/process.go
+++ b/io/front/process.go
@@ -25,8 +25,8 @@
 checkProcess asks the server at the other end of a connection which process it is. Afterwards the
 connection can take a request. It fails with pipe.Unreachable if the process is not the registered
 one, with pipe.Unsent if only the connection can't be used, and with the other kinds of package
-pipe if the server does not answer. A server that does not say when it started is taken for the
-registered process, and not asked again.
+pipe if the server does not answer, or answers with 503, as one that is starting. A server that does
+not say when it started is taken for the registered process, and not asked again.
 
 A server may start again under its ID and address with another version of its software. A request
 that names the ID does not reveal that; until the new registration arrives, only the server can.
@@ -52,6 +52,9 @@
 		return fault.New("front.check_process", pipe.Malformed, "a response to another request")
 	}
 	started, known := handler.options.Headers.ParseReport(bytes.Join(segments, nil))
+	if !known && response.StatusCode == http.StatusServiceUnavailable {
+		return fault.New("front.check_process", pipe.Malformed, "the server can't say yet which process it is")
+	}
 	if readErr != nil || !known {
 		handler.options.Fleet.RecordMute(server)
 	}
--- a/io/front/process_test.go
+++ b/io/front/process_test.go
@@ -183,3 +183,24 @@
 	require.NoError(t, got.err)
 	require.Regexp(t, `"event_name":"response_end_judged".*"outcome":"registered".*"request_id":"the-id".*"verdict":"whole"`, harness.log.String())
 }
+
+// Guards against a stream that goes on at a process which has just started under the ID of another one and can't report yet.
+func TestStreamDoesNotGoOnAtAProcessThatCanNotReportYet(t *testing.T) {
+	harness := newHarness(t, withReports)
+	harness.addVersion("a", "v1", reporting(1, breakThenResume()))
+	harness.startedAt("a", 1)
+	got := harness.post("/resume/", "x", "X-Id", "first")
+	require.Equal(t, events(1, 3), got.body)
+	harness.fleet.Remove("a")
+	harness.addVersion("b", "v1", func(request *http.Request, conn net.Conn) {
+		if request.URL.Path == "/report" {
+			respondWith(503, "starting")(request, conn)
+			return
+		}
+		respondWithStream(true, events(4, 6))(request, conn)
+	})
+	harness.startedAt("b", 1)
+	got = harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", "first", "X-Last", "3")
+	require.Equal(t, http.StatusServiceUnavailable, got.status, "%s\n%s", got.body, harness.log.String())
+	require.Zero(t, harness.streamsAt("b"))
+}
