core/ending: a server has 300 ms to say which process it is

Cause: with 250 ms from the end to the verdict, 50 of which pass before the question, sound servers behind a delay of 240 ms could not prove an end, and their streams were broken off. Change: TimeLimit 350 ms, the time that a report has elsewhere after the pause.

--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -11,7 +11,8 @@
 	// another and answers on the last ones: in our play for up to 15 ms, on a busy machine for longer.
 	Settle = 50 * time.Millisecond
 	// TimeLimit limits the time from the end of a response to its verdict, because the caller waits.
-	TimeLimit = 250 * time.Millisecond
+	// It leaves a server the 300 ms after Settle that it has for its report elsewhere.
+	TimeLimit = 350 * time.Millisecond
 	// MaxConnectTime is the time after the end within which the connection must have been opened on
 	// which a server names its ID only: later, a process that started again under the ID may take it.
 	// 3 ms broke off responses of sound servers on a busy machine.
