core/cell, core/route: a cell whose servers are on probation is used if there is no other

Cause: the router took a cell without slots for one without servers. While versions change, engines refuse calls for the version that they have not loaded yet, and go on probation; if the other cell's engine is loading, all cells have no slots. The cell would have sent the call as a probe, as it did with one that it had accepted before. Class of fault: one value for two states, of which only one is final. Change: the summary says if servers are on probation; such a cell is the last choice (its stated wait is a minute).

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -230,6 +230,7 @@
 			summary.Free += max(0, slots-len(server.attempts))
 		}
 	}
+	summary.OnProbation = summary.Slots == 0 && slices.ContainsFunc(cell.servers, cell.mayProbe)
 	for index := range summary.WaitMs {
 		wait := unavailableWait
 		if summary.Slots > 0 {
--- a/core/cell/failure_test.go
+++ b/core/cell/failure_test.go
@@ -387,3 +387,28 @@
 		requireIdle(t, subject)
 	})
 }
+
+// Guards against a cell that looks unusable to other hosts while its servers are only on probation,
+// and against one that looks usable while they leave.
+func TestSummaryTellsProbationFromNoServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newEngine(firstToken, tokenGap)
+		listed := servers(4, server)
+		subject := cell.New(cell.Options{Servers: listed})
+		require.False(t, subject.Summary().OnProbation)
+		call := startCall(t.Context(), subject, cell.Request{ID: "r", MaxTokens: 60, Idempotent: true, Deadline: time.Now().Add(20 * time.Second)})
+		time.Sleep(300*time.Millisecond + time.Microsecond)
+		synctest.Wait()
+		server.crash(2 * time.Second)
+		time.Sleep(50 * time.Millisecond)
+		synctest.Wait()
+		require.Zero(t, subject.Summary().Slots)
+		require.True(t, subject.Summary().OnProbation)
+		listed[0].Leaving = true
+		subject.Update(listed)
+		require.False(t, subject.Summary().OnProbation)
+		listed[0].Leaving = false
+		subject.Update(listed)
+		call.requireComplete(t)
+	})
+}
--- a/core/cell/request.go
+++ b/core/cell/request.go
@@ -143,6 +143,9 @@
 	// Free is the number of free slots, Slots the total.
 	Free  int `cbor:"free"`
 	Slots int `cbor:"slots"`
+	// OnProbation is set if there are no slots, but servers whose health allows only probes: the
+	// cell sends them its calls as such.
+	OnProbation bool `cbor:"on_probation,omitempty"`
 	// WaitMs is the estimated queueing time in milliseconds by tier; index 0 is
 	// tier 1.
 	WaitMs [6]uint32 `cbor:"wait_ms"`
--- a/core/cell/server.go
+++ b/core/cell/server.go
@@ -69,6 +69,11 @@
 	return max(1, int(float64(server.Slots)*weight))
 }
 
+// mayProbe reports whether calls may be sent to a server as probes, whatever its weight.
+func (cell *Cell) mayProbe(server *server) bool {
+	return server.schedulable() && server.Slots > 0 && !cell.health.Leaving(server.Name) && !cell.options.Switches.DisableHealth
+}
+
 // capacity returns the total number of allowed slots.
 func (cell *Cell) capacity() int {
 	capacity := 0
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -225,14 +225,14 @@
 }
 
 // unusable returns why a cell can't take a request: it needs a live owner and, if its summary is
-// known, slots. It returns an empty string if the cell can.
+// known, slots, or servers on probation. It returns an empty string if the cell can.
 func unusable(candidate *Candidate) string {
 	switch {
 	case candidate.Owner.Name == "":
 		return "no owner"
 	case candidate.Owner.State == host.Dead || candidate.Owner.State == host.Leaving:
 		return "the owner is " + string(candidate.Owner.State)
-	case candidate.Known && candidate.Summary.Slots <= 0:
+	case candidate.Known && candidate.Summary.Slots <= 0 && !candidate.Summary.OnProbation:
 		return "no slots"
 	}
 	return ""
@@ -259,6 +259,9 @@
 
 // busyPenalty returns the penalty for occupied slots.
 func busyPenalty(summary cell.Summary) time.Duration {
+	if summary.Slots <= 0 {
+		return maximumBusyPenalty
+	}
 	free := min(max(summary.Free, 0), summary.Slots)
 	return maximumBusyPenalty - maximumBusyPenalty*time.Duration(free)/time.Duration(summary.Slots)
 }
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -104,6 +104,21 @@
 	require.True(t, fault.Is(err, route.Exhausted), err)
 }
 
+// Guards against refusing a request while servers that may run it are on probation, and against
+// preferring these to others.
+func TestCellOnProbationIsTheLastResort(t *testing.T) {
+	empty := with(candidate("1", "a", 60_000), func(candidate *route.Candidate) { candidate.Summary.Slots, candidate.Summary.Free = 0, 0 })
+	probation := with(candidate("2", "a", 60_000), func(candidate *route.Candidate) {
+		candidate.Summary.Slots, candidate.Summary.Free, candidate.Summary.OnProbation = 0, 0, true
+	})
+	decision, err := choose([]route.Candidate{empty, probation}, 1)
+	require.NoError(t, err)
+	require.Equal(t, "2", decision.Chosen.Cell)
+	decision, err = choose([]route.Candidate{probation, candidate("3", "b", 900)}, 1)
+	require.NoError(t, err)
+	require.Equal(t, "3", decision.Chosen.Cell)
+}
+
 // TestRandomChoices guards against all hosts choosing the cell with the least wait:
 // requests must be distributed over cells of similar wait.
 func TestRandomChoices(t *testing.T) {
