--- a/core/poison/detector_test.go
+++ b/core/poison/detector_test.go
@@ -325,3 +325,15 @@
 	cluster.crash(map[int][]uint64{0: {103, soundPart}, 1: {203, badPart}})
 	require.False(t, cluster.refuses(104, soundPart))
 }
+
+// Guards against blaming a sound part of a quarantine by a crash of which only one host has reported
+// its requests.
+func TestUnsettledCrashDoesNotBlameACompanion(t *testing.T) {
+	cluster := newCluster(t, 2)
+	for number := range uint64(3) {
+		cluster.crash(map[int][]uint64{0: {100 + number, badPart, soundPart}, 1: {200 + number, soundPart}})
+	}
+	require.True(t, cluster.refuses(110, badPart, soundPart))
+	cluster.crash(map[int][]uint64{0: {103, soundPart}, 1: {203, badPart}})
+	require.False(t, cluster.refuses(104, soundPart))
+}
