core/poison: an unsettled crash does not blame a part of a quarantine

Cause: the crash that no quarantine explains, which a part of a quarantine needs, was counted before it had settled. Change: it counts once settled, unless the same request is sent again.

--- a/core/poison/attribution.go
+++ b/core/poison/attribution.go
@@ -312,8 +312,9 @@
 	// settleDelay.
 	crashes int
 	settled int
-	// unexplained is set if no quarantine explains one of the crashes that count.
-	unexplained bool
+	// unexplained is set if no quarantine explains one of the crashes that count,
+	// settledUnexplained if that is so for one of the settled ones.
+	unexplained, settledUnexplained bool
 	// lastCrash is the last crash that counts, own whether this host observed it.
 	lastCrash *trackedCrash
 	own       bool
@@ -334,7 +335,7 @@
 		if !one.single {
 			// The hosts' reports of a crash arrive one by one: until it is settled, it counts
 			// for the features of those that have arrived.
-			one.crashes = one.settled
+			one.crashes, one.unexplained = one.settled, one.settledUnexplained
 		}
 		if one.crashes >= crashesToQuarantine && one.unexplained && !attribution.Refuses(one.companions) {
 			found = append(found, one)
@@ -388,6 +389,7 @@
 	hypothesis.unexplained = hypothesis.unexplained || !explained
 	if !crash.settlesAt().After(now) {
 		hypothesis.settled++
+		hypothesis.settledUnexplained = hypothesis.settledUnexplained || !explained
 	}
 	hypothesis.lastCrash, hypothesis.own = crash, crash.own
 }
