io/pipe, io/front: short bodies are sent with one plain write

Change: bodies up to 4 KiB are copied behind the head; one buffer is written plainly. Segments are written one by one.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -341,8 +340,7 @@
 	call.firstEventDelay = time.Since(call.work.Received)
 	call.writer.WriteHeader(response.status)
 	if call.request.Method != http.MethodHead {
-		// An error means that the caller has gone, so there is nobody to report it to.
-		_, _ = (*net.Buffers)(&response.segments).WriteTo(call.writer)
+		call.writeSegments(response.segments)
 	}
 	call.recordResponse(response.status)
 }
--- a/io/front/memory.go
+++ b/io/front/memory.go
@@ -72,6 +72,16 @@
 	return count, false, nil
 }
 
+// writeSegments writes a body to the caller.
+func (call *call) writeSegments(segments [][]byte) {
+	for _, segment := range segments {
+		if _, err := call.writer.Write(segment); err != nil {
+			// The caller has gone, so there is nobody to report it to.
+			return
+		}
+	}
+}
+
 // eventBuffer holds the part of a stream that is not passed on yet.
 type eventBuffer struct {
 	hold *budget.Hold
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -114,16 +114,18 @@
 	Body   []byte
 }
 
+// maxCopiedBytes is the size up to which a body is copied, to be sent with one plain write.
+const maxCopiedBytes = 4 << 10
+
 // Send writes a request. Complete is false when the server responded before it
 // had received the whole request. Send fails with Unsent or Lost.
 func (conn *Conn) Send(request Request, deadline time.Time) (complete bool, err error) {
-	// The body is not copied.
-	data := net.Buffers{request.encodeHead(), request.Body}
+	head, body := request.encode()
 	conn.mutex.Lock()
 	conn.writing, conn.earlyResponse = true, false
 	conn.raw.SetWriteDeadline(deadline)
 	conn.mutex.Unlock()
-	count, err := data.WriteTo(conn.raw)
+	count, err := writeBoth(conn.raw, head, body)
 	conn.mutex.Lock()
 	conn.writing = false
 	earlyResponse := conn.earlyResponse
@@ -140,10 +142,19 @@
 	return false, fault.Wrap("pipe.send", Lost, err)
 }
 
-// encodeHead returns the request without its body in the format of HTTP/1.1.
-func (request Request) encodeHead() []byte {
+// writeBoth writes two buffers, of which the second may be empty, and returns the number of bytes.
+func writeBoth(conn net.Conn, first, second []byte) (int64, error) {
+	if len(second) == 0 {
+		count, err := conn.Write(first)
+		return int64(count), err
+	}
+	return (&net.Buffers{first, second}).WriteTo(conn)
+}
+
+// encode returns the request in the format of HTTP/1.1. A long body is returned apart, uncopied.
+func (request Request) encode() (head, body []byte) {
 	var buffer bytes.Buffer
-	buffer.Grow(512)
+	buffer.Grow(512 + min(len(request.Body), maxCopiedBytes))
 	buffer.WriteString(request.Method)
 	buffer.WriteByte(' ')
 	buffer.WriteString(request.Target)
@@ -158,7 +169,11 @@
 		buffer.WriteString("\r\n")
 	}
 	buffer.WriteString("\r\n")
-	return buffer.Bytes()
+	if len(request.Body) > maxCopiedBytes {
+		return buffer.Bytes(), request.Body
+	}
+	buffer.Write(request.Body)
+	return buffer.Bytes(), nil
 }
 
 // Response is a response whose headers have been read. Reading its body reads from
