io/pipe, io/front: permissions are asked right before the first byte is written

Cause: after the last check of a request's permissions a host writes a log line and builds the request; a pause within that time went unnoticed. Class: time passes between a check and what it allows. Change: pipe.Request.MaySend, with the proof of the configuration last.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -62,6 +62,7 @@
 	complete, err := exchange.conn.Send(pipe.Request{
 		Method: call.request.Method, Target: call.request.RequestURI, Host: call.request.Host,
 		Header: call.handler.options.Headers.ForwardHeader(call.request.Header, exchange.forwardInfo()), Body: call.body,
+		MaySend: func() bool { return call.mayStillSend(exchange.server) && call.hasProof() },
 	}, deadline)
 	if err != nil {
 		exchange.conn.Discard()
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -156,7 +156,14 @@
 func (call *call) mayStillSend(server fleet.Server) bool {
 	options, now := call.handler.options, time.Now()
 	return options.Fleet.Usable(server.ID, call.work.Service, now) && call.keepsVersion(server.ID) && options.Table.Load() == call.table &&
-		(!call.table.RequiresKey() || options.Proof.Valid(options.Now())) && call.work.Remaining(now) > 0 && call.finishesInDrain(now) && !call.crashesServers()
+		call.hasProof() && call.work.Remaining(now) > 0 && call.finishesInDrain(now) && !call.crashesServers()
+}
+
+// hasProof reports whether the routing table is confirmed, if keys depend on it. It comes last before a
+// request is written, as the time in between is the one in which a pause goes unnoticed.
+func (call *call) hasProof() bool {
+	options := call.handler.options
+	return !call.table.RequiresKey() || options.Proof.Valid(options.Now())
 }
 
 func (call *call) logSent(choice pick.Choice, exchange *exchange) {
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -112,17 +112,28 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// MaySend is asked right before the first byte is written; nil: it may be sent. The process may have been
+	// paused since its holder decided to send it.
+	MaySend func() bool
 }
 
+// errForbidden is why a request is not sent that MaySend forbids.
+var errForbidden = errors.New("the request may no longer be sent")
+
 // Send writes a request. Complete is false when the server responded before it
-// had received the whole request. Send fails with Unsent or Lost.
+// had received the whole request. Send fails with Unsent, also if MaySend forbids it, or Lost.
 func (conn *Conn) Send(request Request, deadline time.Time) (complete bool, err error) {
 	data := request.encode()
 	conn.mutex.Lock()
 	conn.writing, conn.earlyResponse = true, false
 	conn.raw.SetWriteDeadline(deadline)
 	conn.mutex.Unlock()
-	count, err := conn.raw.Write(data)
+	var count int
+	if request.MaySend == nil || request.MaySend() {
+		count, err = conn.raw.Write(data)
+	} else {
+		err = errForbidden
+	}
 	conn.mutex.Lock()
 	conn.writing = false
 	earlyResponse := conn.earlyResponse
