--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -326,7 +326,7 @@
 // MemoryRefused reports that bytes of requests or responses were refused, because the host
 // holds too many.
 func MemoryRefused() Event {
-	return Event{1961, "memory_refused", logrus.WarnLevel, "memory", "Bytes of requests or responses were refused, because the host holds too many."}
+	return Event{1958, "memory_refused", logrus.WarnLevel, "memory", "Bytes of requests or responses were refused, because the host holds too many."}
 }
 
 // LinesDropped reports that log lines were dropped, because the output did not
