core/ending: a process that names its ID only is proof within 10 ms again

Cause: the joined code allowed 50 ms; servers of TestProcessEndsAreNoResponseEnds that keep their ID start again after 20 to 60 ms.

--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -16,7 +16,7 @@
 	// MaxConnectTime is the time after the end within which the connection must have been opened on
 	// which a server names its ID only: later, a process that started again under the ID may take it.
 	// 3 ms broke off responses of sound servers on a busy machine.
-	MaxConnectTime = 50 * time.Millisecond
+	MaxConnectTime = 10 * time.Millisecond
 )
 
 // Framing is what shows where a response ends.
--- a/core/ending/ending_test.go
+++ b/core/ending/ending_test.go
@@ -35,7 +35,7 @@
 		"asked too early":                              {evidence(ending.Registered, after(0.1), after(0.2), after(0.3)), ending.Unknown},
 		"a connection from before the end":             {evidence(ending.Registered, after(-0.1), after(0.1), settled), ending.Unknown},
 		"the ID on a prompt connection":                {evidence(ending.SameID, after(0.1), after(0.2), settled), ending.Whole},
-		"the ID on a connection that was opened later": {evidence(ending.SameID, after(0.1), after(51), settled), ending.Unknown},
+		"the ID on a connection that was opened later": {evidence(ending.SameID, after(0.1), after(11), settled), ending.Unknown},
 		"the ID after a time without reading":          {unread(evidence(ending.SameID, after(0.1), after(0.2), settled)), ending.Unknown},
 		"the ID, asked too early":                      {evidence(ending.SameID, after(0.1), after(0.2), after(0.3)), ending.Unknown},
 		"the ID on a connection from before the end":   {evidence(ending.SameID, after(-1), after(-0.5), settled), ending.Unknown},
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -216,8 +216,8 @@
 
 // isWhole reports whether the end of an answer is proven. Plain services have no question by which
 // they say which process they are, so that an answer that ends with its connection proves nothing:
-// its process may have ended in the middle. Only
-// successes must be whole: the status of an error counts without its text.
+// its process may have ended in the middle. Only successes must be whole: the status of an error
+// counts without its text.
 func isWhole(response *http.Response, method string) bool {
 	isSuccess := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
 	if !isSuccess || method == http.MethodHead {
