standin/buffer: one output for tests in place of five copies

Cause: a buffer that is safe for concurrent use stood in the tests of five packages. Change: standin/buffer; the tests use it. What they check is as before. Measured: go vet ./..., linters, go test ./docs, ./io/front and ./io/demo (a part), ./platform -run TestGateway.

--- a/docs/events_test.go
+++ b/docs/events_test.go
@@ -1,14 +1,12 @@
 package docs_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -18,27 +16,10 @@
 
 	"primrosegw/io/admin"
 	"primrosegw/io/demo"
+	"primrosegw/standin/buffer"
 	"primrosegw/standin/engine"
 )
 
-// lockedBuffer takes the log lines of several hosts.
-type lockedBuffer struct {
-	mutex  sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (buffer *lockedBuffer) Write(data []byte) (int, error) {
-	buffer.mutex.Lock()
-	defer buffer.mutex.Unlock()
-	return buffer.buffer.Write(data)
-}
-
-func (buffer *lockedBuffer) String() string {
-	buffer.mutex.Lock()
-	defer buffer.mutex.Unlock()
-	return buffer.buffer.String()
-}
-
 // catalogued returns the fields of the events by number, as EVENTS.md lists them.
 func catalogued(t *testing.T) map[int][]string {
 	t.Helper()
@@ -59,7 +40,7 @@
 // that the catalogue does not list: hosts with traffic, a promotion, a refused
 // promotion, a recall and a drain, at the debug level.
 func TestLoggedFieldsAreListed(t *testing.T) {
-	out := &lockedBuffer{}
+	out := &buffer.Buffer{}
 	runLogged(t, out)
 	everyLine := []string{"event", "event_name", "host", "level", "msg", "subsystem", "time"}
 	listed, seen := catalogued(t), map[int]bool{}
@@ -80,7 +61,7 @@
 }
 
 // runLogged runs an environment for some seconds of traffic and changes.
-func runLogged(t *testing.T, out *lockedBuffer) {
+func runLogged(t *testing.T, out *buffer.Buffer) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -14,7 +14,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -26,6 +25,7 @@
 	"primrosegw/io/admin"
 	"primrosegw/io/config"
 	"primrosegw/io/keys"
+	"primrosegw/standin/buffer"
 )
 
 const (
@@ -62,31 +62,14 @@
 type process struct {
 	name    string
 	command *exec.Cmd
-	output  *lockedBuffer
+	output  *buffer.Buffer
 	done    chan struct{}
 }
 
-type lockedBuffer struct {
-	mutex  sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (buffer *lockedBuffer) Write(data []byte) (int, error) {
-	buffer.mutex.Lock()
-	defer buffer.mutex.Unlock()
-	return buffer.buffer.Write(data)
-}
-
-func (buffer *lockedBuffer) String() string {
-	buffer.mutex.Lock()
-	defer buffer.mutex.Unlock()
-	return buffer.buffer.String()
-}
-
 // launch starts a process that ends with the test.
 func launch(t *testing.T, name string, args ...string) *process {
 	t.Helper()
-	started := &process{name: name, output: &lockedBuffer{}, done: make(chan struct{})}
+	started := &process{name: name, output: &buffer.Buffer{}, done: make(chan struct{})}
 	started.command = exec.Command(binary, args...)
 	started.command.Stderr = started.output
 	stdout, err := started.command.StdoutPipe()
--- a/io/demo/world_test.go
+++ b/io/demo/world_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosegw/io/demo"
+	"primrosegw/standin/buffer"
 	"primrosegw/standin/engine"
 )
 
@@ -33,7 +33,7 @@
 	if adjust != nil {
 		adjust(&options)
 	}
-	log := &lockedBuffer{}
+	log := &buffer.Buffer{}
 	if options.Log == nil {
 		options.Log, options.Level = log, logrus.InfoLevel
 	}
@@ -50,24 +50,6 @@
 	return world
 }
 
-// lockedBuffer collects the log lines of all hosts, which are shown if a test fails.
-type lockedBuffer struct {
-	mutex  sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (buffer *lockedBuffer) Write(data []byte) (int, error) {
-	buffer.mutex.Lock()
-	defer buffer.mutex.Unlock()
-	return buffer.buffer.Write(data)
-}
-
-func (buffer *lockedBuffer) String() string {
-	buffer.mutex.Lock()
-	defer buffer.mutex.Unlock()
-	return buffer.buffer.String()
-}
-
 func client(node *demo.Node) *openai.Client {
 	config := openai.DefaultConfig(demo.CallerKey + demo.WorkspaceSchools)
 	config.BaseURL = node.URL() + "/v1"
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -31,6 +31,7 @@
 	"primrosegw/io/front"
 	"primrosegw/io/meter"
 	"primrosegw/io/pipe"
+	"primrosegw/standin/buffer"
 )
 
 // headerCodec implements front.HeaderCodec with simple test headers.
@@ -108,7 +109,7 @@
 	// servers holds the registrations of the servers that were added.
 	servers map[string]fleet.Server
 	server  *httptest.Server
-	log     *lockedBuffer
+	log     *buffer.Buffer
 	// now is the clock against which the proof expires. The proof was confirmed at 1.
 	now atomic.Int64
 	// asked counts the questions to other hosts where a stream began.
@@ -140,26 +141,9 @@
 	}
 }
 
-type lockedBuffer struct {
-	mutex  sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (buffer *lockedBuffer) Write(data []byte) (int, error) {
-	buffer.mutex.Lock()
-	defer buffer.mutex.Unlock()
-	return buffer.buffer.Write(data)
-}
-
-func (buffer *lockedBuffer) String() string {
-	buffer.mutex.Lock()
-	defer buffer.mutex.Unlock()
-	return buffer.buffer.String()
-}
-
 func newHarness(t *testing.T, change func(*table.Data)) *harness {
 	t.Helper()
-	harness := &harness{t: t, table: &table.Current{}, fleet: fleet.New(), proof: fresh.New(time.Minute), log: &lockedBuffer{}, servers: map[string]fleet.Server{}, whileDialing: func() {}}
+	harness := &harness{t: t, table: &table.Current{}, fleet: fleet.New(), proof: fresh.New(time.Minute), log: &buffer.Buffer{}, servers: map[string]fleet.Server{}, whileDialing: func() {}}
 	target := []table.Target{{Service: "engines", Weight: 1}}
 	route := func(name string, kind table.Kind, resumable bool) table.Route {
 		return table.Route{
