io/front, platform: logs say whether a server was asked which process it is, and what it says of a run

Nothing says whether the process at the other end of a connection was asked before a request went there, how old the connection was, nor what a server says of the run whose response has ended. Change: request_sent has process (reported, unasked, mute) and connection_age_ms; response_end_judged has events and run_events, from the list of runs in the report that is asked for anyway. No logic is changed.

--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -26,7 +26,7 @@
 	if isDelimited(response) || exchange.call.request.Method == http.MethodHead {
 		return "", true
 	}
-	check := &endCheck{exchange: exchange, Evidence: ending.Evidence{Framing: framing(response), EndedAt: time.Now(), UnreadFor: exchange.unreadFor}}
+	check := &endCheck{exchange: exchange, runEvents: notRunning, Evidence: ending.Evidence{Framing: framing(response), EndedAt: time.Now(), UnreadFor: exchange.unreadFor}}
 	exchange.conn.Discard()
 	check.run()
 	verdict := check.Verdict()
@@ -55,7 +55,10 @@
 	// lost: the server closed a connection that was opened after the end. One that names its ID only
 	// may have started again since, and proves nothing any more.
 	lost bool
-	err  error
+	// runEvents is the number of events that the server says the run has made; notRunning if it does
+	// not have the run, or did not say.
+	runEvents int
+	err       error
 }
 
 // run asks the server until the time limit and records what came of it.
@@ -154,14 +157,16 @@
 
 func (check *endCheck) readReport(response pipe.Response, _ ResponseInfo, body []byte) ending.Outcome {
 	handler, server := check.exchange.call.handler, check.exchange.server
-	started, known := handler.options.Headers.ParseReport(body)
+	report := handler.options.Headers.ParseReport(body)
+	check.runEvents = report.eventsOf(check.exchange.call.work.ID)
+	known := !report.Started.IsZero()
 	switch {
 	case !known && response.StatusCode >= http.StatusInternalServerError:
 		return ending.NoAnswer
 	case !known:
 		return ending.Unnamed
-	case !started.Equal(server.Started):
-		handler.recordReplaced(server, started)
+	case !report.Started.Equal(server.Started):
+		handler.recordReplaced(server, report.Started)
 		return ending.OtherProcess
 	}
 	handler.options.Fleet.ConfirmProcess(server)
@@ -208,7 +213,7 @@
 	call := check.exchange.call
 	fields := logrus.Fields{
 		"server": check.exchange.server.ID, "framing": check.Framing, "connection": "none", "outcome": check.Outcome,
-		"verdict": verdict, "took_ms": milliseconds(time.Since(check.EndedAt)),
+		"verdict": verdict, "events": call.events.count, "run_events": check.runEvents, "took_ms": milliseconds(time.Since(check.EndedAt)),
 	}
 	if !check.ConnectedAt.IsZero() {
 		fields["connection"], fields["opened_after_ms"] = "new", milliseconds(check.ConnectedAt.Sub(check.EndedAt))
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -40,6 +40,7 @@
 	// if the caller has left.
 	disown  func() bool
 	server  fleet.Server
+	process processCheck
 	started time.Time
 	choice  pick.Choice
 	// unreadFor is how long the end of the response's connection may have gone unnoticed, because the
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -124,7 +124,8 @@
 	}
 	disown := call.closeWhenOver(conn.Close)
 	defer disown()
-	if call.mustCheckProcess(conn, server) {
+	mustCheck := call.mustCheckProcess(conn, server)
+	if mustCheck {
 		if err := call.handler.checkProcess(conn, server); err != nil {
 			conn.Discard()
 			if fault.Is(err, pipe.Unsent) {
@@ -142,7 +143,7 @@
 	}
 	options.Fleet.RequestStarted(server.ID, choice.Share)
 	defer options.Fleet.RequestEnded(server.ID, choice.Share)
-	exchange := &exchange{call: call, conn: conn, disown: disown, server: server, started: time.Now(), choice: choice}
+	exchange := &exchange{call: call, conn: conn, disown: disown, server: server, process: call.processCheckOf(server, mustCheck), started: time.Now(), choice: choice}
 	defer exchange.markPromptRead()
 	exchange.openHold()
 	defer func() { exchange.hold.Release() }()
@@ -181,6 +182,7 @@
 		"running": choice.Member.Own.Running, "reading": choice.Member.Own.TotalPrefill(), "peer_running": choice.Member.Peers.Running,
 		"peer_reading": choice.Member.Peers.TotalPrefill(), "first_ms": choice.FirstEvent.Milliseconds(), "prompt_tokens": call.work.PromptTokens,
 		"reported_running": choice.Member.Load.Running, "reported_waiting": choice.Member.Load.Waiting,
+		"process": exchange.process, "connection_age_ms": exchange.started.Sub(exchange.conn.OpenedAt).Milliseconds(),
 		"slowness": choice.Member.Load.Slowness, "report_age_ms": reportAgeMs(choice.Member.Load, exchange.started),
 	})
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -89,16 +89,44 @@
 	Instance string
 }
 
+// ServerReport is what a server says of itself.
+type ServerReport struct {
+	// Started is when its process started; zero: it does not say so.
+	Started time.Time
+	// Runs are the requests that ran there a moment before.
+	Runs []ServerRun
+}
+
+// ServerRun is a request that runs at a server.
+type ServerRun struct {
+	RequestID string
+	// Events is the number of events that the run has made.
+	Events int
+}
+
+// eventsOf returns the number of events that the run of a request has made, or notRunning if the
+// report does not have it.
+func (report ServerReport) eventsOf(requestID string) int {
+	for _, run := range report.Runs {
+		if run.RequestID == requestID {
+			return run.Events
+		}
+	}
+	return notRunning
+}
+
+// notRunning is in place of a number of events that the run of a request is not in a report.
+const notRunning = -1
+
 // HeaderCodec reads and writes the headers of the platform's protocol.
 type HeaderCodec interface {
 	ParseRequest(header http.Header) (RequestInfo, error)
 	// ForwardHeader returns the headers of the request to a backend server.
 	ForwardHeader(caller http.Header, info ForwardInfo) http.Header
 	ParseResponse(status int, header http.Header) ResponseInfo
-	// ReportRequest returns a request that asks a server about itself. ParseReport returns from
-	// its response when the server's process started, and false if it does not say so.
+	// ReportRequest returns a request that asks a server about itself. ParseReport decodes its response.
 	ReportRequest(server fleet.Server) pipe.Request
-	ParseReport(body []byte) (started time.Time, known bool)
+	ParseReport(body []byte) ServerReport
 	// HealthRequest returns a request for the health path of a server. The response may say which
 	// server it is: ResponseInfo.Instance.
 	HealthRequest(server fleet.Server, path string) pipe.Request
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -75,9 +75,12 @@
 	return pipe.Request{Method: http.MethodGet, Target: "/report", Host: "h.example"}
 }
 
-func (headerCodec) ParseReport(body []byte) (time.Time, bool) {
+func (headerCodec) ParseReport(body []byte) front.ServerReport {
 	ms, err := strconv.ParseInt(string(body), 10, 64)
-	return time.UnixMilli(ms), err == nil
+	if err != nil {
+		return front.ServerReport{}
+	}
+	return front.ServerReport{Started: time.UnixMilli(ms)}
 }
 
 func (headerCodec) SetRetryAfter(header http.Header, after time.Duration) {
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -51,7 +51,8 @@
 	if info.ID != "" {
 		return fault.New("front.check_process", pipe.Malformed, "a response to another request")
 	}
-	started, known := handler.options.Headers.ParseReport(bytes.Join(segments, nil))
+	started := handler.options.Headers.ParseReport(bytes.Join(segments, nil)).Started
+	known := !started.IsZero()
 	if !known && response.StatusCode == http.StatusServiceUnavailable {
 		return fault.New("front.check_process", pipe.Malformed, "the server can't say yet which process it is")
 	}
@@ -82,6 +83,29 @@
 	}
 }
 
+// processCheck says whether it is known which process is at the other end of a connection.
+type processCheck string
+
+const (
+	// processReported: the server said which process it is before the request was sent.
+	processReported processCheck = "reported"
+	// processUnasked: it was not asked, for this request.
+	processUnasked processCheck = "unasked"
+	// processMute: it does not say so.
+	processMute processCheck = "mute"
+)
+
+// processCheckOf returns what is known of a server's process for the log.
+func (call *call) processCheckOf(server fleet.Server, asked bool) processCheck {
+	switch {
+	case !call.reportsProcess(server):
+		return processMute
+	case asked:
+		return processReported
+	}
+	return processUnasked
+}
+
 // reportsProcess reports whether a server can say which process it is.
 func (call *call) reportsProcess(server fleet.Server) bool {
 	service, ok := call.table.Service(server.Service)
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -23,6 +23,8 @@
 	// Dialed reports whether the connection was newly opened and not taken from the
 	// pool.
 	Dialed bool
+	// OpenedAt is when the opening of the connection began.
+	OpenedAt time.Time
 
 	raw          net.Conn
 	limiter      *limiter
--- a/io/pipe/pipe.go
+++ b/io/pipe/pipe.go
@@ -151,6 +151,7 @@
 
 // dial opens a connection for which a slot is reserved.
 func (pool *Pool) dial(ctx context.Context, key, address string) (*Conn, error) {
+	openedAt := time.Now()
 	pool.options.OnDial(address)
 	raw, err := pool.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
@@ -158,7 +159,7 @@
 		return nil, fault.Wrap("pipe.dial", Unreachable, err)
 	}
 	limiter := &limiter{reader: raw}
-	conn := &Conn{raw: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), pool: pool, key: key, Dialed: true}
+	conn := &Conn{raw: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), pool: pool, key: key, Dialed: true, OpenedAt: openedAt}
 	conn.readable = make(chan struct{}, 1)
 	conn.rearm = make(chan struct{}, 1)
 	conn.idleTimeout = DefaultIdleTimeout
