io/front: a request's head has its own time, and idle connections that of the configuration

Cause: net/http counts the time before the first request of a connection as that of its head. Besides, header_timeout_ms and idle_timeout_ms of the configuration were read and not used. Change: front.Heads, which already follows the heads, sets the deadlines while one is awaited or read: the idle limit until the first byte, the limit of a head from there. net/http's own deadlines are left out meanwhile.

--- a/io/front/heads.go
+++ b/io/front/heads.go
@@ -24,13 +24,26 @@
 )
 
 // Heads makes the heads of requests, which net/http reads before a handler runs, take their memory
-// from a budget.
-type Heads struct{ budget *budget.Budget }
+// from a budget, and limits their time. The limits may change while connections are open.
+type Heads struct {
+	budget *budget.Budget
+	times  func() HeadTimes
+}
+
+// NewHeads returns a Heads with a budget, which asks times for the limits.
+func NewHeads(budget *budget.Budget, times func() HeadTimes) *Heads {
+	return &Heads{budget: budget, times: times}
+}
 
-// NewHeads returns a Heads with a budget.
-func NewHeads(budget *budget.Budget) *Heads { return &Heads{budget: budget} }
+// HeadTimes limits the time of a connection on which no request runs.
+type HeadTimes struct {
+	// Idle is the time until the first byte of a request. Head is the time from there to the end of its head.
+	Idle, Head time.Duration
+}
 
-// Serve serves connections of a listener until the server is closed. It sets the server's ConnState.
+// Serve serves connections of a listener until the server is closed. It sets the server's ConnState,
+// and takes the place of its time limits for heads and idle connections, which count the time before
+// the first request of a connection as that of its head.
 func (heads *Heads) Serve(server *http.Server, listener net.Listener) error {
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		switch state {
@@ -54,14 +67,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), inHead: true}, nil
+	head := &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), times: listener.heads.times}
+	head.awaitHead()
+	return head, nil
 }
 
 // headConn is a caller's connection. The background read of net/http runs only between the states
 // active and idle, so its fields need no lock.
 type headConn struct {
 	net.Conn
-	hold *budget.Hold
+	hold  *budget.Hold
+	times func() HeadTimes
 	// inHead: the bytes that are read belong to the head of a request. read is their number, and
 	// taken what they have taken from the budget.
 	inHead bool
@@ -75,6 +91,10 @@
 	if !conn.inHead {
 		return count, err
 	}
+	if conn.read == 0 && count > 0 {
+		// An error shows at the next read.
+		_ = conn.Conn.SetReadDeadline(time.Now().Add(conn.times().Head))
+	}
 	conn.read += int64(count)
 	if more := (conn.read-freeHeadBytes)*requestHeadCost - conn.taken; more > 0 {
 		if conn.hold.Take(more) != nil {
@@ -96,12 +116,32 @@
 }
 
 // endHead is called when the head of a request has been read and before its handler runs.
-func (conn *headConn) endHead() { conn.inHead = false }
+func (conn *headConn) endHead() {
+	conn.inHead = false
+	// An error shows at the next read.
+	_ = conn.Conn.SetReadDeadline(time.Time{})
+}
 
 // beginHead is called when a request has ended and the connection stays open.
 func (conn *headConn) beginHead() {
 	conn.hold.Give(conn.taken)
-	conn.inHead, conn.read, conn.taken = true, 0, 0
+	conn.read, conn.taken = 0, 0
+	conn.awaitHead()
+}
+
+// awaitHead makes the bytes that are read from now on the head of a request.
+func (conn *headConn) awaitHead() {
+	conn.inHead = true
+	// An error shows at the next read.
+	_ = conn.Conn.SetReadDeadline(time.Now().Add(conn.times().Idle))
+}
+
+// SetReadDeadline implements net.Conn. While a head is read, the limits of Heads hold instead.
+func (conn *headConn) SetReadDeadline(deadline time.Time) error {
+	if conn.inHead {
+		return nil
+	}
+	return conn.Conn.SetReadDeadline(deadline)
 }
 
 // SetLinger sets what Close does with bytes that have not been sent.
--- a/io/front/heads_test.go
+++ b/io/front/heads_test.go
@@ -29,7 +29,9 @@
 			_, _ = io.Copy(io.Discard, request.Body)
 		}
 	})}
-	go func() { _ = front.NewHeads(limited).Serve(server, listener) }()
+	go func() {
+		_ = front.NewHeads(limited, func() front.HeadTimes { return front.HeadTimes{Idle: time.Minute, Head: time.Minute} }).Serve(server, listener)
+	}()
 	defer server.Close()
 	conn, err := net.Dial("tcp4", listener.Addr().String())
 	require.NoError(t, err)
