io/etcd: the first call after a restoration acts on nothing of another host

Cause: the client learned the cluster ID from replies, so the first call after the service was restored from a copy still carried a revision or a lease ID of before, and the service had given both out again. A Swap or Delete replaced another host's value, a Swap or Revoke used or ended another host's lease, and a KeepAlive renewed it. Besides, a keepalive reply about no lease (an error in a stream's form) counted as proof that the lease had expired.

Change: a write compares the value, too, not only the revision (target VALUE), up to 64 KiB; before a write to a longer value or one that was only listed, the cluster ID is asked for (keys_only). Leases get random IDs, which the protocol lets the client choose. The test TestLeaseOfBeforeARestorationHasExpired let the service count up to the same lease ID again; as that no longer happens, the other host asks for the ID itself now; what it requires is unchanged. The rig of the tests stops its server also when a test fails.

Conclusion: the protocol compares no cluster ID, so a restoration between the question and the write of a value above 64 KiB is not noticed, nor one whose other write has the same bytes, where nothing is lost.

--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -77,7 +77,7 @@
 	options = options.withDefaults()
 	client := &Client{
 		http: options.HTTP, timeout: options.Timeout, calls: map[string]int{},
-		cluster: cluster{revisions: map[string]uint64{}, leases: map[int64]uint64{}},
+		cluster: cluster{versions: map[string]version{}, leases: map[int64]uint64{}},
 		budget:  rate.NewLimiter(rate.Limit(options.CallsPerSecond), options.Burst),
 		endpoints: endpoints{
 			random: options.Random, minimum: minimumBackoff, maximum: maximumBackoff,
--- a/io/etcd/client_test.go
+++ b/io/etcd/client_test.go
@@ -38,6 +38,7 @@
 type rig struct {
 	service *kv.Service
 	client  *etcd.Client
+	http    *http.Client
 	// refuse lists endpoint hosts that refuse connections.
 	refuse map[string]bool
 	dials  int
@@ -65,11 +66,13 @@
 		}
 		client, err := etcd.New(options)
 		require.NoError(t, err)
-		rig.client = client
+		rig.client, rig.http = client, options.HTTP
+		defer func() {
+			transport.CloseIdleConnections()
+			close(pipes.conns)
+			_ = server.Close()
+		}()
 		test(t, rig)
-		transport.CloseIdleConnections()
-		close(pipes.conns)
-		_ = server.Close()
 	})
 }
 
--- a/io/etcd/cluster.go
+++ b/io/etcd/cluster.go
@@ -1,25 +1,35 @@
 package etcd
 
-import (
-	"sync"
+import "sync"
 
-	"primrosegw/core/store"
-)
+// comparedBytes is the size up to which a value is kept in memory and compared by a write. The
+// service takes requests of about 1.5 MB, so a large value and its successor don't fit one.
+const comparedBytes = 64 << 10
 
 /*
 cluster tracks the cluster ID of the service. A service that is restored from a copy gets
 a new one, and gives the revisions and lease IDs of the changes that it lost out again. So a
-revision or a lease holds only in the cluster that gave it out. A cluster is safe for
-concurrent use.
+revision or a lease holds only in the cluster that gave it out. The client learns the ID from
+replies; so a write also compares the value that it replaces, and leases have random IDs. A
+cluster is safe for concurrent use.
 */
 type cluster struct {
 	mutex sync.Mutex
 	// id is the ID in the latest reply, 0 if it is unknown.
 	id uint64
-	// revisions holds the cluster that gave out the revision of a key last, by key, and
-	// leases the one that granted a lease, by lease ID.
-	revisions map[string]uint64
-	leases    map[int64]uint64
+	// versions holds what the service said of a key last, by key, and leases the cluster
+	// that granted a lease, by lease ID.
+	versions map[string]version
+	leases   map[int64]uint64
+}
+
+// version is what the service said of a key.
+type version struct {
+	cluster  uint64
+	revision int64
+	// value is the value at the revision if hasValue is set.
+	value    []byte
+	hasValue bool
 }
 
 // reply is a message of the service that has a header.
@@ -34,11 +44,29 @@
 	}
 }
 
-// recordRevision records that a reply gave out the revision of a key.
-func (cluster *cluster) recordRevision(key string, header header) {
+// recordRevision records that a reply gave out the revision of a key. A reply that was
+// overtaken by a later one changes nothing.
+func (cluster *cluster) recordRevision(key string, header header, revision int64) {
+	cluster.record(key, version{cluster: header.ClusterID, revision: revision})
+}
+
+// recordValue is recordRevision for a reply that tells the value.
+func (cluster *cluster) recordValue(key string, header header, revision int64, value []byte) {
+	latest := version{cluster: header.ClusterID, revision: revision}
+	if len(value) <= comparedBytes {
+		latest.value, latest.hasValue = append([]byte{}, value...), true
+	}
+	cluster.record(key, latest)
+}
+
+func (cluster *cluster) record(key string, latest version) {
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
-	cluster.revisions[key] = header.ClusterID
+	known := cluster.versions[key]
+	if known.cluster == latest.cluster && (known.revision > latest.revision || known.revision == latest.revision && known.hasValue) {
+		return
+	}
+	cluster.versions[key] = latest
 }
 
 // recordLease records that a reply granted a lease.
@@ -55,12 +83,13 @@
 	delete(cluster.leases, lease)
 }
 
-// keepsRevision reports whether the known revision of a key holds in the present cluster.
-func (cluster *cluster) keepsRevision(key string) bool {
+// version returns what the service said of a key last, whether it said anything, and whether
+// that holds in the present cluster.
+func (cluster *cluster) version(key string) (known version, found, holds bool) {
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
-	gaveOut, known := cluster.revisions[key]
-	return !known || gaveOut == cluster.id
+	known, found = cluster.versions[key]
+	return known, found, !found || known.cluster == cluster.id
 }
 
 // keepsLease reports whether a lease holds in the present cluster.
@@ -70,15 +99,3 @@
 	granted, known := cluster.leases[lease]
 	return !known || granted == cluster.id
 }
-
-// refusal returns the error kind of a swap that relies on a revision or a lease of another
-// cluster, and false if it relies on none.
-func (cluster *cluster) refusal(swap store.Swap) (store.Kind, bool) {
-	switch {
-	case swap.Expect != 0 && !cluster.keepsRevision(swap.Key):
-		return store.Conflict, true
-	case swap.Lease != 0 && !cluster.keepsLease(swap.Lease):
-		return store.Expired, true
-	}
-	return "", false
-}
--- a/io/etcd/restored_test.go
+++ b/io/etcd/restored_test.go
@@ -1,6 +1,9 @@
 package etcd_test
 
 import (
+	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,9 +45,11 @@
 		lease, err := rig.client.Grant(t.Context(), 10*time.Second)
 		require.NoError(t, err)
 		rig.service.Restore(copied)
-		again, err := rig.service.Grant(t.Context(), 10*time.Second)
+		grant := fmt.Sprintf(`{"ID":"%d","TTL":"10"}`, lease)
+		response, err := rig.http.Post("http://one:1/v3/lease/grant", "application/json", strings.NewReader(grant))
 		require.NoError(t, err)
-		require.Equal(t, lease, again, "the ID is given out again")
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusOK, response.StatusCode, "the ID is given out again")
 		_, err = rig.client.KeepAlive(t.Context(), lease)
 		require.True(t, fault.Is(err, store.Expired))
 		require.True(t, fault.Is(rig.client.Revoke(t.Context(), lease), store.Expired))
--- a/io/etcd/wire.go
+++ b/io/etcd/wire.go
@@ -19,6 +19,8 @@
 type rangeRequest struct {
 	Key []byte `json:"key"`
 	End []byte `json:"range_end,omitempty"`
+	// KeysOnly leaves the values out of the reply.
+	KeysOnly bool `json:"keys_only,omitempty"`
 }
 
 type rangeReply struct {
@@ -27,10 +29,12 @@
 }
 
 type compare struct {
-	Result   string `json:"result"`
-	Target   string `json:"target"`
-	Key      []byte `json:"key"`
-	Modified int64  `json:"mod_revision,string"`
+	Result string `json:"result"`
+	Target string `json:"target"`
+	Key    []byte `json:"key"`
+	// Modified or Value is set.
+	Modified *int64  `json:"mod_revision,string,omitempty"`
+	Value    *[]byte `json:"value,omitempty"`
 }
 
 type putRequest struct {
--- a/standin/kv/gateway.go
+++ b/standin/kv/gateway.go
@@ -1,6 +1,7 @@
 package kv
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -33,8 +34,9 @@
 }
 
 type rangeRequest struct {
-	Key []byte `json:"key"`
-	End []byte `json:"range_end"`
+	Key      []byte `json:"key"`
+	End      []byte `json:"range_end"`
+	KeysOnly bool   `json:"keys_only"`
 }
 
 type putRequest struct {
@@ -50,6 +52,7 @@
 	Created  int64  `json:"create_revision,string"`
 	Modified int64  `json:"mod_revision,string"`
 	Version  int64  `json:"version,string"`
+	Value    []byte `json:"value"`
 }
 
 type operation struct {
@@ -165,7 +168,11 @@
 func (service *Service) read(message rangeRequest) reply {
 	answer := reply{Header: service.header()}
 	for _, held := range service.model.span(string(message.Key), string(message.End)) {
-		answer.Pairs = append(answer.Pairs, pairOf(held.Entry, held.version))
+		entry := held.Entry
+		if message.KeysOnly {
+			entry.Value = nil
+		}
+		answer.Pairs = append(answer.Pairs, pairOf(entry, held.version))
 	}
 	answer.Count = int64(len(answer.Pairs))
 	return answer
@@ -221,17 +228,23 @@
 // holds reports whether all comparisons hold.
 func (service *Service) holds(comparisons []compare) (bool, error) {
 	for _, compare := range comparisons {
-		held := service.model.records[string(compare.Key)]
-		if held == nil {
+		held, present := service.model.records[string(compare.Key)]
+		if !present {
 			held = &record{}
 		}
+		if compare.Target == "VALUE" && compare.Result == "EQUAL" {
+			if !present || !bytes.Equal(held.Value, compare.Value) {
+				return false, nil
+			}
+			continue
+		}
 		targets := map[string][2]int64{
 			"MOD": {held.Revision, compare.Modified}, "CREATE": {held.Created, compare.Created},
 			"VERSION": {held.version, compare.Version},
 		}
 		sides, known := targets[compare.Target]
 		if !known || (compare.Result != "EQUAL" && compare.Result != "") {
-			return false, fault.Field("kv.txn", store.Refused, "compare", "the stand-in knows EQUAL on MOD, CREATE, VERSION")
+			return false, fault.Field("kv.txn", store.Refused, "compare", "the stand-in knows EQUAL on MOD, CREATE, VERSION, VALUE")
 		}
 		if sides[0] != sides[1] {
 			return false, nil
@@ -279,7 +292,10 @@
 func (service *Service) serveGrant(_ context.Context, message leaseRequest) (reply, error) {
 	answer := reply{TTL: max(message.TTL, 1)}
 	err := service.write("grant", func() error {
-		answer.ID = service.grant(time.Duration(answer.TTL) * time.Second)
+		if service.model.leases[message.ID] != nil {
+			return fault.New("kv.grant", store.Refused, "etcdserver: lease already exists")
+		}
+		answer.ID = service.grant(message.ID, time.Duration(answer.TTL)*time.Second)
 		answer.Header = service.header()
 		return nil
 	})
--- a/standin/kv/service.go
+++ b/standin/kv/service.go
@@ -196,7 +196,7 @@
 	}
 	var lease int64
 	err := service.write("grant", func() error {
-		lease = service.grant(ttl)
+		lease = service.grant(0, ttl)
 		return nil
 	})
 	if err != nil {
@@ -205,10 +205,12 @@
 	return lease, nil
 }
 
-// grant makes a lease. The lock is held.
-func (service *Service) grant(ttl time.Duration) int64 {
-	service.model.nextLease++
-	lease := service.model.nextLease
+// grant makes a lease with the requested ID, or with one of its own for 0. The lock is held.
+func (service *Service) grant(lease int64, ttl time.Duration) int64 {
+	if lease == 0 {
+		service.model.nextLease++
+		lease = service.model.nextLease
+	}
 	service.model.leases[lease] = service.startLease(lease, ttl)
 	return lease
 }
