platform: a host whose own entry is removed registers again

Cause: maintainRegistration renewed the lease and took that for the entry. An entry that an operator or another program removed, or overwrote with something invalid, while its lease lives was never written again; the host stayed unlisted and ready.

Event host_entry_removed (1936).

Conclusion: an entry overwritten by a valid one of another process under the same name stays.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -34,6 +34,7 @@
 		HistoryGone(),
 		StoreRestored(),
 		HostRegistered(),
+		HostEntryRemoved(),
 		RegistrationFailed(),
 		ServerAdded(),
 		ServerLeaving(),
@@ -216,6 +217,12 @@
 	return Event{1934, "host_registered", logrus.InfoLevel, "store", "The host is registered under a lease."}
 }
 
+// HostEntryRemoved reports that the host's own entry is not in the store or not valid any
+// more; the host registers again.
+func HostEntryRemoved() Event {
+	return Event{1936, "host_entry_removed", logrus.WarnLevel, "store", "The host's own entry is not in the store or not valid any more; the host registers again."}
+}
+
 // RegistrationFailed reports that the host could not register or renew its
 // lease; it will retry.
 func RegistrationFailed() Event {
