--- a/io/etcd/store.go
+++ b/io/etcd/store.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if !answer.whole() {
+		return nil, 0, fault.New("etcd.range", store.Unavailable, "the reply lacks keys that it counts")
+	}
 	entries := make([]store.Entry, 0, len(answer.Pairs))
 	for _, pair := range answer.Pairs {
 		client.cluster.recordRevision(string(pair.Key), answer.Header, pair.Modified)
--- a/io/etcd/wire.go
+++ b/io/etcd/wire.go
@@ -26,6 +26,14 @@
 type rangeReply struct {
 	Header header `json:"header"`
 	Pairs  []pair `json:"kvs"`
+	// Count is the number of all keys in the span, and More is set if the reply lacks some.
+	Count int64 `json:"count,string"`
+	More  bool  `json:"more"`
+}
+
+// whole reports whether the reply has all keys that it counts.
+func (reply *rangeReply) whole() bool {
+	return !reply.More && (reply.Count == 0 || reply.Count == int64(len(reply.Pairs)))
 }
 
 type compare struct {
