--- a/io/etcd/wire.go
+++ b/io/etcd/wire.go
@@ -19,18 +19,30 @@
 type rangeRequest struct {
 	Key []byte `json:"key"`
 	End []byte `json:"range_end,omitempty"`
+	// KeysOnly leaves the values out of the reply.
+	KeysOnly bool `json:"keys_only,omitempty"`
 }
 
 type rangeReply struct {
 	Header header `json:"header"`
 	Pairs  []pair `json:"kvs"`
+	// Count is the number of all keys in the span, and More is set if the reply lacks some.
+	Count int64 `json:"count,string"`
+	More  bool  `json:"more"`
+}
+
+// whole reports whether the reply has all keys that it counts.
+func (reply *rangeReply) whole() bool {
+	return !reply.More && (reply.Count == 0 || reply.Count == int64(len(reply.Pairs)))
 }
 
 type compare struct {
-	Result   string `json:"result"`
-	Target   string `json:"target"`
-	Key      []byte `json:"key"`
-	Modified int64  `json:"mod_revision,string"`
+	Result string `json:"result"`
+	Target string `json:"target"`
+	Key    []byte `json:"key"`
+	// Modified or Value is set.
+	Modified *int64  `json:"mod_revision,string,omitempty"`
+	Value    *[]byte `json:"value,omitempty"`
 }
 
 type putRequest struct {
