io/front: ask servers by one function

Cause: the question which process a server is was sent and read twice, in ending.go and in process.go. The one after the end of a response read its answer without memory from the budget.

Change: askServer sends a question, reads the answer with its memory from the budget, notes that the server leaves and drops answers to other requests.

--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"syscall"
 	"time"
@@ -134,7 +133,7 @@
 	key     string
 	request pipe.Request
 	// read returns the outcome of a complete answer.
-	read func(response pipe.Response, info ResponseInfo, body []byte) ending.Outcome
+	read func(answer serverAnswer) ending.Outcome
 }
 
 // nextQuestion returns the first question that the server may answer: its report if that says when
@@ -155,13 +154,13 @@
 	return nil
 }
 
-func (check *endCheck) readReport(response pipe.Response, _ ResponseInfo, body []byte) ending.Outcome {
+func (check *endCheck) readReport(answer serverAnswer) ending.Outcome {
 	handler, server := check.exchange.call.handler, check.exchange.server
-	report := handler.options.Headers.ParseReport(body)
+	report := handler.options.Headers.ParseReport(answer.body)
 	check.runEvents = report.eventsOf(check.exchange.call.work.ID)
 	known := !report.Started.IsZero()
 	switch {
-	case !known && response.StatusCode >= http.StatusInternalServerError:
+	case !known && answer.status >= http.StatusInternalServerError:
 		return ending.NoAnswer
 	case !known:
 		return ending.Unnamed
@@ -173,13 +172,14 @@
 	return ending.Registered
 }
 
-func (check *endCheck) readHealth(response pipe.Response, info ResponseInfo, _ []byte) ending.Outcome {
+func (check *endCheck) readHealth(answer serverAnswer) ending.Outcome {
+	instance := answer.info.Instance
 	switch {
-	case info.Instance == "" && response.StatusCode >= http.StatusInternalServerError:
+	case instance == "" && answer.status >= http.StatusInternalServerError:
 		return ending.NoAnswer
-	case info.Instance == "" || response.StatusCode != http.StatusOK && response.StatusCode != http.StatusServiceUnavailable:
+	case instance == "" || answer.status != http.StatusOK && answer.status != http.StatusServiceUnavailable:
 		return ending.Unnamed
-	case info.Instance != check.exchange.server.ID:
+	case instance != check.exchange.server.ID:
 		return ending.OtherProcess
 	}
 	return ending.SameID
@@ -187,25 +187,13 @@
 
 // ask asks a question on a connection, and reports whether the connection can be used again.
 func (check *endCheck) ask(conn *pipe.Conn, question *endQuestion, limit time.Time) (outcome ending.Outcome, reusable bool, err error) {
-	handler := check.exchange.call.handler
-	if _, err := conn.Send(question.request, limit); err != nil {
-		return ending.NoAnswer, false, err
-	}
-	response, err := conn.AwaitResponse(question.request.Method, limit)
-	if err != nil {
-		return ending.NoAnswer, false, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxForeignBytes))
-	if err != nil {
-		return ending.NoAnswer, false, err
-	}
-	info := handler.options.Headers.ParseResponse(response.StatusCode, response.Header)
-	handler.observeLeaving(check.exchange.server, info)
-	if info.ID != "" {
-		return ending.NoAnswer, false, fault.New("front.ask", pipe.Malformed, "a response to another request")
-	}
-	outcome = question.read(response, info, body)
-	return outcome, len(body) < maxForeignBytes && response.KeepAlive && isDelimited(response) && conn.Reuse(response.Header), nil
+	outcome = ending.NoAnswer
+	err = check.exchange.call.handler.askServer(conn, check.exchange.server, question.request, limit, func(answer serverAnswer) {
+		if answer.readErr == nil {
+			outcome, reusable = question.read(answer), answer.reusable
+		}
+	})
+	return outcome, reusable, err
 }
 
 // log logs and counts the end of a response.
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -1,13 +1,12 @@
 package front
 
 import (
-	"bytes"
+	"cmp"
 	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"primrosegw/core/budget"
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/fleet"
@@ -32,42 +31,32 @@
 that names the ID does not reveal that; until the new registration arrives, only the server can.
 */
 func (handler *Handler) checkProcess(conn *pipe.Conn, server fleet.Server) error {
-	deadline := time.Now().Add(reportTimeout)
-	if _, err := conn.Send(handler.options.Headers.ReportRequest(server), deadline); err != nil {
-		return err
-	}
-	response, err := conn.AwaitResponse(http.MethodGet, deadline)
-	if err != nil {
-		return err
-	}
-	hold := handler.options.Budget.Open(budget.Server(server.ID))
-	defer hold.Release()
-	segments, length, readErr := readSegments(response.Body, -1, maxForeignBytes, hold)
-	if memoryShortage(readErr) != "" {
-		return fault.Wrap("front.check_process", pipe.Lost, readErr)
-	}
-	info := handler.options.Headers.ParseResponse(response.StatusCode, response.Header)
-	handler.observeLeaving(server, info)
-	if info.ID != "" {
-		return fault.New("front.check_process", pipe.Malformed, "a response to another request")
-	}
-	started := handler.options.Headers.ParseReport(bytes.Join(segments, nil)).Started
+	var result error
+	err := handler.askServer(conn, server, handler.options.Headers.ReportRequest(server), time.Now().Add(reportTimeout), func(answer serverAnswer) {
+		result = handler.judgeProcess(server, answer)
+	})
+	return cmp.Or(err, result)
+}
+
+// judgeProcess returns the result of checkProcess for a server's answer.
+func (handler *Handler) judgeProcess(server fleet.Server, answer serverAnswer) error {
+	started := handler.options.Headers.ParseReport(answer.body).Started
 	known := !started.IsZero()
-	if !known && response.StatusCode == http.StatusServiceUnavailable {
+	if !known && answer.status == http.StatusServiceUnavailable {
 		return fault.New("front.check_process", pipe.Malformed, "the server can't say yet which process it is")
 	}
-	if readErr != nil || !known {
+	if !known {
 		handler.options.Fleet.RecordMute(server)
 	}
 	if known && !started.Equal(server.Started) {
 		handler.recordReplaced(server, started)
 		return fault.New("front.check_process", pipe.Unreachable, "another process is at the server's address")
 	}
-	if readErr == nil && known {
+	if known {
 		handler.options.Fleet.ConfirmProcess(server)
 		handler.recordAlive(server)
 	}
-	if readErr != nil || length >= maxForeignBytes || !response.KeepAlive || !isDelimited(response) || !conn.Reuse(response.Header) {
+	if !answer.reusable {
 		return fault.New("front.check_process", pipe.Unsent, "the connection can't be used again")
 	}
 	return nil
