core/ending, io/front: the end of a connection proves nothing about its run

Cause: a response with neither a length nor chunks counted as whole if the process that had sent it answered 50 ms later. That proves that the process runs, not that the run had ended: a device between host and server, or a server that gives up one run, closes the connection in the same way.

Change: core/ending names each case (Judge) and decides by kind of route what becomes of the request (Remedy): a resumable stream goes on after its last event, a repeatable request runs again, all else is refused with 502 or broken off; 4xx and 5xx, too. By default nothing is asked, and such a response is never whole. Its responses are passed on with neither a length nor chunks; broken ones end with a reset. A stream to the caller that began with chunks is not completed by an unframed rest. response_end_judged has case and remedy; connection_ends counts by case instead of by outcome.

Tests: those that assert that a response is whole because its process answered run with the setting, with the same assertions, and have the default beside them (TestResponseDelimitedByConnectionClose, TestEndWithAConnectionIsLogged, TestStreamThatEndsWithItsConnection, TestOnlyAProofFromAfterTheEndMakesAResponseWhole, TestEndsAreAskedAtTheConnectionLimit, TestMemoryIsGivenBackAtEveryEnd). Those that assert that a response is not whole and guard the check of the process run with the setting, too, as the default would hide what they guard against (TestAnswerOnAKeptConnectionProvesNothing, TestEndingProcessThatStillAnswersProvesNothing, TestSlowCallerDoesNotHideThatTheProcessStartedAgain); others run with both.

Conclusion: a caller is told that a response is whole only by a length, a last chunk, or the operators' word.

--- a/cmds/gateway.go
+++ b/cmds/gateway.go
@@ -10,9 +10,10 @@
 )
 
 type gatewayCommand struct {
-	Settings    string `placeholder:"FILE" help:"The platform's settings file; default: the one that the platform names in the environment."`
-	MetricsPort string `default:"9464" placeholder:"PORT" help:"Port that serves the metrics; the deploy file names it too."`
-	Check       bool   `help:"Check the settings and end."`
+	Settings    string   `placeholder:"FILE" help:"The platform's settings file; default: the one that the platform names in the environment."`
+	MetricsPort string   `default:"9464" placeholder:"PORT" help:"Port that serves the metrics; the deploy file names it too."`
+	TrustEnds   []string `name:"trust-connection-ends" sep:"none" placeholder:"SERVICE" help:"A service whose responses may have neither a length nor chunks: they count as whole when their connection ends, if the server's process runs on. Cut ones can't be told from whole ones. Repeat the flag for each service."`
+	Check       bool     `help:"Check the settings and end."`
 }
 
 // Help implements kong's extended help.
@@ -31,13 +32,16 @@
 	if path == "" {
 		path = platform.SettingsPath()
 	}
+	if err := platform.CheckTrustedServices(command.TrustEnds); err != nil {
+		return usage{err}
+	}
 	if command.Check {
 		if _, err := platform.ReadSettings(path); err != nil {
 			return usage{inFile{path, err}}
 		}
 		return nil
 	}
-	gateway, err := platform.New(path, platform.Options{Output: console.out, MetricsPort: command.MetricsPort})
+	gateway, err := platform.New(path, platform.Options{Output: console.out, MetricsPort: command.MetricsPort, TrustedServices: command.TrustEnds})
 	if err != nil {
 		return usage{inFile{path, err}}
 	}
--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -1,6 +1,7 @@
-// Package ending decides whether a response is whole. A response with neither a length nor chunks
-// ends with its connection, and so does the response of a process that ends in the middle of it.
-// Only what is learned after the end tells them apart.
+// Package ending decides whether a response is whole, and what becomes of one that is not. A response
+// with neither a length nor chunks ends with its connection. Nothing that can be asked of the server
+// proves that the run had ended: a device in between, or a server that gives up one run, closes the
+// connection in the same way.
 package ending
 
 import "time"
@@ -49,6 +50,8 @@
 	// Unasked: there is no question by which the server could say it, or the questions have lately
 	// been in vain.
 	Unasked Outcome = "unasked"
+	// NoQuestion: the protocol has no question by which any server could say it.
+	NoQuestion Outcome = "no_question"
 	// NoConnection: this host may open no connection.
 	NoConnection Outcome = "no_connection"
 	// Refused: no process takes connections at the server's address.
@@ -74,13 +77,41 @@
 	Whole Verdict = "whole"
 	// Ended: the process that sent the response has ended.
 	Ended Verdict = "ended"
+	// Cut: the run had made more than arrived.
+	Cut Verdict = "cut"
 	// Unknown: the end of the response proves nothing. It must not count as complete.
 	Unknown Verdict = "unknown"
 )
 
+// Case is the reason for a verdict. Those that are not listed here have the name of an outcome.
+type Case string
+
+// The cases that are no outcomes.
+const (
+	// Framed: the response has a length or chunks.
+	Framed Case = "framed"
+	// Untrusted: the response ended with its connection, and its service is not trusted to end
+	// responses so. No question is asked.
+	Untrusted Case = "untrusted"
+	// RunCut: the server lists the run with more events than arrived.
+	RunCut Case = "run_cut"
+	// AskedEarly: the process named itself, but on a connection or at a time at which one that ends
+	// still may.
+	AskedEarly Case = "asked_early"
+	// ConnectedLate: the server named its ID only, on a connection that a process which has started
+	// again under the ID may have taken.
+	ConnectedLate Case = "connected_late"
+)
+
+// NotListed is in place of a number of events that the server does not list the run.
+const NotListed = -1
+
 // Evidence is what is known after the end of a response.
 type Evidence struct {
 	Framing Framing
+	// Trusted: the operators say that the service's responses may end with their connection, and that
+	// no device closes it before.
+	Trusted bool
 	// EndedAt is when the response's connection was seen to have ended. It may have ended earlier by
 	// up to UnreadFor, for which the host did not read.
 	EndedAt   time.Time
@@ -89,28 +120,54 @@
 	// ConnectedAt when it was open, and AskedAt when the server was asked; zero: it was not.
 	OpenedAt, ConnectedAt, AskedAt time.Time
 	Outcome                        Outcome
+	// Events is the number of events of the run that arrived. RunEvents is how many it has made as
+	// the registered process says, some hundred milliseconds late.
+	Events, RunEvents int
 }
 
-// Verdict returns whether the response is whole. Its connection's end proves that only together
-// with an answer of the registered process to a question that was asked Settle later, on a
-// connection that was opened after the end: earlier ones may outlive the process. A process that
-// names its ID only must also have taken the connection within MaxConnectTime.
+// NeedsAnswer reports whether the verdict depends on what the server says of its process.
+func (evidence Evidence) NeedsAnswer() bool {
+	return evidence.Framing == Connection && evidence.Trusted
+}
+
+// Verdict returns whether the response is whole.
 func (evidence Evidence) Verdict() Verdict {
-	if evidence.Framing == Length || evidence.Framing == Chunks {
-		return Whole
+	_, verdict := evidence.Judge()
+	return verdict
+}
+
+/*
+Judge returns whether the response is whole, and why. If it ended with its connection, it is whole
+only if its service is trusted, and if what can be known does not speak against it: the registered
+process must answer a question that was asked Settle later, on a connection that was opened after the
+end, as earlier ones may outlive the process. A process that names its ID only must also have taken
+the connection within MaxConnectTime. The list of runs can only show that the run was cut: it is old,
+so that a run without more events may have made some since.
+*/
+func (evidence Evidence) Judge() (Case, Verdict) {
+	switch {
+	case evidence.Framing == Length || evidence.Framing == Chunks:
+		return Framed, Whole
+	case !evidence.Trusted:
+		return Untrusted, Unknown
 	}
+	outcome := Case(evidence.Outcome)
 	isEarly := evidence.OpenedAt.Before(evidence.EndedAt) || evidence.AskedAt.Sub(evidence.EndedAt) < Settle
 	switch evidence.Outcome {
 	case Refused, OtherProcess:
-		return Ended
-	case Registered:
-		if !isEarly {
-			return Whole
-		}
-	case SameID:
-		if !isEarly && evidence.ConnectedAt.Sub(evidence.EndedAt)+evidence.UnreadFor <= MaxConnectTime {
-			return Whole
+		return outcome, Ended
+	case NoQuestion:
+		return outcome, Whole
+	case Registered, SameID:
+		switch {
+		case evidence.Outcome == Registered && evidence.RunEvents > evidence.Events:
+			return RunCut, Cut
+		case isEarly:
+			return AskedEarly, Unknown
+		case evidence.Outcome == SameID && evidence.ConnectedAt.Sub(evidence.EndedAt)+evidence.UnreadFor > MaxConnectTime:
+			return ConnectedLate, Unknown
 		}
+		return outcome, Whole
 	}
-	return Unknown
+	return outcome, Unknown
 }
--- a/io/front/answer_test.go
+++ b/io/front/answer_test.go
@@ -123,17 +123,21 @@
 	}
 }
 
-// Guards against treating a response without a length as broken: it ends when the
-// server closes the connection.
+// Guards against treating a response without a length as broken though its service is trusted: it
+// ends when the server closes the connection. By default nothing shows that it is whole.
 func TestResponseDelimitedByConnectionClose(t *testing.T) {
-	harness := newHarness(t, nil)
-	harness.addServer("a", func(request *http.Request, conn net.Conn) {
+	respond := func(request *http.Request, conn net.Conn) {
 		writeResponse(conn, 200, request.Header.Get("X-Id"), []string{signed, "Connection: close"}, "all of it")
 		_ = conn.Close()
-	})
+	}
+	harness := newHarness(t, nil).trustEnds()
+	harness.addServer("a", respond)
 	got := harness.post("/once/", "x")
 	require.Equal(t, http.StatusOK, got.status)
 	require.Equal(t, "all of it", got.body)
+	harness = newHarness(t, nil)
+	harness.addServer("a", respond)
+	require.Equal(t, http.StatusBadGateway, harness.post("/once/", "x").status)
 }
 
 // Guards against definite refusals (401, 404) by a host whose routing table is
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -12,6 +14,7 @@
 	"primrosegw/core/ending"
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
+	"primrosegw/core/fleet"
 	"primrosegw/core/work"
 	"primrosegw/io/pipe"
 )
@@ -25,25 +28,68 @@
 	if isDelimited(response) || exchange.call.request.Method == http.MethodHead {
 		return "", true
 	}
-	check := &endCheck{exchange: exchange, runEvents: notRunning, Evidence: ending.Evidence{Framing: framing(response), EndedAt: time.Now(), UnreadFor: exchange.unreadFor}}
+	check := &endCheck{exchange: exchange, Evidence: ending.Evidence{
+		Framing: framing(response), Trusted: exchange.call.trustsEnds(exchange.server), EndedAt: time.Now(), UnreadFor: exchange.unreadFor,
+		Outcome: ending.Unasked, Events: exchange.call.arrivedEvents(), RunEvents: ending.NotListed,
+	}}
 	exchange.conn.Discard()
-	check.run()
-	verdict := check.Verdict()
-	check.log(verdict)
+	if check.NeedsAnswer() {
+		check.run()
+	}
+	if !isStream(response.Header) {
+		// The run may make events of which the response is made up.
+		check.RunEvents = ending.NotListed
+	}
+	reason, verdict := check.Judge()
 	switch verdict {
 	case ending.Whole:
+		check.log(reason, verdict, "")
 		return "", true
 	case ending.Ended:
+		check.log(reason, verdict, exchange.call.progress().Remedy())
 		return exchange.failAttempt(fault.New("front.prove_end", pipe.Lost, "the server ended with the response")), false
 	}
+	remedy := exchange.call.progress().Remedy()
+	check.log(reason, verdict, remedy)
+	exchange.call.isUnproven = remedy == ending.Refuse || remedy == ending.BreakOff
 	return exchange.leaveUnproven(), false
 }
 
+// trustsEnds reports whether the responses of a server may end with their connection. If a response
+// with chunks to the caller has begun, they may not: its last chunk would say more than the host knows.
+func (call *call) trustsEnds(server fleet.Server) bool {
+	return call.handler.options.TrustedServices[server.Service] && (!call.responseStarted || call.isUnframed)
+}
+
+// arrivedEvents returns how many events of the run have arrived, or more if that is not known: a
+// caller that takes a stream up has had some before.
+func (call *call) arrivedEvents() int {
+	if call.info.LastEventID == "" {
+		return call.events.count
+	}
+	if number, err := strconv.Atoi(call.events.lastID); err == nil {
+		// IDs may begin with 0.
+		return max(call.events.count, number+1)
+	}
+	return math.MaxInt
+}
+
+// progress returns what decides about the request if a response is not whole.
+func (call *call) progress() ending.Progress {
+	return ending.Progress{
+		Delivered: call.events.count > 0, Resumable: call.work.Route.Resumable,
+		Provable: call.events.mayResume(), Repeatable: call.work.Route.Repeatable(),
+	}
+}
+
 // leaveUnproven ends an attempt whose response may be whole, which can't be known. That is no
-// failure of the server.
+// failure of the server. Whether it has crashed is found out in the background.
 func (exchange *exchange) leaveUnproven() work.Result {
-	call := exchange.call
-	call.handler.options.CrashDetector.ObserveAmbiguousEnd(connectionKey(exchange.server), call.features(), exchange.started, time.Now())
+	call, server := exchange.call, exchange.server
+	call.handler.options.Fleet.DoubtProcess(server.ID)
+	call.handler.options.CrashDetector.ObserveAmbiguousEnd(connectionKey(server), call.features(), exchange.started, time.Now())
+	handler, limit, reportsProcess := call.handler, call.connectionLimit(server), call.reportsProcess(server)
+	handler.probes.start(connectionKey(server), func() { handler.probe(server, limit, reportsProcess) })
 	return exchange.logAttempt(work.Broken, 0, fault.New("front.prove_end", pipe.Lost, "nothing shows that the response is whole"))
 }
 
@@ -54,10 +100,7 @@
 	// lost: the server closed a connection that was opened after the end. One that names its ID only
 	// may have started again since, and proves nothing any more.
 	lost bool
-	// runEvents is the number of events that the server says the run has made; notRunning if it does
-	// not have the run, or did not say.
-	runEvents int
-	err       error
+	err  error
 }
 
 // run asks the server until the time limit and records what came of it.
@@ -69,7 +112,6 @@
 	}
 	ctx, cancel := context.WithDeadline(call.request.Context(), limit)
 	defer cancel()
-	check.Outcome = ending.Unasked
 	for range maxEndConns {
 		question := check.nextQuestion()
 		if question == nil {
@@ -157,7 +199,6 @@
 func (check *endCheck) readReport(answer serverAnswer) ending.Outcome {
 	handler, server := check.exchange.call.handler, check.exchange.server
 	report := handler.options.Headers.ParseReport(answer.body)
-	check.runEvents = report.eventsOf(check.exchange.call.work.ID)
 	known := !report.Started.IsZero()
 	switch {
 	case !known && answer.status >= http.StatusInternalServerError:
@@ -168,6 +209,7 @@
 		handler.recordReplaced(server, report.Started)
 		return ending.OtherProcess
 	}
+	check.RunEvents = report.eventsOf(check.exchange.call.work.ID)
 	handler.options.Fleet.ConfirmProcess(server)
 	return ending.Registered
 }
@@ -196,12 +238,15 @@
 	return outcome, reusable, err
 }
 
-// log logs and counts the end of a response.
-func (check *endCheck) log(verdict ending.Verdict) {
+// log logs and counts the end of a response. The remedy is empty if the response is whole.
+func (check *endCheck) log(reason ending.Case, verdict ending.Verdict, remedy ending.Remedy) {
 	call := check.exchange.call
 	fields := logrus.Fields{
-		"server": check.exchange.server.ID, "framing": check.Framing, "connection": "none", "outcome": check.Outcome,
-		"verdict": verdict, "events": call.events.count, "run_events": check.runEvents, "took_ms": milliseconds(time.Since(check.EndedAt)),
+		"server": check.exchange.server.ID, "framing": check.Framing, "connection": "none", "case": reason, "outcome": check.Outcome,
+		"verdict": verdict, "events": call.events.count, "run_events": check.RunEvents, "took_ms": milliseconds(time.Since(check.EndedAt)),
+	}
+	if remedy != "" {
+		fields["remedy"] = remedy
 	}
 	if !check.ConnectedAt.IsZero() {
 		fields["connection"], fields["opened_after_ms"] = "new", milliseconds(check.ConnectedAt.Sub(check.EndedAt))
@@ -213,7 +258,7 @@
 		fields["error"] = check.err.Error()
 	}
 	call.log(event.ResponseEndJudged(), fields)
-	call.handler.options.Meter.AddToCounter("connection_ends", "outcome", string(check.Outcome), 1)
+	call.handler.options.Meter.AddToCounter("connection_ends", "case", string(reason), 1)
 }
 
 // milliseconds returns a duration in milliseconds with three decimals.
--- a/io/front/ending_test.go
+++ b/io/front/ending_test.go
@@ -43,8 +43,8 @@
 
 func neverAnswer(*http.Request, net.Conn) { time.Sleep(time.Second) }
 
-// Guards against a response without a length or chunks that is complete for its caller without a
-// proof from after its end, and against one that is not complete with it.
+// Guards against a response without a length or chunks that is complete for its caller without what
+// its service must show after the end, and against one of a trusted service that is not complete with it.
 func TestOnlyAProofFromAfterTheEndMakesAResponseWhole(t *testing.T) {
 	withHealth := func(id string, status int) responder { return respondWith(status, "", "X-Instance: "+id) }
 	for name, test := range map[string]struct {
@@ -72,14 +72,21 @@
 			for _, kind := range []struct{ path, contentType, body string }{
 				{"/stream/", eventStream, events(1, 3)}, {"/once/", "Content-Type: text/plain", "a part"},
 			} {
-				harness := newHarness(t, func(data *table.Data) {
+				change := func(data *table.Data) {
 					if test.path == "/report" {
 						withReports(data)
 					}
-				})
+				}
+				harness := newHarness(t, change)
 				harness.addServer("a", harness.withQuestion(test.path, test.answer, unframed(kind.contentType, kind.body)))
 				harness.startedAt("a", 1)
 				got := harness.post(kind.path, "x")
+				require.True(t, got.err != nil || got.status == http.StatusBadGateway, "%s, not trusted: %+v", kind.path, got)
+				require.Contains(t, harness.log.String(), `"case":"untrusted"`)
+				harness = newHarness(t, change).trustEnds()
+				harness.addServer("a", harness.withQuestion(test.path, test.answer, unframed(kind.contentType, kind.body)))
+				harness.startedAt("a", 1)
+				got = harness.post(kind.path, "x")
 				// On a busy machine the connection may be open too late for an ID to prove anything.
 				for tries := 0; test.outcome == ending.SameID && tries < 5 && (got.err != nil || got.status != http.StatusOK); tries++ {
 					got = harness.post(kind.path, "x")
@@ -93,7 +100,7 @@
 
 // Guards against a kept connection, on which an ending process still answers, as a proof.
 func TestAnswerOnAKeptConnectionProvesNothing(t *testing.T) {
-	harness := newHarness(t, withReports)
+	harness := newHarness(t, withReports).trustEnds()
 	var server net.Listener
 	server = harness.addServer("a", reporting(1, func(request *http.Request, conn net.Conn) {
 		if strings.Contains(request.Header.Get("X-Id"), "first") {
@@ -118,7 +125,7 @@
 // Guards against a question to a process that closes its connections one after another: it still
 // answers shortly after the end of the response.
 func TestEndingProcessThatStillAnswersProvesNothing(t *testing.T) {
-	harness := newHarness(t, withReports)
+	harness := newHarness(t, withReports).trustEnds()
 	var server net.Listener
 	server = harness.addServer("a", reporting(1, func(request *http.Request, conn net.Conn) {
 		unframed(eventStream, events(1, 3))(request, conn)
@@ -137,7 +144,7 @@
 	harness := newHarness(t, func(data *table.Data) {
 		withReports(data)
 		data.Services[0].MaxConnections = 2
-	})
+	}).trustEnds()
 	release := make(chan struct{})
 	harness.addServer("a", reporting(1, func(request *http.Request, conn net.Conn) {
 		switch request.Header.Get("X-Id") {
@@ -164,34 +171,41 @@
 // Guards against a sound server that is suspended because its ends can't be proven, and against
 // callers that each wait for it.
 func TestUnprovenEndsAreNoFailuresOfTheServer(t *testing.T) {
-	harness := newHarness(t, func(data *table.Data) { data.Services[0].HealthPath = "" })
-	harness.addServer("a", unframed(eventStream, events(1, 3)))
-	for number := range 8 {
-		got := harness.post("/stream/", "x", "X-Id", fmt.Sprint("id-", number))
-		require.Equal(t, 200, got.status)
-		require.Equal(t, events(1, 3), got.body)
-		require.Error(t, got.err)
+	for _, trusted := range []bool{true, false} {
+		harness := newHarness(t, func(data *table.Data) { data.Services[0].HealthPath = "" })
+		harness.trusted["engines"] = trusted
+		harness.addServer("a", unframed(eventStream, events(1, 3)))
+		for number := range 8 {
+			got := harness.post("/stream/", "x", "X-Id", fmt.Sprint("id-", number))
+			require.Equal(t, 200, got.status)
+			require.Equal(t, events(1, 3), got.body)
+			require.Error(t, got.err)
+		}
+		require.NotContains(t, harness.log.String(), "server_suspended")
+		require.Contains(t, harness.log.String(), `"outcome":"unasked"`)
+		require.Equal(t, !trusted, strings.Contains(harness.log.String(), `"case":"untrusted"`))
 	}
-	require.NotContains(t, harness.log.String(), "server_suspended")
-	require.Contains(t, harness.log.String(), `"outcome":"unasked"`)
 }
 
 // Guards against a stream whose end can't be proven and that breaks off though another server of its
 // version says that nothing follows.
 func TestStreamWithAnUnprovenEndIsCompletedByAnother(t *testing.T) {
-	harness := newHarness(t, func(data *table.Data) { data.Services[0].HealthPath = "" })
-	respond := func(request *http.Request, conn net.Conn) {
-		if request.Header.Get("X-Last") == "" {
-			unframed(eventStream, events(1, 3))(request, conn)
-			return
+	for _, trusted := range []bool{true, false} {
+		harness := newHarness(t, func(data *table.Data) { data.Services[0].HealthPath = "" })
+		harness.trusted["engines"] = trusted
+		respond := func(request *http.Request, conn net.Conn) {
+			if request.Header.Get("X-Last") == "" {
+				unframed(eventStream, events(1, 3))(request, conn)
+				return
+			}
+			respondWithStream(true, "")(request, conn)
 		}
-		respondWithStream(true, "")(request, conn)
+		harness.addVersion("a", "v1", respond)
+		harness.addVersion("b", "v1", respond)
+		got := harness.post("/resume/", "x")
+		require.NoError(t, got.err)
+		require.Equal(t, events(1, 3), got.body)
 	}
-	harness.addVersion("a", "v1", respond)
-	harness.addVersion("b", "v1", respond)
-	got := harness.post("/resume/", "x")
-	require.NoError(t, got.err)
-	require.Equal(t, events(1, 3), got.body)
 }
 
 // Guards against answers to HEAD requests that are broken off for the lack of a length: they have
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -233,6 +233,7 @@
 	}
 	exchange.releaseConn(response)
 	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, segments: segments, length: length}
+	buffered.isUnframed = !isDelimited(response) && call.request.Method != http.MethodHead
 	if success {
 		call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
 		call.writeBuffered(buffered)
@@ -344,19 +345,37 @@
 // writeBuffered writes a complete response to the caller.
 func (call *call) writeBuffered(response bufferedResponse) {
 	copyHeader(call.writer.Header(), response.header)
-	if call.request.Method != http.MethodHead {
+	switch {
+	case response.isUnframed:
+		call.isUnframed = true
+	case call.request.Method != http.MethodHead:
 		call.writer.Header().Set("Content-Length", strconv.FormatInt(response.length, 10))
-	} else if length := response.header.Values("Content-Length"); len(length) > 0 {
-		call.writer.Header()["Content-Length"] = length[:1]
+	default:
+		if length := response.header.Values("Content-Length"); len(length) > 0 {
+			call.writer.Header()["Content-Length"] = length[:1]
+		}
 	}
 	call.firstEventDelay = time.Since(call.work.Received)
-	call.writer.WriteHeader(response.status)
+	call.writeHead(response.status)
 	if call.request.Method != http.MethodHead {
 		call.writeSegments(response.segments)
 	}
 	call.recordResponse(response.status)
 }
 
+// writeHead writes the head of a response. One that ended with its connection ends so for the caller,
+// too: neither a length nor a last chunk says more than this host knows.
+func (call *call) writeHead(status int) {
+	if !call.isUnframed {
+		call.writer.WriteHeader(status)
+		return
+	}
+	call.writer.Header().Set("Transfer-Encoding", "identity")
+	call.writer.WriteHeader(status)
+	// Without a flush, net/http gives a short body a length. An error means that the caller has gone.
+	_ = http.NewResponseController(call.writer).Flush()
+}
+
 // recordResponse logs a request to which a server has responded and records it in
 // the metrics.
 func (call *call) recordResponse(status int) {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"primrosegw/core/ending"
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/fleet"
@@ -48,6 +49,10 @@
 			call.giveUp(refusal)
 			return
 		}
+		if call.isUnproven {
+			call.giveUp(unservedRefusal(call.state, false, "unproven_end"))
+			return
+		}
 		if !call.mayGoOn() {
 			call.giveUp(unservedRefusal(call.state, false, "not_resumable"))
 			return
@@ -89,7 +94,7 @@
 
 // mayGoOn reports whether another server can go on after what the caller has received.
 func (call *call) mayGoOn() bool {
-	return call.events.count == 0 || call.work.Route.Resumable && call.events.mayResume()
+	return call.progress().Remedy() != ending.BreakOff
 }
 
 // nextStep returns the next step for the request: an attempt, a refusal or giving
@@ -262,9 +267,9 @@
 }
 
 // abort ends a response that has started, so that it does not look complete. Without chunks, as for
-// callers on HTTP/1.0, only a reset of the connection shows that.
+// callers on HTTP/1.0 and from trusted services, only a reset of the connection shows that.
 func (call *call) abort() {
-	if !call.request.ProtoAtLeast(1, 1) {
+	if call.isUnframed || !call.request.ProtoAtLeast(1, 1) {
 		resetConnection(call.writer)
 	}
 	panic(http.ErrAbortHandler)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -104,20 +104,17 @@
 	Events int
 }
 
-// eventsOf returns the number of events that the run of a request has made, or notRunning if the
-// report does not have it.
+// eventsOf returns the number of events that the run of a request has made, or ending.NotListed if
+// the report does not have it.
 func (report ServerReport) eventsOf(requestID string) int {
 	for _, run := range report.Runs {
 		if run.RequestID == requestID {
 			return run.Events
 		}
 	}
-	return notRunning
+	return ending.NotListed
 }
 
-// notRunning is in place of a number of events that the run of a request is not in a report.
-const notRunning = -1
-
 // HeaderCodec reads and writes the headers of the platform's protocol.
 type HeaderCodec interface {
 	ParseRequest(header http.Header) (RequestInfo, error)
@@ -154,6 +151,8 @@
 	// Pacer keeps to the rates that backend servers accept.
 	Pacer *pacer.Pacer
 	Pick  pick.Options
+	// TrustedServices holds the services whose responses may end with their connection.
+	TrustedServices map[string]bool
 	// ConnectionShare returns this host's share of a server's connection limit.
 	ConnectionShare func(limit int) int
 	// Budget limits the bytes of requests and responses that the host holds.
@@ -183,11 +182,12 @@
 	inFlightByRank [fleet.RankCount]atomic.Int64
 	// ending holds the servers that can't be asked which process they are.
 	ending *ending.Silent
+	probes *probes
 }
 
 // New returns a Handler.
 func New(options Options) *Handler {
-	handler := &Handler{options: options, startedAt: time.Now(), ending: ending.NewSilent()}
+	handler := &Handler{options: options, startedAt: time.Now(), ending: ending.NewSilent(), probes: newProbes()}
 	handler.stopping, handler.stop = context.WithCancel(context.Background())
 	return handler
 }
@@ -250,7 +250,11 @@
 	serverID string
 	// responseStarted: a part of a response has been written to the caller.
 	responseStarted bool
-	events          sequence
+	// isUnframed: that response has neither a length nor chunks.
+	isUnframed bool
+	// isUnproven: nothing shows that the last response is whole, and the request must not run again.
+	isUnproven bool
+	events     sequence
 	// origin is where the stream began that is resumed; nil for a new stream.
 	origin          *origin.Origin
 	firstEventDelay time.Duration
@@ -274,6 +278,8 @@
 	// segments are the body, and length is their length in bytes.
 	segments [][]byte
 	length   int64
+	// isUnframed: the response had neither a length nor chunks, and gets none.
+	isUnframed bool
 	// hold is the memory of a response that is kept; nil for one that is written at once.
 	hold *budget.Hold
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -75,12 +75,22 @@
 	return pipe.Request{Method: http.MethodGet, Target: "/report", Host: "h.example"}
 }
 
+// ParseReport reads when the process started and, if the report names one, a run and its events.
 func (headerCodec) ParseReport(body []byte) front.ServerReport {
-	ms, err := strconv.ParseInt(string(body), 10, 64)
+	fields := strings.Fields(string(body))
+	if len(fields) == 0 {
+		return front.ServerReport{}
+	}
+	ms, err := strconv.ParseInt(fields[0], 10, 64)
 	if err != nil {
 		return front.ServerReport{}
 	}
-	return front.ServerReport{Started: time.UnixMilli(ms)}
+	report := front.ServerReport{Started: time.UnixMilli(ms)}
+	if len(fields) == 3 {
+		events, _ := strconv.Atoi(fields[2])
+		report.Runs = []front.ServerRun{{RequestID: fields[1], Events: events}}
+	}
+	return report
 }
 
 func (headerCodec) SetRetryAfter(header http.Header, after time.Duration) {
@@ -119,6 +129,8 @@
 	asked atomic.Int64
 	// whileDialing is called before each connection to a backend server is opened.
 	whileDialing func()
+	// trusted holds the services whose responses may end with their connection.
+	trusted map[string]bool
 	// scriptsHealth: the responders answer on the health path, too. Else servers name their ID there.
 	scriptsHealth bool
 
@@ -146,7 +158,7 @@
 
 func newHarness(t *testing.T, change func(*table.Data)) *harness {
 	t.Helper()
-	harness := &harness{t: t, table: &table.Current{}, fleet: fleet.New(), proof: fresh.New(time.Minute), log: &buffer.Buffer{}, servers: map[string]fleet.Server{}, whileDialing: func() {}}
+	harness := &harness{t: t, table: &table.Current{}, fleet: fleet.New(), proof: fresh.New(time.Minute), log: &buffer.Buffer{}, servers: map[string]fleet.Server{}, whileDialing: func() {}, trusted: map[string]bool{}}
 	target := []table.Target{{Service: "engines", Weight: 1}}
 	route := func(name string, kind table.Kind, resumable bool) table.Route {
 		return table.Route{
@@ -175,7 +187,7 @@
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
 		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, VersionRecords: harness.records, Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
-		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{}, Budget: harness.budget,
+		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{}, Budget: harness.budget, TrustedServices: harness.trusted,
 	})
 	harness.server = httptest.NewServer(harness.handler)
 	t.Cleanup(harness.server.Close)
@@ -192,6 +204,12 @@
 	harness.table.Adopt(built)
 }
 
+// trustEnds lets responses end with their connection.
+func (harness *harness) trustEnds() *harness {
+	harness.trusted["engines"] = true
+	return harness
+}
+
 func (harness *harness) askOrigin(uint64) { harness.asked.Add(1) }
 
 // responder responds to one request on a connection.
--- a/io/front/memory_test.go
+++ b/io/front/memory_test.go
@@ -44,7 +44,14 @@
 		"foreign":     "HTTP/1.1 200 OK\r\nX-Id: other\r\n" + long + "Content-Length: 4\r\n\r\nbody",
 	} {
 		t.Run(name, func(t *testing.T) {
-			harness := newHarness(t, nil)
+			if name == "until close" || name == "stream" || name == "cut stream" {
+				harness := newHarness(t, nil)
+				harness.addServer("a", answerAndClose(answer))
+				got := harness.post("/safe/", large)
+				require.True(t, got.err != nil || got.status == http.StatusBadGateway, "the end of a connection proves nothing by default")
+				harness.requireAllGivenBack()
+			}
+			harness := newHarness(t, nil).trustEnds()
 			harness.addServer("a", answerAndClose(answer))
 			harness.addServer("b", answerAndClose(answer))
 			got := harness.post("/safe/", large)
--- /dev/null
+++ b/io/front/probes.go
@@ -0,0 +1,42 @@
+package front
+
+import "sync"
+
+// probes runs at most one probe of each process at a time. It is safe for concurrent use.
+type probes struct {
+	mutex sync.Mutex
+	// running holds the processes that are probed, and whether another probe must follow, because
+	// its reason is newer than the start of the one that runs.
+	running map[string]bool
+}
+
+func newProbes() *probes { return &probes{running: map[string]bool{}} }
+
+// start runs a probe of a process in the background, after the one that runs already.
+func (probes *probes) start(process string, probe func()) {
+	probes.mutex.Lock()
+	defer probes.mutex.Unlock()
+	if _, found := probes.running[process]; found {
+		probes.running[process] = true
+		return
+	}
+	probes.running[process] = false
+	go func() {
+		for again := true; again; again = probes.mustRepeat(process) {
+			probe()
+		}
+	}()
+}
+
+// mustRepeat reports whether another probe must follow the one that has ended.
+func (probes *probes) mustRepeat(process string) bool {
+	probes.mutex.Lock()
+	defer probes.mutex.Unlock()
+	again := probes.running[process]
+	if again {
+		probes.running[process] = false
+	} else {
+		delete(probes.running, process)
+	}
+	return again
+}
--- a/io/front/process_test.go
+++ b/io/front/process_test.go
@@ -146,11 +146,14 @@
 		{"/resume/", eventStream, events(1, 3)},
 		{"/once/", "Content-Type: text/plain", "a part"},
 	} {
-		harness := newHarness(t, nil)
-		var server net.Listener
-		server = harness.addServer("a", endsWithItsServer(&server, test.contentType, test.body))
-		got := harness.post(test.path, "x")
-		require.True(t, got.err != nil || got.status == http.StatusBadGateway, test.path)
+		for _, trusted := range []bool{false, true} {
+			harness := newHarness(t, nil)
+			harness.trusted["engines"] = trusted
+			var server net.Listener
+			server = harness.addServer("a", endsWithItsServer(&server, test.contentType, test.body))
+			got := harness.post(test.path, "x")
+			require.True(t, got.err != nil || got.status == http.StatusBadGateway, test.path)
+		}
 	}
 	harness := newHarness(t, nil)
 	var first, second net.Listener
@@ -173,15 +176,23 @@
 // Guards against responses that end with their connection and leave no line that says why they
 // count as whole.
 func TestEndWithAConnectionIsLogged(t *testing.T) {
-	harness := newHarness(t, withReports)
-	harness.addServer("a", reporting(1, func(request *http.Request, conn net.Conn) {
-		writeResponse(conn, 200, request.Header.Get("X-Id"), []string{signed, eventStream}, events(1, 3))
-		_ = conn.Close()
-	}))
-	harness.startedAt("a", 1)
-	got := harness.post("/stream/", "x", "X-Id", "the-id")
-	require.NoError(t, got.err)
-	require.Regexp(t, `"event_name":"response_end_judged".*"outcome":"registered".*"request_id":"the-id".*"verdict":"whole"`, harness.log.String())
+	for _, trusted := range []bool{true, false} {
+		harness := newHarness(t, withReports)
+		harness.trusted["engines"] = trusted
+		harness.addServer("a", reporting(1, func(request *http.Request, conn net.Conn) {
+			writeResponse(conn, 200, request.Header.Get("X-Id"), []string{signed, eventStream}, events(1, 3))
+			_ = conn.Close()
+		}))
+		harness.startedAt("a", 1)
+		got := harness.post("/stream/", "x", "X-Id", "the-id")
+		if trusted {
+			require.NoError(t, got.err)
+			require.Regexp(t, `"event_name":"response_end_judged".*"outcome":"registered".*"request_id":"the-id".*"verdict":"whole"`, harness.log.String())
+			continue
+		}
+		require.Error(t, got.err)
+		require.Regexp(t, `"case":"untrusted".*"event_name":"response_end_judged".*"outcome":"unasked","remedy":"break_off","request_id":"the-id".*"verdict":"unknown"`, harness.log.String())
+	}
 }
 
 // Guards against a stream that goes on at a process which has just started under the ID of another one and can't report yet.
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -55,7 +55,8 @@
 		return
 	}
 	copyHeader(call.writer.Header(), response.Header)
-	call.writer.WriteHeader(response.StatusCode)
+	call.isUnframed = !isDelimited(response) && call.trustsEnds(exchange.server)
+	call.writeHead(response.StatusCode)
 	call.responseStarted = true
 	call.recordOrigin(exchange.server)
 }
--- a/io/front/stream_test.go
+++ b/io/front/stream_test.go
@@ -101,17 +101,20 @@
 }
 
 // Guards against a stream without a length that ends inside an event and looks complete, and
-// against one that is cut off although it ends between events.
+// against one of a trusted service that is cut off although it ends between events.
 func TestStreamThatEndsWithItsConnection(t *testing.T) {
 	for tail, whole := range map[string]bool{"": true, "id: 4\nda": false, "id: 4\ndata: token 4\n": false} {
-		harness := newHarness(t, nil)
-		harness.addServer("a", func(request *http.Request, conn net.Conn) {
-			writeResponse(conn, 200, request.Header.Get("X-Id"), []string{signed, eventStream}, events(1, 3)+tail)
-			_ = conn.Close()
-		})
-		got := harness.post("/stream/", "x")
-		require.Equal(t, whole, got.err == nil, "%q", tail)
-		require.Equal(t, events(1, 3), got.body)
+		for _, trusted := range []bool{true, false} {
+			harness := newHarness(t, nil)
+			harness.trusted["engines"] = trusted
+			harness.addServer("a", func(request *http.Request, conn net.Conn) {
+				writeResponse(conn, 200, request.Header.Get("X-Id"), []string{signed, eventStream}, events(1, 3)+tail)
+				_ = conn.Close()
+			})
+			got := harness.post("/stream/", "x")
+			require.Equal(t, whole && trusted, got.err == nil, "%q", tail)
+			require.Equal(t, events(1, 3), got.body)
+		}
 	}
 }
 
--- a/io/front/suspect_test.go
+++ b/io/front/suspect_test.go
@@ -73,7 +73,15 @@
 // Guards against taking responses that end with their connection for a sign that their
 // request is harmless: a server that crashes ends them in the same way.
 func TestCrashThatLooksLikeTheEndOfAResponse(t *testing.T) {
+	for _, trusted := range []bool{true, false} {
+		t.Run(fmt.Sprint("trusted ", trusted), func(t *testing.T) { testCrashAtTheEnd(t, trusted) })
+	}
+}
+
+func testCrashAtTheEnd(t *testing.T, trusted bool) {
+	t.Helper()
 	harness := newHarness(t, nil)
+	harness.trusted["engines"] = trusted
 	const engines = 10
 	for index := range engines {
 		harness.addStoppableServer(fmt.Sprintf("engine-%d", index), func(request *http.Request, conn net.Conn, stop func()) {
--- a/io/front/unproven_test.go
+++ b/io/front/unproven_test.go
@@ -54,7 +54,7 @@
 // Guards against the end of a response that is dated by when the host reads it: while the caller does
 // not read, the server's process ends, and one that only names the same ID starts at its address.
 func TestSlowCallerDoesNotHideThatTheProcessStartedAgain(t *testing.T) {
-	harness := newHarness(t, nil)
+	harness := newHarness(t, nil).trustEnds()
 	listener := harness.addServer("a", respondUntilEnd(200, events(1, 3), eventStream))
 	harness.server.Config.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		harness.handler.ServeHTTP(&blockedWriter{ResponseWriter: writer, block: func() {
@@ -79,8 +79,9 @@
 
 // Guards against an error response that counts as whole though its process ended in the middle.
 func TestErrorThatEndsWithItsProcessIsNotWhole(t *testing.T) {
-	for _, status := range []int{http.StatusBadRequest, http.StatusInternalServerError} {
+	for number, status := range []int{http.StatusBadRequest, http.StatusInternalServerError, http.StatusBadRequest, http.StatusInternalServerError} {
 		harness := newHarness(t, nil)
+		harness.trusted["engines"] = number >= 2
 		var listener net.Listener
 		part := `{"error": {"message": "the prom`
 		listener = harness.addServer("a", func(request *http.Request, conn net.Conn) {
