io/front: one crash behind several unframed responses counts as one failure

Cause: each unproven end of a process that can't be reached had a probe of its own, and each refused probe made the suspension of the server longer.

Change: a process that a probe can't reach is not probed again for 500 ms, as after broken responses (core/poison, sameCrashWindow).

Conclusion: a crash suspends a server as long as a crash behind framed responses.

--- a/io/front/cutrun_test.go
+++ b/io/front/cutrun_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -117,3 +118,27 @@
 	require.Error(t, harness.post("/stream/", "x").err)
 	require.Eventually(t, func() bool { return strings.Contains(harness.log.String(), "server_crashed") }, time.Second, time.Millisecond)
 }
+
+// Guards against a suspension that grows with each of the responses that one crash has cut.
+func TestCrashBehindUnframedResponsesCountsOnce(t *testing.T) {
+	harness := newHarness(t, nil)
+	var group sync.WaitGroup
+	const requests = 8
+	release, began := make(chan struct{}), make(chan struct{}, requests)
+	harness.addStoppableServer("a", func(request *http.Request, conn net.Conn, stop func()) {
+		began <- struct{}{}
+		<-release
+		stop()
+		respondUntilEnd(200, events(1, 3), eventStream)(request, conn)
+	})
+	for number := range requests {
+		group.Go(func() { harness.post("/stream/", "x", "X-Id", fmt.Sprint("id-", number)) })
+	}
+	for range requests {
+		<-began
+	}
+	close(release)
+	group.Wait()
+	require.Eventually(t, func() bool { return strings.Contains(harness.log.String(), "server_crashed") }, time.Second, time.Millisecond)
+	require.Equal(t, 1, strings.Count(harness.log.String(), "server_suspended"), harness.log.String())
+}
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -89,7 +89,7 @@
 	call.handler.options.Fleet.DoubtProcess(server.ID)
 	call.handler.options.CrashDetector.ObserveAmbiguousEnd(connectionKey(server), call.features(), exchange.started, time.Now())
 	handler, limit, reportsProcess := call.handler, call.connectionLimit(server), call.reportsProcess(server)
-	handler.probes.start(connectionKey(server), func() { handler.probe(server, limit, reportsProcess) })
+	handler.probes.start(connectionKey(server), func() bool { return handler.probe(server, limit, reportsProcess) })
 	return exchange.logAttempt(work.Broken, 0, fault.New("front.prove_end", pipe.Lost, "nothing shows that the response is whole"))
 }
 
--- a/io/front/probes.go
+++ b/io/front/probes.go
@@ -1,6 +1,13 @@
 package front
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
+
+// unreachablePause is how long a process that can't be reached is not probed again: the responses
+// that its end cut must count as one failure.
+const unreachablePause = 500 * time.Millisecond
 
 // probes runs at most one probe of each process at a time. It is safe for concurrent use.
 type probes struct {
@@ -12,8 +19,9 @@
 
 func newProbes() *probes { return &probes{running: map[string]bool{}} }
 
-// start runs a probe of a process in the background, after the one that runs already.
-func (probes *probes) start(process string, probe func()) {
+// start runs a probe of a process in the background, after the one that runs already. Probe returns
+// false if the process can't be reached.
+func (probes *probes) start(process string, probe func() bool) {
 	probes.mutex.Lock()
 	defer probes.mutex.Unlock()
 	if _, found := probes.running[process]; found {
@@ -22,9 +30,15 @@
 	}
 	probes.running[process] = false
 	go func() {
-		for again := true; again; again = probes.mustRepeat(process) {
-			probe()
+		for probe() {
+			if !probes.mustRepeat(process) {
+				return
+			}
 		}
+		time.Sleep(unreachablePause)
+		probes.mutex.Lock()
+		defer probes.mutex.Unlock()
+		delete(probes.running, process)
 	}()
 }
 
--- a/io/front/suspect.go
+++ b/io/front/suspect.go
@@ -63,16 +63,19 @@
 }
 
 // probe connects to a server whose response broke off and keeps the connection for
-// the next request. It detects a crash at once, without delaying a request.
-func (handler *Handler) probe(server fleet.Server, limit int, reportsProcess bool) {
+// the next request. It detects a crash at once, without delaying a request. It returns false if the
+// server can't be reached.
+func (handler *Handler) probe(server fleet.Server, limit int, reportsProcess bool) bool {
 	conn, err := handler.options.Pool.Get(context.Background(), connectionKey(server), server.Address, limit)
 	if err == nil {
 		handler.releaseProbe(conn, server, reportsProcess)
-		return
+		return true
 	}
 	if fault.Is(err, pipe.Unreachable) {
 		handler.recordUnreachable(server, err)
+		return false
 	}
+	return true
 }
 
 // releaseProbe keeps the connection of a probe, unless another process may be at its other end.
