io/front: long responses are passed on while they are read

Cause: every response that is no stream was read whole, up to 1 MiB, before its caller got a byte. A longer one was a 502 after its request had run, and an engine whose responses together reached its share of the memory budget had sound ones refused. A slow caller took further megabytes of its response in the kernel's buffers of the host.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -27,8 +27,8 @@
 	maxForeignBytes = 64 << 10
 	// maxDiscardTime limits how long such a body may take, because the caller waits.
 	maxDiscardTime = 200 * time.Millisecond
-	// maxBufferedBytes limits the size of a response that is not a stream. An
-	// attempt with a longer one fails.
+	// maxBufferedBytes limits the size of a response that is neither a stream nor can be
+	// passed on while it is read. An attempt with a longer one fails.
 	maxBufferedBytes = 1 << 20
 )
 
@@ -213,9 +213,13 @@
 }
 
 // relayBuffered reads the complete response before writing it to the caller, so
-// that a truncated one can be retried or reported as an error.
+// that a truncated one can be retried or reported as an error. One that can be passed on
+// while it is read is, if it is long.
 func (exchange *exchange) relayBuffered(response pipe.Response, success bool) work.Result {
 	call := exchange.call
+	if exchange.mayPassThrough(response) {
+		return exchange.passThrough(response, success)
+	}
 	segments, length, err := exchange.readBody(response)
 	if err != nil {
 		exchange.conn.Discard()
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -89,6 +89,9 @@
 
 // mayGoOn reports whether another server can go on after what the caller has received.
 func (call *call) mayGoOn() bool {
+	if call.bodyStarted {
+		return false
+	}
 	return call.events.count == 0 || call.work.Route.Resumable && call.events.mayResume()
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -250,7 +250,9 @@
 	serverID string
 	// responseStarted: a part of a response has been written to the caller.
 	responseStarted bool
-	events          sequence
+	// bodyStarted: that part is of a response that is no stream. No other server can go on with it.
+	bodyStarted bool
+	events      sequence
 	// origin is where the stream began that is resumed; nil for a new stream.
 	origin          *origin.Origin
 	firstEventDelay time.Duration
--- a/io/front/memory.go
+++ b/io/front/memory.go
@@ -72,6 +72,17 @@
 	return count, false, nil
 }
 
+// readSome reads at least one byte unless the body ends.
+func readSome(body io.Reader, buffer []byte) (count int, ended bool, err error) {
+	for count == 0 && err == nil {
+		count, err = body.Read(buffer)
+	}
+	if err == io.EOF {
+		return count, true, nil
+	}
+	return count, false, err
+}
+
 // writeSegments writes a body to the caller.
 func (call *call) writeSegments(segments [][]byte) {
 	for _, segment := range segments {
