io/pipe: interim responses do not end the sending of a request

Cause: any byte that arrived while a request was written ended the writing. A server that says 100 Continue, or 103, while a long body is on its way got a cut request, and the connection was closed. Change: the goroutine that watches the connection reads interim responses (not 101) and goes on watching. A final response, garbage, or more than 64 KiB of interim responses end the writing as before, and then the connection is not used again.

--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -38,11 +38,14 @@
 	// watch that the response has been read.
 	readable chan struct{}
 	rearm    chan struct{}
+	// interimErr is why the interim responses before the next response are no valid ones. It is set
+	// before readable is told.
+	interimErr error
 
 	mutex   sync.Mutex
 	inUse   bool
 	writing bool
-	// earlyResponse: bytes arrived while the request was being written.
+	// earlyResponse: bytes that are no interim response arrived while the request was being written.
 	earlyResponse bool
 	closed        bool
 }
@@ -55,6 +58,9 @@
 	defer conn.raw.Close()
 	for {
 		_, err := conn.reader.Peek(1)
+		if err == nil && conn.isWriting() {
+			conn.interimErr = conn.skipInterim()
+		}
 		conn.mutex.Lock()
 		if !conn.inUse {
 			closedHere := conn.closed || errors.Is(err, net.ErrClosed)
@@ -227,6 +233,9 @@
 // interim (1xx) ones. It fails with Lost, or with Malformed, also if the headers of all
 // these responses are longer than maxHeaderBytes.
 func (conn *Conn) NextResponse(method string) (Response, error) {
+	if conn.interimErr != nil {
+		return Response{}, conn.interimErr
+	}
 	conn.limiter.limit(maxHeaderBytes)
 	defer conn.limiter.lift()
 	for {
