--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -77,7 +77,7 @@
 // progress returns what decides about the request if a response is not whole.
 func (call *call) progress() ending.Progress {
 	return ending.Progress{
-		Delivered: call.events.count > 0, Resumable: call.work.Route.Resumable,
+		Delivered: call.events.count > 0 || call.bodyStarted, Resumable: call.work.Route.Resumable && !call.bodyStarted,
 		Provable: call.events.mayResume(), Repeatable: call.work.Route.Repeatable(),
 	}
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -254,7 +254,9 @@
 	isUnframed bool
 	// isUnproven: nothing shows that the last response is whole, and the request must not run again.
 	isUnproven bool
-	events     sequence
+	// bodyStarted: that part is of a response that is no stream. No other server can go on with it.
+	bodyStarted bool
+	events      sequence
 	// origin is where the stream began that is resumed; nil for a new stream.
 	origin          *origin.Origin
 	firstEventDelay time.Duration
