io/front: streams whose event IDs are no numbers are not gone on with by the host

Cause: that a server goes on after the last event is checked by the next number. With other IDs nothing was checked, so that a server which ignores Last-Event-Id sent the stream again behind its first part, or behind what a caller that takes it up has.

Change: a host goes on by itself only after an event whose ID is a number. What a caller gets that takes a stream up after another ID may not hold that event again, and its first event's ID is a number only if the last one was.

Conclusion: a replay from the first event is passed on to a caller that takes a stream up until the event comes that it has; it then ends as broken. Such IDs allow no more.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -371,7 +371,7 @@
 	call.work.Parts = call.info.Parts
 	call.work.Service = call.pickService(route)
 	if route.Resumable && !call.responseStarted {
-		call.events.lastID = call.info.LastEventID
+		call.events.lastID, call.events.takenUpAfter = call.info.LastEventID, call.info.LastEventID
 	}
 	call.work.LowestPriority = current.Bulk(route, call.work.Service)
 	call.work.Deadline = call.deadline(route)
--- a/io/front/sequence.go
+++ b/io/front/sequence.go
@@ -9,8 +9,9 @@
 )
 
 // sequence tracks the events of a stream, so that no event is delivered twice or left out
-// when the stream is resumed at another server, and nothing else is delivered. IDs must
-// increase by one; IDs that are not numbers are not checked.
+// when the stream is resumed at another server, and nothing else is delivered. Numbers as IDs must
+// increase by one. Of other IDs it is only checked that the event after which a caller takes the stream
+// up does not come again.
 type sequence struct {
 	// lastID is the ID of the last delivered event, as the server sent it.
 	lastID string
@@ -20,10 +21,16 @@
 	unnumbered bool
 	// resumed: the next event must have an ID, which shows that a server goes on after lastID.
 	resumed bool
+	// takenUpAfter is the ID of the event after which the caller takes the stream up.
+	takenUpAfter string
 }
 
-// mayResume reports whether a server can tell where to go on after the delivered events.
-func (sequence sequence) mayResume() bool { return sequence.lastID != "" && !sequence.unnumbered }
+// mayResume reports whether a server can tell where to go on after the delivered events, and whether
+// it can be checked that it does: a server that ignores the ID may send the stream again.
+func (sequence sequence) mayResume() bool {
+	_, err := strconv.ParseInt(sequence.lastID, 10, 64)
+	return err == nil && !sequence.unnumbered
+}
 
 // advance checks complete events and returns the sequence after them and their length. It fails
 // with pipe.Malformed when an event is out of order, or when the data are no events; the sequence
@@ -52,7 +59,7 @@
 func (sequence *sequence) add(event streamEvent) error {
 	switch {
 	case event.hasID:
-		if !isNextID(sequence.lastID, event.id) {
+		if !sequence.mayFollow(event.id) {
 			return fault.New("front.take", pipe.Malformed, "event "+event.id+" after event "+sequence.lastID)
 		}
 		sequence.lastID, sequence.unnumbered, sequence.resumed = event.id, false, false
@@ -106,11 +113,18 @@
 	return true
 }
 
-func isNextID(lastID, id string) bool {
-	lastNumber, err := strconv.ParseInt(lastID, 10, 64)
-	if err != nil {
+// mayFollow reports whether an event with an ID may come next. Where a stream goes on, the ID must be
+// a number if the last one is, and must not be if that is not.
+func (sequence *sequence) mayFollow(id string) bool {
+	lastNumber, lastErr := strconv.ParseInt(sequence.lastID, 10, 64)
+	number, err := strconv.ParseInt(id, 10, 64)
+	switch {
+	case sequence.lastID == "":
 		return true
+	case id != "" && id == sequence.takenUpAfter:
+		return false
+	case sequence.resumed && (lastErr == nil) != (err == nil):
+		return false
 	}
-	number, err := strconv.ParseInt(id, 10, 64)
-	return err != nil || number == lastNumber+1
+	return lastErr != nil || err != nil || number == lastNumber+1
 }
