io/plain: answers that end with their connection are lost, or passed on as they came

Cause: serve gave out the text of an error with neither a length nor chunks as whole, and had no way to use a service that never frames its answers.

Change: io/plain decides by core/ending, for errors as for successes: by default such an answer is Broken, so the call runs again if it may, else the caller gets 502. services[].trust_connection_ends in the document counts it as whole, as the protocol has no question; io/entry passes it on with neither, also when the ledger replays it. Over HTTP/2 the end of the stream can't be left out.

Tests: the row 'an error' of TestAnswerThatEndsWithItsConnectionIsNotComplete asserted that a 404 without framing is given out; that holds for trusted services, and by default it is Broken. All rows run with and without the setting.

Conclusion: gateway and serve decide alike.

--- a/core/spec/document.go
+++ b/core/spec/document.go
@@ -121,6 +121,9 @@
 	RepeatableMethods []string `json:"repeatable_methods"`
 	// TimeoutMs bounds one call, in milliseconds.
 	TimeoutMs int `json:"timeout_ms"`
+	// TrustConnectionEnds: answers with neither a length nor chunks count as whole when their
+	// connection ends. Cut ones can't be told from whole ones.
+	TrustConnectionEnds bool `json:"trust_connection_ends,omitempty"`
 }
 
 // Operator may change and read the environment's state.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -366,14 +366,10 @@
 // writeHead writes the head of a response. One that ended with its connection ends so for the caller,
 // too: neither a length nor a last chunk says more than this host knows.
 func (call *call) writeHead(status int) {
-	if !call.isUnframed {
-		call.writer.WriteHeader(status)
-		return
+	if call.isUnframed {
+		call.writer.Header().Set("Transfer-Encoding", "identity")
 	}
-	call.writer.Header().Set("Transfer-Encoding", "identity")
 	call.writer.WriteHeader(status)
-	// Without a flush, net/http gives a short body a length. An error means that the caller has gone.
-	_ = http.NewResponseController(call.writer).Flush()
 }
 
 // recordResponse logs a request to which a server has responded and records it in
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -60,6 +60,8 @@
 // Answer is what the service said.
 type Answer struct {
 	Status int
+	// Header has Transfer-Encoding: identity if the answer had neither a length nor chunks, and must be
+	// passed on so: its service is trusted to end answers with their connection.
 	Header http.Header
 	Body   []byte
 	// URL is the address that answered.
@@ -124,7 +126,7 @@
 	var err error
 	for try := range maximumTries {
 		address := target.URLs[(first+uint64(try))%uint64(len(target.URLs))]
-		answer, err = service.once(ctx, address, call)
+		answer, err = service.once(ctx, address, target.TrustConnectionEnds, call)
 		answer.Tries = try + 1
 		if !again(answer, err, repeatable) || !service.wait(ctx, try) {
 			break
@@ -183,7 +185,7 @@
 	}
 }
 
-func (service *Service) once(ctx context.Context, address string, call Call) (Answer, error) {
+func (service *Service) once(ctx context.Context, address string, trusted bool, call Call) (Answer, error) {
 	const op = "plain.do"
 	target := strings.TrimSuffix(address, "/") + "/" + call.Path
 	if call.Query != "" {
@@ -208,23 +210,22 @@
 	if len(body) > maximumAnswerBytes {
 		return Answer{URL: address}, fault.New(op, Oversized, "the answer is larger than 4 MiB")
 	}
-	if !isWhole(response, call.Method) {
-		return Answer{URL: address}, fault.New(op, Broken, "the answer has neither a length nor chunks, and nothing shows that it is whole")
+	header := passed(response.Header)
+	if call.Method != http.MethodHead {
+		evidence := ending.Evidence{Framing: framing(response), Trusted: trusted, Outcome: ending.NoQuestion, RunEvents: ending.NotListed}
+		if reason, verdict := evidence.Judge(); verdict != ending.Whole {
+			return Answer{URL: address}, fault.New(op, Broken, "nothing shows that the answer is whole: "+string(reason))
+		}
+		if evidence.Framing == ending.Connection {
+			header.Set("Transfer-Encoding", "identity")
+		}
 	}
-	return Answer{Status: response.StatusCode, Header: passed(response.Header), Body: body, URL: address}, nil
+	return Answer{Status: response.StatusCode, Header: header, Body: body, URL: address}, nil
 }
 
-// isWhole reports whether the end of an answer is proven. Plain services have no question by which
-// they say which process they are, so that an answer that ends with its connection proves nothing:
-// its process may have ended in the middle. Only successes must be whole: the status of an error
-// counts without its text.
-func isWhole(response *http.Response, method string) bool {
-	isSuccess := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
-	if !isSuccess || method == http.MethodHead {
-		return true
-	}
-	evidence := ending.Evidence{Framing: ending.FramingOf(response.ContentLength, len(response.TransferEncoding) > 0), Outcome: ending.Unasked}
-	return evidence.Verdict() == ending.Whole
+// framing returns what shows where an answer ends.
+func framing(response *http.Response) ending.Framing {
+	return ending.FramingOf(response.ContentLength, len(response.TransferEncoding) > 0)
 }
 
 // keepSingle stops net/http from sending a request again by itself, whatever connection
