--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -248,7 +248,7 @@
 // ServerSuspended reports that a backend server could not be reached or broke a
 // connection; it temporarily gets no requests.
 func ServerSuspended() Event {
-	return Event{1944, "server_suspended", logrus.WarnLevel, "fleet", "A backend server could not be reached or broke a connection; it temporarily gets no requests."}
+	return Event{1944, "server_suspended", logrus.WarnLevel, "fleet", "A backend server could not be reached, broke a connection, or kept requests until their deadlines without serving them; it temporarily gets no requests."}
 }
 
 // ServerCrashed reports that a backend server cut off responses and then refused
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -83,6 +83,10 @@
 	// Mute is set if the server does not say which process it is.
 	Mute bool
 
+	// probationUntil is until when the server gets one request at a time, after a suspension by
+	// RecordTrickle.
+	probationUntil time.Time
+
 	announcement announcement
 	declineRate  float64
 	declinedAt   time.Time
@@ -99,7 +103,9 @@
 }
 
 // Suspended reports whether the server is suspended because of failures.
-func (member *Member) Suspended(now time.Time) bool { return now.Before(member.SuspendedUntil) }
+func (member *Member) Suspended(now time.Time) bool {
+	return now.Before(member.SuspendedUntil) || now.Before(member.probationUntil) && member.Own.Running > 0
+}
 
 // usable reports whether the registration permits sending requests to the
 // server. It ignores suspension.
@@ -315,7 +321,7 @@
 func (fleet *Fleet) RecordSuccess(id string) {
 	fleet.update(id, func(member *Member) {
 		member.ConsecutiveFailures = 0
-		member.SuspendedUntil = time.Time{}
+		member.SuspendedUntil, member.probationUntil = time.Time{}, time.Time{}
 		member.FailureRate *= 1 - failureRateAlpha
 		member.declineRate *= 1 - declineRateAlpha
 	})
@@ -342,6 +348,18 @@
 	fleet.update(id, func(member *Member) { member.recordSuspendingFailure(now, suspendAfterBroken) })
 }
 
+// RecordTrickle records that a server kept a request until its deadline without serving it, and
+// suspends it for a time, unless that is 0. For as long afterwards, until a success, it gets one
+// request at a time: each one shows only at its deadline whether the server serves again.
+func (fleet *Fleet) RecordTrickle(id string, pause time.Duration, now time.Time) {
+	fleet.update(id, func(member *Member) {
+		member.FailureRate += failureRateAlpha * (1 - member.FailureRate)
+		if pause > 0 {
+			member.SuspendedUntil, member.probationUntil = now.Add(pause), now.Add(2*pause)
+		}
+	})
+}
+
 // recordSuspendingFailure counts a failure and suspends the server once the
 // number of consecutive failures reaches the threshold.
 func (member *Member) recordSuspendingFailure(now time.Time, threshold int) {
@@ -351,7 +369,9 @@
 		return
 	}
 	pause := suspensionBase << min(member.ConsecutiveFailures-threshold, 8)
-	member.SuspendedUntil = now.Add(min(pause, suspensionMax))
+	if until := now.Add(min(pause, suspensionMax)); until.After(member.SuspendedUntil) {
+		member.SuspendedUntil = until
+	}
 }
 
 // update calls change for a server under the mutex. Unknown servers are ignored.
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -51,6 +51,7 @@
 	// reusable: the whole request was sent, and no response to another request was
 	// received, so the connection may be reused.
 	reusable bool
+	progress progress
 	// hold is the memory of the response.
 	hold *budget.Hold
 }
@@ -296,6 +297,7 @@
 func (exchange *exchange) recordProvenEnd() {
 	exchange.call.handler.recordAlive(exchange.server)
 	exchange.call.recordHarmless()
+	exchange.recordPart()
 }
 
 // failAttempt ends an attempt without a valid response. It counts as a failure of
@@ -316,6 +318,7 @@
 		call.handler.logSuspension(exchange.server, err, now)
 	} else {
 		exchange.recordUnanswered(now)
+		exchange.judgeDeadline(now)
 	}
 	return exchange.logAttempt(work.Broken, 0, err)
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -27,6 +27,7 @@
 	"primrosegw/core/poison"
 	"primrosegw/core/retry"
 	"primrosegw/core/table"
+	"primrosegw/core/trickle"
 	"primrosegw/core/work"
 	"primrosegw/io/meter"
 	"primrosegw/io/pipe"
@@ -183,11 +184,13 @@
 	inFlightByRank [fleet.RankCount]atomic.Int64
 	// ending holds the servers that can't be asked which process they are.
 	ending *ending.Silent
+	// trickle finds servers that keep requests until their deadlines.
+	trickle *trickle.Judge
 }
 
 // New returns a Handler.
 func New(options Options) *Handler {
-	handler := &Handler{options: options, startedAt: time.Now(), ending: ending.NewSilent()}
+	handler := &Handler{options: options, startedAt: time.Now(), ending: ending.NewSilent(), trickle: trickle.New()}
 	handler.stopping, handler.stop = context.WithCancel(context.Background())
 	return handler
 }
--- a/io/front/passthrough.go
+++ b/io/front/passthrough.go
@@ -28,8 +28,6 @@
 	// read is the number of bytes that were read.
 	read  int64
 	ended bool
-	// held is the time for which the caller kept the server waiting.
-	held time.Duration
 }
 
 // mayPassThrough reports whether a response can be passed on before it is whole: its end shows
@@ -180,9 +178,9 @@
 		return err
 	}
 	if took := time.Since(started); took >= minReadWait && !passage.ended {
-		passage.held += took
+		passage.progress.callerHeld += took
 		deadline := passage.call.work.Deadline
-		passage.conn.SetReadDeadline(deadline.Add(min(responseGrace+passage.held, callerReadGrace)))
+		passage.conn.SetReadDeadline(deadline.Add(min(responseGrace+passage.progress.callerHeld, callerReadGrace)))
 	}
 	return nil
 }
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -69,6 +69,7 @@
 		startedAt := time.Now()
 		err := pending.fill(response.Body)
 		exchange.unreadFor += startedAt.Sub(lastRead)
+		exchange.progress.callerHeld += startedAt.Sub(lastRead)
 		lastRead = time.Now()
 		if lastRead.Sub(startedAt) >= minReadWait {
 			// There was nothing to read before, so the connection was still open.
@@ -125,10 +126,13 @@
 	call.events = advanced
 	exchange.startResponse(response)
 	if _, err := call.writer.Write(data[:length]); err != nil {
+		exchange.progress.callerFailed = true
 		return err
 	}
 	if err := http.NewResponseController(call.writer).Flush(); err != nil {
+		exchange.progress.callerFailed = true
 		return err
 	}
+	exchange.recordPart()
 	return malformed
 }
--- a/io/pipe/limiter.go
+++ b/io/pipe/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"sync/atomic"
 
 	"primrosegw/core/fault"
 )
@@ -11,9 +12,11 @@
 // the standard library reads the headers of a response without one. It is not safe for
 // concurrent use.
 type limiter struct {
-	reader  io.Reader
-	limited bool
-	left    int
+	reader io.Reader
+	// received is the number of bytes read so far. It may be read at any time.
+	received atomic.Int64
+	limited  bool
+	left     int
 	// recording: what is read is added to record.
 	recording bool
 	record    []byte
@@ -42,12 +45,15 @@
 // Read implements io.Reader. It fails with Malformed when the limit is exceeded.
 func (limiter *limiter) Read(buffer []byte) (int, error) {
 	if !limiter.limited {
-		return limiter.reader.Read(buffer)
+		count, err := limiter.reader.Read(buffer)
+		limiter.received.Add(int64(count))
+		return count, err
 	}
 	if limiter.left <= 0 {
 		return 0, fault.New("pipe.read", Malformed, "the headers of the response are too long")
 	}
 	count, err := limiter.reader.Read(buffer[:min(len(buffer), limiter.left)])
+	limiter.received.Add(int64(count))
 	limiter.left -= count
 	if limiter.take != nil {
 		if takeErr := limiter.take(count); takeErr != nil {
--- a/io/pipe/unread.go
+++ b/io/pipe/unread.go
@@ -6,6 +6,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// Received returns the number of bytes that the server has sent on the connection, as far as they
+// were read.
+func (conn *Conn) Received() int64 { return conn.limiter.received.Load() }
+
 // HasUnread reports whether the server has sent more than was read, as far as that has arrived.
 func (conn *Conn) HasUnread() bool {
 	if conn.reader.Buffered() > 0 {
