io/front: the IDs of a stream's events only have to increase

Cause: an ID that was not the last one plus one ended the stream, at the same server, too. A sound stream whose IDs increase by more was broken at its second event. Change: within a response an increase by any amount is in order. Where another server goes on, the ID may increase by no more than the steps before, if these were the same; if they differ, nothing shows which one is next, and any increase is in order. If no step was seen (a stream that is taken up, or broke off after one event), an increase by one is in order; a larger one only if the next event of the response follows by the same step, so that event is held until then. An only event with a larger step is refused. Measured: TestIDsOfAStreamOnlyHaveToIncrease, TestStreamGoesOnAtTheNextIDOfItsSteps (6 of 12 cases) and TestTakenUpStreamWithLargerSteps failed before and pass. Missing events where steps differ are not found.

--- a/io/front/sequence.go
+++ b/io/front/sequence.go
@@ -10,7 +10,8 @@
 
 // sequence tracks the events of a stream, so that no event is delivered twice or left out
 // when the stream is resumed at another server, and nothing else is delivered. IDs must
-// increase by one; IDs that are not numbers are not checked.
+// increase; IDs that are not numbers are not checked. Where the stream is resumed, the step from the
+// last ID must be no larger than those before, if all of them were the same.
 type sequence struct {
 	// lastID is the ID of the last delivered event, as the server sent it.
 	lastID string
@@ -20,6 +21,9 @@
 	unnumbered bool
 	// resumed: the next event must have an ID, which shows that a server goes on after lastID.
 	resumed bool
+	// step is the step between IDs, 0 if none was seen; mixed if steps differ.
+	step  int64
+	mixed bool
 }
 
 // mayResume reports whether a server can tell where to go on after the delivered events.
@@ -27,7 +31,8 @@
 
 // advance checks complete events and returns the sequence after them and their length. It fails
 // with pipe.Malformed when an event is out of order, or when the data are no events; the sequence
-// and the length are then those of the events before.
+// and the length are then those of the events before. It stops before an event of which only the next
+// one shows whether it is the next.
 func (sequence sequence) advance(data []byte) (next sequence, length int, err error) {
 	var event streamEvent
 	next, read := sequence, 0
@@ -40,6 +45,13 @@
 			}
 			continue
 		}
+		if next.mustSeeNext(event) {
+			following, ended := followingID(data[read:])
+			if !ended {
+				return next, length, nil
+			}
+			next.expectStep(event.id, following)
+		}
 		if err := next.add(event); err != nil {
 			return next, length, err
 		}
@@ -52,7 +64,7 @@
 func (sequence *sequence) add(event streamEvent) error {
 	switch {
 	case event.hasID:
-		if !isNextID(sequence.lastID, event.id) {
+		if !sequence.takeStep(event.id) {
 			return fault.New("front.take", pipe.Malformed, "event "+event.id+" after event "+sequence.lastID)
 		}
 		sequence.lastID, sequence.unnumbered, sequence.resumed = event.id, false, false
@@ -106,11 +118,61 @@
 	return true
 }
 
-func isNextID(lastID, id string) bool {
-	lastNumber, err := strconv.ParseInt(lastID, 10, 64)
-	if err != nil {
+// takeStep reports whether an ID may follow the last one, and notes the step.
+func (sequence *sequence) takeStep(id string) bool {
+	step, known := stepBetween(sequence.lastID, id)
+	if !known {
 		return true
 	}
+	if step <= 0 || sequence.resumed && !sequence.mixed && step > max(sequence.step, 1) {
+		return false
+	}
+	if sequence.step != 0 && step != sequence.step {
+		sequence.mixed = true
+	}
+	sequence.step = step
+	return true
+}
+
+// mustSeeNext reports whether an event can't be judged alone: the stream is resumed after an event
+// before which no step was seen, and the ID increases by more than one.
+func (sequence *sequence) mustSeeNext(event streamEvent) bool {
+	step, known := stepBetween(sequence.lastID, event.id)
+	return event.hasID && sequence.resumed && sequence.step == 0 && known && step > 1
+}
+
+// expectStep sets the step of a resumed stream from its first two IDs.
+func (sequence *sequence) expectStep(first, second string) {
+	if step, known := stepBetween(first, second); known && step > 0 {
+		sequence.step = step
+	}
+}
+
+// followingID returns the ID of the next event that has one, and false if it is not complete.
+func followingID(data []byte) (string, bool) {
+	var event streamEvent
+	for line := range bytes.Lines(data) {
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(line) > 0:
+			if event.addLine(line) != nil {
+				return "", true
+			}
+		case event.hasID:
+			return event.id, true
+		default:
+			event = streamEvent{}
+		}
+	}
+	return "", false
+}
+
+// stepBetween returns the difference of two IDs. It is not known unless both are numbers.
+func stepBetween(lastID, id string) (step int64, known bool) {
+	last, err := strconv.ParseInt(lastID, 10, 64)
+	if err != nil {
+		return 0, false
+	}
 	number, err := strconv.ParseInt(id, 10, 64)
-	return err != nil || number == lastNumber+1
+	return number - last, err == nil
 }
--- /dev/null
+++ b/io/front/sequence_test.go
@@ -0,0 +1,102 @@
+package front_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func eventsWith(ids ...int) string {
+	var text strings.Builder
+	for _, id := range ids {
+		fmt.Fprintf(&text, "id: %d\ndata: token %d\n\n", id, id)
+	}
+	return text.String()
+}
+
+// Guards against sound streams that end because their IDs increase by more than one, and against IDs
+// that do not increase.
+func TestIDsOfAStreamOnlyHaveToIncrease(t *testing.T) {
+	for name, test := range map[string]struct {
+		ids   []int
+		sound int
+	}{
+		"by ten":       {[]int{10, 20, 30}, 3},
+		"by any":       {[]int{1, 2, 7, 100, 101}, 5},
+		"from zero":    {[]int{0, 5, 6}, 3},
+		"repeated":     {[]int{10, 20, 20}, 2},
+		"back":         {[]int{10, 20, 15, 30}, 2},
+		"from another": {[]int{5, 9, 1}, 2},
+	} {
+		harness := newHarness(t, nil)
+		harness.addServer("a", respondWithStream(true, eventsWith(test.ids...)))
+		got := harness.post("/stream/", "x")
+		require.Equal(t, test.sound == len(test.ids), got.err == nil, name)
+		require.Equal(t, eventsWith(test.ids[:test.sound]...), got.body, name)
+	}
+}
+
+// Guards against a missing event where a stream goes on at another server, and against sound streams
+// that are ended there.
+func TestStreamGoesOnAtTheNextIDOfItsSteps(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent, rest []int
+		sound      bool
+	}{
+		"by one":                   {[]int{1, 2, 3}, []int{4, 5}, true},
+		"by one, missing":          {[]int{1, 2, 3}, []int{5, 6}, false},
+		"by ten":                   {[]int{10, 20}, []int{30, 40}, true},
+		"by ten, missing":          {[]int{10, 20}, []int{40, 50}, false},
+		"by ten, repeated":         {[]int{10, 20}, []int{20, 30}, false},
+		"steps differ":             {[]int{3, 7, 20}, []int{60, 61}, true},
+		"steps differ, repeated":   {[]int{3, 7, 20}, []int{20, 61}, false},
+		"one event":                {[]int{10}, []int{20, 30}, true},
+		"one event, missing":       {[]int{10}, []int{30, 40}, false},
+		"one event, by one":        {[]int{1}, []int{2, 3}, true},
+		"one event, missing one":   {[]int{1}, []int{3, 4}, false},
+		"one event, nothing shown": {[]int{10}, []int{20}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, nil)
+			respond := firstThen(respondWithStream(false, eventsWith(test.sent...)), respondWithStream(true, eventsWith(test.rest...)))
+			harness.addServer("a", respond)
+			harness.addServer("b", respond)
+			got := harness.post("/resume/", "x")
+			if test.sound {
+				require.NoError(t, got.err)
+				require.Equal(t, eventsWith(test.sent...)+eventsWith(test.rest...), got.body)
+			} else {
+				require.Error(t, got.err)
+				require.Equal(t, eventsWith(test.sent...), got.body)
+			}
+		})
+	}
+}
+
+// Guards against a stream that is taken up, whose steps its host has not seen, and whose first event
+// is judged before the second one shows them.
+func TestTakenUpStreamWithLargerSteps(t *testing.T) {
+	for rest, sound := range map[[2]int]bool{{40, 50}: true, {50, 60}: false, {31, 32}: true, {32, 33}: false} {
+		harness := newHarness(t, nil)
+		harness.addServer("a", func(request *http.Request, conn net.Conn) {
+			writeResponse(conn, 200, request.Header.Get("X-Id"), []string{signed, eventStream, "Transfer-Encoding: chunked"}, chunk(": comment\n\n"+eventsWith(rest[0])))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(conn, chunk(": comment\n\n"+eventsWith(rest[1]))+"0\r\n\r\n")
+		})
+		got := harness.post("/resume/", "x", "X-Last", "30")
+		if sound {
+			require.NoError(t, got.err)
+			require.Equal(t, 200, got.status, rest)
+			require.Contains(t, got.body, eventsWith(rest[0]))
+			require.Contains(t, got.body, eventsWith(rest[1]))
+		} else {
+			require.Equal(t, http.StatusBadGateway, got.status, rest)
+		}
+	}
+}
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -77,10 +77,11 @@
 		}
 		complete := completeEventsLength(pending.data)
 		if complete > 0 {
-			if writeErr := exchange.writeEvents(response, pending.data[:complete]); writeErr != nil {
+			taken, writeErr := exchange.writeEvents(response, pending.data[:complete])
+			if writeErr != nil {
 				return writeErr
 			}
-			pending.drop(complete)
+			pending.drop(taken)
 		}
 		if err == io.EOF {
 			if len(pending.data) > 0 {
@@ -109,13 +110,14 @@
 	return end
 }
 
-// writeEvents checks complete events, writes those before a fault to the caller and flushes them.
-// Comments before the first event are dropped: they must not start the response.
-func (exchange *exchange) writeEvents(response pipe.Response, data []byte) error {
+// writeEvents checks complete events, writes those before a fault to the caller and flushes them. It
+// returns the length of those that need not be seen again. Comments before the first event are
+// dropped: they must not start the response.
+func (exchange *exchange) writeEvents(response pipe.Response, data []byte) (int, error) {
 	call, now := exchange.call, time.Now()
 	advanced, length, malformed := call.events.advance(data)
 	if length == 0 || advanced.count == 0 {
-		return malformed
+		return length, malformed
 	}
 	if call.events.count == 0 {
 		call.firstEventDelay = now.Sub(call.work.Received)
@@ -127,12 +129,12 @@
 	exchange.startResponse(response)
 	if _, err := call.writer.Write(data[:length]); err != nil {
 		exchange.progress.callerFailed = true
-		return err
+		return length, err
 	}
 	if err := http.NewResponseController(call.writer).Flush(); err != nil {
 		exchange.progress.callerFailed = true
-		return err
+		return length, err
 	}
 	exchange.recordPart()
-	return malformed
+	return length, malformed
 }
