--- a/io/front/sequence.go
+++ b/io/front/sequence.go
@@ -10,8 +10,9 @@
 
 // sequence tracks the events of a stream, so that no event is delivered twice or left out
 // when the stream is resumed at another server, and nothing else is delivered. Numbers as IDs must
-// increase by one. Of other IDs it is only checked that the event after which a caller takes the stream
-// up does not come again.
+// increase. Where the stream is resumed, the step from the last ID must be no larger than those before,
+// if all of them were the same. Of other IDs it is only checked that the event after which a caller
+// takes the stream up does not come again.
 type sequence struct {
 	// lastID is the ID of the last delivered event, as the server sent it.
 	lastID string
@@ -23,6 +24,9 @@
 	resumed bool
 	// takenUpAfter is the ID of the event after which the caller takes the stream up.
 	takenUpAfter string
+	// step is the step between IDs, 0 if none was seen; mixed if steps differ.
+	step  int64
+	mixed bool
 }
 
 // mayResume reports whether a server can tell where to go on after the delivered events, and whether
@@ -34,7 +38,8 @@
 
 // advance checks complete events and returns the sequence after them and their length. It fails
 // with pipe.Malformed when an event is out of order, or when the data are no events; the sequence
-// and the length are then those of the events before.
+// and the length are then those of the events before. It stops before an event of which only the next
+// one shows whether it is the next.
 func (sequence sequence) advance(data []byte) (next sequence, length int, err error) {
 	var event streamEvent
 	next, read := sequence, 0
@@ -47,6 +52,13 @@
 			}
 			continue
 		}
+		if next.mustSeeNext(event) {
+			following, ended := followingID(data[read:])
+			if !ended {
+				return next, length, nil
+			}
+			next.expectStep(event.id, following)
+		}
 		if err := next.add(event); err != nil {
 			return next, length, err
 		}
@@ -59,7 +71,7 @@
 func (sequence *sequence) add(event streamEvent) error {
 	switch {
 	case event.hasID:
-		if !sequence.mayFollow(event.id) {
+		if !sequence.mayFollow(event.id) || !sequence.takeStep(event.id) {
 			return fault.New("front.take", pipe.Malformed, "event "+event.id+" after event "+sequence.lastID)
 		}
 		sequence.lastID, sequence.unnumbered, sequence.resumed = event.id, false, false
@@ -113,18 +125,75 @@
 	return true
 }
 
-// mayFollow reports whether an event with an ID may come next. Where a stream goes on, the ID must be
-// a number if the last one is, and must not be if that is not.
+// mayFollow reports whether an event with an ID may come next, whatever the step. Where a stream goes
+// on, the ID must be a number if the last one is, and must not be if that is not.
 func (sequence *sequence) mayFollow(id string) bool {
-	lastNumber, lastErr := strconv.ParseInt(sequence.lastID, 10, 64)
-	number, err := strconv.ParseInt(id, 10, 64)
+	_, lastErr := strconv.ParseInt(sequence.lastID, 10, 64)
+	_, err := strconv.ParseInt(id, 10, 64)
 	switch {
 	case sequence.lastID == "":
 		return true
 	case id != "" && id == sequence.takenUpAfter:
 		return false
-	case sequence.resumed && (lastErr == nil) != (err == nil):
+	}
+	return !sequence.resumed || (lastErr == nil) == (err == nil)
+}
+
+// takeStep reports whether an ID may follow the last one, and notes the step.
+func (sequence *sequence) takeStep(id string) bool {
+	step, known := stepBetween(sequence.lastID, id)
+	if !known {
+		return true
+	}
+	if step <= 0 || sequence.resumed && !sequence.mixed && step > max(sequence.step, 1) {
 		return false
 	}
-	return lastErr != nil || err != nil || number == lastNumber+1
+	if sequence.step != 0 && step != sequence.step {
+		sequence.mixed = true
+	}
+	sequence.step = step
+	return true
+}
+
+// mustSeeNext reports whether an event can't be judged alone: the stream is resumed after an event
+// before which no step was seen, and the ID increases by more than one.
+func (sequence *sequence) mustSeeNext(event streamEvent) bool {
+	step, known := stepBetween(sequence.lastID, event.id)
+	return event.hasID && sequence.resumed && sequence.step == 0 && known && step > 1
+}
+
+// expectStep sets the step of a resumed stream from its first two IDs.
+func (sequence *sequence) expectStep(first, second string) {
+	if step, known := stepBetween(first, second); known && step > 0 {
+		sequence.step = step
+	}
+}
+
+// followingID returns the ID of the next event that has one, and false if it is not complete.
+func followingID(data []byte) (string, bool) {
+	var event streamEvent
+	for line := range bytes.Lines(data) {
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(line) > 0:
+			if event.addLine(line) != nil {
+				return "", true
+			}
+		case event.hasID:
+			return event.id, true
+		default:
+			event = streamEvent{}
+		}
+	}
+	return "", false
+}
+
+// stepBetween returns the difference of two IDs. It is not known unless both are numbers.
+func stepBetween(lastID, id string) (step int64, known bool) {
+	last, err := strconv.ParseInt(lastID, 10, 64)
+	if err != nil {
+		return 0, false
+	}
+	number, err := strconv.ParseInt(id, 10, 64)
+	return number - last, err == nil
 }
