core/fleet: an answer does not clear a doubt that was raised after the question

Cause: ConfirmProcess cleared the doubt whatever its time. A connection that broke between the question and its answer left no doubt, so the next new connection was not asked. Change: doubts and questions are dated; a doubt is cleared by a later question only. Measured: TestAnswerDoesNotClearALaterDoubt needs the dates and does not compile before; by reading, the first of its checks fails without the comparison.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -80,6 +80,8 @@
 	// registered process still runs. Replaced is set if it said that another one does.
 	InDoubt  bool
 	Replaced bool
+	// doubtedAt is when the latest doubt was raised.
+	doubtedAt time.Time
 	// Mute is set if the server does not say which process it is.
 	Mute bool
 
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -218,3 +218,19 @@
 		require.Zero(t, rate())
 	})
 }
+
+// Guards against an answer that clears a doubt which was raised after the question.
+func TestAnswerDoesNotClearALaterDoubt(t *testing.T) {
+	servers, now := fleet.New(), time.Now()
+	server := fleet.Server{ID: "a", Service: "engines", Started: now}
+	servers.Put(server)
+	servers.DoubtProcess("a", now.Add(time.Second))
+	servers.ConfirmProcess(server, now)
+	require.True(t, servers.InDoubt("a"))
+	servers.ConfirmProcess(server, now.Add(2*time.Second))
+	require.False(t, servers.InDoubt("a"))
+	servers.DoubtProcess("a", now.Add(3*time.Second))
+	servers.DoubtProcess("a", now)
+	servers.ConfirmProcess(server, now.Add(2*time.Second))
+	require.True(t, servers.InDoubt("a"), "a doubt that is reported late does not replace a later one")
+}
--- a/core/fleet/process.go
+++ b/core/fleet/process.go
@@ -1,14 +1,26 @@
 package fleet
 
+import "time"
+
 // DoubtProcess records that a connection to a server ended unexpectedly. Another process, which
 // may be of another software version, may have taken its place under the same ID and address.
-func (fleet *Fleet) DoubtProcess(id string) {
-	fleet.update(id, func(member *Member) { member.InDoubt = true })
+func (fleet *Fleet) DoubtProcess(id string, now time.Time) {
+	fleet.update(id, func(member *Member) {
+		member.InDoubt = true
+		if now.After(member.doubtedAt) {
+			member.doubtedAt = now
+		}
+	})
 }
 
-// ConfirmProcess records that the registered process of a server still runs.
-func (fleet *Fleet) ConfirmProcess(server Server) {
-	fleet.updateProcess(server, func(member *Member) { member.InDoubt = false })
+// ConfirmProcess records that the registered process of a server has answered a question that
+// was asked at a time. The answer says nothing of what happened after it was asked.
+func (fleet *Fleet) ConfirmProcess(server Server, askedAt time.Time) {
+	fleet.updateProcess(server, func(member *Member) {
+		if askedAt.After(member.doubtedAt) {
+			member.InDoubt = false
+		}
+	})
 }
 
 // RecordReplaced records that another process than the registered one answers at the address of
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -169,7 +169,7 @@
 		handler.recordReplaced(server, report.Started)
 		return ending.OtherProcess
 	}
-	handler.options.Fleet.ConfirmProcess(server)
+	handler.options.Fleet.ConfirmProcess(server, check.AskedAt)
 	return ending.Registered
 }
 
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -305,7 +305,7 @@
 	exchange.recordLastEvent()
 	if !call.callerGone() && now.Before(call.work.Deadline) && call.handler.stopping.Err() == nil {
 		call.handler.options.Fleet.RecordBrokenAnswer(exchange.server.ID, now)
-		call.handler.options.Fleet.DoubtProcess(exchange.server.ID)
+		call.handler.options.Fleet.DoubtProcess(exchange.server.ID, now)
 		if call.handler.options.CrashDetector.ObserveBrokenResponse(connectionKey(exchange.server), call.features(), exchange.started, now) {
 			go call.handler.probe(exchange.server, call.connectionLimit(exchange.server), call.reportsProcess(exchange.server))
 		}
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -32,7 +32,8 @@
 that names the ID does not reveal that; until the new registration arrives, only the server can.
 */
 func (handler *Handler) checkProcess(conn *pipe.Conn, server fleet.Server) error {
-	deadline := time.Now().Add(reportTimeout)
+	askedAt := time.Now()
+	deadline := askedAt.Add(reportTimeout)
 	if _, err := conn.Send(handler.options.Headers.ReportRequest(server), deadline); err != nil {
 		return err
 	}
@@ -64,7 +65,7 @@
 		return fault.New("front.check_process", pipe.Unreachable, "another process is at the server's address")
 	}
 	if readErr == nil && known {
-		handler.options.Fleet.ConfirmProcess(server)
+		handler.options.Fleet.ConfirmProcess(server, askedAt)
 		handler.recordAlive(server)
 	}
 	if readErr != nil || length >= maxForeignBytes || !response.KeepAlive || !isDelimited(response) || !conn.Reuse(response.Header) {
--- a/io/front/suspect.go
+++ b/io/front/suspect.go
@@ -89,7 +89,7 @@
 func (handler *Handler) recordUnreachable(server fleet.Server, err error) {
 	now := time.Now()
 	handler.options.Fleet.RecordUnreachable(server.ID, now)
-	handler.options.Fleet.DoubtProcess(server.ID)
+	handler.options.Fleet.DoubtProcess(server.ID, now)
 	handler.logSuspension(server, err, now)
 	handler.recordRefusedConnection(server, err, now)
 }
