io/front: what is known of a server's process belongs to the connection

Cause: only a connection that was dialled for the very request was asked which process is at its other end. One that a request of a route without resumption, a probe or a time with one known version had opened was reused unasked for streams that may be resumed, so that their recorded origin could name the wrong version. Streams that went on were asked for each request again. Change: a connection keeps the process that has answered on it. A request that needs to know it asks on each connection without that. request_sent says confirmed, too. Measured: TestStreamBeginsOnAConnectionOfAnotherRequestOnlyIfAsked and TestStreamOnAConnectionFromBeforeTheSecondVersionIsAsked got 200 in place of 503 before. TestConfirmedConnectionIsNotAskedAgain, 11 streams of which 10 are taken up, on one connection: 10 questions before, 1 now. Conclusion: origins of streams on reused connections are those of the process that began them, if the server says which one it is.

--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -205,6 +205,9 @@
 		return ending.NoAnswer, false, fault.New("front.ask", pipe.Malformed, "a response to another request")
 	}
 	outcome = question.read(response, info, body)
+	if outcome == ending.Registered {
+		confirm(conn, check.exchange.server)
+	}
 	return outcome, len(body) < maxForeignBytes && response.KeepAlive && isDelimited(response) && conn.Reuse(response.Header), nil
 }
 
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -143,7 +143,7 @@
 	}
 	options.Fleet.RequestStarted(server.ID, choice.Share)
 	defer options.Fleet.RequestEnded(server.ID, choice.Share)
-	exchange := &exchange{call: call, conn: conn, disown: disown, server: server, process: call.processCheckOf(server, mustCheck), started: time.Now(), choice: choice}
+	exchange := &exchange{call: call, conn: conn, disown: disown, server: server, process: call.processCheckOf(conn, server, mustCheck), started: time.Now(), choice: choice}
 	defer exchange.markPromptRead()
 	exchange.openHold()
 	defer func() { exchange.hold.Release() }()
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -65,6 +65,7 @@
 		return fault.New("front.check_process", pipe.Unreachable, "another process is at the server's address")
 	}
 	if readErr == nil && known {
+		confirm(conn, server)
 		handler.options.Fleet.ConfirmProcess(server, askedAt)
 		handler.recordAlive(server)
 	}
@@ -88,21 +89,34 @@
 type processCheck string
 
 const (
-	// processReported: the server said which process it is before the request was sent.
+	// processReported: the server said which process it is right before the request was sent.
 	processReported processCheck = "reported"
-	// processUnasked: it was not asked, for this request.
+	// processConfirmed: it said so earlier on this connection.
+	processConfirmed processCheck = "confirmed"
+	// processUnasked: it was not asked on this connection.
 	processUnasked processCheck = "unasked"
 	// processMute: it does not say so.
 	processMute processCheck = "mute"
 )
 
-// processCheckOf returns what is known of a server's process for the log.
-func (call *call) processCheckOf(server fleet.Server, asked bool) processCheck {
+// processName names a process of a server and its software version.
+func processName(server fleet.Server) string { return connectionKey(server) + " " + server.Version }
+
+// confirm records that the registered process of a server has answered on a connection.
+func confirm(conn *pipe.Conn, server fleet.Server) { conn.Process = processName(server) }
+
+// isConfirmed reports whether the registered process of a server has answered on a connection.
+func isConfirmed(conn *pipe.Conn, server fleet.Server) bool { return conn.Process == processName(server) }
+
+// processCheckOf returns what is known of the process at the other end of a connection for the log.
+func (call *call) processCheckOf(conn *pipe.Conn, server fleet.Server, asked bool) processCheck {
 	switch {
+	case isConfirmed(conn, server) && asked:
+		return processReported
+	case isConfirmed(conn, server):
+		return processConfirmed
 	case !call.reportsProcess(server):
 		return processMute
-	case asked:
-		return processReported
 	}
 	return processUnasked
 }
@@ -114,18 +128,16 @@
 }
 
 // mustCheckProcess reports whether the server must say which process it is before it gets the
-// request on a connection: if the request goes on with a stream, if the server has broken off a
-// connection before this one was opened, or if a stream begins that may go on elsewhere, while
-// servers of several versions serve.
+// request on a connection on which it has not said so: if the request goes on with a stream, if
+// the server has broken off a connection before this one was opened, or if a stream begins that may
+// go on elsewhere, while servers of several versions serve.
 func (call *call) mustCheckProcess(conn *pipe.Conn, server fleet.Server) bool {
 	switch {
-	case !call.reportsProcess(server) || call.checksWithoutConn >= maxChecksWithoutConn:
+	case isConfirmed(conn, server) || !call.reportsProcess(server) || call.checksWithoutConn >= maxChecksWithoutConn:
 		return false
 	case call.events.lastID != "":
 		return true
-	case !conn.Dialed:
-		return false
-	case call.handler.options.Fleet.InDoubt(server.ID):
+	case conn.Dialed && call.handler.options.Fleet.InDoubt(server.ID):
 		return true
 	case !call.work.Route.Resumable:
 		return false
--- a/io/front/suspect.go
+++ b/io/front/suspect.go
@@ -77,7 +77,7 @@
 
 // releaseProbe keeps the connection of a probe, unless another process may be at its other end.
 func (handler *Handler) releaseProbe(conn *pipe.Conn, server fleet.Server, reportsProcess bool) {
-	isDoubtful := reportsProcess && conn.Dialed && handler.options.Fleet.InDoubt(server.ID)
+	isDoubtful := reportsProcess && conn.Dialed && !isConfirmed(conn, server) && handler.options.Fleet.InDoubt(server.ID)
 	if isDoubtful && handler.checkProcess(conn, server) != nil {
 		conn.Discard()
 		return
