io/front: streams of the only known version begin at the registered process only

Cause: with one version known nobody was asked before a stream began. An engine that had started again in place, without breaking a connection of this host, got the stream under the version of the process before it. Change: a stream that may be resumed begins on a connection whose process is confirmed, however many versions are known.

--- a/io/front/known_test.go
+++ b/io/front/known_test.go
@@ -54,6 +54,14 @@
 	require.Equal(t, 1, harness.streamsAt("a"))
 }
 
+// Guards against a stream of the only known version that begins at a process which took the address unnoticed.
+func TestStreamOfTheOnlyVersionDoesNotBeginAtAnotherProcess(t *testing.T) {
+	harness := newHarness(t, withReports)
+	harness.addReplaced("a")
+	require.Equal(t, http.StatusServiceUnavailable, harness.post("/resume/", "x").status)
+	require.Zero(t, harness.streamsAt("a"))
+}
+
 // Guards against a question for each request in place of one for each connection.
 func TestConfirmedConnectionIsNotAskedAgain(t *testing.T) {
 	harness := newHarness(t, withReports)
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -130,7 +130,8 @@
 // mustCheckProcess reports whether the server must say which process it is before it gets the
 // request on a connection on which it has not said so: if the request goes on with a stream, if
 // the server has broken off a connection before this one was opened, or if a stream begins that may
-// go on elsewhere, while servers of several versions serve.
+// go on elsewhere. That holds with one known version, too: the registration of the next one may be
+// on its way.
 func (call *call) mustCheckProcess(conn *pipe.Conn, server fleet.Server) bool {
 	switch {
 	case isConfirmed(conn, server) || !call.reportsProcess(server) || call.checksWithoutConn >= maxChecksWithoutConn:
@@ -139,9 +140,6 @@
 		return true
 	case conn.Dialed && call.handler.options.Fleet.InDoubt(server.ID):
 		return true
-	case !call.work.Route.Resumable:
-		return false
 	}
-	versions, _ := call.possibleVersions(time.Now())
-	return len(versions) > 1
+	return call.work.Route.Resumable
 }
