io/front, core/mirror: streams at servers that do not say which process they are

Cause: a server that does not say which process it is was never asked, began streams under the version of its registration and got streams that are taken up, though another process may have taken its address. Change: such a server begins streams whose origin is told only once the process is known, and goes on with streams only then, while several versions may be meant. The process behind a connection is known if the host's copy of the store is complete as of 1 s after the connection was opened and the registration is still the same as before. core/mirror says as of when the copy is complete and reads the probed key for it, at most once in 250 ms. A request waits for that up to 2 s; then it is refused as not run, 503 unknown_process or unknown_origin. A host that does not know a stream waits that long for the host that began it.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -80,6 +80,8 @@
 	// registered process still runs. Replaced is set if it said that another one does.
 	InDoubt  bool
 	Replaced bool
+	// registeredAt is when this host learned of the process with its version.
+	registeredAt time.Time
 	// doubtedAt is when the latest doubt was raised.
 	doubtedAt time.Time
 	// Mute is set if the server does not say which process it is.
@@ -158,7 +160,7 @@
 		if known != nil {
 			fleet.delete(server.ID)
 		}
-		member := &Member{Server: server, hash: ServerHash(server.ID), announcement: fleet.announcements[server.ProcessHash()]}
+		member := &Member{Server: server, hash: ServerHash(server.ID), registeredAt: time.Now(), announcement: fleet.announcements[server.ProcessHash()]}
 		fleet.members[server.ID] = member
 		fleet.addReportsFor(member)
 		fleet.rebuildIndex()
@@ -166,6 +168,9 @@
 	}
 	known.Sequence = server.Sequence
 	result := PutResult{Leaving: server.Leaving && !known.Leaving, Changed: known.Server != server || !known.ExpiresAt.IsZero()}
+	if known.Version != server.Version {
+		known.registeredAt = time.Now()
+	}
 	serviceChanged := known.Service != server.Service
 	known.Server, known.ExpiresAt = server, time.Time{}
 	if serviceChanged {
--- a/core/fleet/process.go
+++ b/core/fleet/process.go
@@ -50,6 +50,14 @@
 	})
 }
 
+// RegisteredSince returns since when this host has known the process of a registration with its
+// version. It reports false if that is not the registered one any more.
+func (fleet *Fleet) RegisteredSince(server Server) (time.Time, bool) {
+	member := fleet.find(server.ID)
+	isSame := member.Started.Equal(server.Started) && member.Address == server.Address && member.Version == server.Version
+	return member.registeredAt, isSame && member.ID != "" && !member.Replaced
+}
+
 // Mute reports whether a server does not say which process it is.
 func (fleet *Fleet) Mute(id string) bool { return fleet.find(id).Mute }
 
--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -145,6 +145,7 @@
 	after := mirror.position.Revision
 	mirror.history.add(Batch{Era: position.Era, After: after, Until: position.Revision, Events: changesAfter(applied, after)})
 	mirror.position = position
+	mirror.reachCurrency()
 }
 
 // Since returns all changes with new information after a position, for a host that
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -173,6 +173,8 @@
 	probed store.Position
 	// expected is the newest position that the store is known to have reached.
 	expected store.Position
+	// currency says as of when the copy is complete.
+	currency currency
 	// catchUp makes a standby host read missing changes from the store.
 	catchUp chan struct{}
 	// cancelPoll cancels the call for changes that is in progress.
--- a/core/mirror/probe.go
+++ b/core/mirror/probe.go
@@ -16,7 +16,11 @@
 	mirror.options.BeforeProbe(ctx)
 	delay := retryDelayBase
 	for ctx.Err() == nil {
-		if wait := mirror.untilProbeDue(); wait > 0 {
+		wait := mirror.untilProbeDue()
+		if refresh, wanted := mirror.untilRefresh(); wanted {
+			wait = min(wait, refresh)
+		}
+		if wait > 0 {
 			mirror.waitOrWake(ctx, wait)
 			continue
 		}
@@ -110,13 +114,14 @@
 func (mirror *Mirror) probeOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	before := mirror.options.Now()
+	before, calledAt := mirror.options.Now(), time.Now()
+	mirror.startRead(calledAt)
 	entry, position, err := mirror.options.Source.Get(ctx, mirror.options.ProbeKey)
 	if err != nil && !fault.Is(err, store.Absent) {
 		return err
 	}
 	mirror.recordSuccess()
-	if err != nil || !mirror.applyProbed(entry, position, before) {
+	if err != nil || !mirror.applyProbed(entry, position, before, calledAt) {
 		// There is nothing to confirm yet.
 		mirror.waitOrWake(ctx, mirror.jitter(absentRetryDelay))
 	}
@@ -125,7 +130,7 @@
 
 // applyProbed applies the entry of the probed key that was read at a position, and reports
 // whether it confirms the proof as of the start of the read.
-func (mirror *Mirror) applyProbed(entry store.Entry, position store.Position, before fresh.Instant) bool {
+func (mirror *Mirror) applyProbed(entry store.Entry, position store.Position, before fresh.Instant, calledAt time.Time) bool {
 	mirror.ObserveEra(position.Era)
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
@@ -136,6 +141,7 @@
 		mirror.options.Sink.Changed(store.Event{Entry: entry})
 	}
 	mirror.expectPosition(position)
+	mirror.observeCurrency(position, calledAt)
 	if !mirror.options.IsCurrent() {
 		return false
 	}
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -151,13 +151,18 @@
 }
 
 // Ask asks the other hosts where a stream began and waits for an answer. Question sends the
-// question. It returns false if nobody knows, or if the context ends.
-func (registry *Registry) Ask(ctx context.Context, requestID string, question func(key uint64)) (Origin, bool) {
+// question. Patience is how much longer it waits, as the host that began the stream may learn later
+// at which process that was. It returns false if nobody knows, or if the context ends.
+func (registry *Registry) Ask(ctx context.Context, requestID string, patience time.Duration, question func(key uint64)) (Origin, bool) {
 	key := Key(requestID)
-	for range questions {
+	for number := range questions {
 		known := registry.wait(key)
 		question(key)
-		timer := time.NewTimer(answerTimeout)
+		timeout := answerTimeout
+		if number == questions-1 {
+			timeout += patience
+		}
+		timer := time.NewTimer(timeout)
 		select {
 		case <-known:
 		case <-timer.C:
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -48,7 +48,7 @@
 
 // ask asks for a stream at a host.
 func (cluster *cluster) ask(ctx context.Context, at int, requestID string) (origin.Origin, bool) {
-	return cluster.hosts[at].Ask(ctx, requestID, func(key uint64) {
+	return cluster.hosts[at].Ask(ctx, requestID, 0, func(key uint64) {
 		cluster.asked++
 		for to := range cluster.hosts {
 			cluster.send(at, to, func() {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -59,12 +59,16 @@
 		step := call.nextStep(time.Now())
 		switch step.Action {
 		case steer.GiveUp:
-			call.giveUp(unservedRefusal(call.state, step.Reason == steer.Deadline, step.Reason))
+			call.giveUp(unservedRefusal(call.state, step.Reason == steer.Deadline, call.noServerReason(step.Reason)))
 			return
 		case steer.Refuse:
 			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: step.Reason, retryAfter: step.RetryAfter, choice: step.Choice})
 			return
 		}
+		if !call.awaitOrigin() {
+			call.giveUp(unservedRefusal(call.state, false, "unknown_origin"))
+			return
+		}
 		if !call.handler.options.Pacer.Take(step.Choice.Member.Server, time.Now()) {
 			// Another request has taken the permission since the decision.
 			continue
@@ -78,7 +82,7 @@
 			return
 		case work.NoConnection:
 			if connectFailures++; connectFailures >= maxConnectFailures {
-				call.giveUp(unservedRefusal(call.state, false, "unreachable"))
+				call.giveUp(unservedRefusal(call.state, false, call.noServerReason("unreachable")))
 				return
 			}
 		default:
@@ -87,6 +91,14 @@
 	}
 }
 
+// noServerReason returns why no server is left for the request.
+func (call *call) noServerReason(reason string) string {
+	if call.unknownProcess && reason != steer.Deadline && reason != steer.NoRetry {
+		return "unknown_process"
+	}
+	return reason
+}
+
 // mayGoOn reports whether another server can go on after what the caller has received.
 func (call *call) mayGoOn() bool {
 	return call.events.count == 0 || call.work.Route.Resumable && call.events.mayResume()
@@ -136,6 +148,10 @@
 			return work.NoConnection
 		}
 	}
+	if !call.awaitProcess(conn, server) {
+		call.log(event.AttemptEnded(), logrus.Fields{"server": server.ID, "result": work.NoConnection, "state": call.state, "error": "it is not known which process the connection reached"})
+		return work.NoConnection
+	}
 	if !call.mayStillSend(server) {
 		conn.Discard()
 		delete(call.tried, server.ID)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -147,6 +147,8 @@
 	// Origins holds where streams began. AskOrigin asks the other hosts about a stream.
 	Origins   *origin.Registry
 	AskOrigin func(key uint64)
+	// Registrations says how recent the registrations in Fleet are.
+	Registrations Registrations
 	// VersionRecords holds the versions that servers have had before this host started.
 	VersionRecords *origin.Records
 	// CrashDetector finds requests that crash backend servers.
@@ -252,7 +254,11 @@
 	responseStarted bool
 	events          sequence
 	// origin is where the stream began that is resumed; nil for a new stream.
-	origin          *origin.Origin
+	origin *origin.Origin
+	// unsettled is set while it is not known which process began that stream.
+	unsettled *unsettled
+	// unknownProcess: a server did not get the request, as it is not known which process it is.
+	unknownProcess  bool
 	firstEventDelay time.Duration
 	lastEventAt     time.Time
 	maxEventGap     time.Duration
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -113,10 +113,14 @@
 	servers map[string]fleet.Server
 	server  *httptest.Server
 	log     *buffer.Buffer
+	// copyLag is how far the copy of the registrations lags behind the time before which no other one can be meant.
+	copyLag atomic.Int64
 	// now is the clock against which the proof expires. The proof was confirmed at 1.
 	now atomic.Int64
 	// asked counts the questions to other hosts where a stream began.
 	asked atomic.Int64
+	// refreshed counts the reads of the store that the handler asked for.
+	refreshed atomic.Int64
 	// whileDialing is called before each connection to a backend server is opened.
 	whileDialing func()
 	// scriptsHealth: the responders answer on the health path, too. Else servers name their ID there.
@@ -169,12 +173,13 @@
 	}
 	harness.adopt(change)
 	harness.proof.Confirm(1)
+	harness.copyLag.Store(int64(neverLate))
 	harness.records = origin.NewRecords()
 	harness.budget = budget.New(harnessBudget)
 	harness.crashes = poison.NewCrashDetector(poison.DetectorOptions{})
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
-		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, VersionRecords: harness.records, Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
+		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, Registrations: harness, VersionRecords: harness.records, Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
 		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{}, Budget: harness.budget,
 	})
 	harness.server = httptest.NewServer(harness.handler)
@@ -192,6 +197,17 @@
 	harness.table.Adopt(built)
 }
 
+// neverLate is a lag by which no registration is ever late.
+const neverLate = -time.Hour
+
+// CurrentAsOf implements front.Registrations.
+func (harness *harness) CurrentAsOf() time.Time {
+	return time.Now().Add(-time.Duration(harness.copyLag.Load()))
+}
+
+// Refresh implements front.Registrations.
+func (harness *harness) Refresh() { harness.refreshed.Add(1) }
+
 func (harness *harness) askOrigin(uint64) { harness.asked.Add(1) }
 
 // responder responds to one request on a connection.
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -71,7 +71,7 @@
 	versions, complete := call.possibleVersions(now)
 	isOnly := complete && len(versions) == 1
 	if began != "" && !isOnly {
-		if found, known := options.Origins.Ask(call.ctx, began, options.AskOrigin); known {
+		if found, known := options.Origins.Ask(call.ctx, began, call.originPatience(now), options.AskOrigin); known {
 			return found, askedOrigin
 		}
 	}
@@ -86,39 +86,35 @@
 }
 
 // possibleVersions returns the versions of the servers at which the stream may have begun, and
-// whether these are all. A host that has not run for so long needs the records of others: it
-// does not know the servers that left before it started.
+// whether these are all.
 func (call *call) possibleVersions(now time.Time) (versions []string, complete bool) {
-	options := call.handler.options
-	oldest := now.Add(-max(call.work.Route.Timeout, maxStreamAge))
-	versions = options.Fleet.Versions(call.work.Service, oldest)
-	if call.handler.startedAt.Before(oldest) {
+	return call.handler.possibleVersions(call.work.Service, call.work.Route.Timeout, now)
+}
+
+// possibleVersions returns the versions of the servers of a service at which a stream of a route with
+// the given timeout may have begun, and whether these are all. A host that has not run for so long
+// needs the records of others: it does not know the servers that left before it started.
+func (handler *Handler) possibleVersions(service string, timeout time.Duration, now time.Time) (versions []string, complete bool) {
+	oldest := now.Add(-max(timeout, maxStreamAge))
+	versions = handler.options.Fleet.Versions(service, oldest)
+	if handler.startedAt.Before(oldest) {
 		return versions, true
 	}
-	recorded := options.VersionRecords.Versions(call.work.Service)
+	recorded := handler.options.VersionRecords.Versions(service)
 	versions = append(versions, recorded...)
 	slices.Sort(versions)
 	return slices.Compact(versions), len(recorded) > 0
 }
 
-// recordOrigin records where the stream began that the server sends. If the stream may be resumed,
-// it tells the other hosts.
-func (call *call) recordOrigin(server fleet.Server) {
-	if call.origin != nil {
-		return
-	}
-	// A new configuration may allow later that the stream is resumed.
-	call.origin = &origin.Origin{Service: server.Service, Version: server.Version}
-	if call.work.Route.Resumable {
-		call.tellOrigin(call.work.ID, *call.origin)
-	}
-}
-
 // tellOrigin records where the stream began whose first event the request with the given ID
 // brought, for as long as the caller waits.
 func (call *call) tellOrigin(requestID string, began origin.Origin) {
-	waits := call.work.Received.Add(max(call.info.Timeout, call.work.Deadline.Sub(call.work.Received)))
-	call.handler.options.Origins.Record(requestID, began, waits, time.Now())
+	call.handler.options.Origins.Record(requestID, began, call.callerWaits(), time.Now())
+}
+
+// callerWaits returns until when the caller waits for the stream.
+func (call *call) callerWaits() time.Time {
+	return call.work.Received.Add(max(call.info.Timeout, call.work.Deadline.Sub(call.work.Received)))
 }
 
 // mayServe reports whether a server of a service and version may send events of the stream.
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -106,7 +106,9 @@
 func confirm(conn *pipe.Conn, server fleet.Server) { conn.Process = processName(server) }
 
 // isConfirmed reports whether the registered process of a server has answered on a connection.
-func isConfirmed(conn *pipe.Conn, server fleet.Server) bool { return conn.Process == processName(server) }
+func isConfirmed(conn *pipe.Conn, server fleet.Server) bool {
+	return conn.Process == processName(server)
+}
 
 // processCheckOf returns what is known of the process at the other end of a connection for the log.
 func (call *call) processCheckOf(conn *pipe.Conn, server fleet.Server, asked bool) processCheck {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -57,7 +57,7 @@
 	copyHeader(call.writer.Header(), response.Header)
 	call.writer.WriteHeader(response.StatusCode)
 	call.responseStarted = true
-	call.recordOrigin(exchange.server)
+	exchange.recordOrigin()
 }
 
 // copyEvents copies complete events to the caller until the stream ends. It drops a
