--- a/core/fleet/process.go
+++ b/core/fleet/process.go
@@ -1,14 +1,26 @@
 package fleet
 
+import "time"
+
 // DoubtProcess records that a connection to a server ended unexpectedly. Another process, which
 // may be of another software version, may have taken its place under the same ID and address.
-func (fleet *Fleet) DoubtProcess(id string) {
-	fleet.update(id, func(member *Member) { member.InDoubt = true })
+func (fleet *Fleet) DoubtProcess(id string, now time.Time) {
+	fleet.update(id, func(member *Member) {
+		member.InDoubt = true
+		if now.After(member.doubtedAt) {
+			member.doubtedAt = now
+		}
+	})
 }
 
-// ConfirmProcess records that the registered process of a server still runs.
-func (fleet *Fleet) ConfirmProcess(server Server) {
-	fleet.updateProcess(server, func(member *Member) { member.InDoubt = false })
+// ConfirmProcess records that the registered process of a server has answered a question that
+// was asked at a time. The answer says nothing of what happened after it was asked.
+func (fleet *Fleet) ConfirmProcess(server Server, askedAt time.Time) {
+	fleet.updateProcess(server, func(member *Member) {
+		if askedAt.After(member.doubtedAt) {
+			member.InDoubt = false
+		}
+	})
 }
 
 // RecordReplaced records that another process than the registered one answers at the address of
@@ -38,6 +50,14 @@
 	})
 }
 
+// RegisteredSince returns since when this host has known the process of a registration with its
+// version. It reports false if that is not the registered one any more.
+func (fleet *Fleet) RegisteredSince(server Server) (time.Time, bool) {
+	member := fleet.find(server.ID)
+	isSame := member.Started.Equal(server.Started) && member.Address == server.Address && member.Version == server.Version
+	return member.registeredAt, isSame && member.ID != "" && !member.Replaced
+}
+
 // Mute reports whether a server does not say which process it is.
 func (fleet *Fleet) Mute(id string) bool { return fleet.find(id).Mute }
 
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -85,7 +85,7 @@
 // failure of the server. Whether it has crashed is found out in the background.
 func (exchange *exchange) leaveUnproven() work.Result {
 	call, server := exchange.call, exchange.server
-	call.handler.options.Fleet.DoubtProcess(server.ID)
+	call.handler.options.Fleet.DoubtProcess(server.ID, time.Now())
 	call.handler.options.CrashDetector.ObserveAmbiguousEnd(connectionKey(server), call.features(), exchange.started, time.Now())
 	handler, limit, reportsProcess := call.handler, call.connectionLimit(server), call.reportsProcess(server)
 	handler.probes.start(connectionKey(server), func() bool { return handler.probe(server, limit, reportsProcess) })
@@ -209,7 +209,7 @@
 		return ending.OtherProcess
 	}
 	check.RunEvents = report.eventsOf(check.exchange.call.work.ID)
-	handler.options.Fleet.ConfirmProcess(server)
+	handler.options.Fleet.ConfirmProcess(server, check.AskedAt)
 	return ending.Registered
 }
 
@@ -234,6 +234,9 @@
 			outcome, reusable = question.read(answer), answer.reusable
 		}
 	})
+	if outcome == ending.Registered {
+		confirm(conn, check.exchange.server)
+	}
 	return outcome, reusable, err
 }
 
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -64,12 +64,16 @@
 		step := call.nextStep(time.Now())
 		switch step.Action {
 		case steer.GiveUp:
-			call.giveUp(unservedRefusal(call.state, step.Reason == steer.Deadline, step.Reason))
+			call.giveUp(unservedRefusal(call.state, step.Reason == steer.Deadline, call.noServerReason(step.Reason)))
 			return
 		case steer.Refuse:
 			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: step.Reason, retryAfter: step.RetryAfter, choice: step.Choice})
 			return
 		}
+		if !call.awaitOrigin() {
+			call.giveUp(unservedRefusal(call.state, false, "unknown_origin"))
+			return
+		}
 		if !call.handler.options.Pacer.Take(step.Choice.Member.Server, time.Now()) {
 			// Another request has taken the permission since the decision.
 			continue
@@ -83,7 +87,7 @@
 			return
 		case work.NoConnection:
 			if connectFailures++; connectFailures >= maxConnectFailures {
-				call.giveUp(unservedRefusal(call.state, false, "unreachable"))
+				call.giveUp(unservedRefusal(call.state, false, call.noServerReason("unreachable")))
 				return
 			}
 		default:
@@ -92,6 +96,14 @@
 	}
 }
 
+// noServerReason returns why no server is left for the request.
+func (call *call) noServerReason(reason string) string {
+	if call.unknownProcess && reason != steer.Deadline && reason != steer.NoRetry {
+		return "unknown_process"
+	}
+	return reason
+}
+
 // mayGoOn reports whether another server can go on after what the caller has received.
 func (call *call) mayGoOn() bool {
 	return call.progress().Remedy() != ending.BreakOff
@@ -141,6 +153,10 @@
 			return work.NoConnection
 		}
 	}
+	if !call.awaitProcess(conn, server) {
+		call.log(event.AttemptEnded(), logrus.Fields{"server": server.ID, "result": work.NoConnection, "state": call.state, "error": "it is not known which process the connection reached"})
+		return work.NoConnection
+	}
 	if !call.mayStillSend(server) {
 		conn.Discard()
 		delete(call.tried, server.ID)
@@ -148,7 +164,7 @@
 	}
 	options.Fleet.RequestStarted(server.ID, choice.Share)
 	defer options.Fleet.RequestEnded(server.ID, choice.Share)
-	exchange := &exchange{call: call, conn: conn, disown: disown, server: server, process: call.processCheckOf(server, mustCheck), started: time.Now(), choice: choice}
+	exchange := &exchange{call: call, conn: conn, disown: disown, server: server, process: call.processCheckOf(conn, server, mustCheck), started: time.Now(), choice: choice}
 	exchange.progress = progress{process: key, receivedBefore: conn.Received()}
 	defer exchange.markPromptRead()
 	exchange.openHold()
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -58,7 +58,7 @@
 	call.isUnframed = !isDelimited(response) && call.trustsEnds(exchange.server)
 	call.writeHead(response.StatusCode)
 	call.responseStarted = true
-	call.recordOrigin(exchange.server)
+	exchange.recordOrigin()
 }
 
 // copyEvents copies complete events to the caller until the stream ends. It drops a
