core/ending: a stream that began with chunks is a case of its own

Cause: the unframed end of a trusted service's stream that began with chunks was logged as untrusted. Two tests of a crash read the closed listener before its accepting goroutine had let go of it.

Change: case begun_framed. The tests wait until connections are refused.

--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -93,6 +93,9 @@
 	// Untrusted: the response ended with its connection, and its service is not trusted to end
 	// responses so. No question is asked.
 	Untrusted Case = "untrusted"
+	// BegunFramed: the service is trusted, but the response to the caller began with chunks. A last one
+	// would say more than is known.
+	BegunFramed Case = "begun_framed"
 	// RunCut: the server lists the run with more events than arrived.
 	RunCut Case = "run_cut"
 	// AskedEarly: the process named itself, but on a connection or at a time at which one that ends
@@ -112,6 +115,8 @@
 	// Trusted: the operators say that the service's responses may end with their connection, and that
 	// no device closes it before.
 	Trusted bool
+	// BegunFramed: the response to the caller began with chunks.
+	BegunFramed bool
 	// EndedAt is when the response's connection was seen to have ended. It may have ended earlier by
 	// up to UnreadFor, for which the host did not read.
 	EndedAt   time.Time
@@ -127,7 +132,7 @@
 
 // NeedsAnswer reports whether the verdict depends on what the server says of its process.
 func (evidence Evidence) NeedsAnswer() bool {
-	return evidence.Framing == Connection && evidence.Trusted
+	return evidence.Framing == Connection && evidence.Trusted && !evidence.BegunFramed
 }
 
 // Verdict returns whether the response is whole.
@@ -150,6 +155,8 @@
 		return Framed, Whole
 	case !evidence.Trusted:
 		return Untrusted, Unknown
+	case evidence.BegunFramed:
+		return BegunFramed, Unknown
 	}
 	outcome := Case(evidence.Outcome)
 	isEarly := evidence.OpenedAt.Before(evidence.EndedAt) || evidence.AskedAt.Sub(evidence.EndedAt) < Settle
--- a/core/ending/ending_test.go
+++ b/core/ending/ending_test.go
@@ -31,6 +31,10 @@
 		evidence.RunEvents = events
 		return evidence
 	}
+	begunFramed := func(evidence ending.Evidence) ending.Evidence {
+		evidence.BegunFramed = true
+		return evidence
+	}
 	registered := evidence(ending.Registered, after(1), after(90), after(95))
 	for name, test := range map[string]struct {
 		evidence ending.Evidence
@@ -60,6 +64,8 @@
 		"a run with as many events":                    {listed(registered, 3), "registered", ending.Whole},
 		"a run with fewer events, as lists are old":    {listed(registered, 1), "registered", ending.Whole},
 		"more events of a run of another process":      {listed(evidence(ending.OtherProcess, after(1), after(2), settled), 4), "other_process", ending.Ended},
+		"a last chunk for what began with chunks":      {begunFramed(ending.Evidence{Framing: ending.Chunks, EndedAt: end}), ending.Framed, ending.Whole},
+		"a connection's end for what began with them":  {begunFramed(registered), ending.BegunFramed, ending.Unknown},
 		"nothing known":                                {ending.Evidence{}, ending.Untrusted, ending.Unknown},
 	} {
 		reason, verdict := test.evidence.Judge()
@@ -84,6 +90,7 @@
 		evidence.Trusted = true
 		require.True(t, evidence.NeedsAnswer())
 	}
+	require.False(t, ending.Evidence{Framing: ending.Connection, Trusted: true, BegunFramed: true}.NeedsAnswer())
 	require.False(t, ending.Evidence{Framing: ending.Chunks, Trusted: true}.NeedsAnswer())
 	require.False(t, ending.Evidence{Framing: ending.Length, Trusted: true}.NeedsAnswer())
 }
--- a/io/front/cutrun_test.go
+++ b/io/front/cutrun_test.go
@@ -108,11 +108,24 @@
 	}
 }
 
+// awaitRefusal waits until a stopped server takes no connections: its listener is closed only when its
+// accepting goroutine has noticed.
+func (harness *harness) awaitRefusal(id string) {
+	for {
+		conn, err := net.Dial("tcp4", harness.servers[id].Address)
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+	}
+}
+
 // Guards against a crash behind an unframed response that is found only when the next request is sent.
 func TestCrashBehindAnUnframedResponseIsFoundAtOnce(t *testing.T) {
 	harness := newHarness(t, nil)
 	harness.addStoppableServer("a", func(request *http.Request, conn net.Conn, stop func()) {
 		stop()
+		harness.awaitRefusal("a")
 		respondUntilEnd(200, events(1, 3), eventStream)(request, conn)
 	})
 	require.Error(t, harness.post("/stream/", "x").err)
@@ -129,6 +142,7 @@
 		began <- struct{}{}
 		<-release
 		stop()
+		harness.awaitRefusal("a")
 		respondUntilEnd(200, events(1, 3), eventStream)(request, conn)
 	})
 	for number := range requests {
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -29,7 +29,7 @@
 		return "", true
 	}
 	check := &endCheck{exchange: exchange, Evidence: ending.Evidence{
-		Framing: framing(response), Trusted: exchange.call.trustsEnds(exchange.server), EndedAt: time.Now(), UnreadFor: exchange.unreadFor,
+		Framing: framing(response), Trusted: exchange.call.trustsEnds(exchange.server), BegunFramed: exchange.call.responseStarted && !exchange.call.isUnframed, EndedAt: time.Now(), UnreadFor: exchange.unreadFor,
 		Outcome: ending.Unasked, Events: exchange.call.arrivedEvents(), RunEvents: ending.NotListed,
 	}}
 	exchange.conn.Discard()
@@ -55,10 +55,9 @@
 	return exchange.leaveUnproven(), false
 }
 
-// trustsEnds reports whether the responses of a server may end with their connection. If a response
-// with chunks to the caller has begun, they may not: its last chunk would say more than the host knows.
+// trustsEnds reports whether the responses of a server may end with their connection.
 func (call *call) trustsEnds(server fleet.Server) bool {
-	return call.handler.options.TrustedServices[server.Service] && (!call.responseStarted || call.isUnframed)
+	return call.handler.options.TrustedServices[server.Service]
 }
 
 // arrivedEvents returns how many events of the run have arrived, or more if that is not known: a
--- a/io/front/trusted_test.go
+++ b/io/front/trusted_test.go
@@ -78,6 +78,7 @@
 	got := harness.post("/resume/", "x")
 	require.Error(t, got.err, harness.log.String())
 	require.Equal(t, events(1, 6), got.body)
+	require.Contains(t, harness.log.String(), `"case":"begun_framed"`)
 }
 
 // Guards against a run that its server lists with more events than arrived and that counts as whole.
