io/front: the key of a server's process is made once an attempt

Cause: each batch of events of a stream made the key anew, which formats a time. Change: the attempt keeps it.

--- a/core/trickle/trickle.go
+++ b/core/trickle/trickle.go
@@ -12,7 +12,7 @@
 // Kind classifies the errors of this package.
 type Kind string
 
-// Trickles: the server has kept several requests in a row until their deadlines.
+// Trickles is why a server is suspended that has kept several requests in a row until their deadlines.
 const Trickles Kind = "trickles"
 
 // Error is the error type of this package.
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -147,7 +147,7 @@
 	options.Fleet.RequestStarted(server.ID, choice.Share)
 	defer options.Fleet.RequestEnded(server.ID, choice.Share)
 	exchange := &exchange{call: call, conn: conn, disown: disown, server: server, process: call.processCheckOf(server, mustCheck), started: time.Now(), choice: choice}
-	exchange.progress.receivedBefore = conn.Received()
+	exchange.progress = progress{process: key, receivedBefore: conn.Received()}
 	defer exchange.markPromptRead()
 	exchange.openHold()
 	defer func() { exchange.hold.Release() }()
--- a/io/front/passthrough_test.go
+++ b/io/front/passthrough_test.go
@@ -61,41 +61,36 @@
 func TestLongResponsesAreWhole(t *testing.T) {
 	for _, size := range []int{shortBytes - 1, shortBytes, shortBytes + 1, 1 << 20, 8 << 20, 64 << 20} {
 		for _, chunked := range []bool{false, true} {
-			for _, slow := range []bool{false, true} {
-				t.Run(fmt.Sprint(size, " chunked ", chunked, " slow ", slow), func(t *testing.T) {
-					harness := newHarness(t, nil)
-					body := randomBody(size)
-					harness.addServer("a", func(request *http.Request, conn net.Conn) {
-						writeParts(conn, request.Header.Get("X-Id"), chunked, body)
-					})
-					conn := harness.dial()
-					for range 2 {
-						_, err := io.WriteString(conn, requestHead("/once/", "long", 10_000, 0))
-						require.NoError(t, err)
-						response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-						require.NoError(t, err)
-						require.Equal(t, http.StatusOK, response.StatusCode)
-						digest := sha256.New()
-						for err == nil {
-							_, err = io.CopyN(digest, response.Body, 1<<20)
-							if slow {
-								time.Sleep(5 * time.Millisecond)
-							}
-						}
-						require.Equal(t, io.EOF, err)
-						require.Equal(t, sha256.Sum256(body), [32]byte(digest.Sum(nil)))
-						if !chunked {
-							require.Equal(t, int64(size), response.ContentLength)
-						}
-					}
-					harness.requireAllGivenBack()
-					require.Len(t, harness.conns, 1, "the connection to the server is used again")
+			for _, pause := range []time.Duration{0, 5 * time.Millisecond} {
+				t.Run(fmt.Sprint(size, " chunked ", chunked, " pause ", pause), func(t *testing.T) {
+					requireLongResponses(t, randomBody(size), chunked, pause)
 				})
 			}
 		}
 	}
 }
 
+// requireLongResponses requires two responses in a row on the same connections to be whole.
+func requireLongResponses(t *testing.T, body []byte, chunked bool, pause time.Duration) {
+	t.Helper()
+	harness := newHarness(t, nil)
+	harness.addServer("a", func(request *http.Request, conn net.Conn) {
+		writeParts(conn, request.Header.Get("X-Id"), chunked, body)
+	})
+	conn := harness.dial()
+	for range 2 {
+		_, err := io.WriteString(conn, requestHead("/once/", "long", 10_000, 0))
+		require.NoError(t, err)
+		length, err := readSlowly(conn, sha256.Sum256(body), 1<<20, pause)
+		require.NoError(t, err)
+		if !chunked || len(body) <= shortBytes-1 {
+			require.Equal(t, int64(len(body)), length)
+		}
+	}
+	harness.requireAllGivenBack()
+	require.Len(t, harness.conns, 1, "the connection to the server is used again")
+}
+
 // Guards against a caller that gets the first byte of a long response only at its end.
 func TestLongResponseIsPassedOnWhileItIsRead(t *testing.T) {
 	harness := newHarness(t, nil)
@@ -137,7 +132,7 @@
 		go func() {
 			_, err := io.WriteString(conn, requestHead("/once/", "slow", 10_000, 0))
 			if err == nil {
-				err = readSlowly(conn, sha256.Sum256(body), 256<<10, 100*time.Millisecond)
+				_, err = readSlowly(conn, sha256.Sum256(body), 256<<10, 100*time.Millisecond)
 			}
 			errs <- err
 		}()
@@ -163,21 +158,22 @@
 	return int64(stats.HeapAlloc)
 }
 
-// readSlowly reads a response in parts with pauses and checks its digest.
-func readSlowly(conn net.Conn, want [32]byte, part int64, pause time.Duration) error {
+// readSlowly reads a response in parts with pauses, checks its status and digest, and returns the
+// length that it names.
+func readSlowly(conn net.Conn, want [32]byte, part int64, pause time.Duration) (int64, error) {
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	digest := sha256.New()
 	for err == nil {
 		_, err = io.CopyN(digest, response.Body, part)
 		time.Sleep(pause)
 	}
-	if err != io.EOF || [32]byte(digest.Sum(nil)) != want {
-		return fmt.Errorf("not whole: %d %w", response.StatusCode, err)
+	if err != io.EOF || response.StatusCode != http.StatusOK || [32]byte(digest.Sum(nil)) != want {
+		return 0, fmt.Errorf("not whole: %d %w", response.StatusCode, err)
 	}
-	return nil
+	return response.ContentLength, nil
 }
 
 // Guards against a long response that breaks off, or does not fit its framing, and looks whole to
@@ -323,6 +319,7 @@
 	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(64<<10))
 	_, err := io.WriteString(conn, requestHead("/once/", "slow", 500, 0))
 	require.NoError(t, err)
-	require.NoError(t, readSlowly(conn, sha256.Sum256(body), 256<<10, 40*time.Millisecond))
+	_, err = readSlowly(conn, sha256.Sum256(body), 256<<10, 40*time.Millisecond)
+	require.NoError(t, err)
 	harness.requireAllGivenBack()
 }
--- a/io/front/trickle.go
+++ b/io/front/trickle.go
@@ -13,6 +13,8 @@
 
 // progress is what an attempt has brought so far, to tell a server that trickles from a slow one.
 type progress struct {
+	// process is the pool key of the server's process.
+	process string
 	// receivedBefore is what the connection had received before.
 	receivedBefore int64
 	// lastPart is when the caller had taken the last complete part of the response.
@@ -27,7 +29,7 @@
 func (exchange *exchange) recordPart() {
 	now := time.Now()
 	exchange.progress.lastPart = now
-	exchange.call.handler.trickle.RecordPart(connectionKey(exchange.server), exchange.server.Service, now)
+	exchange.call.handler.trickle.RecordPart(exchange.progress.process, exchange.server.Service, now)
 }
 
 // judgeDeadline judges an attempt that has ended without a complete response, if its deadline did that.
@@ -37,7 +39,7 @@
 		return
 	}
 	verdict := handler.trickle.JudgeDeadline(trickle.Attempt{
-		Server: connectionKey(exchange.server), Service: exchange.server.Service, Started: exchange.started, Ended: now,
+		Server: made.process, Service: exchange.server.Service, Started: exchange.started, Ended: now,
 		Allowed: cmp.Or(call.work.Route.Timeout, defaultTimeout), Received: exchange.conn.Received() > made.receivedBefore,
 		LastPart: made.lastPart, CallerHeld: made.callerHeld,
 	})
