io/admin: a cut reason is no refusal, and an answer about no generation confirms nothing

Cause: the operators' client reported each error status without a readable reason as refused, also a 503 whose reason, unsettled, was cut short: the change may have been made. Change: a 5xx without a readable reason is Unreachable, which says that a change may have been made; Confirmed requires the answer to name the generation. TestWait's fake host did not name it, as hosts do; now it does.

--- a/cmds/confirm_test.go
+++ b/cmds/confirm_test.go
@@ -27,13 +27,13 @@
 	}{
 		{
 			"all have confirmed", http.StatusOK,
-			admin.Confirmed{Confirmed: []string{"host-1"}, Unreached: []string{"host-9"}},
+			admin.Confirmed{Generation: 3, Confirmed: []string{"host-1"}, Unreached: []string{"host-9"}},
 			cmds.ExitDone,
 			[]string{"generation 3", "confirmed by 1 hosts: host-1", "taken for dead: host-9"},
 		},
 		{
 			"one has not", http.StatusOK,
-			admin.Confirmed{Confirmed: []string{"host-1"}, Waiting: []string{"host-2"}},
+			admin.Confirmed{Generation: 3, Confirmed: []string{"host-1"}, Waiting: []string{"host-2"}},
 			cmds.ExitFailed,
 			[]string{"generation 3 is made", "not confirmed by: host-2"},
 		},
--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -23,7 +23,7 @@
 
 // The kinds of admin errors.
 const (
-	// Unreachable: the host did not answer; a change may have been made.
+	// Unreachable: the host did not answer as a whole; a change may have been made.
 	Unreachable Kind = "unreachable"
 	// Refused: the host refused the call; Client returns the host's Problem.
 	Refused Kind = "refused"
@@ -98,7 +98,13 @@
 func (client *Client) Confirmed(ctx context.Context, generation uint64) (Confirmed, error) {
 	var confirmed Confirmed
 	path := "/admin/confirmed?generation=" + strconv.FormatUint(generation, 10)
-	return confirmed, client.call(ctx, client.sling().Get(path), &confirmed)
+	if err := client.call(ctx, client.sling().Get(path), &confirmed); err != nil {
+		return Confirmed{}, err
+	}
+	if confirmed.Generation != generation {
+		return Confirmed{}, fault.Field("admin.confirmed", Unreachable, "generation", "the answer is about another generation")
+	}
+	return confirmed, nil
 }
 
 // Trial proves a document.
@@ -143,7 +149,11 @@
 	if response.StatusCode != http.StatusOK {
 		problem := &Problem{}
 		if err := decoder.Decode(problem); err != nil || problem.Kind == "" {
-			return fault.New(op, Refused, "status "+response.Status)
+			kind := Refused
+			if response.StatusCode >= http.StatusInternalServerError {
+				kind = Unreachable
+			}
+			return fault.New(op, kind, "status "+response.Status+" without a reason")
 		}
 		return problem
 	}
