io/front, core/work: a server's refusal does not say that earlier attempts have not run

Cause: the status of one server was passed on whatever other attempts had done. Change: call counts the attempts that may have run; a 408, 421, 429 or 503 is passed on only if none but its own may have. Otherwise the request goes on, or ends with 502 or 504. Why it works: work.State never goes back from a doubt, and now no status does.

--- a/core/work/work.go
+++ b/core/work/work.go
@@ -3,6 +3,7 @@
 package work
 
 import (
+	"net/http"
 	"time"
 
 	"primrosegw/core/table"
@@ -63,6 +64,16 @@
 // NotRun reports whether it is certain that the request has not run.
 func (state State) NotRun() bool { return state == Unsent || state == Refused }
 
+// SaysNotRun reports whether callers take a status for the promise that their request has not run and
+// never will.
+func SaysNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Result is the outcome of one attempt at a backend server.
 type Result string
 
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -218,6 +218,9 @@
 // while it is read is, if it is long.
 func (exchange *exchange) relayBuffered(response pipe.Response, success bool) work.Result {
 	call := exchange.call
+	if !call.mayRelay(response.StatusCode, 0) {
+		return exchange.dropStatus(response)
+	}
 	if exchange.mayPassThrough(response) {
 		return exchange.passThrough(response, success)
 	}
@@ -253,6 +256,16 @@
 	return work.Served
 }
 
+// dropStatus drops a response whose status would say to the caller that its request has not run, though
+// an earlier attempt may have.
+func (exchange *exchange) dropStatus(response pipe.Response) work.Result {
+	if response.StatusCode >= http.StatusInternalServerError {
+		exchange.call.handler.options.Fleet.RecordFailure(exchange.server.ID)
+	}
+	exchange.drainBody(response)
+	return exchange.logAttempt(work.Failed, response.StatusCode, nil)
+}
+
 // drainBody reads and drops a response that the caller does not get, so that the
 // connection can be reused. A long response is not worth that: the connection is closed.
 func (exchange *exchange) drainBody(response pipe.Response) {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -81,6 +81,9 @@
 		call.tried[step.Choice.Member.ID] = true
 		result := call.attempt(*step.Choice)
 		call.state = call.state.Next(result)
+		if !work.Unsent.Next(result).NotRun() {
+			call.mayHaveRun++
+		}
 		switch result {
 		case work.Served:
 			call.countReached()
@@ -255,13 +258,19 @@
 		call.abandon()
 		return
 	}
-	if call.fallback != nil && !call.responseStarted {
+	if call.fallback != nil && !call.responseStarted && call.mayRelay(call.fallback.status, 1) {
 		call.writeBuffered(*call.fallback)
 		return
 	}
 	call.fail(&refusal)
 }
 
+// mayRelay reports whether the caller may get a server's status. Own is the number of attempts, among
+// those that may have run, that the status is about: it must not say of others that they have not run.
+func (call *call) mayRelay(status, own int) bool {
+	return !work.SaysNotRun(status) || call.mayHaveRun <= own
+}
+
 // fail sends an error response. If a part of a response has already been sent, it
 // aborts the connection instead, so that the response does not look complete.
 func (call *call) fail(refusal *refusal) {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -251,6 +251,8 @@
 	table *table.Table
 
 	state work.State
+	// mayHaveRun is the number of attempts of which it is not certain that they have not run.
+	mayHaveRun int
 	// reached is the number of backend servers that may have received the request.
 	reached  int
 	tried    map[string]bool
