--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -43,22 +43,8 @@
 			call.fail(refusal)
 			return
 		}
-		if call.crashesServers() {
-			refusal := unservedRefusal(call.state, false, "crashes_servers")
-			refusal.retryAfter = crashesServersRetryAfter
-			call.giveUp(refusal)
-			return
-		}
-		if call.isUnproven {
-			call.giveUp(unservedRefusal(call.state, false, "unproven_end"))
-			return
-		}
-		if !call.mayGoOn() {
-			call.giveUp(unservedRefusal(call.state, false, "not_resumable"))
-			return
-		}
-		if !call.finishesInDrain(time.Now()) {
-			call.giveUp(unservedRefusal(call.state, true, "leaving"))
+		if refusal := call.endsHere(); refusal != nil {
+			call.giveUp(*refusal)
 			return
 		}
 		step := call.nextStep(time.Now())
@@ -99,6 +85,25 @@
 	}
 }
 
+// endsHere returns the refusal of a request that must not be sent to a server any more, whichever it
+// is; nil if it may be.
+func (call *call) endsHere() *refusal {
+	refusal := unservedRefusal(call.state, false, "")
+	switch {
+	case call.crashesServers():
+		refusal.reason, refusal.retryAfter = "crashes_servers", crashesServersRetryAfter
+	case call.isUnproven:
+		refusal.reason = "unproven_end"
+	case !call.mayGoOn():
+		refusal.reason = "not_resumable"
+	case !call.finishesInDrain(time.Now()):
+		refusal = unservedRefusal(call.state, true, "leaving")
+	default:
+		return nil
+	}
+	return &refusal
+}
+
 // noServerReason returns why no server is left for the request.
 func (call *call) noServerReason(reason string) string {
 	if call.unknownProcess && reason != steer.Deadline && reason != steer.NoRetry {
