io/front: test that a stream given up for a caller that sends no more looks broken

Cause: net/http takes the end of what a caller sends for its leaving. The host then closes the connection in order (abandon), and a caller on HTTP/1.0 or of a trusted service takes the events so far for the whole stream.

Change: a failing test.

--- /dev/null
+++ b/io/front/givenup_test.go
@@ -0,0 +1,68 @@
+package front_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// plainCaller is a caller that reads and writes its connection itself. Only a reset shows it that a
+// response without a length or chunks is not whole.
+type plainCaller struct{ *net.TCPConn }
+
+// call sends a request with the given version of HTTP.
+func (harness *harness) call(path, version string, timeoutMs int) plainCaller {
+	harness.t.Helper()
+	conn, err := net.Dial("tcp4", harness.server.Listener.Addr().String())
+	require.NoError(harness.t, err)
+	harness.t.Cleanup(func() { _ = conn.Close() })
+	tcp := conn.(*net.TCPConn)
+	require.NoError(harness.t, tcp.SetReadBuffer(4<<10))
+	_ = conn.SetDeadline(time.Now().Add(15 * time.Second))
+	fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: h.example\r\nX-Id: id-1\r\nX-Key: key\r\nX-Timeout-Ms: %d\r\nContent-Length: 1\r\n\r\nx", path, version, timeoutMs)
+	return plainCaller{tcp}
+}
+
+// unframedCallers are the callers that get streams without a length or chunks.
+var unframedCallers = map[string]struct {
+	version string
+	trusted bool
+}{"HTTP/1.0": {"1.0", false}, "trusted service": {"1.1", true}}
+
+// beginStream sends the first events of a stream, in chunks unless the service is trusted, and waits.
+func beginStream(trusted bool, ended <-chan struct{}) responder {
+	return func(request *http.Request, conn net.Conn) {
+		headers, body := []string{signed, eventStream}, events(1, 3)
+		if !trusted {
+			headers, body = append(headers, "Transfer-Encoding: chunked"), chunk(body)
+		}
+		writeResponse(conn, 200, request.Header.Get("X-Id"), headers, body)
+		<-ended
+	}
+}
+
+// Guards against a stream that is given up because its caller sends no more, and looks whole to that caller, which still reads.
+func TestGivenUpStreamLooksBrokenToCallersThatSendNoMore(t *testing.T) {
+	for name, kind := range unframedCallers {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, withReports)
+			harness.trusted["engines"] = kind.trusted
+			ended := make(chan struct{})
+			defer close(ended)
+			harness.addServer("a", reporting(1, beginStream(kind.trusted, ended)))
+			harness.startedAt("a", 1)
+			caller := harness.call("/stream/", kind.version, 5000)
+			require.NoError(t, caller.CloseWrite())
+			content, err := io.ReadAll(caller)
+			if strings.Contains(string(content), "id: 3") {
+				require.Error(t, err, "3 events of a stream that goes on: %s\n%s", content, harness.log.String())
+			}
+		})
+	}
+}
