io/front: test that an end judged while its host stops looks broken

Cause: the question after the end of a trusted response takes up to 350 ms and is not ended by the stop of the host, which comes 150 ms before it closes its connections in order. The caller takes an unproven stream for whole.

Change: a failing test.

Conclusion: stopping must end the question, as the leaving of the caller does.

--- /dev/null
+++ b/io/front/stopjudge_test.go
@@ -0,0 +1,30 @@
+package front_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an unframed end that is still judged when its host stops, and looks whole to the caller then.
+func TestEndThatIsJudgedWhileItsHostStopsLooksBroken(t *testing.T) {
+	const left = 300 * time.Millisecond
+	harness := newHarness(t, withReports).trustEnds()
+	stopped := make(chan struct{})
+	harness.addServer("a", harness.withQuestion("/report", neverAnswer, func(request *http.Request, conn net.Conn) {
+		deadline := time.Now().Add(left)
+		harness.handler.Drain(deadline)
+		// The gateway closes the server at the deadline of its drain.
+		time.AfterFunc(left, func() { _ = harness.server.Config.Close(); close(stopped) })
+		time.Sleep(left / 3)
+		respondUntilEnd(200, events(1, 3), eventStream)(request, conn)
+	}))
+	harness.startedAt("a", 1)
+	content, err := io.ReadAll(harness.call("/stream/", "1.1", 5000))
+	<-stopped
+	require.Error(t, err, "a stream whose end is not proven: %s\n%s", content, harness.log.String())
+}
