io/front: a response that ends with its connection is reset until it is whole

Cause: callers on HTTP/1.0 and of trusted services take the end of the connection for that of the response. Only abort reset it. Giving up (abandon), the write deadline, http.Server.Close and the end of the process closed it in order.

Change: from the head of such a response the caller's connection has SO_LINGER 0, so that whatever closes it resets it. When the response is whole and the kernel has all of it, the option is set back. If the kernel does not get all of it, the option stays. The handler finds the connection by ConnContext, which Heads.Serve sets; abort needs no Hijack any more. The test harness sets ConnContext, too; the dial of its plain caller is a function, for a host in another process.

Responses with chunks for callers on HTTP/1.1 are as before.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -367,6 +367,7 @@
 	if call.request.Method != http.MethodHead {
 		call.writeSegments(response.segments)
 	}
+	call.closeInOrder()
 	call.recordResponse(response.status)
 }
 
@@ -376,6 +377,7 @@
 	if call.isUnframed {
 		call.writer.Header().Set("Transfer-Encoding", "identity")
 	}
+	call.resetUntilWhole()
 	call.writer.WriteHeader(status)
 }
 
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -283,28 +283,12 @@
 	call.abort()
 }
 
-// abort ends a response that has started, so that it does not look complete. Without chunks, as for
-// callers on HTTP/1.0 and from trusted services, only a reset of the connection shows that.
+// abort ends a response that has started, so that it does not look complete: it has no last chunk, is
+// shorter than its length, or its connection is reset (resetUntilWhole).
 func (call *call) abort() {
-	if call.isUnframed || !call.request.ProtoAtLeast(1, 1) {
-		resetConnection(call.writer)
-	}
 	panic(http.ErrAbortHandler)
 }
 
-// resetConnection closes the connection of a response with a reset.
-func resetConnection(writer http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(writer).Hijack()
-	if err != nil {
-		return
-	}
-	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		// An error means that the connection has already failed.
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // abandon ends a request whose caller has gone.
 func (call *call) abandon() {
 	total := time.Since(call.work.Received)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -171,7 +171,7 @@
 	AddToCounter(name, tag, tagValue string, delta int64)
 }
 
-// Handler handles callers' requests.
+// Handler handles callers' requests. Its server needs ConnContext.
 type Handler struct {
 	options   Options
 	startedAt time.Time
@@ -259,6 +259,8 @@
 	responseStarted bool
 	// isUnframed: that response has neither a length nor chunks.
 	isUnframed bool
+	// resets is the caller's connection if closing it resets it; nil if not.
+	resets lingerer
 	// isUnproven: nothing shows that the last response is whole, and the request must not run again.
 	isUnproven bool
 	// bodyStarted: that part is of a response that is no stream. No other server can go on with it.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -199,6 +199,7 @@
 	harness.server = httptest.NewUnstartedServer(harness.handler)
 	_ = harness.server.Listener.Close()
 	harness.server.Listener = listener
+	harness.server.Config.ConnContext = front.ConnContext
 	harness.server.Start()
 	t.Cleanup(harness.server.Close)
 	return harness
--- a/io/front/givenup_test.go
+++ b/io/front/givenup_test.go
@@ -20,11 +20,17 @@
 // call sends a request with the given version of HTTP.
 func (harness *harness) call(path, version string, timeoutMs int) plainCaller {
 	harness.t.Helper()
-	conn, err := net.Dial("tcp4", harness.server.Listener.Addr().String())
-	require.NoError(harness.t, err)
-	harness.t.Cleanup(func() { _ = conn.Close() })
+	return callAt(harness.t, harness.server.Listener.Addr().String(), path, version, timeoutMs)
+}
+
+// callAt sends a request to a host.
+func callAt(t *testing.T, address, path, version string, timeoutMs int) plainCaller {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
 	tcp := conn.(*net.TCPConn)
-	require.NoError(harness.t, tcp.SetReadBuffer(4<<10))
+	require.NoError(t, tcp.SetReadBuffer(4<<10))
 	_ = conn.SetDeadline(time.Now().Add(15 * time.Second))
 	fmt.Fprintf(conn, "POST %s HTTP/%s\r\nHost: h.example\r\nX-Id: id-1\r\nX-Key: key\r\nX-Timeout-Ms: %d\r\nContent-Length: 1\r\n\r\nx", path, version, timeoutMs)
 	return plainCaller{tcp}
--- a/io/front/heads.go
+++ b/io/front/heads.go
@@ -42,7 +42,7 @@
 }
 
 // Serve serves connections of a listener until the server is closed. It sets the server's ConnState,
-// and takes the place of its time limits for heads and idle connections, which count the time before
+// and its ConnContext, and takes the place of its time limits for heads and idle connections, which count the time before
 // the first request of a connection as that of its head.
 func (heads *Heads) Serve(server *http.Server, listener net.Listener) error {
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -53,6 +53,7 @@
 			conn.(*headConn).beginHead()
 		}
 	}
+	server.ConnContext = ConnContext
 	return server.Serve(&headListener{Listener: listener, heads: heads})
 }
 
--- a/io/front/owner_test.go
+++ b/io/front/owner_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"primrosegw/io/front"
 )
 
 // leaver is a caller that sends a request, does not read the response and leaves.
@@ -38,7 +40,7 @@
 	harness.server = httptest.NewUnstartedServer(harness.handler)
 	harness.server.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		_ = conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
-		return ctx
+		return front.ConnContext(ctx, conn)
 	}
 	harness.server.Start()
 	harness.t.Cleanup(harness.server.Close)
--- a/io/front/passthrough.go
+++ b/io/front/passthrough.go
@@ -134,6 +134,7 @@
 			break
 		}
 	}
+	passage.call.closeInOrder()
 	passage.call.recordResponse(passage.response.StatusCode)
 	return work.Served
 }
@@ -147,7 +148,7 @@
 	}
 	call.firstEventDelay = time.Since(call.work.Received)
 	call.responseStarted, call.bodyStarted = true, true
-	call.writer.WriteHeader(response.StatusCode)
+	call.writeHead(response.StatusCode)
 }
 
 // writeStart writes what was read so far, and gives its memory back but for that of the largest
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -43,6 +43,7 @@
 	exchange.releaseConn(response)
 	exchange.recordProvenEnd()
 	call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
+	call.closeInOrder()
 	call.recordResponse(response.StatusCode)
 	return work.Served
 }
