io/front: the stop of the host ends the question after the end of a response

Cause: the question which process a server is, after the end of a trusted response, takes up to 350 ms. Only the caller's leaving cancelled it, and only while it connected; the stop of the host comes 150 ms before its connections are closed.

Change: the stop and the caller's leaving cancel the question, and close its connection. No answer counts then as nothing shown, and is not recorded as the server's silence.

Conclusion: the caller's response breaks before the host closes its connections.

--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -102,7 +102,8 @@
 	err  error
 }
 
-// run asks the server until the time limit and records what came of it.
+// run asks the server until the time limit, unless the caller leaves or the host stops before, and
+// records what came of it.
 func (check *endCheck) run() {
 	call, server := check.exchange.call, check.exchange.server
 	limit := check.EndedAt.Add(ending.TimeLimit)
@@ -111,6 +112,7 @@
 	}
 	ctx, cancel := context.WithDeadline(call.request.Context(), limit)
 	defer cancel()
+	defer context.AfterFunc(call.handler.stopping, cancel)()
 	for range maxEndConns {
 		question := check.nextQuestion()
 		if question == nil {
@@ -153,7 +155,13 @@
 	for ; question != nil; question = check.nextQuestion() {
 		check.AskedAt = time.Now()
 		var reusable bool
+		disown := check.exchange.call.closeWhenOver(conn.Close)
 		check.Outcome, reusable, check.err = check.ask(conn, question, limit)
+		if !disown() {
+			// No answer says nothing of the server.
+			conn.Discard()
+			return false
+		}
 		silent.Record(question.key, check.Outcome, time.Now())
 		if !reusable {
 			conn.Discard()
--- a/io/front/stopjudge_test.go
+++ b/io/front/stopjudge_test.go
@@ -28,3 +28,19 @@
 	<-stopped
 	require.Error(t, err, "a stream whose end is not proven: %s\n%s", content, harness.log.String())
 }
+
+// Guards against a question after the end of a response that holds the caller until its limit, although the host stops.
+func TestStopEndsTheQuestionAfterAnEnd(t *testing.T) {
+	harness := newHarness(t, withReports).trustEnds()
+	asked := make(chan time.Time, 4)
+	ask := func(request *http.Request, conn net.Conn) {
+		asked <- time.Now()
+		harness.handler.Drain(time.Now())
+		neverAnswer(request, conn)
+	}
+	harness.addServer("a", harness.withQuestion("/report", ask, respondUntilEnd(200, events(1, 3), eventStream)))
+	harness.startedAt("a", 1)
+	_, err := io.ReadAll(harness.call("/stream/", "1.1", 5000))
+	require.Error(t, err)
+	require.Less(t, time.Since(<-asked), 200*time.Millisecond, harness.log.String())
+}
