io/entry: a service's answer has its length

Cause: answers of plain services were written without a length. A caller on HTTP/1.0 gets no chunks either, and a write that fails after the write timeout ended in order.

Conclusion: the caller sees a cut answer by its length.

--- a/io/entry/service.go
+++ b/io/entry/service.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"path"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -185,6 +186,10 @@
 			writer.Header()[name] = values
 		}
 		writer.Header().Set(HeaderRequestID, serviceCall.id)
+		if len(answer.Body) > 0 && answer.Header.Get("Transfer-Encoding") == "" {
+			// A caller on HTTP/1.0 gets no chunks: only the length shows it an answer that is cut.
+			writer.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		}
 		writer.WriteHeader(answer.Status)
 		_, _ = writer.Write(answer.Body)
 	}
