io/plain: a call that may have run is never refused

Cause: Do returned the error of its last try. After a try that may have run, a last address without a connection gave Refused, which callers are told as not run.

Change: once a try may have run, a refusal of the last try becomes Broken, with the cause of the refusal. An answer with 502 or 503 counts as a try that may have run. An oversized answer stays Oversized, as its call has run.

Conclusion: a doubt stays until a try succeeds.

--- a/io/plain/notrun_test.go
+++ b/io/plain/notrun_test.go
@@ -49,3 +49,26 @@
 		server.Close()
 	}
 }
+
+// Guards against a refusal after an overloaded service's answer, which does not say that the call was not run.
+func TestOverloadBeforeARefusalLeavesADoubt(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := "http://" + listener.Addr().String()
+	require.NoError(t, listener.Close())
+	var runs atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		writer.WriteHeader(http.StatusBadGateway)
+	}))
+	defer server.Close()
+	service := newService()
+	both := spec.Service{Name: "s", URLs: []string{server.URL, closed}, TimeoutMs: 5000, RepeatableMethods: []string{http.MethodPut}}
+	for range 2 {
+		before := runs.Load()
+		answer, err := service.Do(t.Context(), both, plain.Call{Method: http.MethodPut, Path: "x"})
+		if runs.Load() > before {
+			assert.False(t, fault.Is(err, plain.Refused), "ran %d times, status %d, and: %v", runs.Load()-before, answer.Status, err)
+		}
+	}
+}
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -116,7 +116,8 @@
 
 // Do sends a call to one address of a service. Calls with a repeatable method
 // are sent again after a broken connection or an overload status; others only
-// when they certainly were not run. Errors are Refused, Broken and Oversized.
+// when they certainly were not run. Errors are Refused, Broken and Oversized; after
+// a try that may have run, none is Refused.
 func (service *Service) Do(ctx context.Context, target spec.Service, call Call) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(target.TimeoutMs)*time.Millisecond)
 	defer cancel()
@@ -124,10 +125,12 @@
 	first := service.turn.Add(1)
 	var answer Answer
 	var err error
+	mayHaveRun := false
 	for try := range maximumTries {
 		address := target.URLs[(first+uint64(try))%uint64(len(target.URLs))]
 		answer, err = service.once(ctx, address, target.TrustConnectionEnds, call)
 		answer.Tries = try + 1
+		mayHaveRun = mayHaveRun || !fault.Is(err, Refused)
 		if !again(answer, err, repeatable) || !service.wait(ctx, try) {
 			break
 		}
@@ -135,9 +138,24 @@
 	if err == nil {
 		service.earn()
 	}
+	if mayHaveRun {
+		err = doubt(err)
+	}
 	return answer, err
 }
 
+// doubt returns the error of a call whose last try had an error, and of which an earlier try may have run.
+func doubt(err error) error {
+	var refused *Error
+	if !errors.As(err, &refused) || refused.Kind != Refused {
+		return err
+	}
+	// The refusal must not be in the chain, where fault.Is would find it.
+	broken := fault.Wrap("plain.do", Broken, refused.Err)
+	broken.Detail = "an earlier try may have run"
+	return broken
+}
+
 // again reports whether a call may and should be sent once more.
 func again(answer Answer, err error, repeatable bool) bool {
 	switch {
