io/front: a report that was cut or failed says nothing of a server's process

Cause: judgeProcess took every answer that names no process, also a cut body and a status 500, 502 or 504, for that of a server that does not report. The server was mute for as long as its process was registered, and streams went on there unchecked.

Change: a body that can't be read, or that ends with its connection and is no whole JSON text, says nothing: the request goes elsewhere, or is refused with unknown_process. A 404 and the like, whole JSON without a start, and a stream of events make it mute for good, as before.

Conclusion: one cut report no longer lets a stream go on at another process.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -84,8 +84,7 @@
 	registeredAt time.Time
 	// doubtedAt is when the latest doubt was raised.
 	doubtedAt time.Time
-	// Mute is set if the server does not say which process it is.
-	Mute bool
+	silence   silence
 
 	// probationUntil is until when the server gets one request at a time, after a suspension by
 	// RecordTrickle.
--- a/core/fleet/process.go
+++ b/core/fleet/process.go
@@ -2,6 +2,27 @@
 
 import "time"
 
+const (
+	// minFailedReports and minFailingTime are how many failures in a row, and over what time, show that
+	// a server can't say which process it is. The registration of another process at its address arrives
+	// within that time.
+	minFailedReports = 5
+	minFailingTime   = 2 * time.Second
+	// muteTime is how long a server that could not say which process it is is not asked again.
+	muteTime = 30 * time.Second
+)
+
+// silence is what is known of how a server fails to say which process it is.
+type silence struct {
+	// isMute: it does not say so at all.
+	isMute bool
+	// failed counts its failures in a row, of which the first was at failingSince.
+	failed       int
+	failingSince time.Time
+	// mutedUntil is until when it is not asked.
+	mutedUntil time.Time
+}
+
 // DoubtProcess records that a connection to a server ended unexpectedly. Another process, which
 // may be of another software version, may have taken its place under the same ID and address.
 func (fleet *Fleet) DoubtProcess(id string, now time.Time) {
@@ -20,6 +41,7 @@
 		if askedAt.After(member.doubtedAt) {
 			member.InDoubt = false
 		}
+		member.silence.failed = 0
 	})
 }
 
@@ -38,7 +60,22 @@
 // RecordMute records that a server does not say which process it is. It is not asked again until
 // another process registers.
 func (fleet *Fleet) RecordMute(server Server) {
-	fleet.updateProcess(server, func(member *Member) { member.Mute = true })
+	fleet.updateProcess(server, func(member *Member) { member.silence.isMute = true })
+}
+
+// RecordFailedReport records that a server has answered the question which process it is with a
+// failure. One that always does is not asked for muteTime at a time.
+func (fleet *Fleet) RecordFailedReport(server Server, now time.Time) {
+	fleet.updateProcess(server, func(member *Member) {
+		silence := &member.silence
+		if silence.failed == 0 {
+			silence.failingSince = now
+		}
+		silence.failed++
+		if silence.failed >= minFailedReports && now.Sub(silence.failingSince) >= minFailingTime {
+			silence.mutedUntil = now.Add(muteTime)
+		}
+	})
 }
 
 // updateProcess is update for a server that is still registered as the same process.
@@ -59,7 +96,10 @@
 }
 
 // Mute reports whether a server does not say which process it is.
-func (fleet *Fleet) Mute(id string) bool { return fleet.find(id).Mute }
+func (fleet *Fleet) Mute(id string, now time.Time) bool {
+	silence := fleet.find(id).silence
+	return silence.isMute || now.Before(silence.mutedUntil)
+}
 
 // InDoubt reports whether the registered process of a server may have been replaced.
 func (fleet *Fleet) InDoubt(id string) bool { return fleet.find(id).InDoubt }
--- a/io/front/cutreport_test.go
+++ b/io/front/cutreport_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -46,3 +47,22 @@
 		})
 	}
 }
+
+// Guards against a server that fails to report each time and gets no streams for ever.
+func TestServerThatAlwaysFailsToReportGetsStreams(t *testing.T) {
+	t.Parallel()
+	harness := newHarness(t, withReports)
+	harness.addVersion("a", "v1", func(request *http.Request, conn net.Conn) {
+		if request.URL.Path == "/report" {
+			respondWith(http.StatusInternalServerError, "")(request, conn)
+			return
+		}
+		respondWithStream(true, events(1, 3))(request, conn)
+	})
+	harness.startedAt("a", 1)
+	got := harness.post("/resume/", "x")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Contains(t, got.body, "unknown_process")
+	require.Zero(t, harness.streamsAt("a"))
+	require.Eventually(t, func() bool { return harness.post("/resume/", "x").body == events(1, 3) }, 5*time.Second, 200*time.Millisecond)
+}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -149,6 +149,7 @@
 				call.checksWithoutConn++
 				delete(call.tried, server.ID)
 			}
+			call.unknownProcess = call.unknownProcess || !fault.Is(err, pipe.Unreachable)
 			call.log(event.AttemptEnded(), logrus.Fields{"server": server.ID, "result": work.NoConnection, "state": call.state, "error": err.Error()})
 			return work.NoConnection
 		}
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,8 +26,8 @@
 checkProcess asks the server at the other end of a connection which process it is. Afterwards the
 connection can take a request. It fails with pipe.Unreachable if the process is not the registered
 one, with pipe.Unsent if only the connection can't be used, and with the other kinds of package
-pipe if the server does not answer, or answers with 503, as one that is starting. A server that does
-not say when it started is taken for the registered process, and not asked again.
+pipe if the server does not answer, or its answer says nothing. Afterwards a server that does not say
+when it started counts as mute.
 
 A server may start again under its ID and address with another version of its software. A request
 that names the ID does not reveal that; until the new registration arrives, only the server can.
@@ -43,11 +45,10 @@
 func (handler *Handler) judgeProcess(conn *pipe.Conn, server fleet.Server, askedAt time.Time, answer serverAnswer) error {
 	started := handler.options.Headers.ParseReport(answer.body).Started
 	known := !started.IsZero()
-	if !known && answer.status == http.StatusServiceUnavailable {
-		return fault.New("front.check_process", pipe.Malformed, "the server can't say yet which process it is")
-	}
 	if !known {
-		handler.options.Fleet.RecordMute(server)
+		if err := handler.judgeSilence(server, answer); err != nil {
+			return err
+		}
 	}
 	if known && !started.Equal(server.Started) {
 		handler.recordReplaced(server, started)
@@ -64,6 +65,34 @@
 	return nil
 }
 
+/*
+judgeSilence judges an answer that does not name a process. It fails if the answer says nothing of the
+server either, as it was cut or may have been, or is a failure. A server that always fails counts as
+mute in the end; one that answers with 503 is starting.
+*/
+func (handler *Handler) judgeSilence(server fleet.Server, answer serverAnswer) error {
+	isStream := answer.status == http.StatusOK && answer.isStream
+	isFailure := answer.status >= http.StatusInternalServerError && answer.status != http.StatusNotImplemented ||
+		answer.status == http.StatusTooManyRequests || answer.status == http.StatusRequestTimeout
+	// A whole JSON text is not the beginning of a longer report.
+	mayBeCut := answer.status == http.StatusOK && !answer.isDelimited && !json.Valid(answer.body)
+	switch {
+	case isStream:
+		// It is no report, and need not end.
+	case answer.readErr != nil:
+		return fault.Wrap("front.check_process", pipe.Malformed, answer.readErr)
+	case mayBeCut:
+		return fault.New("front.check_process", pipe.Malformed, "the report may have been cut")
+	case isFailure:
+		if answer.isDelimited && answer.status != http.StatusServiceUnavailable {
+			handler.options.Fleet.RecordFailedReport(server, time.Now())
+		}
+		return fault.New("front.check_process", pipe.Malformed, "the server can't say which process it is: status "+strconv.Itoa(answer.status))
+	}
+	handler.options.Fleet.RecordMute(server)
+	return nil
+}
+
 // recordReplaced records that another process than the registered one is at a server's address.
 func (handler *Handler) recordReplaced(server fleet.Server, started time.Time) {
 	if handler.options.Fleet.RecordReplaced(server) {
@@ -115,7 +144,7 @@
 // reportsProcess reports whether a server can say which process it is.
 func (call *call) reportsProcess(server fleet.Server) bool {
 	service, ok := call.table.Service(server.Service)
-	return ok && service.Engine != nil && !server.Started.IsZero() && !call.handler.options.Fleet.Mute(server.ID)
+	return ok && service.Engine != nil && !server.Started.IsZero() && !call.handler.options.Fleet.Mute(server.ID, time.Now())
 }
 
 // mustCheckProcess reports whether the server must say which process it is before it gets the
--- a/io/front/question.go
+++ b/io/front/question.go
@@ -17,6 +17,8 @@
 	// body is empty if it could not be read; readErr says why.
 	body    []byte
 	readErr error
+	// isStream: the body is a stream of events. isDelimited: its end shows that it is whole.
+	isStream, isDelimited bool
 	// reusable: the connection can take a request.
 	reusable bool
 }
@@ -45,7 +47,8 @@
 		return fault.New("front.ask", pipe.Malformed, "a response to another request")
 	}
 	answer.body = bytes.Join(segments, nil)
-	answer.reusable = readErr == nil && length < maxForeignBytes && response.KeepAlive && isDelimited(response) && conn.Reuse(response.Header)
+	answer.isStream, answer.isDelimited = isStream(response.Header), isDelimited(response)
+	answer.reusable = readErr == nil && length < maxForeignBytes && response.KeepAlive && answer.isDelimited && conn.Reuse(response.Header)
 	read(answer)
 	return nil
 }
