io/front: a stream never goes on at a connection that needs a check and has had none

Cause: after two connections of a request that were closed before or after the report (maxChecksWithoutConn), the request was sent on a third one, unchecked, also where the server had named its process on the others only.

Change: the limit is now 3 connections of an attempt; then the request goes to another server, or is refused with unknown_process. The attempt asks the same server again at once, so that servers of that kind do not use up the 4 failures of a request.

Conclusion: what was sent without a check is either to a server that counts as mute, or needs none.

--- a/core/fleet/process.go
+++ b/core/fleet/process.go
@@ -8,6 +8,9 @@
 	// within that time.
 	minFailedReports = 5
 	minFailingTime   = 2 * time.Second
+	// minClosedReports is how many reports in a row must have closed their connections until a server
+	// counts as one that does not say which process is at the other end of a connection.
+	minClosedReports = 2
 	// muteTime is how long a server that could not say which process it is is not asked again.
 	muteTime = 30 * time.Second
 )
@@ -19,6 +22,8 @@
 	// failed counts its failures in a row, of which the first was at failingSince.
 	failed       int
 	failingSince time.Time
+	// closed counts its reports in a row after which the connection could not be used.
+	closed int
 	// mutedUntil is until when it is not asked.
 	mutedUntil time.Time
 }
@@ -78,6 +83,21 @@
 	})
 }
 
+// RecordReport records whether the connection can be used on which a server said which process it is.
+// A server that always closes it is not asked for muteTime at a time.
+func (fleet *Fleet) RecordReport(server Server, reusable bool, now time.Time) {
+	fleet.updateProcess(server, func(member *Member) {
+		if reusable {
+			member.silence = silence{}
+			return
+		}
+		member.silence.closed++
+		if member.silence.closed >= minClosedReports {
+			member.silence.mutedUntil = now.Add(muteTime)
+		}
+	})
+}
+
 // updateProcess is update for a server that is still registered as the same process.
 func (fleet *Fleet) updateProcess(server Server, change func(*Member)) {
 	fleet.update(server.ID, func(member *Member) {
--- a/io/front/cutreports_test.go
+++ b/io/front/cutreports_test.go
@@ -3,8 +3,10 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -36,3 +38,74 @@
 		})
 	}
 }
+
+// closingAfterReport returns a responder that names its process and closes the connection after each report.
+func closingAfterReport(startedMs string, respond responder) responder {
+	return func(request *http.Request, conn net.Conn) {
+		if request.URL.Path == "/report" {
+			respondWith(http.StatusOK, startedMs, "Connection: close")(request, conn)
+			return
+		}
+		respond(request, conn)
+	}
+}
+
+// Guards against a stream that goes on unchecked on a third connection after two reports that closed theirs.
+func TestClosedReportsDoNotLetAStreamGoOnUnchecked(t *testing.T) {
+	for _, knowsOther := range []bool{true, false} {
+		harness := newHarness(t, withReports)
+		harness.addVersion("a", "v1", reporting(1, breakThenResume()))
+		harness.startedAt("a", 1)
+		require.Equal(t, events(1, 3), harness.post("/resume/", "x", "X-Id", "first").body)
+		harness.fleet.Remove("a")
+		if knowsOther {
+			harness.knowVersion("v2")
+		}
+		harness.copyLag.Store(int64(time.Hour))
+		harness.addVersion("b", "v1", closingAfterReport("1", breakThenResume()))
+		harness.startedAt("b", 1)
+		got := harness.post("/resume/", "x", "X-Id", "second", "X-Last", "3", "X-Resumes", "first")
+		if knowsOther {
+			require.Equal(t, http.StatusServiceUnavailable, got.status, harness.log.String())
+			require.Contains(t, got.body, "unknown_process")
+			harness.copyLag.Store(int64(neverLate))
+			got = harness.post("/resume/", "x", "X-Id", "third", "X-Last", "3", "X-Resumes", "first")
+		}
+		require.Equal(t, events(4, 6), got.body, harness.log.String())
+		require.Contains(t, harness.log.String(), `"process":"mute"`)
+		require.NotContains(t, harness.log.String(), `"process":"unasked"`)
+	}
+}
+
+// Guards against servers that close connections after their reports and get no streams if there are many of them.
+func TestServersThatCloseAfterReportsGetStreams(t *testing.T) {
+	harness := newHarness(t, withReports)
+	for number := range 6 {
+		id := strconv.Itoa(number)
+		harness.addVersion(id, "v1", closingAfterReport("1", breakThenResume()))
+		harness.startedAt(id, 1)
+	}
+	got := harness.post("/resume/", "x")
+	require.NoError(t, got.err, harness.log.String())
+	require.Equal(t, events(1, 6), got.body)
+}
+
+// Guards against connections that close before any answer to the question, and after which the request is sent unchecked.
+func TestConnectionsClosedBeforeTheReportDoNotLetAStreamGoOn(t *testing.T) {
+	harness := newHarness(t, withReports)
+	harness.addVersion("a", "v1", reporting(1, breakThenResume()))
+	harness.startedAt("a", 1)
+	require.Equal(t, events(1, 3), harness.post("/resume/", "x", "X-Id", "first").body)
+	harness.fleet.Remove("a")
+	harness.addVersion("b", "v1", func(request *http.Request, conn net.Conn) {
+		if request.URL.Path == "/report" {
+			_ = conn.Close()
+			return
+		}
+		breakThenResume()(request, conn)
+	})
+	harness.startedAt("b", 1)
+	got := harness.post("/resume/", "x", "X-Id", "second", "X-Last", "3", "X-Resumes", "first")
+	require.Equal(t, http.StatusServiceUnavailable, got.status, harness.log.String())
+	require.Zero(t, harness.streamsAt("b"))
+}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		call.tried[step.Choice.Member.ID] = true
-		result := call.attempt(*step.Choice)
+		result := call.attempt(*step.Choice, 0)
 		call.state = call.state.Next(result)
 		switch result {
 		case work.Served:
@@ -127,8 +127,9 @@
 	call.reached++
 }
 
-// attempt sends the request to one server and relays the response.
-func (call *call) attempt(choice pick.Choice) work.Result {
+// attempt sends the request to one server and relays the response. Before, the server has closed so
+// many connections that had to be checked.
+func (call *call) attempt(choice pick.Choice, checksWithoutConn int) work.Result {
 	options := call.handler.options
 	server := choice.Member.Server
 	key := connectionKey(server)
@@ -145,12 +146,11 @@
 	if mustCheck {
 		if err := call.handler.checkProcess(conn, server); err != nil {
 			conn.Discard()
-			if fault.Is(err, pipe.Unsent) {
-				call.checksWithoutConn++
-				delete(call.tried, server.ID)
+			call.log(event.AttemptEnded(), logrus.Fields{"server": server.ID, "result": work.NoConnection, "state": call.state, "error": err.Error()})
+			if fault.Is(err, pipe.Unsent) && (checksWithoutConn+1 < maxChecksWithoutConn || !call.reportsProcess(server)) {
+				return call.attempt(choice, checksWithoutConn+1)
 			}
 			call.unknownProcess = call.unknownProcess || !fault.Is(err, pipe.Unreachable)
-			call.log(event.AttemptEnded(), logrus.Fields{"server": server.ID, "result": work.NoConnection, "state": call.state, "error": err.Error()})
 			return work.NoConnection
 		}
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -273,8 +273,6 @@
 	firstEventDelay time.Duration
 	lastEventAt     time.Time
 	maxEventGap     time.Duration
-	// checksWithoutConn counts the servers that said which process they are and closed the connection.
-	checksWithoutConn int
 	// fallback is an error response of a backend server, which the caller gets if
 	// no other server succeeds.
 	fallback *bufferedResponse
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -18,9 +18,9 @@
 // reportTimeout limits how long a server may take to say which process it is.
 const reportTimeout = 300 * time.Millisecond
 
-// maxChecksWithoutConn is the number of servers of a request that may close the connection after
-// their report. The request is then sent on another one.
-const maxChecksWithoutConn = 2
+// maxChecksWithoutConn is the number of connections of an attempt that may be closed before or right
+// after the server's report. The request then goes to another server.
+const maxChecksWithoutConn = 3
 
 /*
 checkProcess asks the server at the other end of a connection which process it is. Afterwards the
@@ -57,6 +57,7 @@
 	if known {
 		confirm(conn, server)
 		handler.options.Fleet.ConfirmProcess(server, askedAt)
+		handler.options.Fleet.RecordReport(server, answer.reusable, time.Now())
 		handler.recordAlive(server)
 	}
 	if !answer.reusable {
@@ -154,7 +155,7 @@
 // on its way.
 func (call *call) mustCheckProcess(conn *pipe.Conn, server fleet.Server) bool {
 	switch {
-	case isConfirmed(conn, server) || !call.reportsProcess(server) || call.checksWithoutConn >= maxChecksWithoutConn:
+	case isConfirmed(conn, server) || !call.reportsProcess(server):
 		return false
 	case call.events.lastID != "":
 		return true
