io/front: the rest of a stream is of its version also on routes without resumption

Cause: on such a route the caller's Last-Event-Id was passed on, and neither the version nor the process was checked. An engine that follows it sent events 4 to 6 of v2 after 1 to 3 of v1, with status 200.

Change: the header is still passed on, but a request with it goes to an engine only while one version can be meant, stays at that version, and needs the check of the process. Else it is refused with unknown_origin (not run). Hosts keep no origins for these routes. Servers that are no engines are not concerned: there the header is the caller's own.

Conclusion: events of two versions are not joined there either.

--- a/io/front/known.go
+++ b/io/front/known.go
@@ -63,7 +63,7 @@
 
 // needsProcess reports whether it must be known which process gets the request: if it goes on with a
 // stream that may have begun at several versions.
-func (call *call) needsProcess() bool { return call.events.lastID != "" && !call.isOnlyVersion() }
+func (call *call) needsProcess() bool { return call.goesOn() && !call.isOnlyVersion() }
 
 // isOnlyVersion reports whether no other version than one can be meant.
 func (call *call) isOnlyVersion() bool {
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -38,15 +38,17 @@
 // findOrigin finds where a stream began that the caller takes up, so that it goes on at the same
 // version of the servers' software only. It refuses the request if that is not known.
 func (call *call) findOrigin() *refusal {
-	if call.events.lastID == "" {
+	now := time.Now()
+	switch {
+	case call.asksForRest():
+		return call.keepOnlyVersion(now)
+	case call.events.lastID == "":
 		return nil
 	}
-	now := time.Now()
 	found, source := call.lookUpOrigin(now)
 	if source == "" {
 		versions, _ := call.possibleVersions(now)
-		detail := "it may have begun at any of the versions " + strings.Join(versions, ", ")
-		return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_origin", detail: detail, retryAfter: unknownOriginRetryAfter}
+		return unknownOrigin(versions)
 	}
 	call.origin, call.work.TakenUp = &found, true
 	call.work.Service = call.pickService(call.work.Route)
@@ -56,6 +58,34 @@
 	return nil
 }
 
+// unknownOrigin returns the refusal of a request that goes on with a stream of one of several versions.
+func unknownOrigin(versions []string) *refusal {
+	detail := "it may have begun at any of the versions " + strings.Join(versions, ", ")
+	return &refusal{status: http.StatusServiceUnavailable, reason: "unknown_origin", detail: detail, retryAfter: unknownOriginRetryAfter}
+}
+
+// asksForRest reports whether the caller asks an engine for the rest of a stream on a route without
+// resumption. The header is passed on, and the engine may follow it.
+func (call *call) asksForRest() bool {
+	service, ok := call.table.Service(call.work.Service)
+	return call.events.lastID == "" && call.info.LastEventID != "" && !call.work.Route.Resumable && ok && service.Engine != nil
+}
+
+// goesOn reports whether the response may be the rest of a stream.
+func (call *call) goesOn() bool { return call.events.lastID != "" || call.asksForRest() }
+
+// keepOnlyVersion keeps a request for the rest of a stream at the only version at which that can have
+// begun. If there are several, it refuses the request: hosts don't know where streams began that may not
+// be resumed.
+func (call *call) keepOnlyVersion(now time.Time) *refusal {
+	versions, complete := call.possibleVersions(now)
+	if !complete || len(versions) != 1 {
+		return unknownOrigin(versions)
+	}
+	call.origin = &origin.Origin{Service: call.work.Service, Version: versions[0]}
+	return nil
+}
+
 /*
 lookUpOrigin returns where the stream began that the caller takes up. The source is empty if
 that is not known.
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -157,7 +157,7 @@
 	switch {
 	case isConfirmed(conn, server) || !call.reportsProcess(server):
 		return false
-	case call.events.lastID != "":
+	case call.goesOn():
 		return true
 	case conn.Dialed && call.handler.options.Fleet.InDoubt(server.ID):
 		return true
