io/front: a probe opens a connection

Cause: the probe after a broken response took an idle connection of the pool. A process that ends closes its connections one after another, so that a kept one proved nothing, and the crash went unnoticed.

Change: a probe opens a connection (pipe.Pool.Open), for framed and unframed responses.

Conclusion: each probe costs a connection, which the next request uses.

--- a/io/front/suspect.go
+++ b/io/front/suspect.go
@@ -62,11 +62,17 @@
 	}
 }
 
-// probe connects to a server whose response broke off and keeps the connection for
-// the next request. It detects a crash at once, without delaying a request. It returns false if the
-// server can't be reached.
+// probeTimeout limits how long a probe may take to connect, also if it has to wait for the end of
+// another connection.
+const probeTimeout = 2 * time.Second
+
+// probe opens a connection to a server whose response broke off and keeps it for the next request.
+// It detects a crash at once, without delaying a request. An idle connection would not do: a process
+// that ends closes its connections one after another. It returns false if the server can't be reached.
 func (handler *Handler) probe(server fleet.Server, limit int, reportsProcess bool) bool {
-	conn, err := handler.options.Pool.Get(context.Background(), connectionKey(server), server.Address, limit)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	conn, err := handler.options.Pool.Open(ctx, connectionKey(server), server.Address, limit)
 	if err == nil {
 		handler.releaseProbe(conn, server, reportsProcess)
 		return true
