core/pick: an unproven end counts in the choice of servers

Cause: a response that is never whole did not count against its server, so that the next request went there first again. Each one took an attempt and a retry of the service's budget although sound servers were there.

They add to the loss of a server only while another candidate has lately framed its responses. An attempt after an unproven end goes to a server that has lately framed, else to one of which that is not known, so that the one that frames is found.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -94,6 +94,7 @@
 	announcement announcement
 	declineRate  float64
 	declinedAt   time.Time
+	framing      framingRecord
 
 	hash uint64
 }
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -33,6 +33,10 @@
 	Cached *CachedParts
 	// Pacer excludes servers that accept no request now. If nil, none are.
 	Pacer Pacer
+	// PreferFraming is set for an attempt after one whose response ended with its connection and
+	// proved nothing. It goes to a server that has lately framed its responses if there is one, or else
+	// to one of which that is not known.
+	PreferFraming bool
 }
 
 // Pacer tells when servers that name a rate limit accept requests.
@@ -87,6 +91,10 @@
 	// declineLoss is the loss at a server that refuses all requests. Without it the server that
 	// refuses fastest would look idlest.
 	declineLoss = 1.0
+	// unprovenLoss is the loss at a server whose responses all end with their connection, which
+	// proves nothing, if another one frames its responses. It is higher than cacheMissLoss, or a
+	// session whose prompt is cached there would stay.
+	unprovenLoss = 1.5
 	// crossDomainLoss is the loss when a request goes to another failure domain.
 	crossDomainLoss = 0.02
 	// slownessLoss is the loss at a server that takes twice as long as normal.
@@ -141,16 +149,21 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
+	candidates = options.framingCandidates(candidates, now)
 	if request.Route.HasPrompt {
 		candidates = options.matchingEngines(request, members, candidates, now)
 	}
 	preferred := preferredServer(request, candidates)
 	holders := options.Cached.engines(request, now)
+	countUnproven := anyFrames(candidates, now)
 	best := Choice{Candidates: len(candidates)}
 	for index := range candidates {
 		member := &candidates[index]
 		isPreferred := member.ID == preferred || slices.Contains(holders, member.ProcessHash())
 		evaluated := options.evaluate(request, member, isPreferred, now)
+		if countUnproven {
+			evaluated.Loss += member.UnprovenRate(now) * unprovenLoss
+		}
 		if best.Member.ID == "" || evaluated.Loss < best.Loss {
 			evaluated.Candidates = best.Candidates
 			best = evaluated
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -85,6 +85,10 @@
 // failure of the server. Whether it has crashed is found out in the background.
 func (exchange *exchange) leaveUnproven() work.Result {
 	call, server := exchange.call, exchange.server
+	call.hadUnproven = true
+	if !call.trustsEnds(server) {
+		call.handler.options.Fleet.RecordUnproven(server, time.Now())
+	}
 	call.handler.options.Fleet.DoubtProcess(server.ID, time.Now())
 	call.handler.options.CrashDetector.ObserveAmbiguousEnd(connectionKey(server), call.features(), exchange.started, time.Now())
 	handler, limit, reportsProcess := call.handler, call.connectionLimit(server), call.reportsProcess(server)
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -234,7 +234,7 @@
 		return result
 	}
 	if success {
-		exchange.recordProvenEnd()
+		exchange.recordProvenEnd(response)
 	}
 	exchange.releaseConn(response)
 	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, segments: segments, length: length}
@@ -295,12 +295,21 @@
 }
 
 // recordProvenEnd records the end of a success that is whole.
-func (exchange *exchange) recordProvenEnd() {
+func (exchange *exchange) recordProvenEnd(response pipe.Response) {
+	if exchange.showsFraming(response) {
+		exchange.call.handler.options.Fleet.RecordFramed(exchange.server, time.Now())
+	}
 	exchange.call.handler.recordAlive(exchange.server)
 	exchange.call.recordHarmless()
 	exchange.recordPart()
 }
 
+// showsFraming reports whether a response shows that its server frames: one without a body needs no
+// framing.
+func (exchange *exchange) showsFraming(response pipe.Response) bool {
+	return isDelimited(response) && response.ContentLength != 0 && exchange.call.request.Method != http.MethodHead
+}
+
 // failAttempt ends an attempt without a valid response. It counts as a failure of
 // the server unless the caller has gone, the deadline has passed or this host stops.
 func (exchange *exchange) failAttempt(err error) work.Result {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -115,7 +115,9 @@
 	options := call.handler.options
 	members := options.Fleet.Members(call.work.Service, now)
 	progress := steer.Progress{State: call.state, Reached: call.reached, Tried: call.excluded(members)}
-	return steer.Next(options.Pick, &call.work, progress, options.RetryBudgets, members, now)
+	choose := options.Pick
+	choose.PreferFraming = call.hadUnproven
+	return steer.Next(choose, &call.work, progress, options.RetryBudgets, members, now)
 }
 
 // countReached counts a server that may have received the request. The first one
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -261,6 +261,8 @@
 	isUnframed bool
 	// isUnproven: nothing shows that the last response is whole, and the request must not run again.
 	isUnproven bool
+	// hadUnproven: nothing showed that an earlier response was whole.
+	hadUnproven bool
 	// bodyStarted: that part is of a response that is no stream. No other server can go on with it.
 	bodyStarted bool
 	events      sequence
--- a/io/front/passthrough.go
+++ b/io/front/passthrough.go
@@ -57,7 +57,7 @@
 // recordWhole records that the response is whole, and gives the connection back.
 func (passage *passage) recordWhole(success bool) {
 	if success {
-		passage.recordProvenEnd()
+		passage.recordProvenEnd(passage.response)
 	}
 	passage.releaseConn(passage.response)
 	if success {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -41,7 +41,7 @@
 	}
 	exchange.startResponse(response)
 	exchange.releaseConn(response)
-	exchange.recordProvenEnd()
+	exchange.recordProvenEnd(response)
 	call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
 	call.recordResponse(response.StatusCode)
 	return work.Served
