core/fleet: a response that arrives with an unproven end ends a row of failures

Cause: an unproven end was neither a failure nor a success, so that failures far apart counted as consecutive and suspended a server that never frames.

Change: a success that came as far as its unproven end ends the row. The failures before it are kept until the process is shown to have run after it: by its report, or by the probe's connection staying open for 5 ms. They count again if a connection can't be established before. A suspension in force and the failure rate are not changed.

Conclusion: a crash that looks like the end of a response suspends its server for as long as before.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -72,6 +72,7 @@
 	// ConsecutiveFailures counts the failed connections and broken answers since
 	// the last success.
 	ConsecutiveFailures int
+	arrivals            arrivalRecord
 	SuspendedUntil      time.Time
 	// ExpiresAt is when a server is removed whose entry disappeared during a store
 	// outage; zero while the entry exists.
@@ -328,7 +329,7 @@
 // RecordSuccess records a correct answer. It ends a suspension.
 func (fleet *Fleet) RecordSuccess(id string) {
 	fleet.update(id, func(member *Member) {
-		member.ConsecutiveFailures = 0
+		member.ConsecutiveFailures, member.arrivals = 0, arrivalRecord{}
 		member.SuspendedUntil, member.probationUntil = time.Time{}, time.Time{}
 		member.FailureRate *= 1 - failureRateAlpha
 		member.declineRate *= 1 - declineRateAlpha
@@ -346,7 +347,10 @@
 // RecordUnreachable records a failed connection attempt and suspends the server,
 // for longer with each consecutive failure.
 func (fleet *Fleet) RecordUnreachable(id string, now time.Time) {
-	fleet.update(id, func(member *Member) { member.recordSuspendingFailure(now, 1) })
+	fleet.update(id, func(member *Member) {
+		member.restoreFailures()
+		member.recordSuspendingFailure(now, 1)
+	})
 }
 
 // RecordBrokenAnswer records an answer that the server broke off. Only several
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -52,6 +52,9 @@
 	remedy := exchange.call.progress().Remedy()
 	check.log(reason, verdict, remedy)
 	exchange.call.isUnproven = remedy == ending.Refuse || remedy == ending.BreakOff
+	if isSuccess(response) {
+		exchange.call.handler.options.Fleet.RecordArrived(exchange.server.ID, time.Now())
+	}
 	return exchange.leaveUnproven(), false
 }
 
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -56,6 +56,7 @@
 	if known {
 		confirm(conn, server)
 		handler.options.Fleet.ConfirmProcess(server, askedAt)
+		handler.recordSurvived(server, askedAt)
 		handler.recordAlive(server)
 	}
 	if !answer.reusable {
--- a/io/front/suspect.go
+++ b/io/front/suspect.go
@@ -84,8 +84,15 @@
 	return true
 }
 
+// surviveTime is how long the connection of a probe must stay open to show that the process which
+// accepted it has not ended, if the server does not report which process it is.
+const surviveTime = 5 * time.Millisecond
+
 // releaseProbe keeps the connection of a probe, unless another process may be at its other end.
 func (handler *Handler) releaseProbe(conn *pipe.Conn, server fleet.Server, reportsProcess bool) {
+	if !reportsProcess && conn.AwaitQuiet(context.Background(), time.Now().Add(surviveTime)) {
+		handler.recordSurvived(server, conn.OpenedAt)
+	}
 	isDoubtful := reportsProcess && conn.Dialed && !isConfirmed(conn, server) && handler.options.Fleet.InDoubt(server.ID)
 	if isDoubtful && handler.checkProcess(conn, server) != nil {
 		conn.Discard()
@@ -94,6 +101,11 @@
 	conn.ReleaseUnused()
 }
 
+// recordSurvived records that a process of a server ran at a time.
+func (handler *Handler) recordSurvived(server fleet.Server, at time.Time) {
+	handler.options.Fleet.RecordSurvived(server, at)
+}
+
 // recordUnreachable records that a connection to a server could not be established.
 func (handler *Handler) recordUnreachable(server fleet.Server, err error) {
 	now := time.Now()
