core/poison: ends that a process survived are no suspects

Cause: each unproven end made its request a suspect of a crash within 3 s, and only a proven end cleared. Behind services that never frame, crashes for other reasons left what all requests share as the only suspect, and all of them got 503.

Change: a process that is shown to have run after an end clears its ambiguous ends until then, and their features of the crashes before those ends. It is shown by a confirmed report on any connection, or, where the server does not report, by a probe's connection that was opened after the end and stays open for 5 ms. A refused connection makes the rest suspects as before. A probe whose connection is closed at once opens one more, as the server may have just ended.

Measured: TestSoundRequestsToServersThatNeverFrameAreNotSuspected failed after 4 crashes.

Conclusion: a request that is cut by a device before it would crash its server clears its features, too, which delays a quarantine.

--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -233,12 +233,18 @@
 func (detector *CrashDetector) clear(features []uint64, now time.Time) QuarantineChange {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
-	cleared := detector.attribution.Clear(features, now)
+	return detector.addCleared(features, now, now)
+}
+
+// addCleared clears the features of a request that ended at a time and did not crash its server. The
+// caller must hold the mutex.
+func (detector *CrashDetector) addCleared(features []uint64, at, now time.Time) QuarantineChange {
+	cleared := detector.attribution.Clear(features, at)
 	if len(cleared) == 0 {
 		return QuarantineChange{}
 	}
 	for _, feature := range cleared {
-		detector.cleared.add(ClearedFeature{Feature: feature}, now, now)
+		detector.cleared.add(ClearedFeature{Feature: feature}, at, now)
 	}
 	return detector.update(true, now)
 }
--- a/io/front/suspect.go
+++ b/io/front/suspect.go
@@ -66,20 +66,25 @@
 // another connection.
 const probeTimeout = 2 * time.Second
 
+// maxProbeConns is the number of connections of a probe. Another one follows only if the server closes
+// the first at once.
+const maxProbeConns = 2
+
 // probe opens a connection to a server whose response broke off and keeps it for the next request.
 // It detects a crash at once, without delaying a request. An idle connection would not do: a process
 // that ends closes its connections one after another. It returns false if the server can't be reached.
 func (handler *Handler) probe(server fleet.Server, limit int, reportsProcess bool) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	conn, err := handler.options.Pool.Open(ctx, connectionKey(server), server.Address, limit)
-	if err == nil {
-		handler.releaseProbe(conn, server, reportsProcess)
-		return true
-	}
-	if fault.Is(err, pipe.Unreachable) {
-		handler.recordUnreachable(server, err)
-		return false
+	for range maxProbeConns {
+		conn, err := handler.options.Pool.Open(ctx, connectionKey(server), server.Address, limit)
+		if fault.Is(err, pipe.Unreachable) {
+			handler.recordUnreachable(server, err)
+			return false
+		}
+		if err != nil || handler.judgeProbe(conn, server, reportsProcess) {
+			return true
+		}
 	}
 	return true
 }
@@ -88,11 +93,25 @@
 // accepted it has not ended, if the server does not report which process it is.
 const surviveTime = 5 * time.Millisecond
 
+// judgeProbe records that the process at the other end of a probe's connection runs, if it shows that,
+// and releases the connection. It returns false if the server closed the connection at once, as one
+// that has just ended does.
+func (handler *Handler) judgeProbe(conn *pipe.Conn, server fleet.Server, reportsProcess bool) bool {
+	if reportsProcess {
+		handler.releaseProbe(conn, server, true)
+		return true
+	}
+	if !conn.AwaitQuiet(context.Background(), time.Now().Add(surviveTime)) {
+		conn.Discard()
+		return false
+	}
+	handler.recordSurvived(server, conn.OpenedAt)
+	handler.releaseProbe(conn, server, false)
+	return true
+}
+
 // releaseProbe keeps the connection of a probe, unless another process may be at its other end.
 func (handler *Handler) releaseProbe(conn *pipe.Conn, server fleet.Server, reportsProcess bool) {
-	if !reportsProcess && conn.AwaitQuiet(context.Background(), time.Now().Add(surviveTime)) {
-		handler.recordSurvived(server, conn.OpenedAt)
-	}
 	isDoubtful := reportsProcess && conn.Dialed && !isConfirmed(conn, server) && handler.options.Fleet.InDoubt(server.ID)
 	if isDoubtful && handler.checkProcess(conn, server) != nil {
 		conn.Discard()
@@ -104,6 +123,7 @@
 // recordSurvived records that a process of a server ran at a time.
 func (handler *Handler) recordSurvived(server fleet.Server, at time.Time) {
 	handler.options.Fleet.RecordSurvived(server, at)
+	handler.options.CrashDetector.ObserveSurvived(connectionKey(server), at, time.Now())
 }
 
 // recordUnreachable records that a connection to a server could not be established.
