--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -52,6 +52,9 @@
 	remedy := exchange.call.progress().Remedy()
 	check.log(reason, verdict, remedy)
 	exchange.call.isUnproven = remedy == ending.Refuse || remedy == ending.BreakOff
+	if isSuccess(response) {
+		exchange.call.handler.options.Fleet.RecordArrived(exchange.server.ID, time.Now())
+	}
 	return exchange.leaveUnproven(), false
 }
 
@@ -85,6 +88,10 @@
 // failure of the server. Whether it has crashed is found out in the background.
 func (exchange *exchange) leaveUnproven() work.Result {
 	call, server := exchange.call, exchange.server
+	call.hadUnproven = true
+	if !call.trustsEnds(server) {
+		call.handler.options.Fleet.RecordUnproven(server, time.Now())
+	}
 	call.handler.options.Fleet.DoubtProcess(server.ID, time.Now())
 	call.handler.options.CrashDetector.ObserveAmbiguousEnd(connectionKey(server), call.features(), exchange.started, time.Now())
 	handler, limit, reportsProcess := call.handler, call.connectionLimit(server), call.reportsProcess(server)
--- a/io/front/process.go
+++ b/io/front/process.go
@@ -58,6 +58,7 @@
 		confirm(conn, server)
 		handler.options.Fleet.ConfirmProcess(server, askedAt)
 		handler.options.Fleet.RecordReport(server, answer.reusable, time.Now())
+		handler.recordSurvived(server, askedAt)
 		handler.recordAlive(server)
 	}
 	if !answer.reusable {
