--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -176,7 +176,7 @@
 	options.Fleet.RequestStarted(server.ID, choice.Share)
 	defer options.Fleet.RequestEnded(server.ID, choice.Share)
 	exchange := &exchange{call: call, conn: conn, disown: disown, server: server, process: call.processCheckOf(conn, server, mustCheck), started: time.Now(), choice: choice}
-	exchange.progress = progress{process: key, receivedBefore: conn.Received()}
+	exchange.delivery = delivery{process: key, receivedBefore: conn.Received()}
 	defer exchange.markPromptRead()
 	exchange.openHold()
 	defer func() { exchange.hold.Release() }()
--- a/io/front/passthrough.go
+++ b/io/front/passthrough.go
@@ -179,9 +179,9 @@
 		return err
 	}
 	if took := time.Since(started); took >= minReadWait && !passage.ended {
-		passage.progress.callerHeld += took
+		passage.delivery.callerHeld += took
 		deadline := passage.call.work.Deadline
-		passage.conn.SetReadDeadline(deadline.Add(min(responseGrace+passage.progress.callerHeld, callerReadGrace)))
+		passage.conn.SetReadDeadline(deadline.Add(min(responseGrace+passage.delivery.callerHeld, callerReadGrace)))
 	}
 	return nil
 }
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -71,7 +71,7 @@
 		startedAt := time.Now()
 		err := pending.fill(response.Body)
 		exchange.unreadFor += startedAt.Sub(lastRead)
-		exchange.progress.callerHeld += startedAt.Sub(lastRead)
+		exchange.delivery.callerHeld += startedAt.Sub(lastRead)
 		lastRead = time.Now()
 		if lastRead.Sub(startedAt) >= minReadWait {
 			// There was nothing to read before, so the connection was still open.
@@ -130,11 +130,11 @@
 	call.events = advanced
 	exchange.startResponse(response)
 	if _, err := call.writer.Write(data[:length]); err != nil {
-		exchange.progress.callerFailed = true
+		exchange.delivery.callerFailed = true
 		return length, err
 	}
 	if err := http.NewResponseController(call.writer).Flush(); err != nil {
-		exchange.progress.callerFailed = true
+		exchange.delivery.callerFailed = true
 		return length, err
 	}
 	exchange.recordPart()
--- a/io/front/trickle.go
+++ b/io/front/trickle.go
@@ -11,8 +11,8 @@
 // leaveMargin is how long before the deadline of its request a caller may leave because it has passed.
 const leaveMargin = 100 * time.Millisecond
 
-// progress is what an attempt has brought so far, to tell a server that trickles from a slow one.
-type progress struct {
+// delivery is what an attempt has brought so far, to tell a server that trickles from a slow one.
+type delivery struct {
 	// process is the pool key of the server's process.
 	process string
 	// receivedBefore is what the connection had received before.
@@ -28,13 +28,13 @@
 // recordPart records that the server has completed a part of a response, and the caller has taken it.
 func (exchange *exchange) recordPart() {
 	now := time.Now()
-	exchange.progress.lastPart = now
-	exchange.call.handler.trickle.RecordPart(exchange.progress.process, exchange.server.Service, now)
+	exchange.delivery.lastPart = now
+	exchange.call.handler.trickle.RecordPart(exchange.delivery.process, exchange.server.Service, now)
 }
 
 // judgeDeadline judges an attempt that has ended without a complete response, if its deadline did that.
 func (exchange *exchange) judgeDeadline(now time.Time) {
-	call, handler, made := exchange.call, exchange.call.handler, exchange.progress
+	call, handler, made := exchange.call, exchange.call.handler, exchange.delivery
 	if made.callerFailed || now.Add(leaveMargin).Before(call.work.Deadline) || handler.stopping.Err() != nil {
 		return
 	}
