io/front, core/ending: what the change made dead goes

A probe opens its connection, so that releaseProbe's checks for one from the pool or a confirmed one were always true; it is a part of judgeProbe. The remedy of an unproven end is worked out once. Evidence.Verdict was called by its test only, which checks the same verdict of Judge. No behaviour is changed.

--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -135,12 +135,6 @@
 	return evidence.Framing == Connection && evidence.Trusted && !evidence.BegunFramed
 }
 
-// Verdict returns whether the response is whole.
-func (evidence Evidence) Verdict() Verdict {
-	_, verdict := evidence.Judge()
-	return verdict
-}
-
 /*
 Judge returns whether the response is whole, and why. If it ended with its connection, it is whole
 only if its service is trusted, and if what can be known does not speak against it: the registered
--- a/core/ending/ending_test.go
+++ b/core/ending/ending_test.go
@@ -71,7 +71,6 @@
 		reason, verdict := test.evidence.Judge()
 		require.Equal(t, test.reason, reason, name)
 		require.Equal(t, test.verdict, verdict, name)
-		require.Equal(t, test.verdict, test.evidence.Verdict(), name)
 	}
 }
 
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -41,16 +41,15 @@
 		check.RunEvents = ending.NotListed
 	}
 	reason, verdict := check.Judge()
-	switch verdict {
-	case ending.Whole:
+	if verdict == ending.Whole {
 		check.log(reason, verdict, "")
 		return "", true
-	case ending.Ended:
-		check.log(reason, verdict, exchange.call.progress().Remedy())
-		return exchange.failAttempt(fault.New("front.prove_end", pipe.Lost, "the server ended with the response")), false
 	}
 	remedy := exchange.call.progress().Remedy()
 	check.log(reason, verdict, remedy)
+	if verdict == ending.Ended {
+		return exchange.failAttempt(fault.New("front.prove_end", pipe.Lost, "the server ended with the response")), false
+	}
 	exchange.call.isUnproven = remedy == ending.Refuse || remedy == ending.BreakOff
 	if isSuccess(response) {
 		exchange.call.handler.options.Fleet.RecordArrived(exchange.server.ID, time.Now())
--- a/io/front/suspect.go
+++ b/io/front/suspect.go
@@ -97,27 +97,21 @@
 // and releases the connection. It returns false if the server closed the connection at once, as one
 // that has just ended does.
 func (handler *Handler) judgeProbe(conn *pipe.Conn, server fleet.Server, reportsProcess bool) bool {
-	if reportsProcess {
-		handler.releaseProbe(conn, server, true)
-		return true
-	}
-	if !conn.AwaitQuiet(context.Background(), time.Now().Add(surviveTime)) {
+	switch {
+	case reportsProcess:
+		if handler.options.Fleet.InDoubt(server.ID) && handler.checkProcess(conn, server) != nil {
+			// Another process may be at the other end.
+			conn.Discard()
+			return true
+		}
+	case !conn.AwaitQuiet(context.Background(), time.Now().Add(surviveTime)):
 		conn.Discard()
 		return false
-	}
-	handler.recordSurvived(server, conn.OpenedAt)
-	handler.releaseProbe(conn, server, false)
-	return true
-}
-
-// releaseProbe keeps the connection of a probe, unless another process may be at its other end.
-func (handler *Handler) releaseProbe(conn *pipe.Conn, server fleet.Server, reportsProcess bool) {
-	isDoubtful := reportsProcess && conn.Dialed && !isConfirmed(conn, server) && handler.options.Fleet.InDoubt(server.ID)
-	if isDoubtful && handler.checkProcess(conn, server) != nil {
-		conn.Discard()
-		return
+	default:
+		handler.recordSurvived(server, conn.OpenedAt)
 	}
 	conn.ReleaseUnused()
+	return true
 }
 
 // recordSurvived records that a process of a server ran at a time.
