--- a/io/front/listen.go
+++ b/io/front/listen.go
@@ -6,6 +6,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"primrosegw/io/pipe"
 )
 
 // maxUnsentBytes limits what the kernel takes of a response beyond what can be sent at once. Without
@@ -22,12 +24,5 @@
 
 // limitUnsent sets TCP_NOTSENT_LOWAT, which accepted connections inherit.
 func limitUnsent(_, _ string, raw syscall.RawConn) error {
-	var sockoptErr error
-	err := raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
-	})
-	if err != nil {
-		return err
-	}
-	return sockoptErr
+	return pipe.SetTCPOption(raw, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
 }
--- a/io/front/passthrough.go
+++ b/io/front/passthrough.go
@@ -172,10 +172,7 @@
 // write writes a part of the response to the caller.
 func (passage *passage) write(part []byte) error {
 	started := time.Now()
-	if _, err := passage.call.writer.Write(part); err != nil {
-		return err
-	}
-	if err := http.NewResponseController(passage.call.writer).Flush(); err != nil {
+	if err := passage.call.writeThrough(part); err != nil {
 		return err
 	}
 	if took := time.Since(started); took >= minReadWait && !passage.ended {
--- a/io/front/response.go
+++ b/io/front/response.go
@@ -57,6 +57,14 @@
 	call.writer.WriteHeader(status)
 }
 
+// writeThrough writes a part of a response to the caller at once.
+func (call *call) writeThrough(part []byte) error {
+	if _, err := call.writer.Write(part); err != nil {
+		return err
+	}
+	return http.NewResponseController(call.writer).Flush()
+}
+
 // recordResponse logs a request to which a server has responded and records it in
 // the metrics.
 func (call *call) recordResponse(status int) {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -129,11 +128,7 @@
 	call.lastEventAt = now
 	call.events = advanced
 	exchange.startResponse(response)
-	if _, err := call.writer.Write(data[:length]); err != nil {
-		exchange.delivery.callerFailed = true
-		return length, err
-	}
-	if err := http.NewResponseController(call.writer).Flush(); err != nil {
+	if err := call.writeThrough(data[:length]); err != nil {
 		exchange.delivery.callerFailed = true
 		return length, err
 	}
--- a/io/pipe/pipe.go
+++ b/io/pipe/pipe.go
@@ -106,9 +106,14 @@
 // fails within seconds when its peer disappears without closing it. It is a
 // net.Dialer.Control function.
 func SetTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return SetTCPOption(raw, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+}
+
+// SetTCPOption sets an option of TCP on a socket.
+func SetTCPOption(raw syscall.RawConn, option, value int) error {
 	var sockoptErr error
 	err := raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, option, value)
 	})
 	if err != nil {
 		return err
