--- a/io/front/process.go
+++ b/io/front/process.go
@@ -119,13 +119,14 @@
 	processMute processCheck = "mute"
 )
 
-// processName names a process of a server and its software version.
-func processName(server fleet.Server) string { return connectionKey(server) + " " + server.Version }
+// processName tells the software versions of a process apart. The process itself is named by the pool
+// key of its connections.
+func processName(server fleet.Server) string { return "version " + server.Version }
 
-// confirm records that the registered process of a server has answered on a connection.
+// confirm records that the registered process of a server has answered on a connection to it.
 func confirm(conn *pipe.Conn, server fleet.Server) { conn.Process = processName(server) }
 
-// isConfirmed reports whether the registered process of a server has answered on a connection.
+// isConfirmed reports whether the registered process of a server has answered on a connection to it.
 func isConfirmed(conn *pipe.Conn, server fleet.Server) bool {
 	return conn.Process == processName(server)
 }
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -25,8 +25,9 @@
 	Dialed bool
 	// OpenedAt is when the opening of the connection began.
 	OpenedAt time.Time
-	// Process names the process that is known to be at the other end; empty: not known. The holder of
-	// the connection sets it. It stays true, because a connection ends with its process.
+	// Process says what is known of the process at the other end, beside the key of the connection;
+	// empty: nothing. The holder of the connection sets it. It stays true, because a connection ends
+	// with its process.
 	Process string
 
 	raw          net.Conn
