--- a/io/front/givenup_test.go
+++ b/io/front/givenup_test.go
@@ -54,8 +54,10 @@
 	}
 }
 
-// Guards against a stream that is given up because its caller sends no more, and looks whole to that caller, which still reads.
-func TestGivenUpStreamLooksBrokenToCallersThatSendNoMore(t *testing.T) {
+// eachUnframedCaller runs a test for each of unframedCallers with a stream that has begun and does not
+// end before the test.
+func eachUnframedCaller(t *testing.T, test func(t *testing.T, harness *harness, caller plainCaller)) {
+	t.Helper()
 	for name, kind := range unframedCallers {
 		t.Run(name, func(t *testing.T) {
 			harness := newHarness(t, withReports)
@@ -64,16 +66,22 @@
 			defer close(ended)
 			harness.addServer("a", reporting(1, beginStream(kind.trusted, ended)))
 			harness.startedAt("a", 1)
-			caller := harness.call("/stream/", kind.version, 5000)
-			reader := bufio.NewReader(caller)
-			for line := ""; !strings.HasPrefix(line, "data: token 3"); {
-				var err error
-				line, err = reader.ReadString('\n')
-				require.NoError(t, err)
-			}
-			require.NoError(t, caller.CloseWrite())
-			_, err := io.ReadAll(reader)
-			require.Error(t, err, "3 events of a stream that goes on: %s", harness.log.String())
+			test(t, harness, harness.call("/stream/", kind.version, 5000))
 		})
 	}
 }
+
+// Guards against a stream that is given up because its caller sends no more, and looks whole to that caller, which still reads.
+func TestGivenUpStreamLooksBrokenToCallersThatSendNoMore(t *testing.T) {
+	eachUnframedCaller(t, func(t *testing.T, harness *harness, caller plainCaller) {
+		reader := bufio.NewReader(caller)
+		for line := ""; !strings.HasPrefix(line, "data: token 3"); {
+			var err error
+			line, err = reader.ReadString('\n')
+			require.NoError(t, err)
+		}
+		require.NoError(t, caller.CloseWrite())
+		_, err := io.ReadAll(reader)
+		require.Error(t, err, "3 events of a stream that goes on: %s", harness.log.String())
+	})
+}
--- a/io/front/headtime_test.go
+++ b/io/front/headtime_test.go
@@ -91,16 +91,23 @@
 	})
 }
 
+// dialAfter opens a connection on which a number of requests have been answered.
+func dialAfter(t *testing.T, listener *pipeListener, requests int) net.Conn {
+	t.Helper()
+	conn := listener.dial()
+	for range requests {
+		_, err := sendHead(t, conn, 0)
+		require.NoError(t, err)
+	}
+	return conn
+}
+
 // Guards against heads that take their time without end.
 func TestTricklingHeadIsEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		listener := serveHeads(t)
 		for _, earlier := range []int{0, 1} {
-			conn := listener.dial()
-			for range earlier {
-				_, err := sendHead(t, conn, 0)
-				require.NoError(t, err)
-			}
+			conn := dialAfter(t, listener, earlier)
 			began := time.Now()
 			_, err := sendHead(t, conn, 1100*time.Millisecond)
 			require.Error(t, err)
@@ -116,11 +123,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		listener := serveHeads(t)
 		for _, earlier := range []int{0, 1} {
-			conn := listener.dial()
-			for range earlier {
-				_, err := sendHead(t, conn, 0)
-				require.NoError(t, err)
-			}
+			conn := dialAfter(t, listener, earlier)
 			began := time.Now()
 			_, err := conn.Read(make([]byte, 1))
 			require.Error(t, err)
