io/front, core/origin: the log shows how old the list of servers was that decided on a stream's version

Cause: late-versions. The log can't tell whether a host that goes on with a stream at the only version it knows had heard of the others. No decision changes. Measured: go test ./core/origin ./core/event ./docs.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -239,13 +239,21 @@
 	return reports
 }
 
-// Apply remembers what another host reports.
-func (registry *Registry) Apply(reports []Report, now time.Time) {
+// Apply remembers what another host reports. It returns the number of reports that contradict what
+// was known.
+func (registry *Registry) Apply(reports []Report, now time.Time) (conflicts int) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	for _, report := range reports {
-		if lifetime := time.Duration(report.LeftMs) * time.Millisecond; lifetime > 0 {
-			registry.add(report.Key, stream{origin: Origin{Service: report.Service, Version: report.Version}, expiresAt: expiry(lifetime, now)}, now)
+		lifetime := time.Duration(report.LeftMs) * time.Millisecond
+		if lifetime <= 0 {
+			continue
 		}
+		reported := Origin{Service: report.Service, Version: report.Version}
+		if known, found := registry.streams[report.Key]; found && known.origin != reported && !now.After(known.expiresAt) {
+			conflicts++
+		}
+		registry.add(report.Key, stream{origin: reported, expiresAt: expiry(lifetime, now)}, now)
 	}
+	return conflicts
 }
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -54,10 +54,20 @@
 	call.work.Service = call.pickService(call.work.Route)
 	call.log(event.StreamTakenUp(), logrus.Fields{
 		"resumes": call.info.Resumes, "from_event": call.events.lastID, "service": found.Service, "server_version": found.Version, "source": source,
+		"copy_age_ms": call.handler.copyAge(time.Now()).Milliseconds(),
 	})
 	return nil
 }
 
+// copyAge returns how old the host's copy of the servers' registrations may be, or -1 ms if that is not known.
+func (handler *Handler) copyAge(now time.Time) time.Duration {
+	asOf := handler.options.Registrations.CurrentAsOf()
+	if asOf.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(asOf)
+}
+
 // unknownOrigin returns the refusal of a request that goes on with a stream of one of several versions.
 func unknownOrigin(versions []string) *refusal {
 	detail := "it may have begun at any of the versions " + strings.Join(versions, ", ")
