io/front: the only version that a host knows counts only as of the request's arrival

Callers got streams with events of two software versions. A host that knew one version of a service went on at it with any stream, without asking the host that had begun it, and without knowing whether its copy of the registrations was current: cut off from the store, just awake from a pause, or some milliseconds behind. Class: a conclusion from not having heard of something, without a time as of which one would have heard. Ruled out: ends of responses (the servers run on and frame), servers that do not name their process. Change: the other hosts are asked first. If none knows, the one version counts only if the copy of the registrations is complete as of the request's arrival; a read of the store is asked for, and waited for 0.4 s at most. Else 503 unknown_origin, which is true. Measured: TestOnlyKnownVersionIsNotTheOnlyOneOfAnOldCopy failed before.

--- a/io/front/known.go
+++ b/io/front/known.go
@@ -75,7 +75,7 @@
 // request needs to know. If it reports false, the connection is not the request's any more.
 func (call *call) awaitProcess(conn *pipe.Conn, server fleet.Server) bool {
 	handler := call.handler
-	if !call.needsProcess() || handler.knowsProcess(conn, server) {
+	if handler.knowsProcess(conn, server) || !call.needsProcess() {
 		return true
 	}
 	settledAt := conn.OpenedAt.Add(registrationTime)
@@ -112,8 +112,11 @@
 }
 
 // originPatience returns how long it may take until the host that began a stream knows at which
-// process: not at all if all servers say so.
+// process: not at all if all servers say so, or if that makes no difference.
 func (call *call) originPatience(now time.Time) time.Duration {
+	if versions, complete := call.possibleVersions(now); complete && len(versions) == 1 {
+		return 0
+	}
 	for _, member := range call.handler.options.Fleet.Members(call.work.Service, now) {
 		if !call.reportsProcess(member.Server) {
 			return registrationTime + settlePatience
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -88,11 +88,12 @@
 // begun. If there are several, it refuses the request: hosts don't know where streams began that may not
 // be resumed.
 func (call *call) keepOnlyVersion(now time.Time) *refusal {
-	versions, complete := call.possibleVersions(now)
-	if !complete || len(versions) != 1 {
+	version, isOnly := call.onlyVersion()
+	if !isOnly {
+		versions, _ := call.possibleVersions(now)
 		return unknownOrigin(versions)
 	}
-	call.origin = &origin.Origin{Service: call.work.Service, Version: versions[0]}
+	call.origin = &origin.Origin{Service: call.work.Service, Version: version}
 	return nil
 }
 
@@ -100,31 +101,69 @@
 lookUpOrigin returns where the stream began that the caller takes up. The source is empty if
 that is not known.
 
-Other hosts are asked only if it makes a difference: unless the stream can have begun at one
-version only.
+What this host knows of the servers' versions is as old as its copy of the registrations. So the other
+hosts are asked first: the one that began the stream knows better. Only if none knows does it
+count that the stream can have begun at one version only.
 */
 func (call *call) lookUpOrigin(now time.Time) (origin.Origin, originSource) {
 	options, began := call.handler.options, call.info.Resumes
-	if found, known := options.Origins.LookUp(began, now); known && began != "" {
-		return found, knownOrigin
-	}
-	versions, complete := call.possibleVersions(now)
-	isOnly := complete && len(versions) == 1
-	if began != "" && !isOnly {
+	if began != "" {
+		if found, known := options.Origins.LookUp(began, now); known {
+			return found, knownOrigin
+		}
 		if found, known := options.Origins.Ask(call.ctx, began, call.originPatience(now), options.AskOrigin); known {
 			return found, askedOrigin
 		}
 	}
+	version, isOnly := call.onlyVersion()
 	if !isOnly {
 		return origin.Origin{}, ""
 	}
-	found := origin.Origin{Service: call.work.Service, Version: versions[0]}
+	found := origin.Origin{Service: call.work.Service, Version: version}
 	if began != "" {
 		call.tellOrigin(began, found)
 	}
 	return found, onlyVersion
 }
 
+const (
+	// currencyPatience is how long a request waits for a copy of the registrations that is recent enough,
+	// and currencyPoll how often it looks.
+	currencyPatience = 400 * time.Millisecond
+	currencyPoll     = 5 * time.Millisecond
+)
+
+/*
+onlyVersion returns the version at which the stream must have begun. It reports false if there are
+several, or if this host can't know: the stream began before the request came, at a server that had
+registered, so the copy of the registrations must be as recent as the request.
+*/
+func (call *call) onlyVersion() (string, bool) {
+	versions, complete := call.possibleVersions(time.Now())
+	if !complete || len(versions) != 1 || !call.awaitCurrentCopy() {
+		return "", false
+	}
+	versions, complete = call.possibleVersions(time.Now())
+	if !complete || len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
+}
+
+// awaitCurrentCopy waits until the copy of the registrations is complete as of the request's arrival,
+// and reports whether it is.
+func (call *call) awaitCurrentCopy() bool {
+	registrations, giveUpAt := call.handler.options.Registrations, time.Now().Add(currencyPatience)
+	for registrations.CurrentAsOf().Before(call.work.Received) {
+		if time.Now().After(giveUpAt) || call.ctx.Err() != nil {
+			return false
+		}
+		registrations.Refresh()
+		time.Sleep(currencyPoll)
+	}
+	return true
+}
+
 // possibleVersions returns the versions of the servers at which the stream may have begun, and
 // whether these are all.
 func (call *call) possibleVersions(now time.Time) (versions []string, complete bool) {
--- a/io/front/version_test.go
+++ b/io/front/version_test.go
@@ -199,3 +199,22 @@
 	require.NoError(t, got.err)
 	require.Equal(t, events(4, 6), got.body)
 }
+
+// Guards against a host that goes on at the only version it knows with a stream of one that it has not heard
+// of yet.
+func TestOnlyKnownVersionIsNotTheOnlyOneOfAnOldCopy(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addVersion("a", "v1", breakThenResume())
+	harness.copyLag.Store(int64(time.Hour))
+	for _, resumes := range []string{"first", ""} {
+		got := harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", resumes, "X-Last", "3")
+		require.Equal(t, http.StatusServiceUnavailable, got.status, "resumes %q", resumes)
+		require.Contains(t, got.body, "unknown_origin")
+	}
+	require.Empty(t, harness.requestsReceived())
+	require.Positive(t, harness.asked.Load(), "other hosts are asked")
+	require.Positive(t, harness.refreshed.Load(), "a recent copy is asked for")
+	harness.copyLag.Store(int64(neverLate))
+	got := harness.post("/resume/", "x", "X-Id", "again", "X-Resumes", "first", "X-Last", "3")
+	require.Equal(t, events(4, 6), got.body, "the copy is current")
+}
