core/origin: reports of other hosts do not replace what a host has recorded itself

A host that took a stream up on a wrong conclusion told the others where it began, and that replaced the true origin at the host which had begun it, so that later attempts went on at the wrong version there, too. Change: a host keeps what it has recorded itself; the report counts as a conflict. Measured: TestReportsDoNotReplaceOwnOrigins failed before.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -240,7 +240,7 @@
 }
 
 // Apply remembers what another host reports. It returns the number of reports that contradict what
-// was known.
+// was known; what this host has recorded itself stays.
 func (registry *Registry) Apply(reports []Report, now time.Time) (conflicts int) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
@@ -252,6 +252,9 @@
 		reported := Origin{Service: report.Service, Version: report.Version}
 		if known, found := registry.streams[report.Key]; found && known.origin != reported && !now.After(known.expiresAt) {
 			conflicts++
+			if known.isOwn {
+				continue
+			}
 		}
 		registry.add(report.Key, stream{origin: reported, expiresAt: expiry(lifetime, now)}, now)
 	}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -147,3 +147,15 @@
 	require.Len(t, messages[3], 4)
 	require.Empty(t, registry.TakeReports(time.Now()))
 }
+
+// Guards against a report of another host that replaces what a host knows of a stream which it began itself.
+func TestReportsDoNotReplaceOwnOrigins(t *testing.T) {
+	registry, now := origin.New(), time.Now()
+	began := origin.Origin{Service: "engines", Version: "v2"}
+	registry.Record("first", began, now.Add(time.Minute), now)
+	report := origin.Report{Key: origin.Key("first"), Service: "engines", Version: "v1", LeftMs: 60_000}
+	require.Equal(t, 1, registry.Apply([]origin.Report{report}, now))
+	found, known := registry.LookUp("first", now)
+	require.True(t, known)
+	require.Equal(t, began, found)
+}
