io/front: an old copy of the registrations does not show that a silent server has not changed

Cause: beside late-versions, the same class in awaitProcess and awaitOrigin. At servers that do not say which process they are, a stream went on unchecked while the host knew one version, however old its copy of the registrations was. Change: both ask onlyVersion, which needs a copy as recent as the request. Test changed: TestClosedReportsDoNotLetAStreamGoOnUnchecked expected that a stream goes on beside one known version with a copy that is an hour old; now it is refused with such a copy and goes on with a current one in both cases, as it was with two versions. Measured: the changed test failed before; go test ./io/front passes.

--- a/io/front/cutreports_test.go
+++ b/io/front/cutreports_test.go
@@ -65,12 +65,10 @@
 		harness.addVersion("b", "v1", closingAfterReport("1", breakThenResume()))
 		harness.startedAt("b", 1)
 		got := harness.post("/resume/", "x", "X-Id", "second", "X-Last", "3", "X-Resumes", "first")
-		if knowsOther {
-			require.Equal(t, http.StatusServiceUnavailable, got.status, harness.log.String())
-			require.Contains(t, got.body, "unknown_process")
-			harness.copyLag.Store(int64(neverLate))
-			got = harness.post("/resume/", "x", "X-Id", "third", "X-Last", "3", "X-Resumes", "first")
-		}
+		require.Equal(t, http.StatusServiceUnavailable, got.status, harness.log.String())
+		require.Contains(t, got.body, "unknown_process")
+		harness.copyLag.Store(int64(neverLate))
+		got = harness.post("/resume/", "x", "X-Id", "third", "X-Last", "3", "X-Resumes", "first")
 		require.Equal(t, events(4, 6), got.body, harness.log.String())
 		require.Contains(t, harness.log.String(), `"process":"mute"`)
 		require.NotContains(t, harness.log.String(), `"process":"unasked"`)
--- a/io/front/known.go
+++ b/io/front/known.go
@@ -67,8 +67,8 @@
 
 // isOnlyVersion reports whether no other version than one can be meant.
 func (call *call) isOnlyVersion() bool {
-	versions, complete := call.possibleVersions(time.Now())
-	return complete && len(versions) == 1
+	_, isOnly := call.onlyVersion()
+	return isOnly
 }
 
 // awaitProcess waits until it is known which process is at the other end of a connection, if the
