io/front: test that a broken stream of a replaced mute server does not go on beside one known version

Cause: review of late-versions. KNOWN-RED lists by reading that such a stream may go on; there was no test. awaitOrigin asks onlyVersion, which needs a copy as recent as the request's arrival. The stream began later than that, at a process that need not have registered. Conclusion: the time that awaitOrigin needs is that of the connection's opening and registrationTime (isSettled), not that of the request.

--- a/io/front/mute_test.go
+++ b/io/front/mute_test.go
@@ -72,6 +72,18 @@
 	require.Equal(t, events(1, 3), got.body)
 }
 
+// Guards against the same beside one known version: that of the process which took the address is not known yet.
+func TestBrokenStreamOfAReplacedMuteServerDoesNotGoOnBesideOneKnownVersion(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.asLate()
+	harness.addVersion("a", "v1", breakThenResume())
+	harness.addVersion("b", "v1", resumeOnly())
+	harness.registerLate("a", "v2")
+	got := harness.post("/resume/", "x")
+	require.Equal(t, events(1, 3), got.body, "events 4 to 6 are of another version")
+	require.Error(t, got.err)
+}
+
 // Guards against servers that do not say which process they are and get none of the streams that callers take up.
 func TestStreamsGoOnAtMuteServers(t *testing.T) {
 	harness := newHarness(t, nil)
