io/front: test that streams with one ID do not go on at each other's version

Cause: review of late-versions. The registry's key is the hash of the request's ID, which callers choose, without the workspace. A second stream with the ID replaces the origin of the first one, and a conflict is counted but makes neither unknown. It needs callers that use an ID twice, which docs/OPERATIONS.md says they do not; no check of the host enforces it across workspaces.

--- a/io/front/version_test.go
+++ b/io/front/version_test.go
@@ -218,3 +218,17 @@
 	got := harness.post("/resume/", "x", "X-Id", "again", "X-Resumes", "first", "X-Last", "3")
 	require.Equal(t, events(4, 6), got.body, "the copy is current")
 }
+
+// Guards against a stream that goes on at the version of another stream whose caller has chosen the same ID.
+func TestStreamsWithOneIDDoNotGoOnAtEachOthersVersion(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addVersion("a", "v1", breakThenResume())
+	require.Equal(t, events(1, 3), harness.post("/resume/", "x", "X-Id", "same").body, "the stream of one caller")
+	harness.fleet.Remove("a")
+	harness.addVersion("b", "v2", breakThenResume())
+	require.Equal(t, events(1, 3), harness.post("/resume/", "y", "X-Id", "same").body, "the stream of another caller")
+	harness.addVersion("c", "v1", breakThenResume())
+	got := harness.post("/resume/", "x", "X-Id", "next", "X-Resumes", "same", "X-Last", "3")
+	received := harness.requestsReceived()
+	require.NotEqual(t, "b /resume/ x", received[len(received)-1], "events 1 to 3 are of v1; got %q", got.body)
+}
