core/fleet: versions that servers had are remembered by version, not by server

The versions of servers that were removed or replaced lately were kept one for each ID, and not at all if a registration changed in place. After a server had restarted twice, a host took the version that was left for the only one, and a stream of the other went on at it. Change: Fleet keeps when each version of a service was last in use.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -126,6 +126,8 @@
 	byHash    map[uint64]*Member
 	// removed holds the servers that were removed lately, by ID.
 	removed map[string]removedServer
+	// pastVersions holds when a server last had a version that it has no more.
+	pastVersions map[serviceVersion]time.Time
 	// announcements holds what processes of servers have said of themselves, by process hash.
 	announcements map[uint64]announcement
 	// reports holds the latest report of each other host, by host name.
@@ -138,7 +140,7 @@
 func New() *Fleet {
 	return &Fleet{
 		members: make(map[string]*Member), byService: make(map[string][]*Member), byHash: make(map[uint64]*Member), reports: make(map[string]receivedReport),
-		removed: make(map[string]removedServer), announcements: make(map[uint64]announcement),
+		removed: make(map[string]removedServer), pastVersions: make(map[serviceVersion]time.Time), announcements: make(map[uint64]announcement),
 	}
 }
 
@@ -175,10 +177,13 @@
 	}
 	known.Sequence = server.Sequence
 	result := PutResult{Leaving: server.Leaving && !known.Leaving, Changed: known.Server != server || !known.ExpiresAt.IsZero()}
+	serviceChanged := known.Service != server.Service
 	if known.Version != server.Version {
 		known.registeredAt = time.Now()
 	}
-	serviceChanged := known.Service != server.Service
+	if known.Version != server.Version || serviceChanged {
+		fleet.rememberVersion(known.Server, time.Now())
+	}
 	known.Server, known.ExpiresAt = server, time.Time{}
 	if serviceChanged {
 		fleet.rebuildIndex()
--- a/core/fleet/removed.go
+++ b/core/fleet/removed.go
@@ -15,6 +15,9 @@
 	removedAt time.Time
 }
 
+// serviceVersion is a software version of a service's servers.
+type serviceVersion struct{ service, version string }
+
 // delete deletes a server and remembers its last registration. The mutex is held.
 func (fleet *Fleet) delete(id string) {
 	member, now := fleet.members[id], time.Now()
@@ -25,6 +28,17 @@
 		}
 	}
 	fleet.removed[id] = removedServer{Server: member.Server, removedAt: now}
+	fleet.rememberVersion(member.Server, now)
+}
+
+// rememberVersion remembers that a server had its version until now. The mutex is held.
+func (fleet *Fleet) rememberVersion(server Server, now time.Time) {
+	for other, lastUsed := range fleet.pastVersions {
+		if now.Sub(lastUsed) > removedRetention {
+			delete(fleet.pastVersions, other)
+		}
+	}
+	fleet.pastVersions[serviceVersion{server.Service, server.Version}] = now
 }
 
 // Versions returns the software versions of a service's servers, in order. It includes those
@@ -36,9 +50,9 @@
 	for _, member := range fleet.byService[service] {
 		versions = append(versions, member.Version)
 	}
-	for _, removed := range fleet.removed {
-		if removed.Service == service && removed.removedAt.After(since) {
-			versions = append(versions, removed.Version)
+	for past, lastUsed := range fleet.pastVersions {
+		if past.service == service && lastUsed.After(since) {
+			versions = append(versions, past.version)
 		}
 	}
 	slices.Sort(versions)
