core/mirror: refreshes are limited also while reads of the store prove nothing

Change: Refresh asks once, and wakes the probe refreshInterval after the last read. Measured: TestRefreshesAreLimitedWhileReadsProveNothing failed before (1,000 reads, bound 21), passes now with -race.

--- a/core/mirror/current.go
+++ b/core/mirror/current.go
@@ -34,9 +34,13 @@
 // Refresh makes CurrentAsOf advance, with a read of the probed key if need be.
 func (mirror *Mirror) Refresh() {
 	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	if mirror.currency.wanted {
+		return
+	}
 	mirror.currency.wanted = true
-	mirror.mutex.Unlock()
-	mirror.WakeProbe()
+	// The read is not woken early: it is due at once while the proof is old.
+	time.AfterFunc(time.Until(mirror.currency.readAt.Add(refreshInterval)), mirror.WakeProbe)
 }
 
 // untilRefresh returns the time until a read that Refresh has asked for, and false if none is.
