core/mirror: a listing never brings the copy back

A standby host that lists all keys after a compaction may get a batch of a watcher meanwhile, which brings it further than the listing. The listing replaced it: what the batch had brought was removed, and the copy still counted as complete as of then. Change: a listing with an earlier position in the same era is left out; the copy is complete without it, as a batch applies only without a gap. Measured: TestCopyIsNotCurrentAfterAListingThatIsOlderThanIt failed before, passes now with -race.

--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -91,6 +91,10 @@
 	if position.Era != mirror.position.Era {
 		return fault.New("mirror.list", store.Compacted, "the store was restored while its keys were listed")
 	}
+	if position.Before(mirror.position) {
+		// Batches of other hosts have brought the copy further meanwhile.
+		return nil
+	}
 	restored := mirror.restored
 	mirror.position, mirror.restored = position, false
 	mirror.history.reset()
