core/mirror: changes that a listing may have contained are published

A listing in pages has the position of its first page and may hold later changes. The next call for changes returns them again, the watcher found no news in them and left them out of its batch, and a standby host, which took the batch for complete, lacked a server for good. Change: after a listing, all changes of the next call are published.

--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -96,7 +96,7 @@
 		return nil
 	}
 	restored := mirror.restored
-	mirror.position, mirror.restored = position, false
+	mirror.position, mirror.restored, mirror.justListed = position, false, true
 	mirror.history.reset()
 	kept := entries[:0]
 	for _, entry := range entries {
@@ -180,9 +180,9 @@
 }
 
 // applyEvents applies changes after the position. It returns the changes to publish:
-// those with new information, those of the probed key, and those that were applied
-// before from another host's batch, because the receivers may have missed that batch.
-// The mutex is held.
+// those with new information, those of the probed key, those that were applied
+// before from another host's batch, because the receivers may have missed that batch,
+// and those that a listing may have contained. The mutex is held.
 func (mirror *Mirror) applyEvents(events []store.Event) []store.Event {
 	var published []store.Event
 	for _, change := range events {
@@ -192,7 +192,7 @@
 		if !known && (!isProbeKey || mirror.advanceProbed(store.Position{Era: mirror.position.Era, Revision: change.Entry.Revision})) {
 			changed = mirror.options.Sink.Changed(change)
 		}
-		if known || isProbeKey || changed {
+		if known || isProbeKey || changed || mirror.justListed {
 			published = append(published, change)
 		}
 	}
@@ -225,6 +225,7 @@
 		return false, nil
 	}
 	published := mirror.applyEvents(events)
+	mirror.justListed = false
 	mirror.advance(published, position)
 	if len(events) > 0 && publish {
 		mirror.options.Publish(Batch{Era: after.Era, After: after.Revision, Until: position.Revision, Events: published})
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -167,6 +167,9 @@
 	position store.Position
 	// restored is set until the keys of a restored store have been listed.
 	restored bool
+	// justListed is set from a listing until the changes after it have been read: it may hold some of
+	// them, and lack what others removed.
+	justListed bool
 	// history holds the changes that were applied last.
 	history history
 	// probed is the newest position of the probed key that was applied.
