core/mirror: a host that has just started waits until a restored store is written again

A host that ran before a restoration takes its copy of the store for incomplete for 2.1 s after it; one that started beside the restored store took it for complete at once, and the version in the copy for the only one. Measured: TestCopyOfAHostThatStartsBesideARestoredStoreIsNotCurrent failed before, passes now with -race.

--- a/core/mirror/current.go
+++ b/core/mirror/current.go
@@ -21,9 +21,10 @@
 }
 
 // CurrentAsOf returns a time before which every write to the store is in the copy. It is zero if
-// that is not known, or if clients of a restored store may still be writing again what was lost.
+// that is not known, or if clients of a restored store may still be writing again what was lost, as
+// they may when a host has just started.
 func (mirror *Mirror) CurrentAsOf() time.Time {
-	if mirror.RecentlyRestored(time.Now()) {
+	if mirror.mayLack(time.Now()) {
 		return time.Time{}
 	}
 	mirror.mutex.Lock()
