io/front, core/table: a stream that may have begun at another service does not go on at the one of its route now

Where nobody knew the origin, the service to which the route leads now counted as the one at which the stream had begun: a split route draws it by the ID of the first attempt, which a caller need not name, and a new configuration may have moved the route since. A host that started after a move does not know of it.

--- a/core/table/table.go
+++ b/core/table/table.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"primrosegw/core/fault"
@@ -81,6 +80,18 @@
 	})
 }
 
+// Services returns the services to which the route may send requests, in order.
+func (route Route) Services() []string {
+	var services []string
+	for _, target := range route.Targets {
+		if target.Weight > 0 {
+			services = append(services, target.Service)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
 // Pick selects a service by weight for a draw that is uniform over all uint64. It
 // returns "" if no target has a positive weight.
 func (route Route) Pick(draw uint64) string {
@@ -228,8 +239,7 @@
 // Match returns the route with the longest path prefix that matches, among the routes
 // of the host name. A port in the host name is ignored.
 func (table *Table) Match(host, path string) (Route, bool) {
-	name, _, _ := strings.Cut(strings.ToLower(host), ":")
-	for _, route := range table.byHost[name] {
+	for _, route := range table.byHost[hostName(host)] {
 		if strings.HasPrefix(path, route.PathPrefix) {
 			return route, true
 		}
@@ -237,6 +247,12 @@
 	return Route{}, false
 }
 
+// hostName returns a host name without its port, in lower case.
+func hostName(host string) string {
+	name, _, _ := strings.Cut(strings.ToLower(host), ":")
+	return name
+}
+
 // Workspace returns the workspace that holds a key.
 func (table *Table) Workspace(key string) (Workspace, bool) {
 	index, ok := table.byKey[key]
@@ -255,25 +271,3 @@
 	service, ok := table.services[name]
 	return service, ok
 }
-
-// Current holds the active table of a host. It is safe for concurrent use.
-type Current struct {
-	pointer atomic.Pointer[Table]
-}
-
-// Load returns the active table, nil if there is none yet.
-func (current *Current) Load() *Table { return current.pointer.Load() }
-
-// Adopt activates a table if it is newer than the active one, and reports whether it
-// did.
-func (current *Current) Adopt(table *Table) bool {
-	for {
-		active := current.pointer.Load()
-		if active != nil && active.Version >= table.Version {
-			return false
-		}
-		if current.pointer.CompareAndSwap(active, table) {
-			return true
-		}
-	}
-}
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -89,7 +89,7 @@
 // be resumed.
 func (call *call) keepOnlyVersion(now time.Time) *refusal {
 	version, isOnly := call.onlyVersion()
-	if !isOnly {
+	if !isOnly || !call.isOnlyService() {
 		versions, _ := call.possibleVersions(now)
 		return unknownOrigin(versions)
 	}
@@ -116,7 +116,7 @@
 		}
 	}
 	version, isOnly := call.onlyVersion()
-	if !isOnly {
+	if !isOnly || !call.isOnlyService() {
 		return origin.Origin{}, ""
 	}
 	found := origin.Origin{Service: call.work.Service, Version: version}
@@ -150,6 +150,24 @@
 	return versions[0], true
 }
 
+// isOnlyService reports whether the stream can only have begun at the service of the request. A route to
+// several services draws one by the ID of the first attempt, which the caller may not have named, and its
+// requests may have led elsewhere before.
+func (call *call) isOnlyService() bool {
+	isOther := func(service string) bool { return service != call.work.Service }
+	if call.info.Resumes == "" && slices.ContainsFunc(call.work.Route.Services(), isOther) {
+		return false
+	}
+	past := call.handler.options.Table.PastServices(call.request.Host, call.path(), oldestStream(call.work.Route.Timeout, time.Now()))
+	return !slices.ContainsFunc(past, isOther)
+}
+
+// oldestStream returns when a stream of a route with the given timeout that still goes on began at the
+// earliest.
+func oldestStream(timeout time.Duration, now time.Time) time.Time {
+	return now.Add(-max(timeout, maxStreamAge))
+}
+
 // awaitCurrentCopy waits until the copy of the registrations is complete as of the request's arrival,
 // and reports whether it is.
 func (call *call) awaitCurrentCopy() bool {
@@ -174,7 +192,7 @@
 // the given timeout may have begun, and whether these are all. A host that has not run for so long
 // needs the records of others: it does not know the servers that left before it started.
 func (handler *Handler) possibleVersions(service string, timeout time.Duration, now time.Time) (versions []string, complete bool) {
-	oldest := now.Add(-max(timeout, maxStreamAge))
+	oldest := oldestStream(timeout, now)
 	versions = handler.options.Fleet.Versions(service, oldest)
 	if handler.startedAt.Before(oldest) {
 		return versions, true
