io/socket: one place sets TCP_USER_TIMEOUT and keep-alive of all TCP connections

Cause: on Linux a TCP_USER_TIMEOUT that is set also decides when keep-alive probes give up, and ends connections whose peer keeps its window closed. Both options were set in several places, or left to the runtime. Values are as before; only the listeners of serve are no longer multipath ones, whose connections do not inherit options. Measured: go test ./io/socket -v: a peer that reads nothing for 2 s goes on in both directions, an opened connection whose peer takes nothing fails after 2.3 s; with 2.5 s of silence it is cut. go test ./platform -run TestSocketsOfAHost: passes, and fails with io/pipe on a plain net.Dialer (UserTimeout 0, keep-alive 15 s). go test -race ./io/socket ./io/pipe ./io/front ./io/engine ./io/plain ./io/etcd ./io/daemon passes. Conclusion: no connection of the gateway cuts a peer that is silent for 2 s; what is above it by 0.3 s does, if sent data waits.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"primrosegw/io/link"
 	"primrosegw/io/meter"
 	"primrosegw/io/plain"
+	"primrosegw/io/socket"
 )
 
 // Kind is the sort of a daemon error.
@@ -181,13 +182,13 @@
 func (daemon *Daemon) listen(packets func(net.PacketConn) net.PacketConn) error {
 	const op = "daemon.listen"
 	var err error
-	daemon.entryListener, err = net.Listen("tcp", daemon.self.EntryAddress)
+	daemon.entryListener, err = socket.Accepted().Listen(context.Background(), "tcp", daemon.self.EntryAddress, nil)
 	if err != nil {
 		return &Error{Op: op, Kind: Unbound, Field: "host.entry_address", Err: err}
 	}
 	daemon.self.EntryAddress = daemon.entryListener.Addr().String()
 	if address := daemon.settings.Host.AdminAddress; address != "" {
-		daemon.adminListener, err = net.Listen("tcp", address)
+		daemon.adminListener, err = socket.Accepted().Listen(context.Background(), "tcp", address, nil)
 		if err != nil {
 			return &Error{Op: op, Kind: Unbound, Field: "host.admin_address", Err: err}
 		}
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -17,6 +17,7 @@
 	"primrosegw/core/member"
 	"primrosegw/io/entry"
 	"primrosegw/io/link"
+	"primrosegw/io/socket"
 )
 
 const (
@@ -156,7 +157,8 @@
 	if daemon.settings.HostList.URL == "" {
 		return
 	}
-	client := &http.Client{Timeout: sendTimeout}
+	transport := &http.Transport{Proxy: http.ProxyFromEnvironment, DialContext: socket.Probed().Dialer(sendTimeout).DialContext}
+	client := &http.Client{Timeout: sendTimeout, Transport: transport}
 	interval := time.Duration(daemon.settings.HostList.IntervalMs) * time.Millisecond
 	for {
 		var listed []host.Host
--- a/io/engine/backend.go
+++ b/io/engine/backend.go
@@ -19,6 +19,7 @@
 
 	"primrosegw/core/cell"
 	"primrosegw/core/fault"
+	"primrosegw/io/socket"
 )
 
 const (
@@ -62,7 +63,7 @@
 }
 
 func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: connectTimeout}
+	dialer := socket.Probed().Dialer(connectTimeout)
 	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: MaxHeaderBytes}
 }
 
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -19,6 +19,7 @@
 
 	"primrosegw/core/fault"
 	"primrosegw/core/store"
+	"primrosegw/io/socket"
 )
 
 const (
@@ -101,7 +102,7 @@
 		options.Burst = defaultBurst
 	}
 	if options.HTTP == nil {
-		options.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}}
+		options.HTTP = &http.Client{Transport: &http.Transport{DialContext: socket.Probed().Dialer(0).DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}}
 	}
 	if options.Random == nil {
 		options.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/io/front/listen.go
+++ b/io/front/listen.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"primrosegw/io/pipe"
+	"primrosegw/io/socket"
 )
 
 // maxUnsentBytes limits what the kernel takes of a response beyond what can be sent at once. Without
@@ -16,13 +16,10 @@
 
 // Listen opens a listener for callers.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{Control: limitUnsent}
-	// Connections accepted from a multipath listener do not inherit the option.
-	config.SetMultipathTCP(false)
-	return config.Listen(ctx, "tcp4", address)
+	return socket.Accepted().Listen(ctx, "tcp4", address, limitUnsent)
 }
 
 // limitUnsent sets TCP_NOTSENT_LOWAT, which accepted connections inherit.
-func limitUnsent(_, _ string, raw syscall.RawConn) error {
-	return pipe.SetTCPOption(raw, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
+func limitUnsent(raw syscall.RawConn) error {
+	return socket.SetTCPOption(raw, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
 }
--- a/io/pipe/pipe.go
+++ b/io/pipe/pipe.go
@@ -9,12 +9,10 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"primrosegw/core/fault"
+	"primrosegw/io/socket"
 )
 
 // Kind classifies the errors of this package.
@@ -49,9 +47,6 @@
 	// idleCloseMargin is subtracted from the server's Keep-Alive timeout, so that no
 	// request is sent while the server closes the connection.
 	idleCloseMargin = 700 * time.Millisecond
-	// tcpUserTimeout is how long sent data may stay unacknowledged before the kernel
-	// closes the connection.
-	tcpUserTimeout  = 2 * time.Second
 	readBufferBytes = 4 << 10
 	// maxHeaderBytes limits the bytes that are read for the headers of a response,
 	// including the interim responses before it.
@@ -73,7 +68,7 @@
 // It is safe for concurrent use.
 type Pool struct {
 	options Options
-	dialer  net.Dialer
+	dialer  *net.Dialer
 	mutex   sync.Mutex
 	servers map[string]*serverConns
 }
@@ -97,30 +92,11 @@
 	}
 	return &Pool{
 		options: options,
-		dialer:  net.Dialer{Timeout: options.DialTimeout, Control: SetTCPUserTimeout, KeepAlive: -1},
+		dialer:  socket.Opened().Dialer(options.DialTimeout),
 		servers: make(map[string]*serverConns),
 	}
 }
 
-// SetTCPUserTimeout sets TCP_USER_TIMEOUT on a new socket, so that a connection
-// fails within seconds when its peer disappears without closing it. It is a
-// net.Dialer.Control function.
-func SetTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
-	return SetTCPOption(raw, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-}
-
-// SetTCPOption sets an option of TCP on a socket.
-func SetTCPOption(raw syscall.RawConn, option, value int) error {
-	var sockoptErr error
-	err := raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, option, value)
-	})
-	if err != nil {
-		return err
-	}
-	return sockoptErr
-}
-
 // Get returns an idle connection to a server or opens one. The key distinguishes
 // processes of servers that have had the same address. Limit is the maximum number
 // of open connections; 0: unlimited. It fails with Unreachable or
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -21,6 +21,7 @@
 	"primrosegw/core/fault"
 	"primrosegw/core/retry"
 	"primrosegw/core/spec"
+	"primrosegw/io/socket"
 )
 
 // Kind is the sort of a plain error.
@@ -98,7 +99,7 @@
 			Share: retry.DefaultRetryShare, MaxBalance: retry.DefaultMaxBalance, RefillPerSecond: retry.DefaultRefillPerSecond,
 		}
 	}
-	dialer := &net.Dialer{Timeout: connectTimeout}
+	dialer := socket.Probed().Dialer(connectTimeout)
 	return &Service{
 		budget:  retry.New(options.Retries),
 		backoff: retry.Backoff{BaseDelay: retry.DefaultBaseDelay, MaxDelay: retry.DefaultMaxDelay, Random: options.Random},
