core/trickle: the beginning of a response is no progress

Cause: any complete part cleared a server, also the first event of another request. Change: progress is a whole response, or a part that comes later than a quarter of the route's time after its attempt started; no wasted attempt has such a part. Measured: go test ./core/trickle: TestFirstEventsOfOtherRequestsDoNotHelp fails with the former rule (0 of 30 attempts wasted, 30 wanted) and passes. go test -race ./io/front -run 'Trickl|LongPauses' -count=6 at a load of 10: passes. go test -race ./core/trickle ./io/front passes.

--- a/core/trickle/trickle.go
+++ b/core/trickle/trickle.go
@@ -69,6 +69,26 @@
 	return silent > time.Duration(silentShare*float64(took))
 }
 
+// Part is a complete part of a response, such as an event, or a whole response.
+type Part struct {
+	// Server is the server's process.
+	Server  string
+	Service string
+	// Started is when the attempt started, and Completed when the part was complete.
+	Started   time.Time
+	Completed time.Time
+	// Allowed is the time that the route gives a request.
+	Allowed time.Duration
+	// Whole: the response is complete.
+	Whole bool
+}
+
+// isProgress reports whether no wasted attempt contains such a part. A server that trickles may begin
+// each response with events.
+func (part Part) isProgress() bool {
+	return part.Whole || part.Completed.Sub(part.Started) > time.Duration((1-silentShare)*float64(part.Allowed))
+}
+
 // Verdict is what follows from an attempt.
 type Verdict struct {
 	// Wasted: the attempt counts as a failure of the server.
@@ -80,9 +100,10 @@
 /*
 Judge tells servers that trickle from slow ones. It is safe for concurrent use.
 
-An attempt counts against a server if it was wasted while the server completed no part of any other
-response, and another server of the service did. So sound streams with long pauses, overload that
-concerns all servers, and a host that is cut off count against none. Any complete part clears a server.
+An attempt counts against a server if it was wasted while the server made no progress with any other
+response, and another server of the service did: it completed a response, or a part of one that is past
+its beginning. So sound streams with long pauses, overload that concerns all servers, and a host that is
+cut off count against none. Progress clears a server.
 */
 type Judge struct {
 	mutex   sync.Mutex
@@ -92,7 +113,7 @@
 // server is what is known about a server's process.
 type server struct {
 	service string
-	// progressAt is when it last completed a part of a response.
+	// progressAt is when it last made progress.
 	progressAt time.Time
 	wastedAt   time.Time
 	// wasted counts the wasted attempts since the last progress.
@@ -102,12 +123,15 @@
 // New returns a Judge that knows no server.
 func New() *Judge { return &Judge{servers: map[string]*server{}} }
 
-// RecordPart records that a server has completed a part of a response, or a whole one.
-func (judge *Judge) RecordPart(name, service string, now time.Time) {
+// RecordPart records that a server has completed a part of a response.
+func (judge *Judge) RecordPart(part Part) {
+	if !part.isProgress() {
+		return
+	}
 	judge.mutex.Lock()
 	defer judge.mutex.Unlock()
-	known := judge.find(name, service, now)
-	known.progressAt, known.wasted = now, 0
+	known := judge.find(part.Server, part.Service, part.Completed)
+	known.progressAt, known.wasted = part.Completed, 0
 }
 
 // JudgeDeadline judges an attempt that ended at its deadline.
--- a/core/trickle/trickle_test.go
+++ b/core/trickle/trickle_test.go
@@ -30,10 +30,20 @@
 	return play.JudgeDeadline(attempt)
 }
 
+// whole is a response that is complete at a moment.
+func whole(server, service string, at time.Time) trickle.Part {
+	return trickle.Part{Server: server, Service: service, Started: at.Add(-time.Millisecond), Completed: at, Allowed: allowed, Whole: true}
+}
+
+// event is an event that comes some time after its attempt started.
+func event(server string, at time.Time, age time.Duration) trickle.Part {
+	return trickle.Part{Server: server, Service: "engines", Started: at.Add(-age), Completed: at, Allowed: allowed}
+}
+
 // othersServe lets time pass in which another server serves.
 func (play *play) othersServe() {
 	play.now = play.now.Add(allowed)
-	play.RecordPart("good", "engines", play.now.Add(-time.Second))
+	play.RecordPart(whole("good", "engines", play.now.Add(-time.Second)))
 }
 
 // Guards against a server that trickles again and again and goes on to get requests.
@@ -47,7 +57,7 @@
 		play.othersServe()
 		require.Equal(t, trickle.Verdict{Wasted: true, Pause: pause}, play.attempt(nil))
 	}
-	play.RecordPart("bad", "engines", play.now)
+	play.RecordPart(whole("bad", "engines", play.now))
 	play.othersServe()
 	require.Equal(t, trickle.Verdict{Wasted: true}, play.attempt(nil), "progress clears the server")
 }
@@ -63,6 +73,38 @@
 	}
 }
 
+// Guards against a server that sends a first event for each request and then trickles: with requests that
+// overlap, the first event of the next one must not clear it.
+func TestFirstEventsOfOtherRequestsDoNotHelp(t *testing.T) {
+	const overlap = 10
+	play := newPlay()
+	wasted, pauses := 0, 0
+	for range 3 * overlap {
+		play.now = play.now.Add(allowed / overlap)
+		play.RecordPart(whole("good", "engines", play.now))
+		play.RecordPart(event("bad", play.now, allowed/100))
+		verdict := play.attempt(func(attempt *trickle.Attempt) { attempt.LastPart = attempt.Started.Add(allowed / 100) })
+		if verdict.Wasted {
+			wasted++
+		}
+		if verdict.Pause > 0 {
+			pauses++
+		}
+	}
+	require.Equal(t, 3*overlap, wasted)
+	require.Equal(t, 3*overlap-2, pauses)
+}
+
+// Guards against blaming a server whose streams go on past their beginning.
+func TestEventsPastTheBeginningClearAServer(t *testing.T) {
+	play := newPlay()
+	for range 20 {
+		play.othersServe()
+		play.RecordPart(event("bad", play.now.Add(-time.Second), 3*time.Second))
+		require.Zero(t, play.attempt(nil))
+	}
+}
+
 // Guards against punishing servers that are not to blame, however often it happens.
 func TestSoundServersAreNotBlamed(t *testing.T) {
 	for name, step := range map[string]func(*play) trickle.Verdict{
@@ -72,7 +114,7 @@
 		},
 		"other streams go on": func(play *play) trickle.Verdict {
 			play.othersServe()
-			play.RecordPart("bad", "engines", play.now.Add(-2*time.Second))
+			play.RecordPart(whole("bad", "engines", play.now.Add(-2*time.Second)))
 			return play.attempt(nil)
 		},
 		"no server serves": func(play *play) trickle.Verdict {
@@ -81,7 +123,7 @@
 		},
 		"only another service is served": func(play *play) trickle.Verdict {
 			play.now = play.now.Add(2 * allowed)
-			play.RecordPart("other", "ledger", play.now)
+			play.RecordPart(whole("other", "ledger", play.now))
 			return play.attempt(nil)
 		},
 		"impatient callers": func(play *play) trickle.Verdict {
@@ -124,7 +166,7 @@
 	play := newPlay()
 	for number := range 10_000 {
 		play.now = play.now.Add(time.Second)
-		play.RecordPart(fmt.Sprint(number), "engines", play.now)
+		play.RecordPart(whole(fmt.Sprint(number), "engines", play.now))
 	}
 	require.Equal(t, trickle.Verdict{Wasted: true}, play.attempt(func(attempt *trickle.Attempt) { attempt.Server = "1" }))
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -314,7 +314,7 @@
 	}
 	exchange.call.handler.recordAlive(exchange.server)
 	exchange.call.recordHarmless()
-	exchange.recordPart()
+	exchange.recordPart(true)
 }
 
 // showsFraming reports whether a response shows that its server frames: one without a body needs no
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -132,6 +132,6 @@
 		exchange.delivery.callerFailed = true
 		return length, err
 	}
-	exchange.recordPart()
+	exchange.recordPart(false)
 	return length, malformed
 }
--- a/io/front/trickle.go
+++ b/io/front/trickle.go
@@ -26,12 +26,19 @@
 }
 
 // recordPart records that the server has completed a part of a response, and the caller has taken it.
-func (exchange *exchange) recordPart() {
+// The last part makes the response whole.
+func (exchange *exchange) recordPart(whole bool) {
 	now := time.Now()
 	exchange.delivery.lastPart = now
-	exchange.call.handler.trickle.RecordPart(exchange.delivery.process, exchange.server.Service, now)
+	exchange.call.handler.trickle.RecordPart(trickle.Part{
+		Server: exchange.delivery.process, Service: exchange.server.Service, Started: exchange.started, Completed: now,
+		Allowed: exchange.call.allowed(), Whole: whole,
+	})
 }
 
+// allowed returns the time that the route gives a request.
+func (call *call) allowed() time.Duration { return cmp.Or(call.work.Route.Timeout, defaultTimeout) }
+
 // judgeDeadline judges an attempt that has ended without a complete response, if its deadline did that.
 func (exchange *exchange) judgeDeadline(now time.Time) {
 	call, handler, made := exchange.call, exchange.call.handler, exchange.delivery
@@ -40,7 +47,7 @@
 	}
 	verdict := handler.trickle.JudgeDeadline(trickle.Attempt{
 		Server: made.process, Service: exchange.server.Service, Started: exchange.started, Ended: now,
-		Allowed: cmp.Or(call.work.Route.Timeout, defaultTimeout), Received: exchange.conn.Received() > made.receivedBefore,
+		Allowed: exchange.call.allowed(), Received: exchange.conn.Received() > made.receivedBefore,
 		LastPart: made.lastPart, CallerHeld: made.callerHeld,
 	})
 	if !verdict.Wasted {
