io/front, core/poison: a response on an unasked connection clears only requests that were sent after it was opened

Cause: a response on a connection that was not asked counted for the registered process while nothing was in doubt. If the process had ended unnoticed and another one had its address, it cleared requests that the registered process never answered, and a request that makes engines go dark was not found. Change: such a response shows nothing of requests sent before its connection was opened. A confirmed connection, and one to a server that can't say which process it is, counts as before.

--- a/core/poison/ended.go
+++ b/core/poison/ended.go
@@ -35,13 +35,23 @@
 // ObserveAlive records that a process of a server sent something. Requests that had ended before
 // are no longer kept.
 func (detector *CrashDetector) ObserveAlive(process string, at time.Time) {
+	detector.ObserveAnswer(process, time.Time{}, at)
+}
+
+// ObserveAnswer records that the process at the other end of a connection to a server sent something. It
+// shows nothing of requests that were sent before the connection was opened: another process may have
+// taken the server's address after them, unnoticed.
+func (detector *CrashDetector) ObserveAnswer(process string, openedAt, at time.Time) {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
 	life := detector.life(process, at)
-	if at.After(life.aliveAt) {
+	isOlder := func(response brokenResponse) bool { return response.sentAt.Before(openedAt) }
+	if at.After(life.aliveAt) && !slices.ContainsFunc(life.unanswered, isOlder) {
 		life.aliveAt = at
 	}
-	life.unanswered = slices.DeleteFunc(life.unanswered, func(response brokenResponse) bool { return !response.at.After(at) })
+	life.unanswered = slices.DeleteFunc(life.unanswered, func(response brokenResponse) bool {
+		return !isOlder(response) && !response.at.After(at)
+	})
 }
 
 // ObserveUnanswered records a request that ended without a complete response from a process, for
--- a/io/front/dark.go
+++ b/io/front/dark.go
@@ -30,13 +30,27 @@
 
 // recordLastEvent records when the server's process last sent an event of a stream that broke off.
 func (exchange *exchange) recordLastEvent() {
-	handler, lastEventAt := exchange.call.handler, exchange.call.lastEventAt
-	if lastEventAt.After(exchange.started) && !handler.options.Fleet.InDoubt(exchange.server.ID) {
-		handler.options.CrashDetector.ObserveAlive(connectionKey(exchange.server), lastEventAt)
+	if lastEventAt := exchange.call.lastEventAt; lastEventAt.After(exchange.started) {
+		exchange.recordAlive(lastEventAt)
 	}
 }
 
-// recordAlive records that the server's process has sent something. While it is in doubt which
+// recordAlive records that the process at the other end of the connection has sent something. Unless the
+// server says which one it is, or can't say so, that is the registered one only as far as it was when the
+// connection was opened.
+func (exchange *exchange) recordAlive(at time.Time) {
+	call, server := exchange.call, exchange.server
+	if call.handler.options.Fleet.InDoubt(server.ID) {
+		return
+	}
+	var openedAt time.Time
+	if !isConfirmed(exchange.conn, server) && call.reportsProcess(server) {
+		openedAt = exchange.conn.OpenedAt
+	}
+	call.handler.options.CrashDetector.ObserveAnswer(connectionKey(server), openedAt, at)
+}
+
+// recordAlive records that the server's process has said which one it is. While it is in doubt which
 // process is at the server's address, a response says nothing of the registered one.
 func (handler *Handler) recordAlive(server fleet.Server) {
 	if !handler.options.Fleet.InDoubt(server.ID) {
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -88,7 +88,7 @@
 		return exchange.failAttempt(err)
 	}
 	exchange.markPromptRead()
-	call.handler.recordAlive(exchange.server)
+	exchange.recordAlive(time.Now())
 	if !info.NotRun {
 		now := time.Now()
 		call.handler.options.Pick.ObserveFirstEvent(&call.work, &exchange.choice, now.Sub(exchange.started), now)
@@ -312,7 +312,7 @@
 	if exchange.showsFraming(response) {
 		exchange.call.handler.options.Fleet.RecordFramed(exchange.server, time.Now())
 	}
-	exchange.call.handler.recordAlive(exchange.server)
+	exchange.recordAlive(time.Now())
 	exchange.call.recordHarmless()
 	exchange.recordPart(true)
 }
