io/front: trailers of a response are passed on

Cause: what a backend server sent after the last chunk was dropped, so that a response whose server reported a failure there looked whole. Change: trailers but hop-by-hop ones are passed on, after the last chunk; a short response that has some gets chunks in place of a length. Callers on HTTP/1.0 get none.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -240,7 +240,7 @@
 		exchange.recordProvenEnd(response)
 	}
 	exchange.releaseConn(response)
-	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, segments: segments, length: length}
+	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, trailer: response.Trailer, segments: segments, length: length}
 	buffered.isUnframed = !isDelimited(response) && call.request.Method != http.MethodHead
 	if success {
 		call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
--- a/io/front/passthrough.go
+++ b/io/front/passthrough.go
@@ -50,7 +50,7 @@
 		return passage.passOn(success)
 	}
 	passage.recordWhole(success)
-	call.writeBuffered(bufferedResponse{status: response.StatusCode, header: response.Header, segments: passage.segments, length: passage.read})
+	call.writeBuffered(bufferedResponse{status: response.StatusCode, header: response.Header, trailer: response.Trailer, segments: passage.segments, length: passage.read})
 	return work.Served
 }
 
@@ -134,6 +134,7 @@
 			break
 		}
 	}
+	passage.call.passTrailers(passage.response.Trailer)
 	passage.call.closeInOrder()
 	passage.call.recordResponse(passage.response.StatusCode)
 	return work.Served
--- a/io/front/response.go
+++ b/io/front/response.go
@@ -16,6 +16,8 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
+	// trailer holds what the server sent after the last chunk; usually nothing.
+	trailer http.Header
 	// segments are the body, and length is their length in bytes.
 	segments [][]byte
 	length   int64
@@ -31,6 +33,8 @@
 	switch {
 	case response.isUnframed:
 		call.isUnframed = true
+	case len(forwardedTrailers(response.trailer)) > 0 && call.request.ProtoAtLeast(1, 1):
+		// Trailers need chunks.
 	case call.request.Method != http.MethodHead:
 		call.writer.Header().Set("Content-Length", strconv.FormatInt(response.length, 10))
 	default:
@@ -39,6 +43,8 @@
 		}
 	}
 	call.firstEventDelay = time.Since(call.work.Received)
+	// Before the head: net/http sends a short response without a length in chunks only if it has trailers.
+	call.passTrailers(response.trailer)
 	call.writeHead(response.status)
 	if call.request.Method != http.MethodHead {
 		call.writeSegments(response.segments)
@@ -91,6 +97,25 @@
 	}
 }
 
+// passTrailers passes on the trailers of a whole response: its server may report a failure there. They
+// are sent when the handler returns, if the response has chunks.
+func (call *call) passTrailers(trailer http.Header) {
+	for name, values := range forwardedTrailers(trailer) {
+		call.writer.Header()[http.TrailerPrefix+name] = values
+	}
+}
+
+// forwardedTrailers returns the trailers of a response that are passed on.
+func forwardedTrailers(trailer http.Header) http.Header {
+	forwarded := http.Header{}
+	for name, values := range trailer {
+		if len(values) > 0 && !perConnection(name, trailer) {
+			forwarded[name] = values
+		}
+	}
+	return forwarded
+}
+
 func perConnection(name string, header http.Header) bool {
 	return IsHopByHop(name, header)
 }
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -42,6 +42,7 @@
 	exchange.releaseConn(response)
 	exchange.recordProvenEnd(response)
 	call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
+	call.passTrailers(response.Trailer)
 	call.closeInOrder()
 	call.recordResponse(response.StatusCode)
 	return work.Served
