io/daemon: an answer without a list of hosts is no empty list

Cause: sling does not decode an answer with Content-Length 0, and JSON null decodes to nothing. Both were applied as an empty list: seeds and what was known as leaving were forgotten until the next one. Change: ReadHostList fails with Unlisted unless the answer is 200 with a list; the former list then stays. An empty list counts as before.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -45,6 +45,8 @@
 	Aborted Kind = "aborted"
 	// Unusable: a document in force elsewhere did not pass the checks here.
 	Unusable Kind = "unusable"
+	// Unlisted: the platform's list of hosts could not be read.
+	Unlisted Kind = "unlisted"
 )
 
 // Error is the error type of this package.
--- a/io/daemon/members.go
+++ b/io/daemon/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"primrosegw/core/cell"
 	"primrosegw/core/event"
+	"primrosegw/core/fault"
 	"primrosegw/core/host"
 	"primrosegw/core/member"
 	"primrosegw/io/entry"
@@ -161,9 +163,7 @@
 	client := &http.Client{Timeout: sendTimeout, Transport: transport}
 	interval := time.Duration(daemon.settings.HostList.IntervalMs) * time.Millisecond
 	for {
-		var listed []host.Host
-		response, err := sling.New().Client(client).Get(daemon.settings.HostList.URL).ReceiveSuccess(&listed)
-		if err == nil && response.StatusCode == http.StatusOK {
+		if listed, err := ReadHostList(client, daemon.settings.HostList.URL); err == nil {
 			daemon.members.ApplyHostList(listed)
 		}
 		// The jitter keeps a fleet that started together from asking together.
@@ -173,6 +173,21 @@
 	}
 }
 
+// ReadHostList reads the platform's list of hosts. It fails with Unlisted if the answer has none.
+func ReadHostList(client *http.Client, url string) ([]host.Host, error) {
+	const op = "daemon.read_host_list"
+	var listed []host.Host
+	response, err := sling.New().Client(client).Get(url).ReceiveSuccess(&listed)
+	if err != nil {
+		return nil, fault.Wrap(op, Unlisted, err)
+	}
+	// An answer without a body is not decoded.
+	if response.StatusCode != http.StatusOK || listed == nil {
+		return nil, fault.New(op, Unlisted, "status "+strconv.Itoa(response.StatusCode)+", no list")
+	}
+	return listed, nil
+}
+
 // pause waits and reports whether the context is still open.
 func pause(ctx context.Context, span time.Duration) bool {
 	timer := time.NewTimer(span)
