io/entry: the first head of a connection has its own time

Cause: net/http counts the time from the opening of a connection as that of its first head. A caller that opens connections before it needs them was cut off within its first request. Change: a connection may wait for the idle time before its first request; the limit of the head begins with its first byte. With TLS the limit of the handshake stays.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -256,7 +256,7 @@
 		group.Go(func() { loop(background) })
 	}
 	servers := []*http.Server{daemon.entryServer()}
-	listeners := []net.Listener{daemon.entryListener}
+	listeners := []net.Listener{entry.GiveFirstHeadsTheirTime(daemon.entryListener, idleTimeout, daemon.keys.Entry())}
 	if daemon.adminListener != nil {
 		servers = append(servers, daemon.adminServer())
 		listeners = append(listeners, daemon.adminListener)
