--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"primrosegw/io/link"
 	"primrosegw/io/meter"
 	"primrosegw/io/plain"
+	"primrosegw/io/socket"
 )
 
 // Kind is the sort of a daemon error.
@@ -44,6 +45,8 @@
 	Aborted Kind = "aborted"
 	// Unusable: a document in force elsewhere did not pass the checks here.
 	Unusable Kind = "unusable"
+	// Unlisted: the platform's list of hosts could not be read.
+	Unlisted Kind = "unlisted"
 )
 
 // Error is the error type of this package.
@@ -181,13 +184,13 @@
 func (daemon *Daemon) listen(packets func(net.PacketConn) net.PacketConn) error {
 	const op = "daemon.listen"
 	var err error
-	daemon.entryListener, err = net.Listen("tcp", daemon.self.EntryAddress)
+	daemon.entryListener, err = socket.Accepted().Listen(context.Background(), "tcp", daemon.self.EntryAddress, nil)
 	if err != nil {
 		return &Error{Op: op, Kind: Unbound, Field: "host.entry_address", Err: err}
 	}
 	daemon.self.EntryAddress = daemon.entryListener.Addr().String()
 	if address := daemon.settings.Host.AdminAddress; address != "" {
-		daemon.adminListener, err = net.Listen("tcp", address)
+		daemon.adminListener, err = socket.Accepted().Listen(context.Background(), "tcp", address, nil)
 		if err != nil {
 			return &Error{Op: op, Kind: Unbound, Field: "host.admin_address", Err: err}
 		}
@@ -253,7 +256,7 @@
 		group.Go(func() { loop(background) })
 	}
 	servers := []*http.Server{daemon.entryServer()}
-	listeners := []net.Listener{daemon.entryListener}
+	listeners := []net.Listener{entry.GiveFirstHeadsTheirTime(daemon.entryListener, idleTimeout, daemon.keys.Entry())}
 	if daemon.adminListener != nil {
 		servers = append(servers, daemon.adminServer())
 		listeners = append(listeners, daemon.adminListener)
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -88,7 +88,7 @@
 		return exchange.failAttempt(err)
 	}
 	exchange.markPromptRead()
-	call.handler.recordAlive(exchange.server)
+	exchange.recordAlive(time.Now())
 	if !info.NotRun {
 		now := time.Now()
 		call.handler.options.Pick.ObserveFirstEvent(&call.work, &exchange.choice, now.Sub(exchange.started), now)
@@ -240,7 +240,7 @@
 		exchange.recordProvenEnd(response)
 	}
 	exchange.releaseConn(response)
-	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, segments: segments, length: length}
+	buffered := bufferedResponse{status: response.StatusCode, header: response.Header, trailer: response.Trailer, segments: segments, length: length}
 	buffered.isUnframed = !isDelimited(response) && call.request.Method != http.MethodHead
 	if success {
 		call.handler.options.Fleet.RecordSuccess(exchange.server.ID)
@@ -312,9 +312,9 @@
 	if exchange.showsFraming(response) {
 		exchange.call.handler.options.Fleet.RecordFramed(exchange.server, time.Now())
 	}
-	exchange.call.handler.recordAlive(exchange.server)
+	exchange.recordAlive(time.Now())
 	exchange.call.recordHarmless()
-	exchange.recordPart()
+	exchange.recordPart(true)
 }
 
 // showsFraming reports whether a response shows that its server frames: one without a body needs no
