--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -55,6 +55,8 @@
 		HostUnlisted(),
 		EntriesRead(),
 		MemoryRefused(),
+		TunnelRefused(),
+		RelayListenFailed(),
 		LinesDropped(),
 		LinesSuppressed(),
 	}
@@ -347,3 +349,13 @@
 func LinesSuppressed() Event {
 	return Event{1961, "lines_suppressed", logrus.WarnLevel, "log", "Log lines of an event were suppressed, because it occurred too often."}
 }
+
+// TunnelRefused reports that the host opened no tunnel to a backend server for another host.
+func TunnelRefused() Event {
+	return Event{1970, "tunnel_refused", logrus.WarnLevel, "relay", "No tunnel to a backend server was opened for another host."}
+}
+
+// RelayListenFailed reports that the host can't listen for tunnels of other hosts.
+func RelayListenFailed() Event {
+	return Event{1971, "relay_listen_failed", logrus.ErrorLevel, "relay", "The host can't listen for tunnels of other hosts, and tries again."}
+}
--- a/core/fleet/process.go
+++ b/core/fleet/process.go
@@ -130,3 +130,10 @@
 	member := fleet.find(id)
 	return member.Server, !member.Started.IsZero() && !member.Leaving && !member.announcement.leaving
 }
+
+// UsableProcess returns the registration of a process of a server. It reports false if that is not the
+// registered one, or gets no requests of any host.
+func (fleet *Fleet) UsableProcess(id string, started, now time.Time) (Server, bool) {
+	member := fleet.find(id)
+	return member.Server, member.ID != "" && member.Started.Equal(started) && member.usable(now)
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -141,6 +141,8 @@
 	// MemoryHeldBytes is the part of MemoryBudgetBytes that is in use.
 	MemoryHeldBytes   = "memory_held_bytes"
 	MemoryBudgetBytes = "memory_budget_bytes"
+	// RelayOpen is the number of open tunnels of other hosts.
+	RelayOpen = "relay_open"
 )
 
 // SetRequestsByRank sets the number of requests in flight of a rank.
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -135,9 +135,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		// With a linger time of 0, the kernel resets the connection if the process ends. An orderly
-		// end is announced with CloseWrite.
-		_ = conn.SetLinger(0)
+		prepare(conn)
 		if !server.beginHandshake() {
 			_ = conn.Close()
 			server.protect(func() { server.options.OnTunnel(Attempt{Result: Refused}) })
@@ -364,6 +362,6 @@
 		_ = conn.Close()
 		return nil, fault.New("relay.connect", Unreachable, "not a TCP connection")
 	}
-	_ = backend.SetLinger(0)
+	prepare(backend)
 	return backend, nil
 }
--- a/io/relay/tunnel.go
+++ b/io/relay/tunnel.go
@@ -19,6 +19,9 @@
 	// lastBytesTimeout is how long the bytes that a side sent before it reset the connection may take
 	// to the other side.
 	lastBytesTimeout = 50 * time.Millisecond
+	// kernelBufferBytes limits what the kernel holds in a direction of a connection if the other side is
+	// slow. It is what a direct connection holds unsent for a slow caller.
+	kernelBufferBytes = 128 << 10
 	// tcpStateClosed is TCP_CLOSE of Linux's tcp_states.h.
 	tcpStateClosed = 7
 )
@@ -29,6 +32,17 @@
 	syscall.Conn
 	CloseWrite() error
 	SetLinger(seconds int) error
+	SetReadBuffer(bytes int) error
+	SetWriteBuffer(bytes int) error
+}
+
+// prepare limits the bytes that the kernel holds for a connection of a tunnel, and sets a linger time of
+// 0: the kernel then resets the connection if the process ends. An orderly end is announced with
+// CloseWrite. Errors mean that the connection is closed, and its next use fails.
+func prepare(conn stream) {
+	_ = conn.SetReadBuffer(kernelBufferBytes)
+	_ = conn.SetWriteBuffer(kernelBufferBytes)
+	_ = conn.SetLinger(0)
 }
 
 // leg is one of the two connections of a tunnel.
