core/fleet, platform: hosts tell each other what backend servers say of themselves

Cause: a server tells one host that it is leaving or wants no requests for a time. A host whose connections go through another one is told so alone, and the helping host goes on sending. Change: the host tells the other entry hosts by datagram (field 16 of the message), at once and once more 75 ms later, by process hash and with the time that is left. They apply it to that process only. A time that the server has told the host itself is not made longer while it runs, nor is one by a repetition. What was heard is not told again. Events server_leaving and server_turned_away name the peer; counter server_announcements.

--- a/core/fleet/announce.go
+++ b/core/fleet/announce.go
@@ -18,7 +18,17 @@
 type announcement struct {
 	leaving   bool
 	awayUntil time.Time
+	// isAwayOwn is set if the process has told this host awayUntil, and not another host.
+	isAwayOwn bool
 	heardAt   time.Time
+	// told holds the last statement of each other host that was applied to awayUntil.
+	told []toldBy
+}
+
+// toldBy is a statement of another host.
+type toldBy struct {
+	host   string
+	number int64
 }
 
 // RecordLeaving records that a server says in a response that it is leaving. It gets no requests any
@@ -37,19 +47,33 @@
 	return fleet.announce(server, now, func(known *announcement) bool {
 		isLater := until.After(known.awayUntil)
 		if isLater {
-			known.awayUntil = until
+			known.awayUntil, known.isAwayOwn = until, true
 		}
 		return isLater
 	})
 }
 
-// announce changes what a server's process has said of itself.
+// announce changes what a server's process has said of itself to this host.
 func (fleet *Fleet) announce(server Server, now time.Time, change func(*announcement) bool) bool {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	process := server.ProcessHash()
 	known := fleet.announcements[process]
 	changed := change(&known)
+	member := fleet.members[server.ID]
+	if member != nil && member.ProcessHash() != process {
+		member = nil
+	}
+	fleet.storeAnnouncement(process, known, member, now)
+	if changed {
+		fleet.queueAnnouncement(process, now)
+	}
+	return changed
+}
+
+// storeAnnouncement stores what a process has said of itself, and forgets what was said too long ago.
+// Member is the server that is registered as the process, or nil. The mutex is held.
+func (fleet *Fleet) storeAnnouncement(process uint64, known announcement, member *Member, now time.Time) {
 	known.heardAt = now
 	for other, old := range fleet.announcements {
 		if now.Sub(old.heardAt) > announcementRetention {
@@ -57,10 +81,9 @@
 		}
 	}
 	fleet.announcements[process] = known
-	if member := fleet.members[server.ID]; member != nil && member.ProcessHash() == process {
+	if member != nil {
 		member.announcement = known
 	}
-	return changed
 }
 
 // AwayFor returns how long the server wants no requests of this host; 0: it wants them now.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -128,6 +128,10 @@
 	removed map[string]removedServer
 	// announcements holds what processes of servers have said of themselves, by process hash.
 	announcements map[uint64]announcement
+	// untold holds those of which other hosts are still to be told, by process hash. announced receives
+	// a value when one is added.
+	untold    map[uint64]untold
+	announced chan struct{}
 	// reports holds the latest report of each other host, by host name.
 	reports map[string]receivedReport
 	// nextExpiry is when the reports are next checked for expiry.
@@ -139,6 +143,7 @@
 	return &Fleet{
 		members: make(map[string]*Member), byService: make(map[string][]*Member), byHash: make(map[uint64]*Member), reports: make(map[string]receivedReport),
 		removed: make(map[string]removedServer), announcements: make(map[uint64]announcement),
+		untold: make(map[uint64]untold), announced: make(chan struct{}, 1),
 	}
 }
 
