--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -434,24 +434,40 @@
 	dial(t, server)
 }
 
-// Guards against a time limit for lost peers that differs from that of direct connections, and
-// against keep-alive datagrams.
-func TestSocketOptionsAreThoseOfDirectConnections(t *testing.T) {
-	option := func(conn syscall.Conn, level, name int) int {
-		raw, err := conn.SyscallConn()
-		require.NoError(t, err)
-		value := 0
-		require.NoError(t, raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), level, name) }))
-		require.NoError(t, err)
-		return value
+// descriptorTo returns a descriptor of this process whose connection has a peer.
+func descriptorTo(t *testing.T, peer net.Addr) int {
+	t.Helper()
+	port := peer.(*net.TCPAddr).Port
+	for descriptor := range 1024 {
+		address, err := unix.Getpeername(descriptor)
+		if inet, ok := address.(*unix.SockaddrInet4); err == nil && ok && inet.Port == port {
+			return descriptor
+		}
 	}
+	require.FailNow(t, "no connection to "+peer.String())
+	return -1
+}
+
+// Guards against a time limit for lost peers that differs from that of direct connections, at either
+// end of the connection between the hosts or on that to the server, and against keep-alive messages.
+func TestSocketOptionsAreThoseOfDirectConnections(t *testing.T) {
 	address := startBackend(t, echo)
 	direct := net.Dialer{Control: pipe.SetTCPUserTimeout, KeepAlive: -1}
-	expected, err := direct.Dial("tcp4", address)
+	conn, err := direct.Dial("tcp4", address)
 	require.NoError(t, err)
-	defer expected.Close()
-	conn := dial(t, startServer(t, options(address)))
-	require.Positive(t, option(conn, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT))
-	require.Equal(t, option(expected.(*net.TCPConn), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT), option(conn, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT))
-	require.Zero(t, option(conn, unix.SOL_SOCKET, unix.SO_KEEPALIVE))
+	expected, err := unix.GetsockoptInt(descriptorTo(t, conn.RemoteAddr()), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	require.NoError(t, err)
+	require.Positive(t, expected)
+	toServer := conn.RemoteAddr()
+	require.NoError(t, conn.Close())
+	tunnel := dial(t, startServer(t, options(address)))
+	for name, peer := range map[string]net.Addr{"dialer": tunnel.RemoteAddr(), "listener": tunnel.LocalAddr(), "server": toServer} {
+		descriptor := descriptorTo(t, peer)
+		value, err := unix.GetsockoptInt(descriptor, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		require.NoError(t, err, name)
+		require.Equal(t, expected, value, name)
+		value, err = unix.GetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+		require.NoError(t, err, name)
+		require.Zero(t, value, name)
+	}
 }
