io/front, core/origin: recorded versions count at all hosts, and a conclusion is not told as a fact

A host that had run for a minute knew the versions of servers that left from its own copy only. One that came and left while it was cut off, or that left more than a minute ago while a cut-off host still began streams there, was forgotten, though the store had its record. And a host recorded its conclusion where a stream began as its own knowledge and told the others. Registry.Conclude remembers a conclusion only while nothing is known, and tells nobody.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -94,6 +94,19 @@
 	}
 }
 
+// Conclude remembers where a stream must have begun, unless that is known by now: then it returns what is
+// known. A conclusion is not told to the other hosts, and gives way to what they report.
+func (registry *Registry) Conclude(requestID string, origin Origin, deadline, now time.Time) (Origin, bool) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	key := Key(requestID)
+	if known, found := registry.streams[key]; found && !now.After(known.expiresAt) {
+		return known.origin, true
+	}
+	registry.add(key, stream{origin: origin, expiresAt: expiry(deadline.Sub(now)+takeUpGrace, now)}, now)
+	return Origin{}, false
+}
+
 // expiry returns when a stream is forgotten that is to be remembered for a lifetime.
 func expiry(lifetime time.Duration, now time.Time) time.Time {
 	return now.Add(min(lifetime, maxLifetime))
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -159,3 +159,17 @@
 	require.True(t, known)
 	require.Equal(t, began, found)
 }
+
+// Guards against a conclusion of a host that replaces what another one reports, or is told as a fact.
+func TestConclusionsGiveWayToReports(t *testing.T) {
+	registry, now := origin.New(), time.Now()
+	concluded, began := origin.Origin{Service: "engines", Version: "v1"}, origin.Origin{Service: "engines", Version: "v2"}
+	report := origin.Report{Key: origin.Key("first"), Service: "engines", Version: "v2", LeftMs: 60_000}
+	_, known := registry.Conclude("first", concluded, now.Add(time.Minute), now)
+	require.False(t, known)
+	require.Empty(t, registry.TakeReports(now))
+	require.Equal(t, 1, registry.Apply([]origin.Report{report}, now))
+	found, known := registry.Conclude("first", concluded, now.Add(time.Minute), now)
+	require.True(t, known)
+	require.Equal(t, began, found)
+}
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -120,8 +120,11 @@
 		return origin.Origin{}, ""
 	}
 	found := origin.Origin{Service: call.work.Service, Version: version}
-	if began != "" {
-		call.tellOrigin(began, found)
+	if began == "" {
+		return found, onlyVersion
+	}
+	if told, known := options.Origins.Conclude(began, found, call.callerWaits(), time.Now()); known {
+		return told, askedOrigin
 	}
 	return found, onlyVersion
 }
@@ -189,24 +192,14 @@
 }
 
 // possibleVersions returns the versions of the servers of a service at which a stream of a route with
-// the given timeout may have begun, and whether these are all. A host that has not run for so long
-// needs the records of others: it does not know the servers that left before it started.
+// the given timeout may have begun, and whether these are all. Servers may have left before this host
+// started, or while it did not hear of changes, so the recorded versions count, too.
 func (handler *Handler) possibleVersions(service string, timeout time.Duration, now time.Time) (versions []string, complete bool) {
 	oldest := oldestStream(timeout, now)
-	versions = handler.options.Fleet.Versions(service, oldest)
-	if handler.startedAt.Before(oldest) {
-		return versions, true
-	}
 	recorded := handler.options.VersionRecords.Versions(service)
-	versions = append(versions, recorded...)
+	versions = append(handler.options.Fleet.Versions(service, oldest), recorded...)
 	slices.Sort(versions)
-	return slices.Compact(versions), len(recorded) > 0
-}
-
-// tellOrigin records where the stream began whose first event the request with the given ID
-// brought, for as long as the caller waits.
-func (call *call) tellOrigin(requestID string, began origin.Origin) {
-	call.handler.options.Origins.Record(requestID, began, call.callerWaits(), time.Now())
+	return slices.Compact(versions), len(recorded) > 0 || handler.startedAt.Before(oldest)
 }
 
 // callerWaits returns until when the caller waits for the stream.
