core/ending: where connections were closed in order within responses

Cause: the end of an unframed response is worth nothing only where connections are closed in order within responses, and framed responses show that. Evidence.NoCuts: a plain response is passed on (verdict passed_on, case no_cuts) unless the server's answer shows that its process has ended. Measured: go test -race ./core/ending passes.

--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -79,10 +79,16 @@
 	Ended Verdict = "ended"
 	// Cut: the run had made more than arrived.
 	Cut Verdict = "cut"
+	// PassedOn: nothing speaks against the response, and nothing proves it. The caller is told as much as
+	// the host knows: neither a length nor a last chunk.
+	PassedOn Verdict = "passed_on"
 	// Unknown: the end of the response proves nothing. It must not count as complete.
 	Unknown Verdict = "unknown"
 )
 
+// Serves reports whether the response may be given to the caller to its end.
+func (verdict Verdict) Serves() bool { return verdict == Whole || verdict == PassedOn }
+
 // Case is the reason for a verdict. Those that are not listed here have the name of an outcome.
 type Case string
 
@@ -90,8 +96,11 @@
 const (
 	// Framed: the response has a length or chunks.
 	Framed Case = "framed"
-	// Untrusted: the response ended with its connection, and its service is not trusted to end
-	// responses so. No question is asked.
+	// NoCuts: the response is no stream, and no connection of the kind is known to have been closed in
+	// order within a response (Cuts).
+	NoCuts Case = "no_cuts"
+	// Untrusted: the response ended with its connection, its service is not trusted to end responses so,
+	// and it is a stream or cuts are known. No question is asked.
 	Untrusted Case = "untrusted"
 	// BegunFramed: the service is trusted, but the response to the caller began with chunks. A last one
 	// would say more than is known.
@@ -115,6 +124,8 @@
 	// Trusted: the operators say that the service's responses may end with their connection, and that
 	// no device closes it before.
 	Trusted bool
+	// NoCuts: the response is no stream, and Cuts knows none that count for it.
+	NoCuts bool
 	// BegunFramed: the response to the caller began with chunks.
 	BegunFramed bool
 	// EndedAt is when the response's connection was seen to have ended. It may have ended earlier by
@@ -132,7 +143,7 @@
 
 // NeedsAnswer reports whether the verdict depends on what the server says of its process.
 func (evidence Evidence) NeedsAnswer() bool {
-	return evidence.Framing == Connection && evidence.Trusted && !evidence.BegunFramed
+	return evidence.Framing == Connection && (evidence.Trusted || evidence.NoCuts) && !evidence.BegunFramed
 }
 
 /*
@@ -141,13 +152,14 @@
 process must answer a question that was asked Settle later, on a connection that was opened after the
 end, as earlier ones may outlive the process. A process that names its ID only must also have taken
 the connection within MaxConnectTime. The list of runs can only show that the run was cut: it is old,
-so that a run without more events may have made some since.
+so that a run without more events may have made some since. Without trust, a response that is no stream
+is passed on while no cuts are known, unless the answer shows that the process has ended.
 */
 func (evidence Evidence) Judge() (Case, Verdict) {
 	switch {
 	case evidence.Framing == Length || evidence.Framing == Chunks:
 		return Framed, Whole
-	case !evidence.Trusted:
+	case !evidence.Trusted && !evidence.NoCuts:
 		return Untrusted, Unknown
 	case evidence.BegunFramed:
 		return BegunFramed, Unknown
@@ -157,6 +169,11 @@
 	switch evidence.Outcome {
 	case Refused, OtherProcess:
 		return outcome, Ended
+	}
+	if !evidence.Trusted {
+		return NoCuts, PassedOn
+	}
+	switch evidence.Outcome {
 	case NoQuestion:
 		return outcome, Whole
 	case Registered, SameID:
--- a/core/ending/ending_test.go
+++ b/core/ending/ending_test.go
@@ -114,6 +114,32 @@
 	}
 }
 
+// Guards against a response that is given out though its process has ended with it or cuts are known,
+// and against sound ones that are not because their server can't be asked.
+func TestResponsesArePassedOnWhileNoCutsAreKnown(t *testing.T) {
+	end := time.Unix(100, 0)
+	for _, outcome := range []ending.Outcome{
+		ending.Unasked, ending.NoConnection, ending.Refused, ending.NoAnswer, ending.Unnamed, ending.OtherProcess, ending.Registered, ending.SameID,
+	} {
+		evidence := ending.Evidence{Framing: ending.Connection, NoCuts: true, EndedAt: end, Outcome: outcome, RunEvents: ending.NotListed}
+		require.True(t, evidence.NeedsAnswer())
+		reason, verdict := evidence.Judge()
+		if outcome == ending.Refused || outcome == ending.OtherProcess {
+			require.Equal(t, ending.Case(outcome), reason)
+			require.Equal(t, ending.Ended, verdict)
+			require.False(t, verdict.Serves())
+			continue
+		}
+		require.Equal(t, ending.NoCuts, reason, outcome)
+		require.Equal(t, ending.PassedOn, verdict, outcome)
+		require.True(t, verdict.Serves())
+		evidence.NoCuts = false
+		_, verdict = evidence.Judge()
+		require.False(t, verdict.Serves(), outcome)
+	}
+	require.False(t, ending.Evidence{Framing: ending.Connection, NoCuts: true, BegunFramed: true}.NeedsAnswer())
+}
+
 // Guards against a response whose end is taken from another framing than it has.
 func TestFraming(t *testing.T) {
 	require.Equal(t, ending.Length, ending.FramingOf(0, false))
