io/front, platform: plain responses without framing are passed on while no cuts are known

Change: a host records a cut when a head, length, last chunk or event is missing at an orderly end, when an unframed stream goes on elsewhere, and when a report lists a run with more events. While none counts, plain responses are passed on as they came.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -16,6 +16,7 @@
 		RequestSent(),
 		AttemptEnded(),
 		ResponseEndJudged(),
+		CutSeen(),
 		RequestEnded(),
 		RequestTurnedAway(),
 		CallerLeft(),
@@ -117,6 +118,11 @@
 	return Event{1919, "response_end_judged", logrus.InfoLevel, "forward", "A response that is framed by nothing but its connection has ended; the verdict says whether it counts as whole."}
 }
 
+// CutSeen reports that the connection of a response was closed in order before the response ended.
+func CutSeen() Event {
+	return Event{1962, "cut_seen", logrus.InfoLevel, "forward", "The connection of a response was closed in order before the response ended; plain responses of the service with neither a length nor chunks do not count as whole for 10 minutes."}
+}
+
 // RequestEnded reports that a request was answered with the response of a
 // backend server.
 func RequestEnded() Event {
--- a/io/front/cutrun_test.go
+++ b/io/front/cutrun_test.go
@@ -33,7 +33,7 @@
 		for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/"} {
 			t.Run(name+" "+strings.Trim(path, "/"), func(t *testing.T) {
 				t.Parallel()
-				harness := newHarness(t, withReports)
+				harness := newHarness(t, withReports).knowCuts()
 				harness.addServer("a", reporting(1, respondUntilEnd(cut.status, cut.body, cut.contentType)))
 				harness.startedAt("a", 1)
 				got := harness.post(path, "x")
@@ -59,7 +59,7 @@
 		for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/"} {
 			t.Run(name+" "+strings.Trim(path, "/"), func(t *testing.T) {
 				t.Parallel()
-				harness := newHarness(t, withReports)
+				harness := newHarness(t, withReports).knowCuts()
 				rest := respondWith(200, "whole", signed)
 				want, isDelivered := "whole", strings.Contains(cut.body, "id: ")
 				if path == "/resume/" || path == "/stream/" || isDelivered {
--- /dev/null
+++ b/io/front/cuts_test.go
@@ -0,0 +1,117 @@
+package front_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a length or a last chunk by which a caller takes a response for whole that was passed
+// on as it came, and against one that is not passed on though no cuts are known.
+func TestPlainResponseIsPassedOnWhileNoCutsAreKnown(t *testing.T) {
+	for name, kind := range map[string]struct {
+		path, body string
+		status     int
+	}{
+		"body": {"/once/", "all of it", 200}, "empty body": {"/once/", "", 200}, "long": {"/once/", strings.Repeat("x", 100_000), 200},
+		"repeatable": {"/safe/", "all of it", 200}, "bad request": {"/once/", "no", 400}, "failure": {"/safe/", "it failed", 500},
+	} {
+		harness := newHarness(t, withReports)
+		harness.addServer("a", reporting(1, respondUntilEnd(kind.status, kind.body, "Content-Type: text/plain")))
+		harness.startedAt("a", 1)
+		content, err := harness.exchangeRaw(kind.path)
+		require.NoError(t, err, "%s: %s", name, harness.log.String())
+		head, body, _ := strings.Cut(content, "\r\n\r\n")
+		require.True(t, strings.HasPrefix(head, fmt.Sprint("HTTP/1.1 ", kind.status, " ")), "%s: %s", name, head)
+		require.Equal(t, kind.body, body, name)
+		require.Contains(t, head, "Connection: close", name)
+		require.NotContains(t, head, "Content-Length", name)
+		require.NotContains(t, head, "Transfer-Encoding", name)
+		require.Regexp(t, `"case":"no_cuts".*"verdict":"passed_on"`, harness.log.String(), name)
+	}
+}
+
+// Guards against cut responses that are not taken for evidence, and against sound, reset and unsent ones
+// that are.
+func TestCutsOfResponsesAreSeen(t *testing.T) {
+	cutAfter := func(text string, reset bool) responder {
+		return func(request *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", request.Header.Get("X-Id")))
+			if reset {
+				time.Sleep(20 * time.Millisecond)
+				resetConnection(request, conn)
+				return
+			}
+			_ = conn.Close()
+		}
+	}
+	const head = "HTTP/1.1 200 OK\r\nX-Id: ID\r\n" + signed + "\r\n"
+	const stream = head + eventStream + "\r\n"
+	for name, test := range map[string]struct {
+		path, text string
+		reset      bool
+		evidence   string
+	}{
+		"within a length":              {"/once/", head + "Content-Length: 10\r\n\r\npart", false, "broken_framing"},
+		"within a chunk":               {"/once/", head + "Transfer-Encoding: chunked\r\n\r\na\r\npart", false, "broken_framing"},
+		"without the last chunk":       {"/once/", head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false, "broken_framing"},
+		"within a long body":           {"/once/", head + "Content-Length: 200000\r\n\r\n" + strings.Repeat("x", 100_000), false, "broken_framing"},
+		"within the head":              {"/once/", head, false, "broken_framing"},
+		"a stream, no last chunk":      {"/stream/", stream + "Transfer-Encoding: chunked\r\n\r\n" + chunk(events(1, 2)), false, "broken_framing"},
+		"an unframed stream, in event": {"/stream/", stream + "\r\n" + events(1, 2) + "id: 3\nda", false, "broken_framing"},
+		"a framed stream, in event":    {"/stream/", stream + "Content-Length: 4\r\n\r\nid: ", false, ""},
+		"an unframed stream":           {"/stream/", stream + "\r\n" + events(1, 2), false, ""},
+		"an unframed body":             {"/once/", head + "\r\npart", false, ""},
+		"before the first byte":        {"/once/", "", false, ""},
+		"reset within a length":        {"/once/", head + "Content-Length: 10\r\n\r\npart", true, ""},
+		"reset within a chunk":         {"/once/", head + "Transfer-Encoding: chunked\r\n\r\na\r\npart", true, ""},
+		"no cut":                       {"/once/", head + "Content-Length: 4\r\n\r\npart", false, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			harness := newHarness(t, nil)
+			harness.addServer("a", cutAfter(test.text, test.reset))
+			harness.post(test.path, "x")
+			known := harness.cuts.Known("engines", "", true, time.Now())
+			require.Equal(t, test.evidence != "", known, harness.log.String())
+			if known {
+				require.Regexp(t, `"event_name":"cut_seen","evidence":"`+test.evidence+`"`, harness.log.String())
+			}
+		})
+	}
+}
+
+// Guards against an unframed stream that is shown to have been cut, as it goes on elsewhere, and leaves
+// no evidence, and against one without a rest that does.
+func TestStreamThatGoesOnShowsACut(t *testing.T) {
+	for name, rest := range map[string]string{"more events": events(4, 6), "nothing more": ""} {
+		harness := newHarness(t, withReports)
+		respond := firstThen(respondUntilEnd(200, events(1, 3), eventStream), respondWithStream(true, rest))
+		for _, id := range []string{"a", "b"} {
+			harness.addVersion(id, "v1", reporting(1, respond))
+			harness.startedAt(id, 1)
+		}
+		got := harness.post("/resume/", "x")
+		require.Equal(t, events(1, 3)+rest, got.body, harness.log.String())
+		require.Equal(t, rest != "", harness.cuts.Known("engines", "", true, time.Now()), name)
+		require.Equal(t, rest != "", strings.Contains(harness.log.String(), `"evidence":"went_on"`), name)
+	}
+}
+
+// Guards against a plain response that is passed on though the host has seen a cut while it asked the
+// server, as a device that restarts cuts all of its connections at once.
+func TestCutThatIsSeenWhileTheServerIsAskedCounts(t *testing.T) {
+	harness := newHarness(t, withReports)
+	harness.addServer("a", harness.withQuestion("/report", func(request *http.Request, conn net.Conn) {
+		harness.knowCuts()
+		respondWith(200, "1")(request, conn)
+	}, respondUntilEnd(200, "a part")))
+	harness.startedAt("a", 1)
+	require.Equal(t, http.StatusBadGateway, harness.post("/once/", "x").status, harness.log.String())
+}
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -30,18 +30,21 @@
 	}
 	check := &endCheck{exchange: exchange, Evidence: ending.Evidence{
 		Framing: framing(response), Trusted: exchange.call.trustsEnds(exchange.server), BegunFramed: exchange.call.responseStarted && !exchange.call.isUnframed, EndedAt: time.Now(), UnreadFor: exchange.unreadFor,
+		NoCuts:  exchange.noCutsKnown(response),
 		Outcome: ending.Unasked, Events: exchange.call.arrivedEvents(), RunEvents: ending.NotListed,
 	}}
 	exchange.conn.Discard()
 	if check.NeedsAnswer() {
 		check.run()
+		// The same device or process may have cut others at the same time.
+		check.NoCuts = check.NoCuts && exchange.noCutsKnown(response)
 	}
 	if !isStream(response.Header) {
 		// The run may make events of which the response is made up.
 		check.RunEvents = ending.NotListed
 	}
 	reason, verdict := check.Judge()
-	if verdict == ending.Whole {
+	if verdict.Serves() {
 		check.log(reason, verdict, "")
 		return "", true
 	}
@@ -50,6 +53,10 @@
 	if verdict == ending.Ended {
 		return exchange.failAttempt(fault.New("front.prove_end", pipe.Lost, "the server ended with the response")), false
 	}
+	if verdict == ending.Cut {
+		exchange.call.handler.recordCut(exchange.server, listedLonger)
+	}
+	exchange.noteUnprovenStream(response)
 	exchange.call.isUnproven = remedy == ending.Refuse || remedy == ending.BreakOff
 	if isSuccess(response) {
 		exchange.call.handler.options.Fleet.RecordArrived(exchange.server.ID, time.Now())
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -284,6 +284,7 @@
 	}
 	exchange.conn.SetReadDeadline(time.Now().Add(maxDiscardTime))
 	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes+1))
+	exchange.recordBrokenFraming(err)
 	return err == nil && count <= maxForeignBytes
 }
 
@@ -331,6 +332,7 @@
 	}
 	call := exchange.call
 	now := time.Now()
+	exchange.recordBrokenFraming(err)
 	exchange.recordLastEvent()
 	if !call.callerGone() && now.Before(call.work.Deadline) && call.handler.stopping.Err() == nil {
 		call.handler.options.Fleet.RecordBrokenAnswer(exchange.server.ID, now)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -57,6 +57,10 @@
 	Pick  pick.Options
 	// TrustedServices holds the services whose responses may end with their connection.
 	TrustedServices map[string]bool
+	// Cuts holds where connections are known to have been closed in order within responses. TellCuts
+	// tells other hosts of those that this host has seen.
+	Cuts     *ending.Cuts
+	TellCuts func()
 	// ConnectionShare returns this host's share of a server's connection limit.
 	ConnectionShare func(limit int) int
 	// Budget limits the bytes of requests and responses that the host holds.
@@ -166,6 +170,9 @@
 	resets lingerer
 	// isUnproven: nothing shows that the last response is whole, and the request must not run again.
 	isUnproven bool
+	// unprovenStream is the server whose stream ended without proof; nil if there is none, or the stream
+	// has gone on since.
+	unprovenStream *fleet.Server
 	// hadUnproven: nothing showed that an earlier response was whole.
 	hadUnproven bool
 	// bodyStarted: that part is of a response that is no stream. No other server can go on with it.
--- a/io/front/question.go
+++ b/io/front/question.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"time"
 
 	"primrosegw/core/budget"
@@ -41,6 +43,9 @@
 	if memoryShortage(readErr) != "" {
 		return fault.Wrap("front.ask", pipe.Lost, readErr)
 	}
+	if errors.Is(readErr, io.ErrUnexpectedEOF) {
+		handler.recordCut(server, brokenReport)
+	}
 	answer := serverAnswer{status: response.StatusCode, info: handler.options.Headers.ParseResponse(response.StatusCode, response.Header), readErr: readErr}
 	handler.observeLeaving(server, answer.info)
 	if answer.info.ID != "" {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"time"
 
@@ -21,6 +22,8 @@
 	minReadWait = time.Millisecond
 )
 
+var errWithinEvent = errors.New("the stream ended within an event")
+
 // relayStream relays an event stream, event by event. If the response to the caller
 // has already started, it resumes that stream.
 func (exchange *exchange) relayStream(response pipe.Response) work.Result {
@@ -86,7 +89,7 @@
 		}
 		if err == io.EOF {
 			if len(pending.data) > 0 {
-				return fault.New("front.relay", pipe.Malformed, "the stream ended within an event")
+				return fault.Wrap("front.relay", pipe.Malformed, withinEvent(response))
 			}
 			return nil
 		}
@@ -99,6 +102,15 @@
 	}
 }
 
+// withinEvent returns the error of a stream that ended within an event. One with neither a length nor
+// chunks has ended unexpectedly.
+func withinEvent(response pipe.Response) error {
+	if isDelimited(response) {
+		return errWithinEvent
+	}
+	return errors.Join(errWithinEvent, io.ErrUnexpectedEOF)
+}
+
 // completeEventsLength returns the length of the complete events at the start of
 // data. An event ends with an empty line.
 func completeEventsLength(data []byte) int {
@@ -127,6 +139,7 @@
 	}
 	call.lastEventAt = now
 	call.events = advanced
+	call.recordWentOn()
 	exchange.startResponse(response)
 	if err := call.writeThrough(data[:length]); err != nil {
 		exchange.delivery.callerFailed = true
