io/pipe, io/front: heads and answers to questions that are cut count as evidence

Change: the error of a head that ends with its connection is an io.ErrUnexpectedEOF, too; askServer records cuts within the head of an answer. Conclusion: a service that never frames still gives little evidence of its own.

--- a/io/front/cuts_test.go
+++ b/io/front/cuts_test.go
@@ -63,6 +63,11 @@
 		"without the last chunk":       {"/once/", head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false, "broken_framing"},
 		"within a long body":           {"/once/", head + "Content-Length: 200000\r\n\r\n" + strings.Repeat("x", 100_000), false, "broken_framing"},
 		"within the head":              {"/once/", head, false, "broken_framing"},
+		"within a line of the head":    {"/once/", head + "Content-Le", false, "broken_framing"},
+		"within the status line":       {"/once/", "HTTP/1.1 20", false, "broken_framing"},
+		"a head that is none":          {"/once/", "no answer at all\r\n\r\n", false, ""},
+		"a malformed head":             {"/once/", "HTTP/1.1 200 OK\r\nX-Id ID\r\n\r\n", false, ""},
+		"reset within the head":        {"/once/", head + "Content-Le", true, ""},
 		"a stream, no last chunk":      {"/stream/", stream + "Transfer-Encoding: chunked\r\n\r\n" + chunk(events(1, 2)), false, "broken_framing"},
 		"an unframed stream, in event": {"/stream/", stream + "\r\n" + events(1, 2) + "id: 3\nda", false, "broken_framing"},
 		"a framed stream, in event":    {"/stream/", stream + "Content-Length: 4\r\n\r\nid: ", false, ""},
@@ -115,3 +120,44 @@
 	harness.startedAt("a", 1)
 	require.Equal(t, http.StatusBadGateway, harness.post("/once/", "x").status, harness.log.String())
 }
+
+// Guards against a service that never frames, shows no cuts of its own and is passed on behind a device
+// that cuts another service, and against one that frames and is judged by another service's cuts.
+func TestCutOfAnotherServiceCountsForOneThatNeverFrames(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addServer("a", func(request *http.Request, conn net.Conn) {
+		if strings.HasPrefix(request.Header.Get("X-Id"), "framed") {
+			respondWith(200, "framed", signed)(request, conn)
+			return
+		}
+		respondUntilEnd(200, "all of it")(request, conn)
+	})
+	harness.cuts.Record("another", harness.servers["a"].FailureDomain, time.Now())
+	require.Equal(t, http.StatusBadGateway, harness.post("/once/", "x").status)
+	require.Equal(t, http.StatusOK, harness.post("/once/", "x", "X-Id", "framed").status)
+	require.Equal(t, http.StatusOK, harness.post("/once/", "x").status, harness.log.String())
+	harness.knowCuts()
+	require.Equal(t, http.StatusBadGateway, harness.post("/once/", "x").status, "a cut of its own")
+}
+
+// Guards against an answer to the host's own question that is cut, also within its head, and leaves no
+// evidence for a service that frames nothing else.
+func TestCutOfAQuestionsAnswerIsSeen(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer string
+		seen   bool
+	}{
+		"head": {"HTTP/1.1 200 OK\r\nContent-Le", true}, "body": {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n1", true},
+		"nothing": {"", false}, "all": {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1", false},
+	} {
+		harness := newHarness(t, withReports)
+		harness.addServer("a", harness.withQuestion("/report", func(_ *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, test.answer)
+			_ = conn.Close()
+		}, respondUntilEnd(200, "all of it")))
+		harness.startedAt("a", 1)
+		got := harness.post("/once/", "x")
+		require.Equal(t, test.seen, got.status == http.StatusBadGateway, "%s: %s", name, harness.log.String())
+		require.Equal(t, test.seen, strings.Contains(harness.log.String(), `"evidence":"broken_report"`), name)
+	}
+}
--- a/io/front/question.go
+++ b/io/front/question.go
@@ -30,11 +30,15 @@
 // of package pipe if there is no answer, if its body does not fit into memory, or if it is the
 // answer to another request.
 func (handler *Handler) askServer(conn *pipe.Conn, server fleet.Server, question pipe.Request, deadline time.Time, read func(serverAnswer)) error {
+	receivedBefore := conn.Received()
 	if _, err := conn.Send(question, deadline); err != nil {
 		return err
 	}
 	response, err := conn.AwaitResponse(question.Method, deadline)
 	if err != nil {
+		if errors.Is(err, io.ErrUnexpectedEOF) && conn.Received() > receivedBefore {
+			handler.recordCut(server, brokenReport)
+		}
 		return err
 	}
 	hold := handler.options.Budget.Open(budget.Server(server.ID))
--- a/io/front/slowcaller_test.go
+++ b/io/front/slowcaller_test.go
@@ -21,9 +21,10 @@
 		headers       []string
 		body          string
 	}{
-		"body of a trusted service":   {"/once/", "1.1", true, []string{"Content-Type: text/plain"}, long},
-		"stream of a trusted service": {"/stream/", "1.1", true, []string{eventStream}, strings.Repeat("data: x\n\n", 400<<10)},
-		"stream on HTTP/1.0":          {"/stream/", "1.0", false, []string{eventStream, fmt.Sprint("Content-Length: ", 9*400<<10)}, strings.Repeat("data: x\n\n", 400<<10)},
+		"body while no cuts are known": {"/once/", "1.1", false, []string{"Content-Type: text/plain"}, long},
+		"body of a trusted service":    {"/once/", "1.1", true, []string{"Content-Type: text/plain"}, long},
+		"stream of a trusted service":  {"/stream/", "1.1", true, []string{eventStream}, strings.Repeat("data: x\n\n", 400<<10)},
+		"stream on HTTP/1.0":           {"/stream/", "1.0", false, []string{eventStream, fmt.Sprint("Content-Length: ", 9*400<<10)}, strings.Repeat("data: x\n\n", 400<<10)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -245,7 +245,7 @@
 	for {
 		response, err := conn.readHead(method)
 		if err != nil {
-			return Response{}, readError(err)
+			return Response{}, conn.headError(err)
 		}
 		if response.StatusCode >= 200 {
 			return Response{Response: response, KeepAlive: !response.Close}, nil
@@ -264,6 +264,16 @@
 // SetReadDeadline sets the deadline for reading the response's body.
 func (conn *Conn) SetReadDeadline(deadline time.Time) { conn.raw.SetReadDeadline(deadline) }
 
+// headError is readError for a head. That of a malformed head which was not read to its end, as the
+// connection was closed in order, is also an io.ErrUnexpectedEOF.
+func (conn *Conn) headError(err error) error {
+	known := readError(err)
+	if fault.Is(known, Malformed) && conn.limiter.ended {
+		return fault.Wrap("pipe.next", Malformed, errors.Join(err, io.ErrUnexpectedEOF))
+	}
+	return known
+}
+
 // readError returns Lost when the connection failed or timed out, and Malformed
 // when the bytes received are not a valid HTTP response. In both cases the request may
 // have run.
--- a/io/pipe/limiter.go
+++ b/io/pipe/limiter.go
@@ -15,8 +15,10 @@
 	reader io.Reader
 	// received is the number of bytes read so far. It may be read at any time.
 	received atomic.Int64
-	limited  bool
-	left     int
+	// ended: the other side has closed the connection in order, and all that it sent was read.
+	ended   bool
+	limited bool
+	left    int
 	// recording: what is read is added to record.
 	recording bool
 	record    []byte
@@ -47,6 +49,7 @@
 	if !limiter.limited {
 		count, err := limiter.reader.Read(buffer)
 		limiter.received.Add(int64(count))
+		limiter.ended = limiter.ended || err == io.EOF
 		return count, err
 	}
 	if limiter.left <= 0 {
@@ -54,6 +57,7 @@
 	}
 	count, err := limiter.reader.Read(buffer[:min(len(buffer), limiter.left)])
 	limiter.received.Add(int64(count))
+	limiter.ended = limiter.ended || err == io.EOF
 	limiter.left -= count
 	if limiter.take != nil {
 		if takeErr := limiter.take(count); takeErr != nil {
--- a/io/pipe/pipe_test.go
+++ b/io/pipe/pipe_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -210,6 +211,7 @@
 		require.NoError(t, err)
 		_, err = conn.AwaitResponse(http.MethodPost, testDeadline())
 		require.True(t, fault.Is(err, kind), "%q: %v", text, err)
+		require.Equal(t, !strings.HasSuffix(text, "\r\n\r\n"), errors.Is(err, io.ErrUnexpectedEOF), "%q ends within its head: %v", text, err)
 		conn.Discard()
 	}
 }
