core/reach, io/dial: direct paths of a host to backend servers, and dials through other hosts

Cause: a host that reaches no backend server goes on as if single servers had failed. Change: core/reach tracks the direct paths of a host; io/dial tries another host beside a direct dial that takes 60 ms or fails; io/pipe takes such a dialer; io/front probes the path of a silent attempt and ends it where the path is down, which counts neither against the server nor as evidence of a crash. Conclusion: not wired yet; a pool without a dialer behaves as before.

--- /dev/null
+++ b/core/reach/paths.go
@@ -0,0 +1,226 @@
+// Package reach tracks which backend servers a host reaches by itself, whether it is cut off from all of
+// them, and which other hosts can open connections for it.
+package reach
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// cutOffPaths is the number of servers whose paths must be found down within cutOffWindow, with no
+	// sign of any server in between, for the host to count as cut off.
+	cutOffPaths  = 2
+	cutOffWindow = 2 * time.Second
+	// redialInterval is the time between two direct dials to a server whose path is down.
+	redialInterval = 300 * time.Millisecond
+	// maxRedials is the number of direct dials that are due at once: one success shows that the host is
+	// not cut off.
+	maxRedials = 16
+	// SilenceBeforeProbe is how long an attempt gets no byte until its path is probed.
+	SilenceBeforeProbe = 250 * time.Millisecond
+	// SilenceBeforeBreak is how long an attempt whose path is down gets no byte until it ends.
+	SilenceBeforeBreak = 600 * time.Millisecond
+	// forgetAfter is how long nothing is heard of a process until it is forgotten.
+	forgetAfter = time.Minute
+)
+
+// Paths is what a host knows of its own paths to the processes of backend servers, each of which is named
+// by a string. A path is direct: connections through other hosts say nothing of it. It is safe for
+// concurrent use.
+type Paths struct {
+	mutex sync.Mutex
+	paths map[string]*path
+	// lastSign is when a server last showed that this host reaches it.
+	lastSign time.Time
+	// lastByte is when the last byte arrived from any server.
+	lastByte time.Time
+	// probedAt is when the last probe of a silent path began.
+	probedAt time.Time
+	// cutOffSince is when the host was found to be cut off; zero if it is not.
+	cutOffSince time.Time
+}
+
+// path is the direct path to one process.
+type path struct {
+	// downSince is when the path was found down; zero if it is not.
+	downSince time.Time
+	// dialedAt is when the last direct dial in the background was due.
+	dialedAt time.Time
+	lastByte time.Time
+	usedAt   time.Time
+}
+
+// New returns Paths of a host that knows of no path that is down.
+func New() *Paths { return &Paths{paths: make(map[string]*path)} }
+
+// Change is what a report has changed for the host as a whole.
+type Change struct {
+	// CutOff: the host is found to be cut off from the backend servers. Regained: it no longer is, after
+	// the time Lasted.
+	CutOff, Regained bool
+	Lasted           time.Duration
+	// Down is the number of processes whose paths are down.
+	Down int
+}
+
+// find returns the path to a process and makes it if needed. The caller holds the mutex.
+func (paths *Paths) find(process string, now time.Time) *path {
+	found := paths.paths[process]
+	if found == nil {
+		found = &path{}
+		paths.paths[process] = found
+	}
+	found.usedAt = now
+	return found
+}
+
+// RecordDirect records that a direct dial to a process succeeded. It ends the state of a host that is cut
+// off.
+func (paths *Paths) RecordDirect(process string, now time.Time) Change {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	paths.find(process, now).downSince = time.Time{}
+	paths.lastSign = now
+	if paths.cutOffSince.IsZero() {
+		return Change{}
+	}
+	change := Change{Regained: true, Lasted: now.Sub(paths.cutOffSince), Down: paths.countDown()}
+	paths.cutOffSince = time.Time{}
+	return change
+}
+
+// RecordDown records that a direct dial to a process failed while another host reached it.
+func (paths *Paths) RecordDown(process string, now time.Time) Change {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	down := paths.find(process, now)
+	if down.downSince.IsZero() {
+		down.downSince, down.dialedAt = now, now
+	}
+	if !paths.cutOffSince.IsZero() || paths.countDownSinceSign(now) < cutOffPaths {
+		return Change{}
+	}
+	paths.cutOffSince = now
+	return Change{CutOff: true, Down: paths.countDown()}
+}
+
+// countDownSinceSign returns the number of paths that were found down within cutOffWindow and after the
+// last sign of any server.
+func (paths *Paths) countDownSinceSign(now time.Time) int {
+	count := 0
+	for _, path := range paths.paths {
+		if path.downSince.After(paths.lastSign) && now.Sub(path.downSince) <= cutOffWindow {
+			count++
+		}
+	}
+	return count
+}
+
+func (paths *Paths) countDown() int {
+	count := 0
+	for _, path := range paths.paths {
+		if !path.downSince.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
+// RecordByte records that bytes arrived from a process on a direct connection.
+func (paths *Paths) RecordByte(process string, now time.Time) {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	paths.find(process, now).lastByte = now
+	paths.lastSign, paths.lastByte = now, now
+}
+
+// IsDown reports whether dials to a process go through another host first.
+func (paths *Paths) IsDown(process string) bool {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	return paths.isDown(process)
+}
+
+func (paths *Paths) isDown(process string) bool {
+	if !paths.cutOffSince.IsZero() {
+		return true
+	}
+	found := paths.paths[process]
+	return found != nil && !found.downSince.IsZero()
+}
+
+// MayReuse reports whether an idle direct connection to a process may take a request. While only new
+// connections fail, those that carry bytes may.
+func (paths *Paths) MayReuse(process string, now time.Time) bool {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	if !paths.cutOffSince.IsZero() {
+		return false
+	}
+	found := paths.paths[process]
+	return found == nil || found.downSince.IsZero() || now.Sub(found.lastByte) < SilenceBeforeProbe
+}
+
+// CutOffFor returns how long the host has been cut off, 0 if it is not.
+func (paths *Paths) CutOffFor(now time.Time) time.Duration {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	if paths.cutOffSince.IsZero() {
+		return 0
+	}
+	return max(time.Millisecond, now.Sub(paths.cutOffSince))
+}
+
+// TakeProbe reports whether the path of an attempt that was sent at a time and has had no byte may be
+// probed now, and takes the permission, of which the host gets one in SilenceBeforeProbe.
+func (paths *Paths) TakeProbe(process string, sentAt, now time.Time) bool {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	if now.Sub(sentAt) < SilenceBeforeProbe || paths.lastByte.After(sentAt) || paths.isDown(process) || now.Sub(paths.probedAt) < SilenceBeforeProbe {
+		return false
+	}
+	paths.probedAt = now
+	return true
+}
+
+// Breaks reports whether an attempt on a direct connection is broken by its path: the path is down, and
+// neither the connection since a time nor its process has sent a byte for SilenceBeforeBreak.
+func (paths *Paths) Breaks(process string, silentSince, now time.Time) bool {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	if now.Sub(silentSince) < SilenceBeforeBreak || !paths.isDown(process) {
+		return false
+	}
+	found := paths.paths[process]
+	return found == nil || now.Sub(found.lastByte) >= SilenceBeforeBreak
+}
+
+// DueDials returns the processes to which a direct dial in the background is due: those whose paths are
+// down, and of a host that is cut off all that were used lately.
+func (paths *Paths) DueDials(now time.Time) []string {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	var due []string
+	for process, path := range paths.paths {
+		if now.Sub(path.usedAt) > forgetAfter {
+			delete(paths.paths, process)
+			continue
+		}
+		if len(due) < maxRedials && paths.isDown(process) && now.Sub(path.dialedAt) >= redialInterval {
+			path.dialedAt = now
+			due = append(due, process)
+		}
+	}
+	if len(paths.paths) == 0 {
+		paths.cutOffSince = time.Time{}
+	}
+	return due
+}
+
+// Forget removes a process that has ended.
+func (paths *Paths) Forget(process string) {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	delete(paths.paths, process)
+}
--- /dev/null
+++ b/core/reach/paths_test.go
@@ -0,0 +1,148 @@
+package reach_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/host"
+	"primrosegw/core/reach"
+)
+
+// start is the beginning of each test's time.
+var start = time.Unix(1_000_000, 0)
+
+// at returns a moment some milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// Guards against a host that takes single servers out of its reach for being cut off from all.
+func TestTwoPathsDownWithoutASignMeanCutOff(t *testing.T) {
+	for name, test := range map[string]struct {
+		between func(paths *reach.Paths)
+		second  string
+		at      int
+		want    bool
+	}{
+		"two paths":              {second: "b", at: 100, want: true},
+		"one path twice":         {second: "a", at: 100},
+		"long after":             {second: "b", at: 2100},
+		"a byte in between":      {second: "b", at: 100, between: func(paths *reach.Paths) { paths.RecordByte("c", at(50)) }},
+		"a direct dial between":  {second: "b", at: 100, between: func(paths *reach.Paths) { paths.RecordDirect("c", at(50)) }},
+		"a sign before both":     {second: "b", at: 100, between: func(paths *reach.Paths) { paths.RecordByte("c", at(-1)) }, want: true},
+		"the path itself is up ": {second: "b", at: 100, between: func(paths *reach.Paths) { paths.RecordDirect("a", at(50)) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			paths := reach.New()
+			require.False(t, paths.RecordDown("a", at(0)).CutOff)
+			if test.between != nil {
+				test.between(paths)
+			}
+			require.Equal(t, test.want, paths.RecordDown(test.second, at(test.at)).CutOff)
+			require.Equal(t, test.want, paths.CutOffFor(at(test.at+10)) > 0)
+			require.Equal(t, test.want, paths.IsDown("another"))
+			require.True(t, paths.IsDown(test.second))
+		})
+	}
+}
+
+// Guards against a host that goes on through others after the cut has ended.
+func TestDirectDialEndsTheCut(t *testing.T) {
+	paths := reach.New()
+	paths.RecordDown("a", at(0))
+	require.True(t, paths.RecordDown("b", at(10)).CutOff)
+	require.False(t, paths.MayReuse("c", at(20)))
+	paths.RecordByte("c", at(30))
+	require.True(t, paths.IsDown("c"), "a byte that was on its way does not end it")
+	change := paths.RecordDirect("c", at(500))
+	require.True(t, change.Regained)
+	require.Equal(t, 490*time.Millisecond, change.Lasted)
+	require.Equal(t, 2, change.Down)
+	require.Zero(t, paths.CutOffFor(at(500)))
+	require.False(t, paths.IsDown("c"))
+	require.True(t, paths.IsDown("a"), "each path comes back by itself")
+	require.False(t, paths.RecordDirect("a", at(510)).Regained)
+	require.False(t, paths.IsDown("a"))
+}
+
+// Guards against direct dials in the background that are too many, or not made for a host that is cut off.
+func TestDueDials(t *testing.T) {
+	paths := reach.New()
+	paths.RecordByte("up", at(0))
+	paths.RecordDown("a", at(0))
+	require.Empty(t, paths.DueDials(at(299)))
+	require.Equal(t, []string{"a"}, paths.DueDials(at(300)))
+	require.Empty(t, paths.DueDials(at(400)))
+	paths.RecordDown("b", at(400))
+	paths.RecordDown("c", at(410))
+	require.ElementsMatch(t, []string{"a", "b", "c", "up"}, paths.DueDials(at(710)))
+	require.Empty(t, paths.DueDials(at(61_000)), "processes that are not used any more are forgotten")
+	require.Zero(t, paths.CutOffFor(at(61_000)))
+}
+
+// Guards against attempts that are ended while their server is only slow, and against those at a server
+// that can't be reached which wait for their deadlines.
+func TestSilenceEndsAttemptsOnlyOnAPathThatIsDown(t *testing.T) {
+	paths := reach.New()
+	require.False(t, paths.TakeProbe("a", at(0), at(249)))
+	require.True(t, paths.TakeProbe("a", at(0), at(250)))
+	require.False(t, paths.TakeProbe("b", at(0), at(300)), "one probe in a while")
+	paths.RecordDirect("a", at(251))
+	require.False(t, paths.Breaks("a", at(0), at(5000)), "the server is silent, its path is up")
+	paths.RecordByte("b", at(300))
+	require.False(t, paths.TakeProbe("a", at(0), at(600)), "another server has sent something")
+	require.True(t, paths.TakeProbe("a", at(310), at(600)))
+	paths.RecordDown("a", at(620))
+	require.False(t, paths.Breaks("a", at(310), at(909)))
+	require.True(t, paths.Breaks("a", at(310), at(910)))
+	require.False(t, paths.Breaks("b", at(310), at(2000)))
+	paths.RecordByte("a", at(915))
+	require.False(t, paths.Breaks("a", at(310), at(920)), "other connections of the process go on")
+	require.True(t, paths.MayReuse("a", at(920)))
+	require.False(t, paths.MayReuse("a", at(1200)))
+}
+
+// Guards against helpers that can't help, and against one that gets all the work.
+func TestHelpers(t *testing.T) {
+	var live []host.Host
+	for number := range 8 {
+		live = append(live, host.Host{Name: fmt.Sprint("host-", number), FailureDomain: fmt.Sprint("domain-", number%4)})
+	}
+	isCutOff := func(name string) bool { return name == "host-6" }
+	reverse := func(n int, swap func(a, b int)) {
+		for index := range n / 2 {
+			swap(index, n-1-index)
+		}
+	}
+	helpers := reach.Helpers(live, "host-0", "domain-2", isCutOff, reverse)
+	require.Equal(t, []string{"host-2", "host-7", "host-5"}, names(helpers))
+	require.Empty(t, reach.Helpers(live[:1], "host-0", "domain-2", isCutOff, reverse))
+	require.Len(t, live, 8)
+}
+
+// Guards against lists of addresses that are empty or too short for the callers.
+func TestListed(t *testing.T) {
+	var entry []host.Host
+	for number := range 8 {
+		entry = append(entry, host.Host{Name: fmt.Sprint("host-", number)})
+	}
+	for cut, want := range []int{8, 7, 6, 8, 8, 8, 8, 8, 8} {
+		peers := reach.NewPeers()
+		for number := range cut {
+			peers.Record(fmt.Sprint("host-", number), true, at(0))
+		}
+		require.Len(t, reach.Listed(entry, func(name string) bool { return peers.IsCutOff(name, at(1)) }), want, cut)
+		require.Len(t, reach.Listed(entry, func(name string) bool { return peers.IsCutOff(name, at(2500)) }), 8, cut)
+	}
+	one := entry[:1]
+	require.Len(t, reach.Listed(one, func(string) bool { return true }), 1)
+}
+
+func names(hosts []host.Host) []string {
+	names := make([]string, len(hosts))
+	for index, one := range hosts {
+		names[index] = one.Name
+	}
+	return names
+}
--- /dev/null
+++ b/io/dial/dial.go
@@ -0,0 +1,309 @@
+// Package dial opens connections to backend servers, directly or, where that fails, through another host.
+package dial
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"primrosegw/core/fault"
+	"primrosegw/core/host"
+	"primrosegw/core/reach"
+)
+
+// Kind classifies the errors of this package.
+type Kind string
+
+// The kinds of errors.
+const (
+	// Unreachable: neither this host nor another one could open a connection.
+	Unreachable Kind = "unreachable"
+	// NoPath: the direct path is known to be down and no other host could say whether it reaches the
+	// server. It says nothing of the server.
+	NoPath Kind = "no_path"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// patience is how long a direct dial may take until another host is tried beside it, and how long
+	// the other host may take until the direct dial is.
+	patience = 60 * time.Millisecond
+	// lateDirect is how long a direct dial may take, after another host has reached the server, to show
+	// that its path is not down.
+	lateDirect = 100 * time.Millisecond
+	// helperTimeout limits the time of one other host, so that a second one can be tried within the time
+	// limit.
+	helperTimeout = 150 * time.Millisecond
+)
+
+// The results of a dial in counters.
+const (
+	direct    = "direct"
+	tunnelled = "tunnelled"
+	failed    = "failed"
+)
+
+// Options are the dependencies of a Dialer.
+type Options struct {
+	Paths *reach.Paths
+	// Timeout limits the whole time to open a connection.
+	Timeout time.Duration
+	// Direct opens a connection to an address.
+	Direct func(ctx context.Context, address string) (net.Conn, error)
+	// Helpers returns the other hosts that may open a connection to a process, best first.
+	Helpers func(process string) []host.Host
+	// Tunnel opens a connection to a process through another host.
+	Tunnel func(ctx context.Context, helper host.Host, process string) (net.Conn, error)
+	// IsUnreachable reports whether an error of Tunnel says that the other host can't reach the process
+	// either.
+	IsUnreachable func(err error) bool
+	// OnChange is called when a dial shows that this host is cut off or no longer is.
+	OnChange func(reach.Change)
+	// OnDial is called with the way of each dial, or with its failure.
+	OnDial func(result string)
+}
+
+// Dialer opens connections to backend servers. It is safe for concurrent use.
+type Dialer struct {
+	options Options
+}
+
+// New returns a Dialer.
+func New(options Options) *Dialer { return &Dialer{options: options} }
+
+// outcome is how one of the two ways of a dial ended.
+type outcome struct {
+	conn net.Conn
+	// via is the name of the other host, empty for a direct connection.
+	via string
+	err error
+	// confirmed: another host could not reach the server either.
+	confirmed bool
+	isDirect  bool
+}
+
+// Dial opens a connection to a process at an address. It returns the name of the host that it goes
+// through, empty for a direct one. It fails with Unreachable or NoPath.
+func (dialer *Dialer) Dial(ctx context.Context, process, address string) (net.Conn, string, error) {
+	helpers := dialer.options.Helpers(process)
+	race := &race{
+		dialer: dialer, process: process, address: address, helpers: helpers,
+		wasDown: len(helpers) > 0 && dialer.options.Paths.IsDown(process), outcomes: make(chan outcome, 2),
+	}
+	conn, via, err := race.run(ctx)
+	switch {
+	case err != nil:
+		dialer.options.OnDial(failed)
+	case via != "":
+		dialer.options.OnDial(tunnelled)
+	default:
+		dialer.options.OnDial(direct)
+	}
+	return conn, via, err
+}
+
+// race is one dial, which tries both ways if the first one takes long or fails.
+type race struct {
+	dialer           *Dialer
+	process, address string
+	helpers          []host.Host
+	// wasDown: the path was down when the dial began.
+	wasDown  bool
+	outcomes chan outcome
+	// directBegan and tunnelBegan mark the ways that have been tried.
+	directBegan, tunnelBegan bool
+	direct, tunnel           *outcome
+}
+
+// run tries the preferred way, and the other one if that has not succeeded in time.
+func (race *race) run(ctx context.Context) (net.Conn, string, error) {
+	// The dials go on for a moment after one of them has succeeded.
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), race.dialer.options.Timeout)
+	race.start(limited, !race.wasDown)
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			go race.abandon(cancel)
+			return nil, "", fault.Wrap("dial.dial", NoPath, ctx.Err())
+		case <-timer.C:
+			race.startOther(limited)
+		case ended := <-race.outcomes:
+			race.note(ended)
+			if ended.err == nil {
+				ended = race.preferDirect(ended)
+				go race.finish(ended, cancel)
+				return ended.conn, ended.via, nil
+			}
+			if !race.startOther(limited) && race.isOver() {
+				cancel()
+				return nil, "", race.failure()
+			}
+		}
+	}
+}
+
+// start begins one of the two ways.
+func (race *race) start(ctx context.Context, isDirect bool) {
+	if isDirect {
+		race.directBegan = true
+		go func() {
+			conn, err := race.dialer.options.Direct(ctx, race.address)
+			race.outcomes <- outcome{conn: conn, err: err, isDirect: true}
+		}()
+		return
+	}
+	race.tunnelBegan = true
+	go func() { race.outcomes <- race.openTunnel(ctx) }()
+}
+
+// startOther begins the way that has not been tried, if there is one, and reports whether it did.
+func (race *race) startOther(ctx context.Context) bool {
+	switch {
+	case !race.directBegan:
+		race.start(ctx, true)
+	case !race.tunnelBegan && len(race.helpers) > 0:
+		race.start(ctx, false)
+	default:
+		return false
+	}
+	return true
+}
+
+// openTunnel tries one other host after the other.
+func (race *race) openTunnel(ctx context.Context) outcome {
+	result := outcome{err: errors.New("no other host is left")}
+	for _, helper := range race.helpers {
+		limited, cancel := context.WithTimeout(ctx, helperTimeout)
+		conn, err := race.dialer.options.Tunnel(limited, helper, race.process)
+		cancel()
+		if err == nil {
+			return outcome{conn: conn, via: helper.Name}
+		}
+		result.err = err
+		result.confirmed = result.confirmed || race.dialer.options.IsUnreachable(err)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return result
+}
+
+func (race *race) note(ended outcome) {
+	if ended.isDirect {
+		race.direct = &ended
+		return
+	}
+	race.tunnel = &ended
+}
+
+func (race *race) isOver() bool {
+	return race.directBegan == (race.direct != nil) && race.tunnelBegan == (race.tunnel != nil)
+}
+
+// preferDirect returns the direct connection if both ways have succeeded.
+func (race *race) preferDirect(ended outcome) outcome {
+	select {
+	case other := <-race.outcomes:
+		race.note(other)
+		if other.err == nil && other.isDirect {
+			_ = ended.conn.Close()
+			return other
+		}
+		if other.err == nil {
+			_ = other.conn.Close()
+		}
+	default:
+	}
+	return ended
+}
+
+// finish waits for the way that was not used, closes its connection and records what the dial shows of the
+// path.
+func (race *race) finish(used outcome, cancel context.CancelFunc) {
+	defer cancel()
+	if used.isDirect {
+		race.record(true)
+		cancel()
+		race.drain()
+		return
+	}
+	if !race.directBegan {
+		return
+	}
+	if race.direct == nil {
+		timer := time.NewTimer(lateDirect)
+		defer timer.Stop()
+		select {
+		case ended := <-race.outcomes:
+			race.note(ended)
+		case <-timer.C:
+			race.record(false)
+			cancel()
+			race.drain()
+			return
+		}
+	}
+	if race.direct.conn != nil {
+		_ = race.direct.conn.Close()
+	}
+	race.record(race.direct.err == nil)
+}
+
+// abandon ends a dial that nobody waits for any more.
+func (race *race) abandon(cancel context.CancelFunc) {
+	cancel()
+	race.drain()
+}
+
+// drain closes the connection of a way that has not ended yet.
+func (race *race) drain() {
+	for !race.isOver() {
+		ended := <-race.outcomes
+		race.note(ended)
+		if ended.conn != nil {
+			_ = ended.conn.Close()
+		}
+	}
+}
+
+// record records whether the direct path is up.
+func (race *race) record(isUp bool) {
+	paths := race.dialer.options.Paths
+	change := reach.Change{}
+	if isUp {
+		change = paths.RecordDirect(race.process, time.Now())
+	} else {
+		change = paths.RecordDown(race.process, time.Now())
+	}
+	if change.CutOff || change.Regained {
+		race.dialer.options.OnChange(change)
+	}
+}
+
+// failure returns the error of a dial of which both ways have failed.
+func (race *race) failure() error {
+	if race.wasDown && !race.tunnel.confirmed {
+		return fault.New("dial.dial", NoPath, "no direct path, and through another host: "+race.tunnel.err.Error())
+	}
+	return fault.Wrap("dial.dial", Unreachable, race.direct.err)
+}
+
+// Redial tries the direct path to a process once.
+func (dialer *Dialer) Redial(ctx context.Context, process, address string) {
+	ctx, cancel := context.WithTimeout(ctx, dialer.options.Timeout)
+	defer cancel()
+	conn, err := dialer.options.Direct(ctx, address)
+	if err != nil {
+		return
+	}
+	_ = conn.Close()
+	if change := dialer.options.Paths.RecordDirect(process, time.Now()); change.Regained {
+		dialer.options.OnChange(change)
+	}
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -52,6 +52,8 @@
 	// received, so the connection may be reused.
 	reusable bool
 	delivery delivery
+	// watch is nil until the request is sent.
+	watch *pathWatch
 	// hold is the memory of the response.
 	hold *budget.Hold
 }
@@ -82,6 +84,8 @@
 		return exchange.failAttempt(err)
 	}
 	exchange.reusable = complete
+	exchange.watch = exchange.watchPath()
+	defer exchange.watch.end()
 	response, info, err := exchange.awaitResponse(deadline)
 	if err != nil {
 		exchange.conn.Discard()
@@ -291,6 +295,7 @@
 // closes it if it can't be reused. The next request may take it at once, so from here on this
 // one's caller must not close it.
 func (exchange *exchange) releaseConn(response pipe.Response) {
+	exchange.watch.end()
 	if exchange.disown() && exchange.reusable && response.KeepAlive && isDelimited(response) {
 		exchange.conn.Release(response.Header)
 		return
@@ -324,7 +329,8 @@
 }
 
 // failAttempt ends an attempt without a valid response. It counts as a failure of
-// the server unless the caller has gone, the deadline has passed or this host stops.
+// the server unless the caller has gone, the deadline has passed, this host stops or does not reach the
+// server.
 func (exchange *exchange) failAttempt(err error) work.Result {
 	if memoryShortage(err) != "" {
 		return exchange.failShort(err)
@@ -332,8 +338,13 @@
 	call := exchange.call
 	now := time.Now()
 	exchange.recordLastEvent()
+	if exchange.watch != nil && exchange.watch.isBroken() {
+		return exchange.logAttempt(work.Broken, 0, fault.Wrap("front.watch", pipe.Lost, err))
+	}
 	if !call.callerGone() && now.Before(call.work.Deadline) && call.handler.stopping.Err() == nil {
-		call.handler.options.Fleet.RecordBrokenAnswer(exchange.server.ID, now)
+		if !exchange.isPathDown() {
+			call.handler.options.Fleet.RecordBrokenAnswer(exchange.server.ID, now)
+		}
 		call.handler.options.Fleet.DoubtProcess(exchange.server.ID, now)
 		if call.handler.options.CrashDetector.ObserveBrokenResponse(connectionKey(exchange.server), call.features(), exchange.started, now) {
 			go call.handler.probe(exchange.server, call.connectionLimit(exchange.server), call.reportsProcess(exchange.server))
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -215,7 +215,7 @@
 		"running": choice.Member.Own.Running, "reading": choice.Member.Own.TotalPrefill(), "peer_running": choice.Member.Peers.Running,
 		"peer_reading": choice.Member.Peers.TotalPrefill(), "first_ms": choice.FirstEvent.Milliseconds(), "prompt_tokens": call.work.PromptTokens,
 		"reported_running": choice.Member.Load.Running, "reported_waiting": choice.Member.Load.Waiting,
-		"process": exchange.process, "connection_age_ms": exchange.started.Sub(exchange.conn.OpenedAt).Milliseconds(),
+		"via": exchange.conn.Via, "process": exchange.process, "connection_age_ms": exchange.started.Sub(exchange.conn.OpenedAt).Milliseconds(),
 		"slowness": choice.Member.Load.Slowness, "report_age_ms": reportAgeMs(choice.Member.Load, exchange.started),
 	})
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -25,6 +25,7 @@
 	"primrosegw/core/pacer"
 	"primrosegw/core/pick"
 	"primrosegw/core/poison"
+	"primrosegw/core/reach"
 	"primrosegw/core/retry"
 	"primrosegw/core/table"
 	"primrosegw/core/trickle"
@@ -38,10 +39,12 @@
 	Headers HeaderCodec
 	Table   *table.Current
 	// Proof says whether Table has been confirmed recently as the newest version.
-	Proof        *fresh.Proof
-	Now          func() fresh.Instant
-	Fleet        *fleet.Fleet
-	Pool         *pipe.Pool
+	Proof *fresh.Proof
+	Now   func() fresh.Instant
+	Fleet *fleet.Fleet
+	Pool  *pipe.Pool
+	// Paths says to which backend servers the direct path is down; nil: to none.
+	Paths        *reach.Paths
 	RetryBudgets *retry.Budgets
 	// Origins holds where streams began. AskOrigin asks the other hosts about a stream.
 	Origins   *origin.Registry
@@ -93,6 +96,9 @@
 
 // New returns a Handler.
 func New(options Options) *Handler {
+	if options.Paths == nil {
+		options.Paths = reach.New()
+	}
 	handler := &Handler{
 		options: options, startedAt: time.Now(), ending: ending.NewSilent(), probes: newProbes(), trickle: trickle.New(),
 	}
--- /dev/null
+++ b/io/front/path.go
@@ -0,0 +1,102 @@
+package front
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"primrosegw/core/reach"
+)
+
+// pathCheckInterval is the time between two checks of an attempt that gets no byte.
+const pathCheckInterval = 100 * time.Millisecond
+
+// pathWatch watches an attempt on a direct connection. If the server is silent, it probes the path to it,
+// and if the path is down, it closes the connection.
+type pathWatch struct {
+	exchange *exchange
+	process  string
+	// limit is the number of connections to the server that may be open.
+	limit int
+
+	mutex sync.Mutex
+	timer *time.Timer
+	ended bool
+	// broken: the connection was closed, because the path is down.
+	broken bool
+	// received is the number of bytes that had arrived at silentSince.
+	received    int64
+	silentSince time.Time
+}
+
+// watchPath starts to watch the attempt. It is sent now.
+func (exchange *exchange) watchPath() *pathWatch {
+	call := exchange.call
+	watch := &pathWatch{
+		exchange: exchange, process: connectionKey(exchange.server), limit: call.connectionLimit(exchange.server),
+		received: exchange.conn.Received(), silentSince: time.Now(),
+	}
+	if exchange.conn.Via != "" {
+		watch.ended = true
+		return watch
+	}
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	watch.timer = time.AfterFunc(reach.SilenceBeforeProbe, watch.check)
+	return watch
+}
+
+// check is called now and then until the attempt ends.
+func (watch *pathWatch) check() {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	if watch.ended {
+		return
+	}
+	now, paths := time.Now(), watch.exchange.call.handler.options.Paths
+	if received := watch.exchange.conn.Received(); received != watch.received {
+		watch.received, watch.silentSince = received, now
+	}
+	if paths.Breaks(watch.process, watch.silentSince, now) {
+		watch.ended, watch.broken = true, true
+		watch.exchange.conn.Close()
+		return
+	}
+	if paths.TakeProbe(watch.process, watch.silentSince, now) {
+		go watch.exchange.call.handler.probePath(watch.exchange.server.Address, watch.process, watch.limit)
+	}
+	watch.timer.Reset(pathCheckInterval)
+}
+
+// end stops the watch. The connection is not closed afterwards.
+func (watch *pathWatch) end() {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	watch.ended = true
+	if watch.timer != nil {
+		watch.timer.Stop()
+	}
+}
+
+// isBroken reports whether the watch has closed the connection.
+func (watch *pathWatch) isBroken() bool {
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	return watch.broken
+}
+
+// probePath opens a connection to a silent server, which shows whether its path is down, and keeps it for
+// the next request. A failure says nothing new of the server: it may be down, and a request will tell.
+func (handler *Handler) probePath(address, process string, limit int) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if conn, err := handler.options.Pool.Open(ctx, process, address, limit); err == nil {
+		conn.ReleaseUnused()
+	}
+}
+
+// isPathDown reports whether the connection is direct and the path to its server is down, so that its end
+// may be that of the path.
+func (exchange *exchange) isPathDown() bool {
+	return exchange.conn.Via == "" && exchange.call.handler.options.Paths.IsDown(connectionKey(exchange.server))
+}
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -29,6 +29,8 @@
 	// empty: nothing. The holder of the connection sets it. It stays true, because a connection ends
 	// with its process.
 	Process string
+	// Via is the name of the host through which the connection goes; empty: it is direct.
+	Via string
 
 	raw          net.Conn
 	limiter      *limiter
--- a/io/pipe/limiter.go
+++ b/io/pipe/limiter.go
@@ -22,6 +22,18 @@
 	record    []byte
 	// take is called with the number of bytes read while a limit is set; may be nil.
 	take func(bytes int) error
+	// onBytes is called when bytes were read; may be nil.
+	onBytes func()
+}
+
+// receive reads and counts.
+func (limiter *limiter) receive(buffer []byte) (int, error) {
+	count, err := limiter.reader.Read(buffer)
+	limiter.received.Add(int64(count))
+	if count > 0 && limiter.onBytes != nil {
+		limiter.onBytes()
+	}
+	return count, err
 }
 
 // limit sets the number of bytes that may be read until lift is called.
@@ -45,15 +57,12 @@
 // Read implements io.Reader. It fails with Malformed when the limit is exceeded.
 func (limiter *limiter) Read(buffer []byte) (int, error) {
 	if !limiter.limited {
-		count, err := limiter.reader.Read(buffer)
-		limiter.received.Add(int64(count))
-		return count, err
+		return limiter.receive(buffer)
 	}
 	if limiter.left <= 0 {
 		return 0, fault.New("pipe.read", Malformed, "the headers of the response are too long")
 	}
-	count, err := limiter.reader.Read(buffer[:min(len(buffer), limiter.left)])
-	limiter.received.Add(int64(count))
+	count, err := limiter.receive(buffer[:min(len(buffer), limiter.left)])
 	limiter.left -= count
 	if limiter.take != nil {
 		if takeErr := limiter.take(count); takeErr != nil {
--- a/io/pipe/pipe.go
+++ b/io/pipe/pipe.go
@@ -32,6 +32,9 @@
 	// Lost: the connection failed without a response after a part of the request
 	// was written; the request may have run.
 	Lost Kind = "lost"
+	// NoPath: no connection could be opened, for a reason that says nothing of the server; nothing was
+	// sent.
+	NoPath Kind = "no_path"
 	// Malformed: the server did not send a valid response; the request may have
 	// run.
 	Malformed Kind = "malformed"
@@ -67,6 +70,15 @@
 	// OnClosedIdle is called with the key of each idle connection that a server closes, or on
 	// which it sends something; may be nil.
 	OnClosedIdle func(key string)
+	// Dial opens a connection to a process of a server, directly or through another host, whose name it
+	// returns; nil: always directly. It fails with Unreachable, or with NoPath if that says nothing of
+	// the server.
+	Dial func(ctx context.Context, key, address string) (conn net.Conn, via string, err error)
+	// MayReuse reports whether an idle connection may be used, given the host through which it goes,
+	// empty for a direct one. Others are closed. May be nil.
+	MayReuse func(key, via string) bool
+	// OnBytes is called when bytes arrive on a direct connection; may be nil.
+	OnBytes func(key string)
 }
 
 // Pool holds the idle connections to all backend servers and counts the open ones.
@@ -86,6 +98,20 @@
 
 // New returns an empty pool.
 func New(options Options) *Pool {
+	options = options.withDefaults()
+	pool := &Pool{
+		options: options,
+		dialer:  net.Dialer{Timeout: options.DialTimeout, Control: SetTCPUserTimeout, KeepAlive: -1},
+		servers: make(map[string]*serverConns),
+	}
+	if pool.options.Dial == nil {
+		pool.options.Dial = pool.dialDirect
+	}
+	return pool
+}
+
+// withDefaults returns the options with a value for each one but Dial.
+func (options Options) withDefaults() Options {
 	if options.DialTimeout == 0 {
 		options.DialTimeout = DefaultDialTimeout
 	}
@@ -95,11 +121,27 @@
 	if options.OnClosedIdle == nil {
 		options.OnClosedIdle = func(string) {}
 	}
-	return &Pool{
-		options: options,
-		dialer:  net.Dialer{Timeout: options.DialTimeout, Control: SetTCPUserTimeout, KeepAlive: -1},
-		servers: make(map[string]*serverConns),
+	if options.MayReuse == nil {
+		options.MayReuse = func(string, string) bool { return true }
+	}
+	if options.OnBytes == nil {
+		options.OnBytes = func(string) {}
 	}
+	return options
+}
+
+// NewDialer returns a dialer of direct connections to servers with the settings of a pool.
+func NewDialer() net.Dialer {
+	return net.Dialer{Timeout: DefaultDialTimeout, Control: SetTCPUserTimeout, KeepAlive: -1}
+}
+
+// dialDirect opens a direct connection.
+func (pool *Pool) dialDirect(ctx context.Context, _, address string) (net.Conn, string, error) {
+	conn, err := pool.dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, "", fault.Wrap("pipe.dial", Unreachable, err)
+	}
+	return conn, "", nil
 }
 
 // SetTCPUserTimeout sets TCP_USER_TIMEOUT on a new socket, so that a connection
@@ -123,7 +165,7 @@
 
 // Get returns an idle connection to a server or opens one. The key distinguishes
 // processes of servers that have had the same address. Limit is the maximum number
-// of open connections; 0: unlimited. It fails with Unreachable or
+// of open connections; 0: unlimited. It fails with Unreachable, NoPath or
 // TooManyConnections.
 func (pool *Pool) Get(ctx context.Context, key, address string, limit int) (*Conn, error) {
 	if conn := pool.takeIdle(key); conn != nil {
@@ -158,13 +200,16 @@
 func (pool *Pool) dial(ctx context.Context, key, address string) (*Conn, error) {
 	openedAt := time.Now()
 	pool.options.OnDial(address)
-	raw, err := pool.dialer.DialContext(ctx, "tcp4", address)
+	raw, via, err := pool.options.Dial(ctx, key, address)
 	if err != nil {
 		pool.releaseSlot(key)
-		return nil, fault.Wrap("pipe.dial", Unreachable, err)
+		return nil, err
 	}
 	limiter := &limiter{reader: raw}
-	conn := &Conn{raw: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), pool: pool, key: key, Dialed: true, OpenedAt: openedAt}
+	if via == "" {
+		limiter.onBytes = func() { pool.options.OnBytes(key) }
+	}
+	conn := &Conn{Via: via, raw: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), pool: pool, key: key, Dialed: true, OpenedAt: openedAt}
 	conn.readable = make(chan struct{}, 1)
 	conn.rearm = make(chan struct{}, 1)
 	conn.idleTimeout = DefaultIdleTimeout
@@ -184,8 +229,8 @@
 		last := len(conns.idle) - 1
 		conn := conns.idle[last]
 		conns.idle = conns.idle[:last]
-		if now.After(conn.idleDeadline) || !conn.claim() {
-			conn.raw.Close()
+		if now.After(conn.idleDeadline) || !pool.options.MayReuse(key, conn.Via) || !conn.claim() {
+			conn.Close()
 			continue
 		}
 		return conn
