--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -53,6 +53,8 @@
 		ServerLimitChanged(),
 		HostListed(),
 		HostUnlisted(),
+		HostCutOff(),
+		HostRegained(),
 		EntriesRead(),
 		MemoryRefused(),
 		LinesDropped(),
@@ -330,6 +332,16 @@
 	return Event{1952, "entries_read", logrus.InfoLevel, "roster", "The host has read the entries of hosts and backend servers at its start."}
 }
 
+// HostCutOff reports that this host reaches no backend server by itself, while other hosts do.
+func HostCutOff() Event {
+	return Event{1972, "host_cut_off", logrus.WarnLevel, "fleet", "This host reaches no backend server by itself, while other hosts do; it opens connections through them."}
+}
+
+// HostRegained reports that this host reaches backend servers by itself again.
+func HostRegained() Event {
+	return Event{1973, "host_regained", logrus.InfoLevel, "fleet", "This host reaches backend servers by itself again."}
+}
+
 // MemoryRefused reports that bytes of requests or responses were refused, because the host
 // holds too many.
 func MemoryRefused() Event {
--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -21,7 +21,8 @@
 	SilenceBeforeProbe = 250 * time.Millisecond
 	// SilenceBeforeBreak is how long an attempt whose path is down gets no byte until it ends.
 	SilenceBeforeBreak = 600 * time.Millisecond
-	// forgetAfter is how long nothing is heard of a process until it is forgotten.
+	// forgetAfter is how long nothing is heard of a process until it is forgotten. One whose path is down
+	// is kept until it has ended.
 	forgetAfter = time.Minute
 )
 
@@ -33,6 +34,8 @@
 	paths map[string]*path
 	// lastSign is when a server last showed that this host reaches it.
 	lastSign time.Time
+	// lastTunnel is when another host last reached a server for this one.
+	lastTunnel time.Time
 	// lastByte is when the last byte arrived from any server.
 	lastByte time.Time
 	// probedAt is when the last probe of a silent path began.
@@ -48,6 +51,8 @@
 	// dialedAt is when the last direct dial in the background was due.
 	dialedAt time.Time
 	lastByte time.Time
+	// failedAt is when a dial last failed directly and through other hosts.
+	failedAt time.Time
 	usedAt   time.Time
 }
 
@@ -62,6 +67,10 @@
 	Lasted           time.Duration
 	// Down is the number of processes whose paths are down.
 	Down int
+	// Process is the one whose dial decided it, and SignAge how long before a server had last shown that
+	// this host reaches it.
+	Process string
+	SignAge time.Duration
 }
 
 // find returns the path to a process and makes it if needed. The caller holds the mutex.
@@ -81,11 +90,12 @@
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
 	paths.find(process, now).downSince = time.Time{}
+	signAge := now.Sub(paths.lastSign)
 	paths.lastSign = now
 	if paths.cutOffSince.IsZero() {
 		return Change{}
 	}
-	change := Change{Regained: true, Lasted: now.Sub(paths.cutOffSince), Down: paths.countDown()}
+	change := Change{Regained: true, Lasted: now.Sub(paths.cutOffSince), Down: paths.countDown(), Process: process, SignAge: signAge}
 	paths.cutOffSince = time.Time{}
 	return change
 }
@@ -102,7 +112,35 @@
 		return Change{}
 	}
 	paths.cutOffSince = now
-	return Change{CutOff: true, Down: paths.countDown()}
+	return Change{CutOff: true, Down: paths.countDown(), Process: process, SignAge: now.Sub(paths.lastSign)}
+}
+
+// RecordTunnel records that another host reached a server for this one.
+func (paths *Paths) RecordTunnel(now time.Time) {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	paths.lastTunnel = now
+}
+
+// RecordFailed records that a dial to a process failed directly and through other hosts.
+func (paths *Paths) RecordFailed(process string, now time.Time) {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	paths.find(process, now).failedAt = now
+}
+
+// ReachesNone reports whether dials to cutOffPaths or more servers failed both ways within cutOffWindow,
+// and no server has been reached since.
+func (paths *Paths) ReachesNone(now time.Time) bool {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	count := 0
+	for _, path := range paths.paths {
+		if path.failedAt.After(paths.lastSign) && path.failedAt.After(paths.lastTunnel) && now.Sub(path.failedAt) <= cutOffWindow {
+			count++
+		}
+	}
+	return count >= cutOffPaths
 }
 
 // countDownSinceSign returns the number of paths that were found down within cutOffWindow and after the
@@ -203,7 +241,7 @@
 	defer paths.mutex.Unlock()
 	var due []string
 	for process, path := range paths.paths {
-		if now.Sub(path.usedAt) > forgetAfter {
+		if path.downSince.IsZero() && now.Sub(path.usedAt) > forgetAfter {
 			delete(paths.paths, process)
 			continue
 		}
--- a/core/trail/trail.go
+++ b/core/trail/trail.go
@@ -130,7 +130,7 @@
 // outcome of its requests.
 func affectsRequests(name string) bool {
 	return slices.Contains([]string{
-		"store_lost", "store_regained", "proof_lost", "proof_regained", "table_adopted", "table_rejected", "history_gone",
+		"host_cut_off", "host_regained", "store_lost", "store_regained", "proof_lost", "proof_regained", "table_adopted", "table_rejected", "history_gone",
 		"gateway_started", "gateway_draining", "gateway_stopped", "lines_dropped", "quarantine_started", "quarantine_ended",
 	}, name)
 }
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -38,6 +38,8 @@
 	// helperTimeout limits the time of one other host, so that a second one can be tried within the time
 	// limit.
 	helperTimeout = 150 * time.Millisecond
+	// hopelessTimeout limits the whole dial while neither this host nor the others reach any server.
+	hopelessTimeout = 150 * time.Millisecond
 )
 
 // The results of a dial in counters.
@@ -122,7 +124,7 @@
 // run tries the preferred way, and the other one if that has not succeeded in time.
 func (race *race) run(ctx context.Context) (net.Conn, string, error) {
 	// The dials go on for a moment after one of them has succeeded.
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), race.dialer.options.Timeout)
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), race.timeout())
 	race.start(limited, !race.wasDown)
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
@@ -148,6 +150,14 @@
 	}
 }
 
+// timeout returns the time limit of the dial. Of a host without others it is always the same.
+func (race *race) timeout() time.Duration {
+	if len(race.helpers) > 0 && race.dialer.options.Paths.ReachesNone(time.Now()) {
+		return min(hopelessTimeout, race.dialer.options.Timeout)
+	}
+	return race.dialer.options.Timeout
+}
+
 // start begins one of the two ways.
 func (race *race) start(ctx context.Context, isDirect bool) {
 	if isDirect {
@@ -233,6 +243,7 @@
 		race.drain()
 		return
 	}
+	race.dialer.options.Paths.RecordTunnel(time.Now())
 	if !race.directBegan {
 		return
 	}
@@ -288,6 +299,7 @@
 
 // failure returns the error of a dial of which both ways have failed.
 func (race *race) failure() error {
+	race.dialer.options.Paths.RecordFailed(race.process, time.Now())
 	if race.wasDown && !race.tunnel.confirmed {
 		return fault.New("dial.dial", NoPath, "no direct path, and through another host: "+race.tunnel.err.Error())
 	}
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -230,3 +230,28 @@
 		require.False(t, play.paths.IsDown("p"))
 	})
 }
+
+// Guards against requests that wait for the whole time of each dial while no server can be reached, and
+// against a host without others that does not.
+func TestDialsAreShortWhileNoServerIsReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, helpers := range [][]way{{never}, nil} {
+			play := newPlay(never, helpers...)
+			for _, process := range []string{"p", "q", "p"} {
+				conn, _, err := play.Dial(t.Context(), process, "address")
+				require.Error(t, err)
+				require.Nil(t, conn)
+			}
+			began := time.Now()
+			_, _, err := play.Dial(t.Context(), "r", "address")
+			took := time.Since(began)
+			require.Error(t, err)
+			want := 150 * time.Millisecond
+			if helpers == nil {
+				want = 400 * time.Millisecond
+			}
+			require.Equal(t, want, took)
+			synctest.Wait()
+		}
+	})
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -339,7 +339,7 @@
 	now := time.Now()
 	exchange.recordLastEvent()
 	if exchange.watch != nil && exchange.watch.isBroken() {
-		return exchange.logAttempt(work.Broken, 0, fault.Wrap("front.watch", pipe.Lost, err))
+		return exchange.logAttempt(work.Broken, 0, fault.New("front.watch", pipe.Lost, "the path to the server is down"))
 	}
 	if !call.callerGone() && now.Before(call.work.Deadline) && call.handler.stopping.Err() == nil {
 		if !exchange.isPathDown() {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -234,6 +234,11 @@
 	return server.ID + "@" + server.Address + "/" + server.Started.String()
 }
 
+// IsProcess reports whether a pool key is that of the connections to a server's process.
+func IsProcess(key string, server fleet.Server) bool {
+	return connectionKey(server) == key
+}
+
 // ServerOf returns the ID of the server whose connections have a pool key.
 func ServerOf(connectionKey string) string {
 	return connectionKey[:max(0, strings.LastIndexByte(connectionKey, '@'))]
--- /dev/null
+++ b/io/front/path_test.go
@@ -0,0 +1,70 @@
+package front_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/io/front"
+)
+
+// processOf returns the name of a server's process in the harness's paths.
+func (harness *harness) processOf(id string) string {
+	server := harness.servers[id]
+	process := server.ID + "@" + server.Address + "/" + server.Started.String()
+	require.True(harness.t, front.IsProcess(process, server))
+	return process
+}
+
+// silent is a responder that never answers.
+func silent(_ *http.Request, conn net.Conn) {
+	_, _ = conn.Read(make([]byte, 1))
+}
+
+// Guards against attempts that are ended because their server pauses for a moment.
+func TestSilentServerWhosePathIsUpKeepsItsRequest(t *testing.T) {
+	harness := newHarness(t, nil)
+	answer := respondWith(200, "late", signed)
+	harness.addServer("a", func(request *http.Request, conn net.Conn) {
+		time.Sleep(1200 * time.Millisecond)
+		answer(request, conn)
+	})
+	for _, path := range []string{"/once/", "/safe/"} {
+		got := harness.post(path, "x")
+		require.Equal(t, http.StatusOK, got.status, got.body)
+	}
+	require.Len(t, harness.requestsReceived(), 2, "no request is sent twice")
+	require.Zero(t, harness.fleet.SuspendedFor("a", time.Now()))
+}
+
+// Guards against requests that wait for their deadlines on a path that carries nothing, that run twice
+// because of it, and that count against their servers.
+func TestAttemptOnAPathThatIsDownEnds(t *testing.T) {
+	for path, want := range map[string]int{"/once/": http.StatusBadGateway, "/safe/": http.StatusOK} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			harness := newHarness(t, nil)
+			harness.addServer("a", silent)
+			for number := range 3 {
+				time.AfterFunc(300*time.Millisecond, func() {
+					harness.fleet.Remove("b")
+					harness.addServer("b", respondWith(200, "served", signed))
+					harness.paths.RecordDown(harness.processOf("a"), time.Now())
+				})
+				began := time.Now()
+				got := harness.post(path, "x")
+				require.Equal(t, want, got.status, "%d: %s", number, got.body)
+				require.Less(t, time.Since(began), 2*time.Second)
+				require.GreaterOrEqual(t, time.Since(began), 600*time.Millisecond)
+				require.Zero(t, harness.fleet.SuspendedFor("a", time.Now()))
+				require.False(t, harness.crashes.HasSuspects())
+				harness.fleet.Remove("b")
+				harness.paths.RecordDirect(harness.processOf("a"), time.Now())
+			}
+			require.Contains(t, harness.log.String(), "the path to the server is down")
+		})
+	}
+}
