--- a/core/reach/helpers.go
+++ b/core/reach/helpers.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,18 +13,22 @@
 	MaxHelpers = 3
 	// cutOffTTL is how long another host counts as cut off after it last said so.
 	cutOffTTL = 2500 * time.Millisecond
+	// failureTTL is how long a host that could not help comes after the others.
+	failureTTL = time.Second
 	// maxUnlistedShare is the largest part of the entry hosts that is left out of lists of addresses: the
 	// others must be able to take their callers.
 	maxUnlistedShare = 0.25
 )
 
 // Helpers returns the hosts that may open a connection to a server for the own host, best first: those
-// in the server's failure domain, then the others, each in an order that shuffle changes.
-func Helpers(live []host.Host, own, failureDomain string, isCutOff func(name string) bool, shuffle func(n int, swap func(a, b int))) []host.Host {
-	helpers := slices.DeleteFunc(slices.Clone(live), func(one host.Host) bool { return one.Name == own || isCutOff(one.Name) })
+// that have not failed to help lately, of them those in the server's failure domain, each group in an order
+// that shuffle changes.
+func (peers *Peers) Helpers(live []host.Host, own, failureDomain string, now time.Time, shuffle func(n int, swap func(a, b int))) []host.Host {
+	helpers := slices.DeleteFunc(slices.Clone(live), func(one host.Host) bool { return one.Name == own || peers.IsCutOff(one.Name, now) })
 	shuffle(len(helpers), func(a, b int) { helpers[a], helpers[b] = helpers[b], helpers[a] })
 	slices.SortStableFunc(helpers, func(a, b host.Host) int {
-		return compareBool(a.FailureDomain == failureDomain, b.FailureDomain == failureDomain)
+		return cmp.Or(compareBool(!peers.failedLately(a.Name, now), !peers.failedLately(b.Name, now)),
+			compareBool(a.FailureDomain == failureDomain, b.FailureDomain == failureDomain))
 	})
 	return helpers[:min(len(helpers), MaxHelpers)]
 }
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -135,15 +135,22 @@
 	for number := range 8 {
 		live = append(live, host.Host{Name: fmt.Sprint("host-", number), FailureDomain: fmt.Sprint("domain-", number%4)})
 	}
-	isCutOff := func(name string) bool { return name == "host-6" }
+	peers := reach.NewPeers()
+	peers.Record("host-6", true, at(0))
 	reverse := func(n int, swap func(a, b int)) {
 		for index := range n / 2 {
 			swap(index, n-1-index)
 		}
 	}
-	helpers := reach.Helpers(live, "host-0", "domain-2", isCutOff, reverse)
-	require.Equal(t, []string{"host-2", "host-7", "host-5"}, names(helpers))
-	require.Empty(t, reach.Helpers(live[:1], "host-0", "domain-2", isCutOff, reverse))
+	require.Equal(t, []string{"host-2", "host-7", "host-5"}, names(peers.Helpers(live, "host-0", "domain-2", at(1), reverse)))
+	require.Empty(t, peers.Helpers(live[:1], "host-0", "domain-2", at(1), reverse))
+	peers.RecordHelp("host-2", false, at(1))
+	peers.RecordHelp("host-7", false, at(1))
+	peers.RecordHelp("host-7", true, at(2))
+	require.Equal(t, []string{"host-7", "host-5", "host-4"}, names(peers.Helpers(live, "host-0", "domain-2", at(3), reverse)))
+	require.Equal(t, []string{"host-2", "host-7", "host-5"}, names(peers.Helpers(live, "host-0", "domain-2", at(1001), reverse)))
+	peers.Record("host-6", false, at(1001))
+	require.Equal(t, []string{"host-6", "host-2", "host-7"}, names(peers.Helpers(live, "host-0", "domain-2", at(1002), reverse)))
 	require.Len(t, live, 8)
 }
 
