core/room, core/steer, core/pick: limit the requests in flight at brittle servers

Cause: brittle servers fall over if hosts send them more than they have room for; a rate limit (core/pacer) does not bound what is in flight. Change: core/room divides the room of each brittle server among hosts and queues requests by rank and fairly between workspaces; core/steer has requests wait for it. Measured: go test -race ./core/room ./core/steer: simulated fleets of 1 to 40 hosts, without loss and with 20% of messages lost, no engine turns more than 3 requests away within a second, and 80 of 100 requests that fit are served. Conclusion: the rule holds in the simulation, also while hosts go, come and are not heard of.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -33,13 +33,15 @@
 	Cached *CachedParts
 	// Pacer excludes servers that accept no request now. If nil, none are.
 	Pacer Pacer
+	// Room excludes brittle servers that have no room for a request of this host now. If nil, none are.
+	Room Pacer
 	// PreferFraming is set for an attempt after one whose response ended with its connection and
 	// proved nothing. It goes to a server that has lately framed its responses if there is one, or else
 	// to one of which that is not known.
 	PreferFraming bool
 }
 
-// Pacer tells when servers that name a rate limit accept requests.
+// Pacer tells when servers that have limits accept requests.
 type Pacer interface {
 	// Wait returns the time after which this host may send a request to the server; 0: now.
 	Wait(server fleet.Server, now time.Time) time.Duration
@@ -63,13 +65,31 @@
 
 // wait returns the time after which a member accepts a request of this host; 0: now.
 func (options Options) wait(member fleet.Member, now time.Time) time.Duration {
-	wait := member.AwayFor(now)
+	wait := max(member.AwayFor(now), options.waitForRoom(member, now))
 	if options.Pacer == nil {
 		return wait
 	}
 	return max(wait, options.Pacer.Wait(member.Server, now))
 }
 
+// waitForRoom returns the time after which a brittle member may have room; 0: now.
+func (options Options) waitForRoom(member fleet.Member, now time.Time) time.Duration {
+	if options.Room == nil {
+		return 0
+	}
+	return options.Room.Wait(member.Server, now)
+}
+
+// LacksRoomOnly reports whether one of the members that were not tried is brittle and accepts no request
+// now for no other reason than that it has no room.
+func (options Options) LacksRoomOnly(members []fleet.Member, tried map[string]bool, now time.Time) bool {
+	others := options
+	others.Room = nil
+	return slices.ContainsFunc(members, func(member fleet.Member) bool {
+		return !tried[member.ID] && !member.Suspended(now) && options.waitForRoom(member, now) > 0 && others.wait(member, now) == 0
+	})
+}
+
 // Terms of the expected loss of a choice, in units of the request's value.
 const (
 	// missedObjectiveLoss is the loss when the answer misses its latency objective.
@@ -176,7 +196,7 @@
 // eligible returns the members that accept a request now and are neither tried nor
 // suspended. If only
 // suspended members are left, it returns the one whose suspension ends first, rather
-// than failing the request.
+// than failing the request, unless it may wait for room at another one.
 func (options Options) eligible(members []fleet.Member, tried map[string]bool, now time.Time) []fleet.Member {
 	var candidates, suspended []fleet.Member
 	for _, member := range members {
@@ -188,7 +208,7 @@
 			candidates = append(candidates, member)
 		}
 	}
-	if len(candidates) > 0 || len(suspended) == 0 {
+	if len(candidates) > 0 || len(suspended) == 0 || options.LacksRoomOnly(members, tried, now) {
 		return candidates
 	}
 	earliest := slices.MinFunc(suspended, func(a, b fleet.Member) int { return a.SuspendedUntil.Compare(b.SuspendedUntil) })
--- /dev/null
+++ b/core/room/queue.go
@@ -0,0 +1,187 @@
+package room
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+)
+
+// pollInterval is the time after which the first request of a queue looks for room again: limits rise and
+// shares change without a request that ends.
+const pollInterval = 25 * time.Millisecond
+
+// queue holds the requests of a service that wait for room at its brittle servers. Workspaces of a rank
+// take turns: each request has a virtual start time, which is one later than that of the request before
+// it of the same workspace, and not before that of the last one that was sent (start-time fair queueing).
+type queue struct {
+	// waiting is in the order in which the requests are sent.
+	waiting []*Ticket
+	// now is the virtual start time of the last request that was sent, by rank.
+	now map[int]int64
+	// next is the virtual start time of the next request, by rank and workspace.
+	next map[turn]int64
+	// last is the number of the last ticket.
+	last int64
+	// hold is a moving average of the durations of requests.
+	hold time.Duration
+}
+
+// turn identifies the requests of a workspace with one rank.
+type turn struct {
+	rank      int
+	workspace string
+}
+
+// Ticket is the place of a request in a queue.
+type Ticket struct {
+	service string
+	turn    turn
+	start   int64
+	number  int64
+	woken   chan struct{}
+	left    bool
+}
+
+func (ticket *Ticket) compare(other *Ticket) int {
+	return cmp.Or(cmp.Compare(ticket.turn.rank, other.turn.rank), cmp.Compare(ticket.start, other.start), cmp.Compare(ticket.number, other.number))
+}
+
+// Request is what the order of a request depends on.
+type Request struct {
+	Service, Workspace string
+	// Rank is the priority; 0 is the most urgent.
+	Rank int
+	// MaxWait is the longest time that the request may wait.
+	MaxWait time.Duration
+}
+
+func (limiter *Limiter) queue(service string) *queue {
+	known := limiter.queues[service]
+	if known == nil {
+		known = &queue{now: make(map[int]int64), next: make(map[turn]int64), hold: noRoomWait}
+		limiter.queues[service] = known
+	}
+	return known
+}
+
+func (queue *queue) observe(hold time.Duration) {
+	queue.hold += time.Duration(holdAlpha * float64(hold-queue.hold))
+}
+
+func (limiter *Limiter) holdTime(service string) time.Duration {
+	if known := limiter.queues[service]; known != nil {
+		return max(time.Millisecond, known.hold)
+	}
+	return noRoomWait
+}
+
+// Join queues a request. It returns nil, and the time after which room is likely, if the request would
+// wait for longer than it may.
+func (limiter *Limiter) Join(request Request, now time.Time) (*Ticket, time.Duration) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	queue := limiter.queue(request.Service)
+	turn := turn{request.Rank, request.Workspace}
+	ticket := &Ticket{service: request.Service, turn: turn, start: max(queue.now[request.Rank], queue.next[turn]), number: queue.last + 1, woken: make(chan struct{}, 1)}
+	position, _ := slices.BinarySearchFunc(queue.waiting, ticket, (*Ticket).compare)
+	wait := limiter.expectedWait(request.Service, position, now)
+	if wait > request.MaxWait {
+		if wait == unlikely {
+			// Another host has the room.
+			wait = limiter.holdTime(request.Service)
+		}
+		return nil, wait
+	}
+	queue.last++
+	queue.next[turn] = ticket.start + 1
+	queue.waiting = slices.Insert(queue.waiting, position, ticket)
+	return ticket, wait
+}
+
+// unlikely is the expected wait of a host that has no share of any server.
+const unlikely = time.Hour
+
+// expectedWait returns the time until a request is sent that has others before it.
+func (limiter *Limiter) expectedWait(service string, before int, now time.Time) time.Duration {
+	places := 0
+	for key, known := range limiter.servers {
+		if known.service == service && known.isBrittle(now) {
+			places += limiter.share(key, known, now)
+		}
+	}
+	if places == 0 {
+		return unlikely
+	}
+	return limiter.holdTime(service) * time.Duration(before+1) / time.Duration(places)
+}
+
+// Await waits until the request of a ticket may find room, or until the context is done. It reports which.
+func (limiter *Limiter) Await(ctx context.Context, ticket *Ticket) bool {
+	timer := time.NewTimer(pollInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ticket.woken:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+			if limiter.isFirst(ticket) {
+				return true
+			}
+			timer.Reset(pollInterval)
+		}
+	}
+}
+
+func (limiter *Limiter) isFirst(ticket *Ticket) bool {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	return limiter.isNext(ticket.service, ticket)
+}
+
+// isNext reports whether no other request of the service comes before that of the ticket.
+func (limiter *Limiter) isNext(service string, ticket *Ticket) bool {
+	known := limiter.queues[service]
+	return known == nil || len(known.waiting) == 0 || known.waiting[0] == ticket
+}
+
+// Leave removes a request from its queue that is not sent.
+func (limiter *Limiter) Leave(ticket *Ticket) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	limiter.leave(ticket, false)
+}
+
+func (limiter *Limiter) leave(ticket *Ticket, isSent bool) {
+	if ticket.left {
+		return
+	}
+	ticket.left = true
+	queue := limiter.queues[ticket.service]
+	queue.waiting = slices.DeleteFunc(queue.waiting, func(other *Ticket) bool { return other == ticket })
+	if isSent {
+		queue.now[ticket.turn.rank] = max(queue.now[ticket.turn.rank], ticket.start)
+	} else {
+		queue.next[ticket.turn]--
+	}
+	if len(queue.waiting) == 0 {
+		clear(queue.now)
+		clear(queue.next)
+		return
+	}
+	limiter.wake(ticket.service)
+}
+
+// wake lets the first request of a service look for room.
+func (limiter *Limiter) wake(service string) {
+	known := limiter.queues[service]
+	if known == nil || len(known.waiting) == 0 {
+		return
+	}
+	select {
+	case known.waiting[0].woken <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/core/room/room.go
@@ -0,0 +1,401 @@
+// Package room keeps the requests in flight at brittle backend servers, over all hosts together, within
+// what the servers have room for.
+package room
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"primrosegw/core/fleet"
+	"primrosegw/core/host"
+)
+
+const (
+	// quietTimeout is the time without an answer that says so after which a server is no longer brittle.
+	quietTimeout = 10 * time.Second
+	// lowestLimit is the limit at the beginning of a brittle time and after a server fell over.
+	lowestLimit = 1
+	// raiseInterval is the time without a refusal after which the limit rises by one.
+	raiseInterval = time.Second
+	// cutFactor reduces the limit after a refusal.
+	cutFactor = 0.5
+	// settleTime is the time for which a host keeps to the smaller share after the hosts have changed,
+	// because the others learn of the change at other times.
+	settleTime = time.Second
+	// heardTimeout is the time for which a host counts after it was last heard of.
+	heardTimeout = 3 * time.Second
+	// unansweredTime is the time for which a request without an answer counts as in flight, because the
+	// server may still run it.
+	unansweredTime = time.Second
+	// noRoomWait is the time after which a server without room is asked for again if nothing is known of
+	// how long requests run there.
+	noRoomWait = 50 * time.Millisecond
+	// holdAlpha is the weight of the newest request in the moving average of their durations.
+	holdAlpha = 0.1
+)
+
+/*
+Limiter divides the room of brittle servers among hosts without asking them for each request. The number
+of requests in flight at a server over all hosts has a limit. It begins at lowestLimit, rises by one in
+each raiseInterval up to the number of requests that the server works on at once, and is cut at each
+refusal for want of room. All hosts derive it from what they tell each other, and divide it by rendezvous
+hashing, so that the sum of their shares is the limit.
+
+A Limiter is safe for concurrent use. It limits nothing while no server is brittle.
+*/
+type Limiter struct {
+	own     string
+	mutex   sync.Mutex
+	hosts   *hostSet
+	past    []pastHosts
+	heard   map[string]time.Time
+	servers map[uint64]*server
+	queues  map[string]*queue
+	// brittle is the number of servers that are brittle.
+	brittle int
+}
+
+// hostSet is a set of hosts that limits are divided among.
+type hostSet struct {
+	names []string
+	// ranks caches the position of this host in the rendezvous order, by hash of the server's ID.
+	ranks map[uint64]int
+}
+
+// pastHosts are hosts that the limits were divided among before.
+type pastHosts struct {
+	*hostSet
+	replacedAt time.Time
+}
+
+// server is the state of a server.
+type server struct {
+	id, service string
+	// inFlight is the number of this host's requests there.
+	inFlight int
+	// number is the number of refusals within a second that the server bears; 0: it is not brittle.
+	number int
+	// slots is the number of requests that it works on at once; 0: unknown.
+	slots int
+	// observedAt is when the newest answer was received that said whether it is brittle, by any host. Own
+	// is set if this host received it.
+	observedAt time.Time
+	own        bool
+	changedAt  time.Time
+	reportedAt time.Time
+	// base is the limit at cutAt, from which on it rises. Refused is set if the limit was cut then.
+	base    float64
+	cutAt   time.Time
+	refused bool
+	// blockedUntil is the end of the time without requests after a refusal.
+	blockedUntil time.Time
+}
+
+// New returns a limiter for a host that knows of no other hosts and no brittle servers.
+func New(own string) *Limiter {
+	return &Limiter{
+		own: own, hosts: newHostSet([]string{own}), heard: make(map[string]time.Time), servers: make(map[uint64]*server), queues: make(map[string]*queue),
+	}
+}
+
+func newHostSet(names []string) *hostSet { return &hostSet{names: names, ranks: make(map[uint64]int)} }
+
+// SetHosts sets the hosts among which the limits are divided. Those that were among them before count for
+// as long as they are heard of.
+func (limiter *Limiter) SetHosts(hosts []string, now time.Time) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	hosts = slices.Clone(hosts)
+	for name, at := range limiter.heard {
+		if now.Sub(at) >= heardTimeout {
+			delete(limiter.heard, name)
+		} else if !slices.Contains(hosts, name) && slices.Contains(limiter.hosts.names, name) {
+			hosts = append(hosts, name)
+		}
+	}
+	if !slices.Contains(hosts, limiter.own) {
+		hosts = append(hosts, limiter.own)
+	}
+	slices.Sort(hosts)
+	limiter.past = slices.DeleteFunc(limiter.past, func(past pastHosts) bool { return now.Sub(past.replacedAt) >= settleTime })
+	if slices.Equal(hosts, limiter.hosts.names) {
+		return
+	}
+	limiter.past = append(limiter.past, pastHosts{limiter.hosts, now})
+	limiter.hosts = newHostSet(hosts)
+	for _, server := range limiter.servers {
+		// Hosts that have just been listed may not know of it.
+		server.changedAt = now
+	}
+}
+
+// Heard records that another host sent a message.
+func (limiter *Limiter) Heard(name string, now time.Time) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	limiter.heard[name] = now
+}
+
+// server returns the state of a server, which it adds if there is none.
+func (limiter *Limiter) server(key uint64) *server {
+	known := limiter.servers[key]
+	if known == nil {
+		known = &server{}
+		limiter.servers[key] = known
+	}
+	return known
+}
+
+// Change is what an observation changed.
+type Change string
+
+// The changes.
+const (
+	None  Change = ""
+	Began Change = "began"
+	Ended Change = "ended"
+)
+
+// Observation is what an answer of a server says.
+type Observation struct {
+	// Number is the number of refusals within a second that the server bears; 0: it does not say that it
+	// is brittle.
+	Number int
+	// Slots is the number of requests that it works on at once; 0: unknown.
+	Slots int
+	// Refused: the server had no room for the request.
+	Refused bool
+	// SentAt is when the request was sent.
+	SentAt time.Time
+}
+
+// Observe records an answer of a server.
+func (limiter *Limiter) Observe(registered fleet.Server, answer Observation, now time.Time) Change {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	key := fleet.ServerHash(registered.ID)
+	if answer.Number == 0 {
+		known := limiter.servers[key]
+		if known == nil || known.number == 0 || !answer.SentAt.After(known.observedAt) {
+			return None
+		}
+		known.own = true
+		limiter.set(known, 0, now, now)
+		limiter.wake(known.service)
+		return Ended
+	}
+	known := limiter.server(key)
+	known.id, known.service, known.own = registered.ID, registered.Service, true
+	known.slots = cmp.Or(answer.Slots, registered.Slots, known.slots)
+	began := limiter.set(known, answer.Number, now, now)
+	if answer.Refused {
+		known.cut(max(lowestLimit, min(known.limit(now)*cutFactor, float64(known.inFlight))), now)
+	}
+	if began {
+		return Began
+	}
+	return None
+}
+
+// set records what a server says. It reports whether that is new.
+func (limiter *Limiter) set(known *server, number int, observedAt, now time.Time) bool {
+	isNew := (number > 0) != known.isBrittle(now)
+	known.observedAt = observedAt
+	if known.number != number {
+		known.changedAt = now
+	}
+	if (number > 0) != (known.number > 0) {
+		limiter.brittle += map[bool]int{true: 1, false: -1}[number > 0]
+	}
+	if number > 0 && isNew {
+		known.base, known.cutAt, known.refused, known.changedAt = lowestLimit, now, false, now
+	}
+	known.number = number
+	return isNew
+}
+
+// cut reduces the limit, and sends the server nothing for so long that it has to turn away at most one
+// request less than it bears within a second.
+func (server *server) cut(base float64, now time.Time) {
+	server.base, server.cutAt, server.refused, server.changedAt = base, now, true, now
+	server.blockedUntil = now.Add(time.Second / time.Duration(max(1, server.number-1)))
+}
+
+// Fell records that a server refuses connections. It starts again with the lowest limit.
+func (limiter *Limiter) Fell(registered fleet.Server, now time.Time) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	if known := limiter.servers[fleet.ServerHash(registered.ID)]; known != nil && known.isBrittle(now) {
+		known.cut(lowestLimit, now)
+	}
+}
+
+// Expire ends the brittle times of servers that have long said nothing. It returns their IDs.
+func (limiter *Limiter) Expire(now time.Time) []string {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	var ended []string
+	for key, known := range limiter.servers {
+		if known.number > 0 && !known.isBrittle(now) {
+			limiter.brittle--
+			known.number = 0
+			ended = append(ended, known.id)
+		}
+		if known.number == 0 && known.inFlight == 0 && now.Sub(known.observedAt) > quietTimeout {
+			delete(limiter.servers, key)
+		}
+	}
+	return ended
+}
+
+func (server *server) isBrittle(now time.Time) bool {
+	return server.number > 0 && now.Sub(server.observedAt) < quietTimeout
+}
+
+// limit returns the number of requests that all hosts together may have in flight at the server.
+func (server *server) limit(now time.Time) float64 {
+	raised := server.base + float64(max(0, now.Sub(server.cutAt))/raiseInterval)
+	if server.slots > 0 {
+		return min(raised, float64(server.slots))
+	}
+	return raised
+}
+
+// share returns this host's part of the limit.
+func (limiter *Limiter) share(key uint64, known *server, now time.Time) int {
+	if now.Before(known.blockedUntil) {
+		return 0
+	}
+	limit := int(known.limit(now))
+	share := limiter.hosts.share(limiter.own, key, limit)
+	for _, past := range limiter.past {
+		if now.Sub(past.replacedAt) < settleTime {
+			share = min(share, past.share(limiter.own, key, limit))
+		}
+	}
+	if limiter.isDeaf(now) {
+		return min(1, share)
+	}
+	return share
+}
+
+// isDeaf reports whether this host hears none of the others.
+func (limiter *Limiter) isDeaf(now time.Time) bool {
+	for _, at := range limiter.heard {
+		if now.Sub(at) < heardTimeout {
+			return false
+		}
+	}
+	return len(limiter.hosts.names) > 1
+}
+
+// share returns a host's part of a limit that is divided among the hosts.
+func (hosts *hostSet) share(own string, key uint64, limit int) int {
+	part, rest := limit/len(hosts.names), limit%len(hosts.names)
+	if rest > 0 && hosts.rank(own, key) < rest {
+		part++
+	}
+	return part
+}
+
+// rank returns the position of a host in the rendezvous order for a server.
+func (hosts *hostSet) rank(own string, key uint64) int {
+	rank, known := hosts.ranks[key]
+	if known {
+		return rank
+	}
+	text := "room/" + strconv.FormatUint(key, 16)
+	score := host.Score(text, own)
+	for _, other := range hosts.names {
+		if other != own && host.Score(text, other) > score {
+			rank++
+		}
+	}
+	hosts.ranks[key] = rank
+	return rank
+}
+
+// Wait returns the time after which this host may have room for a request at a server; 0: it has.
+func (limiter *Limiter) Wait(registered fleet.Server, now time.Time) time.Duration {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	if limiter.brittle == 0 {
+		return 0
+	}
+	key := fleet.ServerHash(registered.ID)
+	known := limiter.servers[key]
+	if known == nil || limiter.hasRoom(key, known, now) {
+		return 0
+	}
+	return limiter.holdTime(registered.Service)
+}
+
+func (limiter *Limiter) hasRoom(key uint64, known *server, now time.Time) bool {
+	return !known.isBrittle(now) || known.inFlight < limiter.share(key, known, now)
+}
+
+// Limit returns the limit of a server and this host's share of it; false: it is not brittle.
+func (limiter *Limiter) Limit(registered fleet.Server, now time.Time) (limit, share int, isBrittle bool) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	key := fleet.ServerHash(registered.ID)
+	known := limiter.servers[key]
+	if known == nil || !known.isBrittle(now) {
+		return 0, 0, false
+	}
+	return int(known.limit(now)), limiter.share(key, known, now), true
+}
+
+// Take counts a request that is about to be sent to a server. It returns false if there is no room for
+// it, or if other requests come first. Ticket is nil for a request that has not waited.
+func (limiter *Limiter) Take(registered fleet.Server, ticket *Ticket, now time.Time) bool {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	key := fleet.ServerHash(registered.ID)
+	known := limiter.server(key)
+	known.id, known.service = registered.ID, registered.Service
+	if known.isBrittle(now) {
+		if !limiter.hasRoom(key, known, now) || !limiter.isNext(registered.Service, ticket) {
+			return false
+		}
+	}
+	known.inFlight++
+	if ticket != nil {
+		limiter.leave(ticket, true)
+	}
+	return true
+}
+
+// Done ends a request that Take has counted at takenAt. One without an answer may still run at a brittle
+// server, so it counts a while longer.
+func (limiter *Limiter) Done(registered fleet.Server, answered bool, takenAt, now time.Time) {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	known := limiter.servers[fleet.ServerHash(registered.ID)]
+	if known == nil {
+		return
+	}
+	if answered || !known.isBrittle(now) {
+		limiter.release(known)
+		if known.number > 0 {
+			limiter.queue(known.service).observe(now.Sub(takenAt))
+		}
+		return
+	}
+	time.AfterFunc(unansweredTime, func() {
+		limiter.mutex.Lock()
+		defer limiter.mutex.Unlock()
+		limiter.release(known)
+	})
+}
+
+// release ends a request at a server.
+func (limiter *Limiter) release(known *server) {
+	known.inFlight--
+	if limiter.brittle > 0 {
+		limiter.wake(known.service)
+	}
+}
--- /dev/null
+++ b/core/room/room_test.go
@@ -0,0 +1,318 @@
+package room_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/fleet"
+	"primrosegw/core/room"
+)
+
+const (
+	step = 5 * time.Millisecond
+	// workTime is how long the servers work on a request, delay the time of a message.
+	workTime, delay = 100 * time.Millisecond, 10 * time.Millisecond
+	messageInterval = 150 * time.Millisecond
+	slots           = 2
+	// warning is the time for which brittle servers keep their room, lateRoom the number of requests that
+	// may wait afterwards.
+	warning  = 3 * time.Second
+	lateRoom = 1
+	number   = 3
+)
+
+// engine is a brittle server. Requests are in the order in which they came.
+type engine struct {
+	server   fleet.Server
+	present  []*flight
+	refusals []time.Time
+	// worst is the largest number of refusals within a second.
+	worst, served int
+}
+
+// flight is a request of a host at an engine.
+type flight struct {
+	host      *node
+	sentAt    time.Time
+	startedAt time.Time
+}
+
+// node is a host that always has a request for each engine.
+type node struct {
+	name    string
+	limiter *room.Limiter
+	// isDown: it neither sends requests nor messages. isMute: its messages are lost in both directions.
+	isDown, isMute bool
+	nextMessage    time.Time
+}
+
+// play is a set of hosts and engines.
+type play struct {
+	hosts   []*node
+	engines []*engine
+	begin   time.Time
+	lost    float64
+	random  *rand.Rand
+}
+
+func newPlay(hosts int, lost float64) *play {
+	play := &play{begin: time.Now(), lost: lost, random: rand.New(rand.NewPCG(uint64(hosts), 48))}
+	for index := range 6 {
+		play.engines = append(play.engines, &engine{server: fleet.Server{ID: fmt.Sprint("i-", index), Service: "service", Slots: slots}})
+	}
+	for range hosts {
+		play.addHost()
+	}
+	return play
+}
+
+func (play *play) addHost() *node {
+	name := fmt.Sprint("host-", len(play.hosts))
+	added := &node{name: name, limiter: room.New(name)}
+	play.hosts = append(play.hosts, added)
+	return added
+}
+
+// names returns the names of the hosts that are up.
+func (play *play) names() []string {
+	var names []string
+	for _, host := range play.hosts {
+		if !host.isDown {
+			names = append(names, host.name)
+		}
+	}
+	return names
+}
+
+// run lets time pass.
+func (play *play) run(duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(step) {
+		now := time.Now()
+		for _, host := range play.hosts {
+			if !host.isDown && !now.Before(host.nextMessage) {
+				host.nextMessage = now.Add(messageInterval)
+				host.limiter.SetHosts(play.names(), now)
+				host.limiter.Expire(now)
+				play.tell(host, now)
+			}
+		}
+		for _, engine := range play.engines {
+			play.work(engine, now)
+			for _, index := range play.random.Perm(len(play.hosts)) {
+				play.send(engine, play.hosts[index], now)
+			}
+		}
+	}
+}
+
+// tell sends the reports of a host to the others.
+func (play *play) tell(from *node, now time.Time) {
+	reports := from.limiter.PendingReports(now)
+	for _, to := range play.hosts {
+		if to == from || to.isDown || from.isMute || to.isMute || play.random.Float64() < play.lost {
+			continue
+		}
+		time.AfterFunc(delay, func() {
+			to.limiter.Heard(from.name, time.Now())
+			to.limiter.ApplyReports(reports, time.Now())
+		})
+	}
+}
+
+// send sends a request of a host to an engine if the host may.
+func (play *play) send(engine *engine, host *node, now time.Time) {
+	if host.isDown || host.limiter.Wait(engine.server, now) > 0 || !host.limiter.Take(engine.server, nil, now) {
+		return
+	}
+	present := slots + 8
+	if now.Sub(play.begin) >= warning {
+		present = slots + lateRoom
+	}
+	if len(engine.present) >= present {
+		engine.refuse(now, now.Sub(play.begin) >= warning)
+		host.limiter.Observe(engine.server, room.Observation{Number: number, Slots: slots, Refused: true, SentAt: now}, now)
+		host.limiter.Done(engine.server, true, now, now)
+		return
+	}
+	engine.present = append(engine.present, &flight{host: host, sentAt: now})
+}
+
+// refuse counts a refusal, which counts for a fall from the end of the warning on.
+func (engine *engine) refuse(now time.Time, counts bool) {
+	if !counts {
+		return
+	}
+	engine.refusals = append(engine.refusals, now)
+	within := 0
+	for _, at := range engine.refusals {
+		if now.Sub(at) < time.Second {
+			within++
+		}
+	}
+	engine.worst = max(engine.worst, within)
+}
+
+// work lets an engine answer what it has finished and start on the next requests.
+func (play *play) work(engine *engine, now time.Time) {
+	var present []*flight
+	for _, flight := range engine.present {
+		if flight.startedAt.IsZero() || now.Sub(flight.startedAt) < workTime {
+			present = append(present, flight)
+			continue
+		}
+		engine.served++
+		if !flight.host.isDown {
+			flight.host.limiter.Observe(engine.server, room.Observation{Number: number, Slots: slots, SentAt: flight.sentAt}, now)
+			flight.host.limiter.Done(engine.server, true, flight.sentAt, now)
+		}
+	}
+	engine.present = present
+	for _, flight := range present[:min(slots, len(present))] {
+		if flight.startedAt.IsZero() {
+			flight.startedAt = now
+		}
+	}
+}
+
+// served returns the number of requests that all engines have served.
+func (play *play) served() int {
+	total := 0
+	for _, engine := range play.engines {
+		total += engine.served
+	}
+	return total
+}
+
+// requireUp fails if an engine fell over.
+func (play *play) requireUp(t *testing.T) {
+	t.Helper()
+	for _, engine := range play.engines {
+		require.LessOrEqual(t, engine.worst, number, "refusals of %s within a second", engine.server.ID)
+	}
+}
+
+// Guards against hosts that together send brittle servers more than they have room for, and against
+// room that is left unused.
+func TestHostsTogetherKeepToTheRoom(t *testing.T) {
+	for _, hosts := range []int{1, 2, 4, 16, 40} {
+		for _, lost := range []float64{0, 0.2} {
+			synctest.Test(t, func(t *testing.T) {
+				play := newPlay(hosts, lost)
+				play.run(warning + time.Second)
+				before := play.served()
+				play.run(10 * time.Second)
+				play.requireUp(t)
+				places := len(play.engines) * slots
+				require.GreaterOrEqual(t, play.served()-before, places*10*8, "%d hosts, lost %g: 80 of 100 that fit", hosts, lost)
+			})
+		}
+	}
+}
+
+// Guards against servers that fall over because hosts come, go, or are heard of by some only.
+func TestRoomIsKeptWhileHostsChange(t *testing.T) {
+	for _, hosts := range []int{2, 4, 8, 32} {
+		synctest.Test(t, func(t *testing.T) {
+			play := newPlay(hosts, 0.05)
+			play.run(warning + time.Second)
+			play.hosts[0].isDown = true
+			play.run(2 * time.Second)
+			play.hosts[0].isDown, play.hosts[0].limiter = false, room.New(play.hosts[0].name)
+			play.run(2 * time.Second)
+			play.addHost()
+			play.run(2 * time.Second)
+			play.hosts[1].isMute = true
+			play.run(6 * time.Second)
+			play.hosts[1].isMute = false
+			play.run(2 * time.Second)
+			play.requireUp(t)
+		})
+	}
+}
+
+// Guards against a brittle time that never ends, or that ends with an answer to an older request.
+func TestBrittleTimeEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server, limiter := fleet.Server{ID: "i-0", Service: "service"}, room.New("host")
+		other := room.New("other")
+		brittle := func() room.Observation { return room.Observation{Number: 3, Slots: 2, SentAt: time.Now()} }
+		sentAt := time.Now()
+		time.Sleep(time.Millisecond)
+		require.Equal(t, room.Began, limiter.Observe(server, brittle(), time.Now()))
+		require.Equal(t, room.None, limiter.Observe(server, brittle(), time.Now()))
+		began, _ := other.ApplyReports(limiter.PendingReports(time.Now()), time.Now())
+		require.Equal(t, 1, began)
+		require.Equal(t, room.None, limiter.Observe(server, room.Observation{SentAt: sentAt}, time.Now()))
+		require.True(t, limiter.Take(server, nil, time.Now()))
+		require.Positive(t, limiter.Wait(server, time.Now()), "the lowest limit is reached")
+		time.Sleep(time.Second)
+		require.Zero(t, limiter.Wait(server, time.Now()), "the limit has risen")
+		require.Equal(t, room.Ended, limiter.Observe(server, room.Observation{SentAt: time.Now()}, time.Now()))
+		_, ended := other.ApplyReports(limiter.PendingReports(time.Now()), time.Now())
+		require.Equal(t, 1, ended)
+		for range 10 {
+			require.True(t, limiter.Take(server, nil, time.Now()))
+		}
+		require.Equal(t, room.Began, limiter.Observe(server, brittle(), time.Now()))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, []string{"i-0"}, limiter.Expire(time.Now()))
+		require.Zero(t, limiter.Wait(server, time.Now()))
+	})
+}
+
+// Guards against more requests to a server that has just refused one or has fallen over, and against a
+// request without an answer that no longer counts though it may run.
+func TestLimitIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server, limiter := fleet.Server{ID: "i-0", Service: "service"}, room.New("host")
+		limiter.Observe(server, room.Observation{Number: 3, Slots: 8}, time.Now())
+		time.Sleep(5 * time.Second)
+		limit, _, _ := limiter.Limit(server, time.Now())
+		require.Equal(t, 6, limit)
+		for range 5 {
+			require.True(t, limiter.Take(server, nil, time.Now()))
+		}
+		limiter.Observe(server, room.Observation{Number: 3, Slots: 8, Refused: true}, time.Now())
+		limiter.Done(server, true, time.Now(), time.Now())
+		limit, share, _ := limiter.Limit(server, time.Now())
+		require.Equal(t, 3, limit)
+		require.Zero(t, share, "it is left alone for a moment")
+		time.Sleep(500 * time.Millisecond)
+		require.Positive(t, limiter.Wait(server, time.Now()), "4 are in flight")
+		limiter.Fell(server, time.Now())
+		for range 4 {
+			limiter.Done(server, false, time.Now(), time.Now())
+		}
+		time.Sleep(600 * time.Millisecond)
+		require.Positive(t, limiter.Wait(server, time.Now()), "4 may still run")
+		time.Sleep(time.Second)
+		require.Zero(t, limiter.Wait(server, time.Now()))
+	})
+}
+
+// Guards against values of other hosts that break the limit.
+func TestOddReportsAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limiter, server := room.New("host"), fleet.Server{ID: "i-0", Service: "service"}
+		key := fleet.ServerHash("i-0")
+		for _, report := range []room.Report{
+			{Server: key, Number: -1, Base: 1},
+			{Server: key, Number: 3, Base: -1},
+			{Server: key, Number: 3, Slots: -1, Base: 1},
+			{Server: key, Number: 3, Base: 1, AgeMs: 1 << 40},
+			{Server: key, Number: 0},
+		} {
+			began, ended := limiter.ApplyReports([]room.Report{report}, time.Now())
+			require.Zero(t, began+ended, "%+v", report)
+		}
+		limiter.ApplyReports([]room.Report{{Server: key, Number: 3, Base: 1e300, AgeMs: -1 << 40, CutAgeMs: -1 << 40, Refused: true}}, time.Now())
+		limit, _, isBrittle := limiter.Limit(server, time.Now())
+		require.True(t, isBrittle)
+		require.LessOrEqual(t, limit, 11)
+	})
+}
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -23,6 +23,8 @@
 	// Refuse: the request has not run and is rejected; the caller is told when to
 	// retry.
 	Refuse Action = "refuse"
+	// Await: the request may wait for room at a brittle server.
+	Await Action = "await"
 	// GiveUp: the request is not sent to any further server.
 	GiveUp Action = "give_up"
 )
@@ -37,6 +39,8 @@
 	ServerLimit = "server_limit"
 	// TurnedAway: the servers that could take the request want none of this host for a time.
 	TurnedAway = "turned_away"
+	// Brittle: the servers that could take the request are brittle and have no room now.
+	Brittle = "brittle"
 )
 
 // Progress is the history of a request's attempts.
@@ -95,6 +99,10 @@
 	hasNotRun := progress.Reached == 0 || progress.State.NotRun()
 	isAway := func(member fleet.Member) bool { return member.AwayFor(now) > 0 }
 	switch {
+	case options.LacksRoomOnly(members, progress.Tried, now) && progress.Reached == 0:
+		return Decision{Action: Await, Reason: Brittle, RetryAfter: wait}
+	case options.LacksRoomOnly(members, progress.Tried, now) && hasNotRun:
+		return Decision{Action: Refuse, Reason: Brittle, RetryAfter: wait}
 	case wait > 0 && hasNotRun && slices.ContainsFunc(members, isAway):
 		return Decision{Action: Refuse, Reason: TurnedAway, RetryAfter: wait + spread(request.ID, wait)}
 	case wait > 0 && progress.Reached == 0:
--- a/core/steer/steer_test.go
+++ b/core/steer/steer_test.go
@@ -101,6 +101,33 @@
 	require.Equal(t, steer.NoServer, decision.Reason)
 }
 
+// Guards against sending to a brittle server without room or, in its place, to one that fails, and against
+// requests that wait though they may have run.
+func TestBrittleServers(t *testing.T) {
+	now := time.Now()
+	members := []fleet.Member{{Server: fleet.Server{ID: "a"}}, {Server: fleet.Server{ID: "b"}}}
+	next := func(progress steer.Progress, room fakePacer, members []fleet.Member) steer.Decision {
+		retries := fakeBudget(1)
+		return steer.Next(pick.Options{TokensPerMs: 50, Room: room}, bulk(now), progress, &retries, members, now)
+	}
+	decision := next(steer.Progress{}, fakePacer{"a": time.Second}, members)
+	require.Equal(t, steer.Send, decision.Action)
+	require.Equal(t, "b", decision.Choice.Member.ID)
+	full := fakePacer{"a": time.Second, "b": 300 * time.Millisecond}
+	decision = next(steer.Progress{}, full, members)
+	require.Equal(t, steer.Await, decision.Action)
+	decision = next(steer.Progress{Reached: 1, State: work.Refused, Tried: map[string]bool{"b": true}}, full, members)
+	require.Equal(t, steer.Refuse, decision.Action)
+	require.Equal(t, steer.Brittle, decision.Reason)
+	decision = next(steer.Progress{Reached: 1, State: work.Unsure, Tried: map[string]bool{"b": true}}, full, members)
+	require.Equal(t, steer.GiveUp, decision.Action)
+	fallen := []fleet.Member{members[0], {Server: fleet.Server{ID: "b"}, SuspendedUntil: now.Add(time.Second)}}
+	decision = next(steer.Progress{}, fakePacer{"a": time.Second}, fallen)
+	require.Equal(t, steer.Await, decision.Action)
+	decision = next(steer.Progress{}, fakePacer{"b": time.Second}, fallen)
+	require.Equal(t, "a", decision.Choice.Member.ID)
+}
+
 // Guards against callers that are told nothing of when a server wants requests again, that return
 // together, or that are told "not run" of a request which may have run.
 func TestTurnedAway(t *testing.T) {
