--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -51,6 +51,8 @@
 		VersionIgnored(),
 		StreamsIgnored(),
 		ServerLimitChanged(),
+		ServerBrittle(),
+		ServerNotBrittle(),
 		HostListed(),
 		HostUnlisted(),
 		EntriesRead(),
@@ -314,6 +316,16 @@
 	return Event{1949, "server_limit_changed", logrus.InfoLevel, "fleet", "A backend server named another limit of requests per second than before, or none any longer."}
 }
 
+// ServerBrittle reports that backend servers began to say that they are brittle.
+func ServerBrittle() Event {
+	return Event{1959, "server_brittle", logrus.WarnLevel, "fleet", "A backend server says that it is brittle; the requests in flight there are limited over all hosts."}
+}
+
+// ServerNotBrittle reports that backend servers ceased to be brittle.
+func ServerNotBrittle() Event {
+	return Event{1962, "server_not_brittle", logrus.InfoLevel, "fleet", "A backend server no longer says that it is brittle."}
+}
+
 // HostListed reports that another host registered itself or changed its state.
 func HostListed() Event {
 	return Event{1950, "host_listed", logrus.InfoLevel, "roster", "Another host registered itself or changed its state."}
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -58,6 +58,11 @@
 	// RateLimit is the number of requests per second that the server accepts from all hosts
 	// together; 0: it names none.
 	RateLimit float64
+	// Brittle is the number of requests that the server can turn away within a second for want of room; with
+	// one more it falls over. 0: it does not say that it is brittle.
+	Brittle int
+	// NoRoom: the server turned the request away for want of room.
+	NoRoom bool
 	// Leaving: the server says that it is leaving.
 	Leaving bool
 	// RetryAfter is the time for which a server that turned the request away wants none of this
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -97,6 +97,7 @@
 		call.handler.options.Fleet.ReportLoad(exchange.server.ID, *info.Load)
 	}
 	exchange.observeRateLimit(response, info)
+	exchange.observeBrittle(response, info)
 	exchange.observeRefusal(info)
 	return exchange.handleResponse(response, info)
 }
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -30,6 +30,7 @@
 // responds or no attempt is left.
 func (call *call) forward() {
 	call.tried = make(map[string]bool)
+	defer call.leaveQueue()
 	if refusal := call.findOrigin(); refusal != nil {
 		call.refuse(*refusal)
 		return
@@ -48,24 +49,23 @@
 			return
 		}
 		step := call.nextStep(time.Now())
-		switch step.Action {
-		case steer.GiveUp:
-			call.giveUp(unservedRefusal(call.state, step.Reason == steer.Deadline, call.noServerReason(step.Reason)))
-			return
-		case steer.Refuse:
-			call.refuse(refusal{status: http.StatusServiceUnavailable, reason: step.Reason, retryAfter: step.RetryAfter, choice: step.Choice})
+		if call.endsWith(step) {
 			return
 		}
 		if !call.awaitOrigin() {
 			call.giveUp(unservedRefusal(call.state, false, "unknown_origin"))
 			return
 		}
-		if !call.handler.options.Pacer.Take(step.Choice.Member.Server, time.Now()) {
-			// Another request has taken the permission since the decision.
+		isAcquired, refusal := call.acquire(step)
+		if refusal != nil {
+			call.giveUp(*refusal)
+			return
+		}
+		if !isAcquired {
 			continue
 		}
 		call.tried[step.Choice.Member.ID] = true
-		result := call.attempt(*step.Choice, 0)
+		result := call.attemptInRoom(*step.Choice)
 		call.state = call.state.Next(result)
 		if !work.Unsent.Next(result).NotRun() {
 			call.mayHaveRun++
@@ -85,6 +85,33 @@
 	}
 }
 
+// endsWith ends the request if that is its next step. It reports whether it did.
+func (call *call) endsWith(step steer.Decision) bool {
+	switch step.Action {
+	case steer.GiveUp:
+		call.giveUp(unservedRefusal(call.state, step.Reason == steer.Deadline, call.noServerReason(step.Reason)))
+		return true
+	case steer.Refuse:
+		call.refuse(refusal{status: http.StatusServiceUnavailable, reason: step.Reason, retryAfter: step.RetryAfter, choice: step.Choice})
+		return true
+	}
+	return false
+}
+
+// acquire takes the permissions to send a request to the chosen server. It returns false if the next step
+// is to be decided again, after a wait for room at brittle servers, and a refusal if that wait is too long.
+func (call *call) acquire(step steer.Decision) (bool, *refusal) {
+	if step.Action == steer.Await || !call.takeRoom(step.Choice.Member.Server) {
+		return false, call.awaitRoom()
+	}
+	if !call.handler.options.Pacer.Take(step.Choice.Member.Server, time.Now()) {
+		// Another request has taken the permission since the decision.
+		call.handler.options.Room.Done(step.Choice.Member.Server, true, time.Now(), time.Now())
+		return false, nil
+	}
+	return true, nil
+}
+
 // endsHere returns the refusal of a request that must not be sent to a server any more, whichever it
 // is; nil if it may be.
 func (call *call) endsHere() *refusal {
@@ -147,6 +174,7 @@
 	if err != nil {
 		if fault.Is(err, pipe.Unreachable) && call.ctx.Err() == nil {
 			call.handler.recordUnreachable(server, err)
+			options.Room.Fell(server, time.Now())
 		}
 		return work.NoConnection
 	}
@@ -207,7 +235,7 @@
 	if !call.handler.options.Logger.Enabled(event.RequestSent()) {
 		return
 	}
-	call.log(event.RequestSent(), logrus.Fields{
+	fields := logrus.Fields{
 		"route": call.work.Route.Name, "workspace": call.work.Workspace,
 		"server": call.serverID, "server_version": choice.Member.Version, "from_event": call.events.lastID, "resumes": call.info.Resumes, "attempt": call.reached + 1, "rank": call.work.Rank, "loss": choice.Loss, "over": choice.Candidates,
 		"left_ms": call.work.Remaining(exchange.started).Milliseconds(), "preferred": choice.Preferred,
@@ -217,7 +245,11 @@
 		"reported_running": choice.Member.Load.Running, "reported_waiting": choice.Member.Load.Waiting,
 		"process": exchange.process, "connection_age_ms": exchange.started.Sub(exchange.conn.OpenedAt).Milliseconds(),
 		"slowness": choice.Member.Load.Slowness, "report_age_ms": reportAgeMs(choice.Member.Load, exchange.started),
-	})
+	}
+	if limit, share, isBrittle := call.handler.options.Room.Limit(choice.Member.Server, exchange.started); isBrittle {
+		fields["room"], fields["room_share"] = limit, share
+	}
+	call.log(event.RequestSent(), fields)
 }
 
 // reportAgeMs returns the age of a load report, or -1 if there is none.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -26,6 +26,7 @@
 	"primrosegw/core/pick"
 	"primrosegw/core/poison"
 	"primrosegw/core/retry"
+	"primrosegw/core/room"
 	"primrosegw/core/table"
 	"primrosegw/core/trickle"
 	"primrosegw/core/work"
@@ -54,7 +55,9 @@
 	CrashDetector *poison.CrashDetector
 	// Pacer keeps to the rates that backend servers accept.
 	Pacer *pacer.Pacer
-	Pick  pick.Options
+	// Room keeps the requests at brittle backend servers within their room.
+	Room *room.Limiter
+	Pick pick.Options
 	// TrustedServices holds the services whose responses may end with their connection.
 	TrustedServices map[string]bool
 	// ConnectionShare returns this host's share of a server's connection limit.
@@ -150,6 +153,10 @@
 	hold  *budget.Hold
 	work  work.Request
 	table *table.Table
+	// ticket is the place in the queue for room at brittle servers; nil: the request has not waited.
+	ticket *room.Ticket
+	// waitsUntil is until when the request may wait there.
+	waitsUntil time.Time
 
 	state work.State
 	// mayHaveRun is the number of attempts of which it is not certain that they have not run.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -26,6 +26,7 @@
 	"primrosegw/core/pick"
 	"primrosegw/core/poison"
 	"primrosegw/core/retry"
+	"primrosegw/core/room"
 	"primrosegw/core/table"
 	"primrosegw/core/work"
 	"primrosegw/io/front"
@@ -191,7 +192,7 @@
 	harness.crashes = poison.NewCrashDetector(poison.DetectorOptions{})
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
-		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, Registrations: harness, VersionRecords: harness.records, Pacer: pacer.New("host"), Pick: pick.Options{TokensPerMs: 50},
+		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, Registrations: harness, VersionRecords: harness.records, Pacer: pacer.New("host"), Room: room.New("host"), Pick: pick.Options{TokensPerMs: 50},
 		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{}, Budget: harness.budget, TrustedServices: harness.trusted,
 	})
 	listener, err := front.Listen(t.Context(), "127.0.0.1:0")
