--- a/core/room/room.go
+++ b/core/room/room.go
@@ -103,8 +103,8 @@
 
 func newHostSet(names []string) *hostSet { return &hostSet{names: names, ranks: make(map[uint64]int)} }
 
-// SetHosts sets the hosts among which the limits are divided. Those that were among them before count for
-// as long as they are heard of.
+// SetHosts sets the hosts among which the limits are divided; others have no share. Those that were among
+// them before count for as long as they are heard of.
 func (limiter *Limiter) SetHosts(hosts []string, now time.Time) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
@@ -116,9 +116,6 @@
 			hosts = append(hosts, name)
 		}
 	}
-	if !slices.Contains(hosts, limiter.own) {
-		hosts = append(hosts, limiter.own)
-	}
 	slices.Sort(hosts)
 	limiter.past = slices.DeleteFunc(limiter.past, func(past pastHosts) bool { return now.Sub(past.replacedAt) >= settleTime })
 	if slices.Equal(hosts, limiter.hosts.names) {
@@ -292,8 +289,11 @@
 	return len(limiter.hosts.names) > 1
 }
 
-// share returns a host's part of a limit that is divided among the hosts.
+// share returns a host's part of a limit that is divided among the hosts; 0 if it is not one of them.
 func (hosts *hostSet) share(own string, key uint64, limit int) int {
+	if !slices.Contains(hosts.names, own) {
+		return 0
+	}
 	part, rest := limit/len(hosts.names), limit%len(hosts.names)
 	if rest > 0 && hosts.rank(own, key) < rest {
 		part++
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -316,3 +316,20 @@
 		require.LessOrEqual(t, limit, 11)
 	})
 }
+
+// Guards against hosts that callers are not sent to, but take room beside those that divide it.
+func TestHostThatIsNotListedHasNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server, limiter := fleet.Server{ID: "i-0", Service: "service"}, room.New("host")
+		limiter.Observe(server, room.Observation{Number: 3, Slots: 2}, time.Now())
+		require.Zero(t, limiter.Wait(server, time.Now()))
+		for _, hosts := range [][]string{{"a", "b"}, {}} {
+			limiter.SetHosts(hosts, time.Now())
+			require.Positive(t, limiter.Wait(server, time.Now()))
+		}
+		limiter.SetHosts([]string{"host"}, time.Now())
+		require.Positive(t, limiter.Wait(server, time.Now()), "the others may not know yet")
+		time.Sleep(time.Second)
+		require.Zero(t, limiter.Wait(server, time.Now()))
+	})
+}
