--- a/io/front/front.go
+++ b/io/front/front.go
@@ -27,6 +27,7 @@
 	"primrosegw/core/poison"
 	"primrosegw/core/reach"
 	"primrosegw/core/retry"
+	"primrosegw/core/room"
 	"primrosegw/core/table"
 	"primrosegw/core/trickle"
 	"primrosegw/core/work"
@@ -57,7 +58,9 @@
 	CrashDetector *poison.CrashDetector
 	// Pacer keeps to the rates that backend servers accept.
 	Pacer *pacer.Pacer
-	Pick  pick.Options
+	// Room keeps the requests at brittle backend servers within their room.
+	Room *room.Limiter
+	Pick pick.Options
 	// TrustedServices holds the services whose responses may end with their connection.
 	TrustedServices map[string]bool
 	// Cuts holds where connections are known to have been closed in order within responses. TellCuts
@@ -160,6 +163,10 @@
 	hold  *budget.Hold
 	work  work.Request
 	table *table.Table
+	// ticket is the place in the queue for room at brittle servers; nil: the request has not waited.
+	ticket *room.Ticket
+	// waitsUntil is until when the request may wait there.
+	waitsUntil time.Time
 
 	state work.State
 	// mayHaveRun is the number of attempts of which it is not certain that they have not run.
