core/fleet: versions are remembered longer than it is remembered where streams began

A version was forgotten 5 minutes after its last server, and streams of routes with longer timeouts may be taken up later. Change: 15 minutes; the registry of origins forgets after 10. Measured: TestVersionIsRememberedAsLongAsItsStreamsMayLast failed before, passes now with -race.

--- a/core/fleet/removed.go
+++ b/core/fleet/removed.go
@@ -9,6 +9,10 @@
 // from which the service is restored may be old, and than a stream lasts.
 const removedRetention = 5 * time.Minute
 
+// versionRetention is how long a version is remembered that no server has any more. It is longer than it
+// is remembered where a stream began.
+const versionRetention = 15 * time.Minute
+
 // removedServer is the last registration of a server that was removed.
 type removedServer struct {
 	Server
@@ -34,7 +38,7 @@
 // rememberVersion remembers that a server had its version until now. The mutex is held.
 func (fleet *Fleet) rememberVersion(server Server, now time.Time) {
 	for other, lastUsed := range fleet.pastVersions {
-		if now.Sub(lastUsed) > removedRetention {
+		if now.Sub(lastUsed) > versionRetention {
 			delete(fleet.pastVersions, other)
 		}
 	}
