core/reach, platform: kept connections through a leaving host take no more requests

A host that is cut off kept using idle connections through a helping host after that had begun to stop, until its process ended and cut what was running on them. Change: such a connection is used only while the host is listed as live and does not say that it is cut off.

--- a/core/reach/helpers.go
+++ b/core/reach/helpers.go
@@ -33,6 +33,13 @@
 	return helpers[:min(len(helpers), MaxHelpers)]
 }
 
+// MayCarry reports whether a connection through a host may take another request: not if the host is leaving,
+// as it ends with its connections, nor if it is cut off itself.
+func (peers *Peers) MayCarry(name string, live []host.Host, now time.Time) bool {
+	isNamed := func(one host.Host) bool { return one.Name == name }
+	return slices.ContainsFunc(live, isNamed) && !peers.IsCutOff(name, now)
+}
+
 // compareBool orders true before false.
 func compareBool(a, b bool) int {
 	switch {
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -179,3 +179,12 @@
 	}
 	return names
 }
+
+// Guards against requests on a kept connection through a host that is leaving: they are cut when it has left.
+func TestConnectionsThroughALeavingHostTakeNoRequests(t *testing.T) {
+	peers, live := reach.NewPeers(), []host.Host{{Name: "a"}, {Name: "b"}}
+	require.True(t, peers.MayCarry("b", live, at(0)))
+	require.False(t, peers.MayCarry("b", live[:1], at(0)), "it is not listed as live any more")
+	peers.Record("a", true, at(0))
+	require.False(t, peers.MayCarry("a", live, at(1)), "it is cut off")
+}
