io/front: a version counts for 15 minutes after its last server, whether it is recorded or not

The server was removed before its version was recorded, which takes up to a second, and the other host counted versions of removed servers for a minute only, while a host that is cut off from the store goes on beginning streams there. Change: versionMemory in place of the age of a stream.

--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -21,6 +21,9 @@
 	// maxStreamAge is how long ago a stream that a caller takes up may have begun, unless the
 	// timeout of its route is longer: a caller may have waited for several attempts.
 	maxStreamAge = time.Minute
+	// versionMemory is for how long a version that no server has any more counts as one at which a stream may
+	// have begun: a host that is cut off from the store begins streams at servers that were removed.
+	versionMemory = 15 * time.Minute
 )
 
 // originSource is how a host found out where a stream began.
@@ -195,11 +198,10 @@
 // the given timeout may have begun, and whether these are all. Servers may have left before this host
 // started, or while it did not hear of changes, so the recorded versions count, too.
 func (handler *Handler) possibleVersions(service string, timeout time.Duration, now time.Time) (versions []string, complete bool) {
-	oldest := oldestStream(timeout, now)
 	recorded := handler.options.VersionRecords.Versions(service)
-	versions = append(handler.options.Fleet.Versions(service, oldest), recorded...)
+	versions = append(handler.options.Fleet.Versions(service, now.Add(-max(timeout, versionMemory))), recorded...)
 	slices.Sort(versions)
-	return slices.Compact(versions), len(recorded) > 0 || handler.startedAt.Before(oldest)
+	return slices.Compact(versions), len(recorded) > 0 || handler.startedAt.Before(oldestStream(timeout, now))
 }
 
 // callerWaits returns until when the caller waits for the stream.
