--- a/core/room/room.go
+++ b/core/room/room.go
@@ -221,8 +221,8 @@
 	server.blockedUntil = now.Add(time.Second / time.Duration(max(1, server.number-1)))
 }
 
-// Fell records that a server refuses connections. It starts again with the lowest limit.
-func (limiter *Limiter) Fell(registered fleet.Server, now time.Time) {
+// RecordCrash records that a server refuses connections. It starts again with the lowest limit.
+func (limiter *Limiter) RecordCrash(registered fleet.Server, now time.Time) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	if known := limiter.servers[fleet.ServerHash(registered.ID)]; known != nil && known.isBrittle(now) {
@@ -273,14 +273,14 @@
 			share = min(share, past.share(limiter.own, key, limit))
 		}
 	}
-	if limiter.isDeaf(now) {
+	if limiter.isIsolated(now) {
 		return min(1, share)
 	}
 	return share
 }
 
-// isDeaf reports whether this host hears none of the others.
-func (limiter *Limiter) isDeaf(now time.Time) bool {
+// isIsolated reports whether this host hears none of the others.
+func (limiter *Limiter) isIsolated(now time.Time) bool {
 	for _, at := range limiter.heard {
 		if now.Sub(at) < heardTimeout {
 			return false
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -284,7 +284,7 @@
 		require.Zero(t, share, "it is left alone for a moment")
 		time.Sleep(500 * time.Millisecond)
 		require.Positive(t, limiter.Wait(server, time.Now()), "4 are in flight")
-		limiter.Fell(server, time.Now())
+		limiter.RecordCrash(server, time.Now())
 		for range 4 {
 			limiter.Done(server, false, time.Now(), time.Now())
 		}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		if fault.Is(err, pipe.Unreachable) && call.ctx.Err() == nil {
 			call.handler.recordUnreachable(server, err)
-			options.Room.Fell(server, time.Now())
+			options.Room.RecordCrash(server, time.Now())
 		}
 		return work.NoConnection
 	}
