--- a/io/front/known.go
+++ b/io/front/known.go
@@ -114,7 +114,7 @@
 // originPatience returns how long it may take until the host that began a stream knows at which
 // process: not at all if all servers say so, or if that makes no difference.
 func (call *call) originPatience(now time.Time) time.Duration {
-	if versions, complete := call.possibleVersions(now); complete && len(versions) == 1 {
+	if _, isSingle := call.singleVersion(now); isSingle {
 		return 0
 	}
 	for _, member := range call.handler.options.Fleet.Members(call.work.Service, now) {
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -145,11 +145,15 @@
 registered, so the copy of the registrations must be as recent as the request.
 */
 func (call *call) onlyVersion() (string, bool) {
-	versions, complete := call.possibleVersions(time.Now())
-	if !complete || len(versions) != 1 || !call.awaitCurrentCopy() {
+	if _, isSingle := call.singleVersion(time.Now()); !isSingle || !call.awaitCurrentCopy() {
 		return "", false
 	}
-	versions, complete = call.possibleVersions(time.Now())
+	return call.singleVersion(time.Now())
+}
+
+// singleVersion returns the one version that this host knows, however old its copy of the registrations is.
+func (call *call) singleVersion(now time.Time) (string, bool) {
+	versions, complete := call.possibleVersions(now)
 	if !complete || len(versions) != 1 {
 		return "", false
 	}
