core/host: Position, for core/pacer and core/room

core/room counted the rendezvous position of a host again beside core/pacer, which sorted all hosts for it. Behaviour is the same. Measured: go test -race ./core/pacer ./core/room ./core/roster; TestBrittleServersStayUp and TestHostsKeepToTheLimitOfAServer pass.

--- a/core/host/host.go
+++ b/core/host/host.go
@@ -49,6 +49,21 @@
 	return digest.Sum64()
 }
 
+// Position returns the position of a host among names in the rendezvous order for a key, 0 being the one
+// with the highest weight, or -1 if it is not among them.
+func Position(key, own string, names []string) int {
+	if !slices.Contains(names, own) {
+		return -1
+	}
+	position, weight := 0, Score(key, own)
+	for _, name := range names {
+		if name != own && Score(key, name) > weight {
+			position++
+		}
+	}
+	return position
+}
+
 // Rank returns the hosts that may own a key, highest weight first. It includes suspect
 // hosts until they are declared dead, so that one lost heartbeat does not move the
 // ownership of a cell. Leaving and dead hosts are excluded.
--- a/core/pacer/pacer.go
+++ b/core/pacer/pacer.go
@@ -3,7 +3,6 @@
 package pacer
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"sync"
@@ -103,10 +102,7 @@
 
 // rank returns the position of this host in the rendezvous order for a server's process.
 func (pacer *Pacer) rank(process uint64) int {
-	key := "pacer/" + strconv.FormatUint(process, 16)
-	ordered := slices.Clone(pacer.hosts)
-	slices.SortFunc(ordered, func(a, b string) int { return cmp.Compare(host.Score(key, b), host.Score(key, a)) })
-	return slices.Index(ordered, pacer.own)
+	return host.Position("pacer/"+strconv.FormatUint(process, 16), pacer.own, pacer.hosts)
 }
 
 // Observe records the limit that a server named in the response to a request that was sent
--- a/core/room/room.go
+++ b/core/room/room.go
@@ -307,13 +307,7 @@
 	if known {
 		return rank
 	}
-	text := "room/" + strconv.FormatUint(key, 16)
-	score := host.Score(text, own)
-	for _, other := range hosts.names {
-		if other != own && host.Score(text, other) > score {
-			rank++
-		}
-	}
+	rank = host.Position("room/"+strconv.FormatUint(key, 16), own, hosts.names)
 	hosts.ranks[key] = rank
 	return rank
 }
