review: an engine's death within an unframed answer goes unseen while it is busy

Cause: after three health questions without an answer, endcheck.go asks nothing for 5 s and does not look at the port either, so an answer that a killed engine cut is passed on as whole.

--- /dev/null
+++ b/review/lab2/engine.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// engineOptions says how an engine behaves. It is passed to its process as JSON.
+type engineOptions struct {
+	ID, Address string
+	// BornMs is the start of the process in Unix milliseconds.
+	BornMs int64
+	// IsModel is set for a model engine, which answers /-/report.
+	IsModel bool
+	// Slots is the number of requests that run at once, Queue the number that may wait.
+	Slots, Queue int
+	// WorkMs is how long a request runs until its answer begins.
+	WorkMs int
+	// BodyBytes is the length of an answer that is no stream. It is written in two halves, HalfMs apart.
+	BodyBytes, HalfMs int
+	// Unframed: answers have neither a length nor chunks and end with their connection.
+	Unframed bool
+	// Events is the number of events of a stream, GapMs the time between them, and Step the step between
+	// their IDs: the number of tokens generated so far.
+	Events, GapMs, Step int
+}
+
+// engine is a stand-in of a backend server. It runs as a process of its own.
+type engine struct {
+	engineOptions
+	slots chan struct{}
+	mutex sync.Mutex
+	// waiting and running are the requests that wait and that run.
+	waiting, running int
+}
+
+// runEngine serves until the process is killed.
+func runEngine(encoded string) error {
+	served := &engine{}
+	if err := json.Unmarshal([]byte(encoded), &served.engineOptions); err != nil {
+		return err
+	}
+	served.slots = make(chan struct{}, served.Slots)
+	listener, err := net.Listen("tcp4", served.Address)
+	if err != nil {
+		return err
+	}
+	fmt.Println(time.Now().UnixNano(), "started", served.ID)
+	server := &http.Server{Handler: served, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
+	return server.Serve(listener)
+}
+
+// note writes a line of the record.
+func (engine *engine) note(event, id string, detail ...any) {
+	line := fmt.Sprintln(append([]any{time.Now().UnixNano(), event, engine.ID, id}, detail...)...)
+	_, _ = os.Stdout.WriteString(line)
+}
+
+// ServeHTTP implements http.Handler.
+func (engine *engine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("Request-Id")
+	writer.Header()["Date"] = nil
+	if id != "" {
+		writer.Header().Set("Request-Id", id)
+	}
+	if request.URL.Path == "/-/report" && engine.IsModel {
+		engine.serveReport(writer)
+		return
+	}
+	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != engine.ID {
+		writer.Header().Set("Instance-Id", engine.ID)
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if id != "" {
+		engine.note("reached", id)
+	}
+	if !engine.admit(request.Context()) {
+		writer.Header().Set("Not-Executed", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer engine.leave()
+	if request.URL.Path == "/healthz" {
+		writer.Header().Set("Instance-Id", engine.ID)
+		return
+	}
+	engine.run(writer, request, id)
+}
+
+// admit waits for a slot. It returns false if too many wait, or the caller has left.
+func (engine *engine) admit(ctx context.Context) bool {
+	select {
+	case engine.slots <- struct{}{}:
+		engine.count(0, 1)
+		return true
+	default:
+	}
+	if !engine.count(1, 0) {
+		return false
+	}
+	defer engine.count(-1, 0)
+	select {
+	case engine.slots <- struct{}{}:
+		engine.count(0, 1)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// count changes the numbers of requests. It returns false if the queue is full.
+func (engine *engine) count(waiting, running int) bool {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if waiting > 0 && engine.waiting >= engine.Queue {
+		return false
+	}
+	engine.waiting += waiting
+	engine.running += running
+	return true
+}
+
+// leave gives a slot back.
+func (engine *engine) leave() {
+	<-engine.slots
+	engine.count(0, -1)
+}
+
+func (engine *engine) serveReport(writer http.ResponseWriter) {
+	engine.mutex.Lock()
+	active, queued := engine.running, engine.waiting
+	engine.mutex.Unlock()
+	answer(writer, http.StatusOK, map[string]any{
+		"phase": "colocated", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "seq_no": 1,
+		"queued": queued, "active": active, "kv_used": 0, "kv_total": 300000, "kv_handles": 0, "born": engine.BornMs,
+	})
+}
+
+// run runs a request.
+func (engine *engine) run(writer http.ResponseWriter, request *http.Request, id string) {
+	engine.note("runs", id, "after", request.Header.Get("Last-Event-Id"))
+	defer engine.note("ended", id)
+	select {
+	case <-time.After(time.Duration(engine.WorkMs) * time.Millisecond):
+	case <-request.Context().Done():
+		return
+	}
+	switch {
+	case engine.Events > 0:
+		engine.stream(writer, request, id)
+	case engine.Unframed:
+		engine.writeUnframed(writer, id)
+	default:
+		body := bodyOf(id, engine.BodyBytes)
+		writer.Header().Set("Engine-Signature", signature(engine.ID, body))
+		writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = writer.Write(body)
+	}
+}
+
+// bodyOf returns the body of the answer to a request.
+func bodyOf(id string, length int) []byte {
+	line := "answer to " + id + "\n"
+	return []byte(strings.Repeat(line, 1+length/len(line)))
+}
+
+// signature returns the signature of a body, from which a consumer sees whether it has all of it.
+func signature(engineID string, body []byte) string {
+	return fmt.Sprintf("%s.%d.%08x", engineID, len(body), crc32.ChecksumIEEE(body))
+}
+
+// isWhole reports whether a body is the one that a signature was made for.
+func isWhole(signed string, body []byte) bool {
+	_, figures, found := strings.Cut(signed, ".")
+	return found && figures == fmt.Sprintf("%d.%08x", len(body), crc32.ChecksumIEEE(body))
+}
+
+// writeUnframed writes an answer that ends with its connection.
+func (engine *engine) writeUnframed(writer http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	body := bodyOf(id, engine.BodyBytes)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nEngine-Signature: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n", id, signature(engine.ID, body))
+	_, _ = conn.Write(append([]byte(head), body[:len(body)/2]...))
+	time.Sleep(time.Duration(engine.HalfMs) * time.Millisecond)
+	_, _ = conn.Write(body[len(body)/2:])
+}
+
+// stream writes the events after the last one that the caller has.
+func (engine *engine) stream(writer http.ResponseWriter, request *http.Request, id string) {
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	writer.Header().Set("Content-Type", "text/event-stream")
+	writer.Header().Set("Engine-Signature", engine.ID+".stream")
+	for number := 1; number <= engine.Events; number++ {
+		eventID := number * engine.Step
+		if eventID <= last {
+			continue
+		}
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: tokens up to %d\n\n", eventID, eventID); err != nil {
+			return
+		}
+		if http.NewResponseController(writer).Flush() != nil {
+			return
+		}
+		engine.note("event", id, eventID)
+		if number == engine.Events {
+			return
+		}
+		select {
+		case <-time.After(time.Duration(engine.GapMs) * time.Millisecond):
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
