review: a brittle service's restarted engine is pushed over again at each start

Cause: core/room knows a server as brittle only from its own answers, so that one which has just started under a new ID has no limit and gets all that waits.

--- a/review/lab2/engine.go
+++ b/review/lab2/engine.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,8 +33,16 @@
 	// Events is the number of events of a stream, GapMs the time between them, and Step the step between
 	// their IDs: the number of tokens generated so far.
 	Events, GapMs, Step int
+	// BrittleFromMs is when the brittle time of the service begins, in Unix milliseconds; 0: never. Brittle is
+	// the number of requests that the engine may turn away within a second, and BrittleQueue the number that
+	// may wait from contact_ms later.
+	BrittleFromMs         int64
+	Brittle, BrittleQueue int
 }
 
+// contactTime is contact_ms of the settings.
+const contactTime = 3 * time.Second
+
 // engine is a stand-in of a backend server. It runs as a process of its own.
 type engine struct {
 	engineOptions
@@ -41,6 +50,8 @@
 	mutex sync.Mutex
 	// waiting and running are the requests that wait and that run.
 	waiting, running int
+	// refusedAt holds the times of the latest requests that were turned away.
+	refusedAt []time.Time
 }
 
 // runEngine serves until the process is killed.
@@ -72,6 +83,9 @@
 	if id != "" {
 		writer.Header().Set("Request-Id", id)
 	}
+	if engine.brittleFor() >= 0 {
+		writer.Header().Set("Server-Brittle", strconv.Itoa(engine.Brittle))
+	}
 	if request.URL.Path == "/-/report" && engine.IsModel {
 		engine.serveReport(writer)
 		return
@@ -85,6 +99,7 @@
 		engine.note("reached", id)
 	}
 	if !engine.admit(request.Context()) {
+		engine.noteRefused(id)
 		writer.Header().Set("Not-Executed", "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -122,7 +137,11 @@
 func (engine *engine) count(waiting, running int) bool {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	if waiting > 0 && engine.waiting >= engine.Queue {
+	queue := engine.Queue
+	if engine.brittleFor() >= contactTime {
+		queue = engine.BrittleQueue
+	}
+	if waiting > 0 && engine.waiting >= queue {
 		return false
 	}
 	engine.waiting += waiting
@@ -130,6 +149,31 @@
 	return true
 }
 
+// brittleFor returns for how long the service has been brittle; negative: it is not.
+func (engine *engine) brittleFor() time.Duration {
+	if engine.BrittleFromMs == 0 {
+		return -1
+	}
+	return time.Since(time.UnixMilli(engine.BrittleFromMs))
+}
+
+// noteRefused counts a request that was turned away. A brittle engine that turns too many away within a second
+// falls over.
+func (engine *engine) noteRefused(id string) {
+	engine.note("refuses", id)
+	if engine.brittleFor() < 0 {
+		return
+	}
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	now := time.Now()
+	engine.refusedAt = slices.DeleteFunc(append(engine.refusedAt, now), func(at time.Time) bool { return now.Sub(at) > time.Second })
+	if len(engine.refusedAt) > engine.Brittle {
+		engine.note("falls", id)
+		os.Exit(exitBroken)
+	}
+}
+
 // leave gives a slot back.
 func (engine *engine) leave() {
 	<-engine.slots
