--- a/review/lab2/cutanswer.go
+++ b/review/lab2/cutanswer.go
@@ -9,7 +9,7 @@
 // The sizes of the play of an engine that is killed within its answers.
 const (
 	ledgerEngines   = 4
-	ledgerConsumers = 88
+	ledgerConsumers = 92
 	killAfter       = 5 * time.Second
 	loadLasts       = 8 * time.Second
 	ledgerPause     = 20 * time.Millisecond
@@ -24,10 +24,18 @@
 		map[string]any{"name": "ledger"},
 		map[string]any{"name": "r-entry", "path_prefix": "/entry/", "route_kind": "non_idempotent", "timeout_ms": 4000, "slo_ms": 1000, "priority": 2, "max_attempts": 1},
 	))
-	options := engineOptions{Slots: 6, Queue: 24, WorkMs: 60, BodyBytes: 4000, HalfMs: 150, Unframed: true}
+	options := engineOptions{Slots: 6, Queue: 24, WorkMs: 30, BodyBytes: 4000, HalfMs: 180, Unframed: true}
 	var engines []*engineProcess
+	halves := make(chan struct{}, 1)
 	for number := range ledgerEngines {
-		engine, err := lab.startEngine(number, "ledger", options, nil)
+		engine, err := lab.startEngine(number, "ledger", options, func(fields []string) {
+			if number == 0 && fields[1] == "half" {
+				select {
+				case halves <- struct{}{}:
+				default:
+				}
+			}
+		})
 		if err != nil {
 			return false, err
 		}
@@ -59,6 +67,8 @@
 	}
 	time.Sleep(killAfter)
 	if trouble {
+		<-halves
+		<-halves
 		lab.note("SIGKILL for engine %s", engines[0].ID)
 		engines[0].kill()
 	}
--- a/review/lab2/engine.go
+++ b/review/lab2/engine.go
@@ -239,6 +239,7 @@
 	body := bodyOf(id, engine.BodyBytes)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nEngine-Signature: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n", id, signature(engine.ID, body))
 	_, _ = conn.Write(append([]byte(head), body[:len(body)/2]...))
+	engine.note("half", id)
 	time.Sleep(time.Duration(engine.HalfMs) * time.Millisecond)
 	_, _ = conn.Write(body[len(body)/2:])
 }
