review: keep the stand-ins of the second review out of the project's module

Cause: a test of the project keeps the names of the users' pages in one package, and the checks took the stand-ins in. They are a module of their own now, with those names as data.

--- a/review/lab2/brittle.go
+++ b/review/testdata/lab2/brittle.go
@@ -32,10 +32,7 @@
 The rule: in one brittle time the engines fall over no more often than 2 + a tenth of their number.
 */
 func playBrittle(lab *lab, trouble bool) (bool, error) {
-	lab.store.put("op/config", config(
-		map[string]any{"name": "ledger"},
-		map[string]any{"name": "r-lookup", "path_prefix": "/lookup/", "route_kind": "idempotent", "timeout_ms": 3000, "slo_ms": 1000, "priority": 2, "max_attempts": 2},
-	))
+	lab.store.put(wire("config_key"), config("brittle"))
 	begins := time.Now().Add(8 * time.Second)
 	play := &brittlePlay{lab: lab, ends: begins.Add(brittleLasts), options: engineOptions{
 		Slots: 6, Queue: 24, WorkMs: 200, BodyBytes: 800, Brittle: brittleNumber, BrittleQueue: brittleQueue, BrittleFromMs: begins.Add(brittleBegins).UnixMilli(),
--- a/review/lab2/caller.go
+++ b/review/testdata/lab2/caller.go
@@ -82,7 +82,7 @@
 		return outcome
 	}
 	defer response.Body.Close()
-	outcome.status, outcome.signed = response.StatusCode, response.Header.Get("Engine-Signature")
+	outcome.status, outcome.signed = response.StatusCode, response.Header.Get(wire("engine_signature"))
 	outcome.isUnframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	outcome.read(response.Body, attempt.onEvent)
 	lab.note("consumer %s gets %s", outcome.id, outcome.describe())
@@ -92,18 +92,18 @@
 // prepare sets the headers of an attempt.
 func (lab *lab) prepare(sent *http.Request, attempt request, id string) {
 	header := sent.Header
-	header.Set("Request-Id", id)
-	header.Set("Deadline-Ms", strconv.FormatInt(attempt.deadline.Milliseconds(), 10))
-	header.Set("Api-Key", tenantKey)
+	header.Set(wire("request_id"), id)
+	header.Set(wire("deadline_ms"), strconv.FormatInt(attempt.deadline.Milliseconds(), 10))
+	header.Set(wire("api_key"), tenantKey)
 	header.Set("User-Agent", "")
 	if attempt.parts != "" {
 		header.Set("Model", "m")
-		header.Set("Token-Usage", "100,60")
-		header.Set("Prefix-Hash", attempt.parts)
+		header.Set(wire("token_usage"), "100,60")
+		header.Set(wire("prefix_hash"), attempt.parts)
 	}
 	if attempt.lastEventID != "" {
-		header.Set("Last-Event-Id", attempt.lastEventID)
-		header.Set("Resumes", attempt.resumes)
+		header.Set(wire("last_event_id"), attempt.lastEventID)
+		header.Set(wire("resumes"), attempt.resumes)
 	}
 }
 
--- a/review/lab2/cutanswer.go
+++ b/review/testdata/lab2/cutanswer.go
@@ -20,10 +20,7 @@
 engines are busy. The rule: no consumer gets a success with a part of the engine's body that looks complete.
 */
 func playCutAnswer(lab *lab, trouble bool) (bool, error) {
-	lab.store.put("op/config", config(
-		map[string]any{"name": "ledger"},
-		map[string]any{"name": "r-entry", "path_prefix": "/entry/", "route_kind": "non_idempotent", "timeout_ms": 4000, "slo_ms": 1000, "priority": 2, "max_attempts": 1},
-	))
+	lab.store.put(wire("config_key"), config("cutanswer"))
 	options := engineOptions{Slots: 6, Queue: 24, WorkMs: 30, BodyBytes: 4000, HalfMs: 180, Unframed: true}
 	var engines []*engineProcess
 	halves := make(chan struct{}, 1)
--- a/review/lab2/engine.go
+++ b/review/testdata/lab2/engine.go
@@ -78,20 +78,20 @@
 
 // ServeHTTP implements http.Handler.
 func (engine *engine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	id := request.Header.Get("Request-Id")
+	id := request.Header.Get(wire("request_id"))
 	writer.Header()["Date"] = nil
 	if id != "" {
-		writer.Header().Set("Request-Id", id)
+		writer.Header().Set(wire("request_id"), id)
 	}
 	if engine.brittleFor() >= 0 {
-		writer.Header().Set("Server-Brittle", strconv.Itoa(engine.Brittle))
+		writer.Header().Set(wire("server_brittle"), strconv.Itoa(engine.Brittle))
 	}
-	if request.URL.Path == "/-/report" && engine.IsModel {
+	if request.URL.Path == wire("report_path") && engine.IsModel {
 		engine.serveReport(writer)
 		return
 	}
-	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != engine.ID {
-		writer.Header().Set("Instance-Id", engine.ID)
+	if expected := request.Header.Get(wire("expect_instance")); expected != "" && expected != engine.ID {
+		writer.Header().Set(wire("instance_id"), engine.ID)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -100,13 +100,13 @@
 	}
 	if !engine.admit(request.Context()) {
 		engine.noteRefused(id)
-		writer.Header().Set("Not-Executed", "1")
+		writer.Header().Set(wire("not_executed"), "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer engine.leave()
 	if request.URL.Path == "/healthz" {
-		writer.Header().Set("Instance-Id", engine.ID)
+		writer.Header().Set(wire("instance_id"), engine.ID)
 		return
 	}
 	engine.run(writer, request, id)
@@ -192,7 +192,7 @@
 
 // run runs a request.
 func (engine *engine) run(writer http.ResponseWriter, request *http.Request, id string) {
-	engine.note("runs", id, "after", request.Header.Get("Last-Event-Id"))
+	engine.note("runs", id, "after", request.Header.Get(wire("last_event_id")))
 	defer engine.note("ended", id)
 	select {
 	case <-time.After(time.Duration(engine.WorkMs) * time.Millisecond):
@@ -206,7 +206,7 @@
 		engine.writeUnframed(writer, id)
 	default:
 		body := bodyOf(id, engine.BodyBytes)
-		writer.Header().Set("Engine-Signature", signature(engine.ID, body))
+		writer.Header().Set(wire("engine_signature"), signature(engine.ID, body))
 		writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = writer.Write(body)
 	}
@@ -237,7 +237,8 @@
 	}
 	defer conn.Close()
 	body := bodyOf(id, engine.BodyBytes)
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nEngine-Signature: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n", id, signature(engine.ID, body))
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n",
+		wire("request_id"), id, wire("engine_signature"), signature(engine.ID, body))
 	_, _ = conn.Write(append([]byte(head), body[:len(body)/2]...))
 	engine.note("half", id)
 	time.Sleep(time.Duration(engine.HalfMs) * time.Millisecond)
@@ -246,9 +247,9 @@
 
 // stream writes the events after the last one that the caller has.
 func (engine *engine) stream(writer http.ResponseWriter, request *http.Request, id string) {
-	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	last, _ := strconv.Atoi(request.Header.Get(wire("last_event_id")))
 	writer.Header().Set("Content-Type", "text/event-stream")
-	writer.Header().Set("Engine-Signature", engine.ID+".stream")
+	writer.Header().Set(wire("engine_signature"), engine.ID+".stream")
 	for number := 1; number <= engine.Events; number++ {
 		eventID := number * engine.Step
 		if eventID <= last {
--- a/review/lab2/fleet.go
+++ b/review/testdata/lab2/fleet.go
@@ -184,7 +184,7 @@
 	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	for sequence := 1; ; sequence++ {
-		lab.store.put("servers/"+engine.ID, map[string]any{
+		lab.store.put(wire("server_key")+engine.ID, map[string]any{
 			"service": engine.service, "address": engine.Address, "zone": "caxias", "version": "v1", "slots": engine.Slots, "state": "ready",
 			"cold_left_ms": 0, "seq_no": sequence, "born": engine.BornMs,
 		})
@@ -196,87 +196,19 @@
 			return
 		case <-engine.ended:
 			time.Sleep(3 * heartbeat)
-			lab.store.remove("servers/" + engine.ID)
+			lab.store.remove(wire("server_key") + engine.ID)
 			return
 		}
 	}
 }
 
-// settingsTemplate is the settings file of a gateway.
-const settingsTemplate = `node_name = "%[1]s"
-role = "gateway"
-machine_class = "edge"
-serves = ["edge","registry"]
-ip = "%[2]s"
-zone = "%[3]s"
-region = "serra-gaucha"
-internal_ports = [%[4]d,%[5]d]
-seeds = []
-first_start = true
-failure_counted = false
-discovery = "platform"
-entry = "registry"
-heartbeat_ms = 1200
-contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform"]
-[zones]
-caxias = "serra-gaucha"
-bento = "serra-gaucha"
-farroupilha = "serra-gaucha"
-garibaldi = "serra-gaucha"
-[listen]
-frontend = "%[2]s:%[6]d"
-readiness = "%[2]s:%[7]d"
-control_plane = "%[2]s:%[8]d"
-directory = "%[2]s:%[9]d"
-[limits]
-cpu_share = 0.4
-cores = 1
-memory_mb = 134
-max_fds = 4100
-link_mbps = 1000.0
-disk_mb = 0
-[fault_tolerance]
-machines = 2
-zones = 0
-regions = 0
-[bounds]
-seed_lag_s = 3
-reuse_after_s = 2
-contact_ms = 3000
-ack_ms = 4000
-catch_up_s = 4
-drain_ms = 2000
-grace_s = 8
-loss_slack_ms = 200
-config_apply_ms = 2000
-downgrade_ms = 250
-outer_ms = 5000
-strict_revoke = true
-revoke_ms = 5000
-retry_ratio = 0.2
-retry_window_s = 10
-retry_slack = 56
-recovery_s = 12
-delivery_lag_ms = 120
-reuse_window_s = 6.2
-ttl_max_s = 5
-[platform]
-address = "%[10]s"
-form = "kv"
-writes_per_s = 400
-reads_per_s = 2000
-history_s = 20
-value_bytes = 1048576
-ttl_min_ms = 1000
-`
-
 // startGateways starts gateways with the command of the deploy file and waits until all are ready.
 func (lab *lab) startGateways(count int) error {
 	zones := []string{"caxias", "bento", "farroupilha", "garibaldi"}
 	for number := range count {
 		made := &gateway{name: fmt.Sprintf("edge-%s-%d", zones[number%len(zones)], 1+number/len(zones)), ip: fmt.Sprintf("%s%d", lab.network, 10+number)}
 		made.settings = filepath.Join(lab.directory, made.name+".toml")
-		text := fmt.Sprintf(settingsTemplate, made.name, made.ip, zones[number%len(zones)], portInternal, portInternal+15,
+		text := fmt.Sprintf(settingsTemplate(), made.name, made.ip, zones[number%len(zones)], portInternal, portInternal+15,
 			portFrontend, portReadiness, portControl, portDirectory, lab.store.address)
 		if err := os.WriteFile(made.settings, []byte(text), 0o600); err != nil {
 			return err
@@ -297,7 +229,7 @@
 // startGateway starts the process of a gateway.
 func (lab *lab) startGateway(made *gateway) error {
 	command := exec.Command("target/primrosegw", "gateway")
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + lab.directory, "PRIMROSEGW_CONFIG=" + made.settings}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + lab.directory, wire("settings_variable") + "=" + made.settings}
 	started, err := lab.start(made.name, command, func(line string) {
 		if os.Getenv("GATEWAY_LOGS") != "" {
 			lab.note("%s %s", made.name, line)
@@ -314,7 +246,7 @@
 func (gateway *gateway) awaitReady(limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second}
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		response, err := client.Get(fmt.Sprintf("http://%s/-/readyz", net.JoinHostPort(gateway.ip, fmt.Sprint(portReadiness))))
+		response, err := client.Get("http://" + net.JoinHostPort(gateway.ip, fmt.Sprint(portReadiness)) + wire("ready_path"))
 		if err != nil {
 			continue
 		}
--- a/review/lab2/laststep.go
+++ b/review/testdata/lab2/laststep.go
@@ -30,10 +30,7 @@
 share of new streams that begin.
 */
 func playLastStep(lab *lab, trouble bool) (bool, error) {
-	lab.store.put("op/config", config(
-		map[string]any{"name": "sketch", "engine": map[string]any{"slots": 64, "kv_capacity": 317282, "stride": eventStep}},
-		map[string]any{"name": "r-report", "path_prefix": "/report/", "route_kind": "streaming", "timeout_ms": 8000, "slo_ms": 1000, "priority": 1, "max_attempts": 2, "sticky": true, "resumable": true, "itl_target_ms": 900},
-	))
+	lab.store.put(wire("config_key"), config("laststep"))
 	for number := range modelEngines {
 		options := engineOptions{IsModel: true, Slots: 64, Queue: 64, WorkMs: 20, Events: streamEvents, GapMs: eventGapMs, Step: eventStep}
 		if _, err := lab.startEngine(number, "sketch", options, nil); err != nil {
--- a/review/lab2/main.go
+++ b/review/testdata/lab2/main.go
@@ -55,15 +55,3 @@
 	lab.close()
 	return code
 }
-
-// config returns a configuration of the operator with one service and one route.
-func config(service, route map[string]any) map[string]any {
-	service["max_conns"], service["protocol"], service["tls"] = 370, "h1", false
-	service["health_path"] = "/healthz"
-	route["host"], route["service"], route["anonymous"] = hostHeader, service["name"], false
-	return map[string]any{
-		"version": 7, "services": []any{service}, "routes": []any{route},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": tenantName, "api_keys": []any{tenantKey}, "priority": 1}},
-	}
-}
--- a/review/lab2/store.go
+++ b/review/testdata/lab2/store.go
@@ -53,13 +53,13 @@
 		changed: make(chan struct{}), cut: make(chan struct{}), address: listener.Addr().String(),
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/kv-key", created.serveKey)
-	mux.HandleFunc("GET /-/kv-range", created.serveRange)
-	mux.HandleFunc("GET /-/kv-watch", created.serveWatch)
-	mux.HandleFunc("POST /-/kv-txn", created.serveTransaction)
-	mux.HandleFunc("POST /-/kv-lease", created.serveLease)
-	mux.HandleFunc("POST /-/kv-keep/{id}", created.serveKeep)
-	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", created.serveLeaseEnd)
+	mux.HandleFunc("GET "+wire("key_path"), created.serveKey)
+	mux.HandleFunc("GET "+wire("range_path"), created.serveRange)
+	mux.HandleFunc("GET "+wire("watch_path"), created.serveWatch)
+	mux.HandleFunc("POST "+wire("txn_path"), created.serveTransaction)
+	mux.HandleFunc("POST "+wire("lease_path"), created.serveLease)
+	mux.HandleFunc("POST "+wire("keep_path")+"{id}", created.serveKeep)
+	mux.HandleFunc("DELETE "+wire("lease_end_path")+"{id}", created.serveLeaseEnd)
 	created.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = created.server.Serve(listener) }()
 	go created.expireLeases()
@@ -175,13 +175,12 @@
 	asOf := store.revision
 	store.mutex.Unlock()
 	if !exists {
-		answer(writer, http.StatusNotFound, map[string]int64{"as_of": asOf})
+		answer(writer, http.StatusNotFound, map[string]int64{wire("position"): asOf})
 		return
 	}
-	answer(writer, http.StatusOK, struct {
-		item
-		AsOf int64 `json:"as_of"`
-	}{found, asOf})
+	answer(writer, http.StatusOK, map[string]any{
+		"key": found.Key, "value": found.Value, "revision": found.Revision, "created": found.Created, "lease": found.Lease, wire("position"): asOf,
+	})
 }
 
 func (store *store) serveRange(writer http.ResponseWriter, request *http.Request) {
@@ -200,7 +199,7 @@
 	if len(entries) > page {
 		entries, truncated = entries[:page], true
 	}
-	answer(writer, http.StatusOK, map[string]any{"entries": entries, "truncated": truncated, "as_of": asOf})
+	answer(writer, http.StatusOK, map[string]any{"entries": entries, "truncated": truncated, wire("position"): asOf})
 }
 
 func (store *store) serveWatch(writer http.ResponseWriter, request *http.Request) {
@@ -220,7 +219,7 @@
 		asOf, changed, cut := store.revision, store.changed, store.cut
 		store.mutex.Unlock()
 		if len(events) > 0 {
-			answer(writer, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
+			answer(writer, http.StatusOK, map[string]any{"events": events, wire("position"): asOf})
 			return
 		}
 		select {
@@ -230,18 +229,20 @@
 		case <-request.Context().Done():
 			return
 		case <-timer.C:
-			answer(writer, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
+			answer(writer, http.StatusOK, map[string]any{"events": events, wire("position"): asOf})
 			return
 		}
 	}
 }
 
-// transaction is the body of a change under conditions.
+// condition is a revision that a key must have for a change.
+type condition struct {
+	Key      string `json:"key"`
+	Revision int64  `json:"revision"`
+}
+
+// transaction is the body of a change, without its conditions.
 type transaction struct {
-	Expected []struct {
-		Key      string `json:"key"`
-		Revision int64  `json:"revision"`
-	} `json:"expected_rev"`
 	Writes []struct {
 		Key   string `json:"key"`
 		Value []byte `json:"value"`
@@ -253,14 +254,17 @@
 func (store *store) serveTransaction(writer http.ResponseWriter, request *http.Request) {
 	var change transaction
 	body, _ := io.ReadAll(request.Body)
-	if json.Unmarshal(body, &change) != nil {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(body, &change) != nil || json.Unmarshal(body, &fields) != nil {
 		answer(writer, http.StatusBadRequest, nil)
 		return
 	}
+	var conditions []condition
+	_ = json.Unmarshal(fields[wire("expected")], &conditions)
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	entries, holds := []item{}, true
-	for _, expected := range change.Expected {
+	for _, expected := range conditions {
 		known := store.items[expected.Key]
 		holds = holds && known.Revision == expected.Revision
 		if known.Key != "" {
