review: one answer that an engine breaks off costs all streams without a length for ten minutes

Cause: core/ending counts one cut for all servers of the service for ten minutes, and each response without a length is then reset at its end.

--- a/review/testdata/lab2/engine.go
+++ b/review/testdata/lab2/engine.go
@@ -33,6 +33,8 @@
 	// Events is the number of events of a stream, GapMs the time between them, and Step the step between
 	// their IDs: the number of tokens generated so far.
 	Events, GapMs, Step int
+	// BreakNth is the number of the answer that is no stream which the engine breaks off in its middle; 0: none.
+	BreakNth int
 	// BrittleFromMs is when the brittle time of the service begins, in Unix milliseconds; 0: never. Brittle is
 	// the number of requests that the engine may turn away within a second, and BrittleQueue the number that
 	// may wait from contact_ms later.
@@ -50,6 +52,8 @@
 	mutex sync.Mutex
 	// waiting and running are the requests that wait and that run.
 	waiting, running int
+	// answered is the number of answers that are no streams.
+	answered int
 	// refusedAt holds the times of the latest requests that were turned away.
 	refusedAt []time.Time
 }
@@ -200,8 +204,10 @@
 		return
 	}
 	switch {
-	case engine.Events > 0:
+	case engine.Events > 0 && !strings.Contains(request.URL.Path, "/lookup/"):
 		engine.stream(writer, request, id)
+	case engine.mustBreak():
+		engine.breakOff(writer, id)
 	case engine.Unframed:
 		engine.writeUnframed(writer, id)
 	default:
@@ -212,6 +218,27 @@
 	}
 }
 
+// mustBreak counts an answer, and reports whether it is the one to break off.
+func (engine *engine) mustBreak() bool {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.answered++
+	return engine.answered == engine.BreakNth
+}
+
+// breakOff writes half of an answer with a length, and closes the connection in order.
+func (engine *engine) breakOff(writer http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	engine.note("breaks", id)
+	body := bodyOf(id, engine.BodyBytes)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
+		wire("request_id"), id, wire("engine_signature"), signature(engine.ID, body), len(body), body[:len(body)/2])
+}
+
 // bodyOf returns the body of the answer to a request.
 func bodyOf(id string, length int) []byte {
 	line := "answer to " + id + "\n"
@@ -250,6 +277,10 @@
 	last, _ := strconv.Atoi(request.Header.Get(wire("last_event_id")))
 	writer.Header().Set("Content-Type", "text/event-stream")
 	writer.Header().Set(wire("engine_signature"), engine.ID+".stream")
+	if engine.Unframed {
+		// net/http then sends neither a length nor chunks, and closes the connection at the end.
+		writer.Header().Set("Transfer-Encoding", "identity")
+	}
 	for number := 1; number <= engine.Events; number++ {
 		eventID := number * engine.Step
 		if eventID <= last {
--- a/review/testdata/lab2/fleet.go
+++ b/review/testdata/lab2/fleet.go
@@ -108,7 +108,7 @@
 		_ = started.command.Process.Kill()
 		<-started.ended
 	}
-	lab.store.close()
+	lab.store.stop()
 	_ = lab.record.Close()
 	_ = os.RemoveAll(lab.directory)
 }
--- a/review/testdata/lab2/main.go
+++ b/review/testdata/lab2/main.go
@@ -32,7 +32,7 @@
 		fmt.Fprintln(os.Stderr, runEngine(arguments[1]))
 		return exitInvalid
 	}
-	play, found := map[string]scenario{"cutanswer": playCutAnswer, "laststep": playLastStep, "brittle": playBrittle}[arguments[0]]
+	play, found := map[string]scenario{"cutanswer": playCutAnswer, "laststep": playLastStep, "brittle": playBrittle, "onecut": playOneCut}[arguments[0]]
 	if !found {
 		fmt.Fprintln(os.Stderr, "unknown case", arguments[0])
 		return exitInvalid
--- a/review/testdata/lab2/store.go
+++ b/review/testdata/lab2/store.go
@@ -44,30 +44,39 @@
 
 // newStore starts a store at an address.
 func newStore(address string) (*store, error) {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, err
-	}
 	created := &store{
 		revision: 1, items: map[string]item{}, leases: map[int64]*lease{}, nextID: 100,
-		changed: make(chan struct{}), cut: make(chan struct{}), address: listener.Addr().String(),
+		changed: make(chan struct{}), cut: make(chan struct{}), address: address,
+	}
+	if err := created.restart(); err != nil {
+		return nil, err
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+wire("key_path"), created.serveKey)
-	mux.HandleFunc("GET "+wire("range_path"), created.serveRange)
-	mux.HandleFunc("GET "+wire("watch_path"), created.serveWatch)
-	mux.HandleFunc("POST "+wire("txn_path"), created.serveTransaction)
-	mux.HandleFunc("POST "+wire("lease_path"), created.serveLease)
-	mux.HandleFunc("POST "+wire("keep_path")+"{id}", created.serveKeep)
-	mux.HandleFunc("DELETE "+wire("lease_end_path")+"{id}", created.serveLeaseEnd)
-	created.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = created.server.Serve(listener) }()
 	go created.expireLeases()
 	return created, nil
 }
 
-// close ends the store.
-func (store *store) close() { _ = store.server.Close() }
+// restart starts to listen, with all that was stored before.
+func (store *store) restart() error {
+	listener, err := net.Listen("tcp4", store.address)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+wire("key_path"), store.serveKey)
+	mux.HandleFunc("GET "+wire("range_path"), store.serveRange)
+	mux.HandleFunc("GET "+wire("watch_path"), store.serveWatch)
+	mux.HandleFunc("POST "+wire("txn_path"), store.serveTransaction)
+	mux.HandleFunc("POST "+wire("lease_path"), store.serveLease)
+	mux.HandleFunc("POST "+wire("keep_path")+"{id}", store.serveKeep)
+	mux.HandleFunc("DELETE "+wire("lease_end_path")+"{id}", store.serveLeaseEnd)
+	store.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	server := store.server
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// stop closes the listener and all connections.
+func (store *store) stop() { _ = store.server.Close() }
 
 // put writes a key and returns the time of the confirmation.
 func (store *store) put(key string, value any) time.Time {
