--- a/review/testdata/lab2/engine.go
+++ b/review/testdata/lab2/engine.go
@@ -8,10 +8,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -28,13 +30,11 @@
 	WorkMs int
 	// BodyBytes is the length of an answer that is no stream. It is written in two halves, HalfMs apart.
 	BodyBytes, HalfMs int
-	// Unframed: answers have neither a length nor chunks and end with their connection.
+	// Unframed: answers have neither a length nor chunks and end with their connection; with Events, streams alone.
 	Unframed bool
 	// Events is the number of events of a stream, GapMs the time between them, and Step the step between
 	// their IDs: the number of tokens generated so far.
 	Events, GapMs, Step int
-	// BreakNth is the number of the answer that is no stream which the engine breaks off in its middle; 0: none.
-	BreakNth int
 	// BrittleFromMs is when the brittle time of the service begins, in Unix milliseconds; 0: never. Brittle is
 	// the number of requests that the engine may turn away within a second, and BrittleQueue the number that
 	// may wait from contact_ms later.
@@ -52,8 +52,8 @@
 	mutex sync.Mutex
 	// waiting and running are the requests that wait and that run.
 	waiting, running int
-	// answered is the number of answers that are no streams.
-	answered int
+	// breaksNext: the next answer that is no stream is broken off in its middle.
+	breaksNext bool
 	// refusedAt holds the times of the latest requests that were turned away.
 	refusedAt []time.Time
 }
@@ -65,6 +65,7 @@
 		return err
 	}
 	served.slots = make(chan struct{}, served.Slots)
+	go served.awaitSignals()
 	listener, err := net.Listen("tcp4", served.Address)
 	if err != nil {
 		return err
@@ -208,9 +209,10 @@
 		engine.stream(writer, request, id)
 	case engine.mustBreak():
 		engine.breakOff(writer, id)
-	case engine.Unframed:
+	case engine.Unframed && engine.Events == 0:
 		engine.writeUnframed(writer, id)
 	default:
+		engine.note("plain", id)
 		body := bodyOf(id, engine.BodyBytes)
 		writer.Header().Set(wire("engine_signature"), signature(engine.ID, body))
 		writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -218,12 +220,24 @@
 	}
 }
 
-// mustBreak counts an answer, and reports whether it is the one to break off.
+// awaitSignals makes the engine break off one answer after each SIGUSR1.
+func (engine *engine) awaitSignals() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	for range signals {
+		engine.mutex.Lock()
+		engine.breaksNext = true
+		engine.mutex.Unlock()
+	}
+}
+
+// mustBreak reports whether an answer is the one to break off.
 func (engine *engine) mustBreak() bool {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	engine.answered++
-	return engine.answered == engine.BreakNth
+	breaks := engine.breaksNext
+	engine.breaksNext = false
+	return breaks
 }
 
 // breakOff writes half of an answer with a length, and closes the connection in order.
--- a/review/testdata/lab2/onecut.go
+++ b/review/testdata/lab2/onecut.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -12,7 +13,7 @@
 	cutEngines    = 4
 	cutStreamers  = 12
 	cutLookers    = 6
-	cutBreakNth   = 60
+	cutBreak      = 2 * time.Second
 	cutSignal     = 12 * time.Second
 	cutLasts      = 18 * time.Second
 	cutEvents     = 5
@@ -25,6 +26,8 @@
 // cutPlay is the state of the play.
 type cutPlay struct {
 	lab *lab
+	// busiest is the ID of the engine that got the last request that is no stream.
+	busiest atomic.Value
 	// brokeAt and signalledAt are Unix nanoseconds; 0: not yet.
 	brokeAt, signalledAt atomic.Int64
 	// lost counts the streams that count for the rule, of which an engine had written all events.
@@ -41,9 +44,6 @@
 	lab.store.put(wire("config_key"), config("onecut"))
 	for number := range cutEngines {
 		options := engineOptions{IsModel: true, Slots: 64, Queue: 64, WorkMs: 20, BodyBytes: 800, Events: cutEvents, GapMs: cutGapMs, Step: 1, Unframed: true}
-		if number == 0 && trouble {
-			options.BreakNth = cutBreakNth
-		}
 		if _, err := lab.startEngine(number, "sketch", options, play.observe); err != nil {
 			return false, err
 		}
@@ -66,7 +66,15 @@
 			}
 		})
 	}
+	time.Sleep(time.Until(began.Add(cutBreak)))
+	if id, known := play.busiest.Load().(string); known && trouble {
+		lab.note("engine %s is to break off its next answer that is no stream", id)
+		_ = lab.engines[id].command.Process.Signal(syscall.SIGUSR1)
+	}
 	time.Sleep(time.Until(began.Add(cutSignal)))
+	if trouble && play.brokeAt.Load() == 0 {
+		return false, errors.New("no answer was broken off")
+	}
 	for _, made := range lab.gateways {
 		lab.note("SIGHUP for %s", made.name)
 		_ = made.command.Process.Signal(syscall.SIGHUP)
@@ -78,10 +86,13 @@
 	return play.lost.Load() == 0, nil
 }
 
-// observe notes when an engine breaks off its answer.
+// observe notes which engine gets plain requests, and when one breaks off its answer.
 func (play *cutPlay) observe(fields []string) {
-	if fields[1] == "breaks" {
+	switch fields[1] {
+	case "breaks":
 		play.brokeAt.Store(time.Now().UnixNano())
+	case "plain":
+		play.busiest.Store(fields[2])
 	}
 }
 
