--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -38,6 +38,10 @@
 	Started time.Time
 	// Sequence rises with each write of the registration since Started.
 	Sequence int64
+	// Spot marks a server that its platform may take away. LeavesIn is the time from the write of
+	// the registration until it is taken away; 0: not known.
+	Spot     bool
+	LeavesIn time.Duration
 }
 
 // Load is the latest load report of a server.
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -131,6 +131,22 @@
 	MaxConnections int
 	// Engine is nil if the service has no model engines.
 	Engine *Engine
+	// Autoscale is nil if the number of the service's servers is not up to the hosts.
+	Autoscale *Autoscale
+}
+
+// Autoscale bounds and prices the servers that the hosts order for a service.
+type Autoscale struct {
+	// Min and Max bound the servers in each failure domain, on-demand and spot ones together.
+	Min int
+	Max int
+	// Boot is the time from an order until the new servers serve.
+	Boot time.Duration
+	// SpotPrice is the price of a spot server as a fraction of the on-demand price; 0: there are
+	// no spot servers.
+	SpotPrice float64
+	// DomainPrices holds the price of a second of an on-demand server by failure domain.
+	DomainPrices map[string]float64
 }
 
 // Workspace is a customer with its keys.
