io/pipe, io/plain: answers with invalid statuses cost no others, and a reset seen by the write ends no answer

And the kernel reports a reset once: if the write of a long upload gets it after the answer has begun, the read finds what had arrived and an orderly end, so that a part of an unframed answer looks whole. Ruled out: the read that gets the reset itself, a write that fails before the head is read, a reset within the head. Change: statuses outside 100 to 599 are Malformed in io/pipe and Broken in io/plain. The end of an unframed response whose request could not be written to its end is an error.

--- a/io/pipe/ask.go
+++ b/io/pipe/ask.go
@@ -57,6 +57,6 @@
 	}
 	_, err = io.Copy(io.Discard, response.Body)
 	isDelimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	isFinal := response.StatusCode >= http.StatusOK
+	isFinal := response.StatusCode >= http.StatusOK && isStatus(response.StatusCode)
 	return err == nil && isFinal && isDelimited && !response.Close && reader.Buffered() == 0, nil
 }
--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,6 +51,9 @@
 	// interimErr is why the interim responses before the next response are no valid ones. It is set
 	// before readable is told.
 	interimErr error
+	// writeErr is why the rest of a request could not be written after the response had begun, unless
+	// that was the reason itself.
+	writeErr error
 
 	mutex   sync.Mutex
 	inUse   bool
@@ -185,6 +189,9 @@
 		return false, fault.Wrap("pipe.send", Unsent, err)
 	}
 	if earlyResponse {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			conn.writeErr = err
+		}
 		return false, nil
 	}
 	return false, fault.Wrap("pipe.send", Lost, err)
@@ -242,8 +249,8 @@
 }
 
 // NextResponse reads the headers of the next response on the connection and skips
-// interim (1xx) ones. It fails with Lost, or with Malformed, also if the headers of all
-// these responses are longer than maxHeaderBytes.
+// interim (1xx) ones. It fails with Lost, or with Malformed, also if a status is invalid or if
+// the headers of all these responses are longer than maxHeaderBytes.
 func (conn *Conn) NextResponse(method string) (Response, error) {
 	if conn.interimErr != nil {
 		return Response{}, conn.interimErr
@@ -255,7 +262,11 @@
 		if err != nil {
 			return Response{}, conn.headError(err)
 		}
-		if response.StatusCode >= 200 {
+		if !isStatus(response.StatusCode) {
+			return Response{}, fault.New("pipe.next", Malformed, "invalid status "+strconv.Itoa(response.StatusCode))
+		}
+		if response.StatusCode >= http.StatusOK {
+			conn.guardEnd(response)
 			return Response{Response: response, KeepAlive: !response.Close}, nil
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
@@ -264,6 +275,40 @@
 	}
 }
 
+// guardEnd makes the end of a response without a length or chunks an error if the request could not be
+// written to its end. The kernel reports a reset once: if the write has got it, a read finds the bytes
+// that had arrived and then an orderly end.
+func (conn *Conn) guardEnd(response *http.Response) {
+	isFramed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	if conn.writeErr != nil && !isFramed && response.Body != http.NoBody {
+		response.Body = &brokenBody{response.Body, conn.writeErr}
+	}
+}
+
+// brokenBody is a body whose end is the end of a broken connection.
+type brokenBody struct {
+	io.ReadCloser
+	err error
+}
+
+// Read reads the body. In place of its end it returns a Lost error.
+func (body *brokenBody) Read(buffer []byte) (int, error) {
+	count, err := body.ReadCloser.Read(buffer)
+	if err == io.EOF {
+		err = fault.Wrap("pipe.read", Lost, body.err)
+	}
+	return count, err
+}
+
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// isStatus reports whether a number is a status of HTTP (RFC 9110, section 15). net/http accepts all
+// numbers of three digits.
+func isStatus(number int) bool { return number >= minStatus && number <= maxStatus }
+
 // TakeHeaders makes the following responses call take with the number of bytes of their headers
 // before they are parsed; an error of it ends the response. The first readBufferBytes may be in the
 // buffer of the connection and are left out. Nil stops it.
--- a/io/plain/framing_test.go
+++ b/io/plain/framing_test.go
@@ -58,3 +58,12 @@
 	t.Cleanup(server.Close)
 	return server.URL
 }
+
+// Guards against an answer whose status is none that is passed on.
+func TestInvalidStatusIsBroken(t *testing.T) {
+	for _, status := range []string{"000", "099", "600"} {
+		answer, err := do(t, http.MethodGet, answering(t, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 4\r\n\r\npart"))
+		assert.True(t, fault.Is(err, plain.Broken), "%s: %v", status, err)
+		assert.Empty(t, answer.Body)
+	}
+}
--- a/io/plain/service.go
+++ b/io/plain/service.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"net/url"
 	"slices"
 	"strings"
@@ -223,6 +224,9 @@
 		return Answer{URL: address}, classify(err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return Answer{URL: address}, fault.New(op, Broken, "invalid status "+strconv.Itoa(response.StatusCode))
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes+1))
 	if err != nil {
 		return Answer{URL: address}, fault.Wrap(op, Broken, err)
@@ -244,6 +248,12 @@
 	return Answer{Status: response.StatusCode, Header: header, Body: body, URL: address}, nil
 }
 
+// minStatus and maxStatus bound the statuses of HTTP; net/http accepts all numbers of three digits.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // framing returns what shows where an answer ends.
 func framing(response *http.Response) ending.Framing {
 	return ending.FramingOf(response.ContentLength, len(response.TransferEncoding) > 0)
