core/duty, core/usage, platform: duties with one holder, and reports of usage

Change: core/lease takes a claimer of its own and a clock that counts suspension. Hosts count begun requests by window and workspace and tell the candidates; the holder records each report in the store before it sends it.

--- a/core/duty/duty.go
+++ b/core/duty/duty.go
@@ -28,4 +28,6 @@
 	Holder string
 	// Fence is the fencing token.
 	Fence int64
+	// Continues: the local host has held the duty before, and no other host since.
+	Continues bool
 }
--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -58,6 +58,9 @@
 		HostUnlisted(),
 		HostOmitted(),
 		HostNotOmitted(),
+		DutyResigned(),
+		UsageReported(),
+		UsageReportFailed(),
 		HostCutOff(),
 		HostRegained(),
 		EntriesRead(),
@@ -364,6 +367,21 @@
 	return Event{2101, "host_not_omitted", logrus.InfoLevel, "fleet", "A host that was silent is heard again, or its entry is gone."}
 }
 
+// DutyResigned reports that the host gave a duty up because its calls had no answers.
+func DutyResigned() Event {
+	return Event{2110, "duty_resigned", logrus.WarnLevel, "duty", "This host gave a duty up, because its calls to the platform had no answers."}
+}
+
+// UsageReported reports that the platform accepted the usage of a window.
+func UsageReported() Event {
+	return Event{2111, "usage_reported", logrus.InfoLevel, "duty", "The platform accepted the usage of a window."}
+}
+
+// UsageReportFailed reports that the usage of a window could not be recorded or sent.
+func UsageReportFailed() Event {
+	return Event{2112, "usage_report_failed", logrus.WarnLevel, "duty", "The usage of a window could not be recorded or sent; it is tried again."}
+}
+
 // HostCutOff reports that this host reaches no backend server by itself.
 func HostCutOff() Event {
 	return Event{1972, "host_cut_off", logrus.WarnLevel, "fleet", "This host reaches no backend server by itself; it opens connections through other hosts that do."}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -47,9 +47,36 @@
 	callTimeout = 2 * time.Second
 )
 
+// Granter grants and renews leases of the key-value service.
+type Granter interface {
+	// Grant creates a lease and returns its ID.
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+	// KeepAlive renews a lease and returns its remaining time to live.
+	KeepAlive(ctx context.Context, lease int64) (time.Duration, error)
+	// Revoke ends a lease and deletes the keys that are bound to it.
+	Revoke(ctx context.Context, lease int64) error
+}
+
+// Claimer writes the key whose owner holds the lease.
+type Claimer interface {
+	// IsFree reports whether no host holds the lease as far as is known.
+	IsFree(ctx context.Context) bool
+	// Claim writes the key under a lease, unless it exists, and returns the fencing token.
+	Claim(ctx context.Context, leaseID int64) (fence int64, err error)
+	// Confirm checks that the key is still the one that was claimed. It fails with Absent or
+	// Conflict if it is not.
+	Confirm(ctx context.Context, leaseID, fence int64) error
+}
+
 // Options configure a Lease.
 type Options struct {
 	Store store.Store
+	// Granter and Claimer replace Store, where the fencing token is not the revision of one key.
+	Granter Granter
+	Claimer Claimer
+	// Elapsed is a clock that runs while the machine is suspended; nil: there is none. It is used
+	// beside the clocks of the runtime, of which the wall clock may be set back.
+	Elapsed func() time.Duration
 	// Key is the key whose owner holds the lease.
 	Key string
 	// Holder is the name of this host. It is part of the key's value, where
@@ -68,10 +95,8 @@
 // acquires and renews it; the other methods may be called concurrently.
 type Lease struct {
 	options Options
-	// holderID is unique to this Lease; it is the value of the key while held.
-	holderID string
-	mutex    sync.Mutex
-	grant    grant
+	mutex   sync.Mutex
+	grant   grant
 	// acquired is closed when the lease is acquired, and replaced when it is lost.
 	acquired chan struct{}
 }
@@ -84,6 +109,8 @@
 	// safeUntil is when the holder must stop relying on the lease. It counts from
 	// before the last successful renewal was sent.
 	safeUntil time.Time
+	// safeElapsed is safeUntil on the clock Elapsed.
+	safeElapsed time.Duration
 }
 
 // New returns a lease that is not held yet. It fails with Invalid.
@@ -91,7 +118,8 @@
 	if options.TTL == 0 {
 		options.TTL = defaultTTL
 	}
-	if options.Store == nil || options.Key == "" || options.Holder == "" {
+	hasStore := options.Store != nil || options.Granter != nil && options.Claimer != nil
+	if !hasStore || options.Key == "" || options.Holder == "" {
 		return nil, fault.New("lease.new", Invalid, "store, key and holder are required")
 	}
 	if options.TTL < time.Second {
@@ -103,9 +131,14 @@
 	if options.Logger == nil {
 		options.Logger = event.Discard()
 	}
-	lease := &Lease{options: options, acquired: make(chan struct{})}
-	lease.holderID = options.Holder + "/" + uuid.NewString()
-	return lease, nil
+	if options.Claimer == nil {
+		options.Granter = options.Store
+		options.Claimer = &keyClaimer{options.Store, options.Key, options.Holder + "/" + uuid.NewString()}
+	}
+	if options.Elapsed == nil {
+		options.Elapsed = func() time.Duration { return 0 }
+	}
+	return &Lease{options: options, acquired: make(chan struct{})}, nil
 }
 
 // Hold acquires and renews the lease, and reacquires it after a loss, until the
@@ -139,6 +172,9 @@
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
 	remaining := remainingTime(lease.grant.safeUntil, time.Now())
+	if lease.grant.safeElapsed > 0 {
+		remaining = min(remaining, lease.grant.safeElapsed-lease.options.Elapsed())
+	}
 	if lease.grant.fence == 0 || remaining <= 0 {
 		return 0, 0
 	}
@@ -174,51 +210,35 @@
 // written, it revokes the granted lease, so that a delayed write cannot take
 // effect later.
 func (lease *Lease) acquire(ctx context.Context) bool {
-	if !lease.isFree(ctx) {
+	if !lease.options.Claimer.IsFree(ctx) {
 		return false
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := time.Now()
-	leaseID, err := lease.options.Store.Grant(call, lease.options.TTL)
+	sent, sentElapsed := time.Now(), lease.options.Elapsed()
+	leaseID, err := lease.options.Granter.Grant(call, lease.options.TTL)
 	if err != nil {
 		return false
 	}
-	swap := store.Swap{Key: lease.options.Key, Value: []byte(lease.holderID), Lease: leaseID}
-	fence, err := lease.options.Store.Swap(call, swap)
-	if fault.Is(err, store.Uncertain) {
-		fence, err = lease.readBack(ctx, leaseID)
-	}
+	fence, err := lease.options.Claimer.Claim(call, leaseID)
 	if err != nil {
 		lease.revoke(leaseID)
 		return false
 	}
-	lease.recordAcquired(grant{leaseID: leaseID, fence: fence, safeUntil: lease.safeDeadline(sent, lease.options.TTL)})
+	lease.recordAcquired(lease.newGrant(leaseID, fence, sent, sentElapsed, lease.options.TTL))
 	return true
 }
 
-// isFree reports whether no host holds the lease. The check saves a grant and a
-// failing swap while another host holds it.
-func (lease *Lease) isFree(ctx context.Context) bool {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err := lease.options.Store.Get(call, lease.options.Key)
-	return fault.Is(err, store.Absent)
-}
-
-// readBack returns the fencing token if the key was written with the given lease. It fails
-// with Absent or Conflict if it was not.
-func (lease *Lease) readBack(ctx context.Context, leaseID int64) (int64, error) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	entry, err := lease.options.Store.Get(call, lease.options.Key)
-	if err != nil {
-		return 0, err
-	}
-	if entry.Lease != leaseID || string(entry.Value) != lease.holderID {
-		return 0, fault.New("lease.read_back", store.Conflict, lease.options.Key)
+// newGrant returns a lease that was granted or renewed for a time by a request sent at the given time.
+// The service starts to count when it receives the request, which is later, so the result is
+// conservative.
+func (lease *Lease) newGrant(leaseID, fence int64, sent time.Time, sentElapsed, ttl time.Duration) grant {
+	safe := ttl - ttl/safetyMarginDivisor
+	granted := grant{leaseID: leaseID, fence: fence, safeUntil: sent.Add(safe)}
+	if sentElapsed > 0 {
+		granted.safeElapsed = sentElapsed + safe
 	}
-	return entry.Created, nil
+	return granted
 }
 
 // renew renews the lease until it is lost or the context ends.
@@ -229,13 +249,13 @@
 			return
 		}
 		held := lease.current()
-		sent := time.Now()
+		sent, sentElapsed := time.Now(), lease.options.Elapsed()
 		ttl, err := lease.sendKeepAlive(ctx, held.leaseID)
 		if err == nil {
-			err = lease.confirm(ctx, held)
+			err = lease.options.Claimer.Confirm(ctx, held.leaseID, held.fence)
 		}
 		if err == nil {
-			lease.extend(held.leaseID, lease.safeDeadline(sent, min(ttl, lease.options.TTL)))
+			lease.extend(lease.newGrant(held.leaseID, held.fence, sent, sentElapsed, min(ttl, lease.options.TTL)))
 			interval = lease.options.TTL / renewalsPerTTL
 		}
 		if hasEnded(err) || lease.Remaining() == 0 {
@@ -253,29 +273,11 @@
 	return fault.Is(err, store.Expired) || fault.Is(err, store.Absent) || fault.Is(err, store.Conflict)
 }
 
-// confirm checks that the key is still the one that was written under the lease. A lease whose
-// key was deleted is renewed like any other. A key that is deleted later is noticed at the next
-// renewal.
-func (lease *Lease) confirm(ctx context.Context, held grant) error {
-	fence, err := lease.readBack(ctx, held.leaseID)
-	if err == nil && fence != held.fence {
-		return fault.New("lease.confirm", store.Conflict, lease.options.Key)
-	}
-	return err
-}
-
 // sendKeepAlive sends one renewal and returns the new time to live.
 func (lease *Lease) sendKeepAlive(ctx context.Context, leaseID int64) (time.Duration, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return lease.options.Store.KeepAlive(call, leaseID)
-}
-
-// safeDeadline returns when to stop relying on a lease that was granted or renewed
-// by a request sent at the given time. The service starts to count when it
-// receives the request, which is later, so the result is conservative.
-func (lease *Lease) safeDeadline(sent time.Time, ttl time.Duration) time.Time {
-	return sent.Add(ttl - ttl/safetyMarginDivisor)
+	return lease.options.Granter.KeepAlive(call, leaseID)
 }
 
 // current returns the held lease, or the zero value.
@@ -294,12 +296,12 @@
 	lease.log(event.LeaseHeld(), logrus.Fields{"fence": grant.fence})
 }
 
-// extend postpones safeUntil after a renewal, unless the lease was replaced.
-func (lease *Lease) extend(leaseID int64, safeUntil time.Time) {
+// extend replaces the grant after a renewal, unless the lease was replaced.
+func (lease *Lease) extend(renewed grant) {
 	lease.mutex.Lock()
 	defer lease.mutex.Unlock()
-	if lease.grant.leaseID == leaseID {
-		lease.grant.safeUntil = safeUntil
+	if lease.grant.leaseID == renewed.leaseID {
+		lease.grant = renewed
 	}
 }
 
@@ -342,7 +344,7 @@
 func (lease *Lease) revoke(leaseID int64) {
 	call, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	_ = lease.options.Store.Revoke(call, leaseID)
+	_ = lease.options.Granter.Revoke(call, leaseID)
 }
 
 // sleepJittered sleeps for a random time between half of span and span, and
--- /dev/null
+++ b/core/usage/book.go
@@ -0,0 +1,134 @@
+package usage
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// closeDelay is the time from the end of a window until it is reported: what hosts have counted
+	// arrives within 0.5 s, and once more after a lost message.
+	closeDelay = 2 * time.Second
+	// recordedWindows is the number of reports that are kept in the store.
+	recordedWindows = 4
+)
+
+// Report is what is reported of a window.
+type Report struct {
+	Window Window `json:"window"`
+	Counts Counts `json:"counts"`
+}
+
+/*
+Book decides which reports are due. A report is recorded in the store before it is sent, so that whoever
+sends it, or sends it again, uses the same counts.
+
+All hosts remember the recorded reports that they see, for longer than the store keeps them: a store that is
+restored from a copy may have lost the newest ones, which may have been sent. A window that ended before the
+store was restored and that nobody remembers is left out for the same reason. Book is safe for concurrent
+use.
+*/
+type Book struct {
+	length time.Duration
+	late   time.Duration
+	mutex  sync.Mutex
+	// recorded holds the reports that are or were in the store.
+	recorded map[Window]Counts
+	// sent marks those that the local host has sent in its current term.
+	sent map[Window]bool
+	// since is the first window of which the local host knows the counts, and notBefore the first one
+	// that no holder of an earlier era of the store may have reported; 0: any.
+	since     Window
+	notBefore Window
+}
+
+// NewBook returns a book of windows of a length, whose reports are due at a time after their end. The
+// local host knows the counts of the windows from the given time on.
+func NewBook(length, late time.Duration, from time.Time) *Book {
+	return &Book{length: length, late: late, recorded: make(map[Window]Counts), sent: make(map[Window]bool), since: WindowOf(from, length)}
+}
+
+// Observe remembers the reports that the store holds. A report that is known stays as it is.
+func (book *Book) Observe(reports []Report) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	for _, report := range reports {
+		if _, ok := book.recorded[report.Window]; !ok {
+			book.recorded[report.Window] = report.Counts
+		}
+	}
+	for len(book.recorded) > keptWindows {
+		oldest := slices.Min(slices.Collect(maps.Keys(book.recorded)))
+		delete(book.recorded, oldest)
+		delete(book.sent, oldest)
+	}
+}
+
+// RecordRestored records that the store was restored from a copy at a time.
+func (book *Book) RecordRestored(at time.Time) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	book.notBefore = max(book.notBefore, WindowOf(at.Add(-closeDelay), book.length))
+}
+
+// BeginTerm begins a term of the local host. If it continues the one before it, the local host knows all
+// reports that may have been sent. If not, what it has sent may be sent again.
+func (book *Book) BeginTerm(continues bool) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	if continues {
+		book.notBefore = 0
+		return
+	}
+	clear(book.sent)
+}
+
+// Due returns the windows that have to be sent now, oldest first: those that are closed, not sent yet,
+// and either recorded or known by their counts.
+func (book *Book) Due(now time.Time) []Window {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	var due []Window
+	for window := WindowOf(now.Add(-book.late), book.length); !now.Before(window.End(book.length).Add(closeDelay)); window++ {
+		if now.After(window.End(book.length).Add(book.late)) || book.sent[window] {
+			continue
+		}
+		_, isRecorded := book.recorded[window]
+		if isRecorded || window >= max(book.since, book.notBefore) {
+			due = append(due, window)
+		}
+	}
+	return due
+}
+
+// Recorded returns the recorded report of a window.
+func (book *Book) Recorded(window Window) (Report, bool) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	counts, ok := book.recorded[window]
+	return Report{window, counts}, ok
+}
+
+// ToStore returns the reports that the store has to hold so that a report may be sent: it and the newest
+// ones that are remembered, oldest first.
+func (book *Book) ToStore(added Report) []Report {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	reports := []Report{added}
+	for window, counts := range book.recorded {
+		if window != added.Window {
+			reports = append(reports, Report{window, counts})
+		}
+	}
+	slices.SortFunc(reports, func(a, b Report) int { return int(a.Window - b.Window) })
+	return reports[max(0, len(reports)-recordedWindows):]
+}
+
+// RecordSent records that a report was accepted.
+func (book *Book) RecordSent(window Window) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	book.sent[window] = true
+}
--- /dev/null
+++ b/core/usage/collector.go
@@ -0,0 +1,53 @@
+package usage
+
+import (
+	"maps"
+	"slices"
+	"sync"
+)
+
+// Collector holds what all hosts have counted. Each host that may have to report keeps one. It is safe for
+// concurrent use.
+type Collector struct {
+	mutex sync.Mutex
+	// statements holds the latest statement of each process of a host, by window.
+	statements map[Window]map[string]Statement
+}
+
+// NewCollector returns an empty collector.
+func NewCollector() *Collector { return &Collector{statements: make(map[Window]map[string]Statement)} }
+
+// Put takes the statements of a process of a host and returns the confirmations for it.
+func (collector *Collector) Put(process string, statements []Statement) []Confirmation {
+	collector.mutex.Lock()
+	defer collector.mutex.Unlock()
+	confirmations := make([]Confirmation, 0, len(statements))
+	for _, statement := range statements {
+		known := collector.statements[statement.Window]
+		if known == nil {
+			known = make(map[string]Statement)
+			collector.statements[statement.Window] = known
+		}
+		if known[process].Sequence < statement.Sequence {
+			known[process] = statement
+		}
+		confirmations = append(confirmations, Confirmation{statement.Window, statement.Sequence})
+	}
+	for len(collector.statements) > keptWindows {
+		delete(collector.statements, slices.Min(slices.Collect(maps.Keys(collector.statements))))
+	}
+	return confirmations
+}
+
+// Sum returns the counts of all hosts in a window.
+func (collector *Collector) Sum(window Window) Counts {
+	collector.mutex.Lock()
+	defer collector.mutex.Unlock()
+	sum := make(Counts)
+	for _, statement := range collector.statements[window] {
+		for workspace, count := range statement.Counts {
+			sum[workspace] += count
+		}
+	}
+	return sum
+}
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -95,6 +95,7 @@
 	exchange.recordAlive(time.Now())
 	if !info.NotRun {
 		now := time.Now()
+		exchange.recordBegun(now)
 		call.handler.options.Pick.ObserveFirstEvent(&call.work, &exchange.choice, now.Sub(exchange.started), now)
 	}
 	if info.Load != nil {
@@ -106,6 +107,21 @@
 	return exchange.handleResponse(response, info)
 }
 
+// recordBegun counts the request as begun by the server.
+func (exchange *exchange) recordBegun(now time.Time) {
+	if onBegun := exchange.call.handler.options.OnBegun; onBegun != nil {
+		onBegun(exchange.call.work.Workspace, now)
+	}
+}
+
+// recordUnansweredRun counts a request without a response. A plain server begins a request soon after it
+// has arrived whole, so that it has probably run; an engine may not have begun with the prompt.
+func (exchange *exchange) recordUnansweredRun(now time.Time) {
+	if exchange.reusable && !exchange.promptRead && !exchange.call.work.Route.HasPrompt {
+		exchange.recordBegun(now)
+	}
+}
+
 // observeRateLimit records the limit that the server named, and logs a change. Only a success
 // without a limit shows that the server names none.
 func (exchange *exchange) observeRateLimit(response pipe.Response, info ResponseInfo) {
@@ -341,6 +357,7 @@
 	}
 	call := exchange.call
 	now := time.Now()
+	exchange.recordUnansweredRun(now)
 	exchange.recordBrokenFraming(err)
 	exchange.recordLastEvent()
 	if exchange.watch != nil && exchange.watch.isBroken() {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -62,6 +62,9 @@
 	// Room keeps the requests at brittle backend servers within their room.
 	Room *room.Limiter
 	Pick pick.Options
+	// OnBegun is called with the workspace of each request that a backend server has begun to run; nil:
+	// it is not wanted.
+	OnBegun func(workspace string, begun time.Time)
 	// TrustedServices holds the services whose responses may end with their connection.
 	TrustedServices map[string]bool
 	// Cuts holds where connections are known to have been closed in order within responses. TellCuts
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -159,8 +159,17 @@
 // CountStoreCall counts a call to the store by operation and kind of error; an
 // empty kind means success.
 func (meter *Meter) CountStoreCall(operation, kind string) {
+	meter.countCall("store_calls", operation, kind)
+}
+
+// CountCloudCall is CountStoreCall for calls to the platform's interface.
+func (meter *Meter) CountCloudCall(operation, kind string) {
+	meter.countCall("cloud_calls", operation, kind)
+}
+
+func (meter *Meter) countCall(counter, operation, kind string) {
 	if kind == "" {
 		kind = "none"
 	}
-	meter.scope.Tagged(map[string]string{"call": operation, "error": kind}).Counter("store_calls").Inc(1)
+	meter.scope.Tagged(map[string]string{"call": operation, "error": kind}).Counter(counter).Inc(1)
 }
