core/duty: a term that a restored store ended goes on at its holder

Cause: after a restored store another candidate took the duty, and left out the window that the holder before may have reported: 3 of 4 runs of TestUsageIsReportedOnce/the_store_comes_back_older beside load missed one window. A term that continues is told by the two highest tokens. Measured: go test ./platform -run 'TestUsageIsReportedOnce|TestDutyIsGiven' -count=3 passes beside load.

--- a/core/duty/holder.go
+++ b/core/duty/holder.go
@@ -40,12 +40,12 @@
 	// fence is the token of the current term, and usableFrom the time of its first call.
 	fence      int64
 	usableFrom time.Time
-	// highest is the highest token that any host is known to have had, followed the highest one of another
-	// term than the current one, and lastUsed the one that the local host used last. continues: no other
-	// host is known to have had one between that and the current one.
+	// highest and second are the highest tokens that hosts are known to have had, and lastUsed is the one
+	// that the local host used last. continues: no other host is known to have had one between that and the
+	// current one.
 	highest       int64
+	second        int64
 	lastUsed      int64
-	followed      int64
 	continues     bool
 	failed        int
 	resignedUntil time.Time
@@ -66,23 +66,30 @@
 	}
 	if fence != holder.fence {
 		holder.fence, holder.usableFrom, holder.failed = fence, now.Add(holder.options.Settle), 0
-		holder.continues = holder.lastUsed != 0 && holder.followed <= holder.lastUsed
+		holder.observe(fence)
+		holder.continues = holder.lastUsed != 0 && holder.second <= holder.lastUsed && holder.highest == fence
 	}
 	if fence < holder.highest || now.Before(holder.usableFrom) || remaining <= holder.options.CallTimeout || now.Before(holder.resignedUntil) {
 		return Permit{}, false
 	}
-	holder.highest, holder.lastUsed = max(holder.highest, fence), fence
+	holder.lastUsed = fence
 	return Permit{Holder: holder.options.Host, Fence: fence, Continues: holder.continues}, true
 }
 
 // ObserveFence records a token that a host has had.
 func (holder *Holder) ObserveFence(fence int64) {
-	own, _ := holder.options.Lease.Current()
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
-	holder.highest = max(holder.highest, fence)
-	if fence != own && fence != holder.fence {
-		holder.followed = max(holder.followed, fence)
+	holder.observe(fence)
+}
+
+// observe implements ObserveFence. The mutex is held.
+func (holder *Holder) observe(fence int64) {
+	switch {
+	case fence > holder.highest:
+		holder.highest, holder.second = fence, holder.highest
+	case fence < holder.highest:
+		holder.second = max(holder.second, fence)
 	}
 }
 
@@ -93,6 +100,13 @@
 	return holder.highest
 }
 
+// WasLast reports whether the local host was the last one to use the duty, as far as it knows.
+func (holder *Holder) WasLast() bool {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	return holder.lastUsed != 0 && holder.lastUsed >= holder.highest
+}
+
 // RecordCall records the outcome of a call. A call without an answer may show that this host is cut off;
 // one that was answered does not.
 func (holder *Holder) RecordCall(err error, now time.Time) {
