--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -61,6 +61,10 @@
 		DutyResigned(),
 		UsageReported(),
 		UsageReportFailed(),
+		ServersPlanned(),
+		ServersOrdered(),
+		ServerOrderRefused(),
+		ServerOrderFailed(),
 		HostCutOff(),
 		HostRegained(),
 		EntriesRead(),
@@ -382,6 +386,26 @@
 	return Event{2112, "usage_report_failed", logrus.WarnLevel, "duty", "The usage of a window could not be recorded or sent; it is tried again."}
 }
 
+// ServersPlanned reports that other numbers of servers are to be ordered for a service.
+func ServersPlanned() Event {
+	return Event{2120, "servers_planned", logrus.InfoLevel, "duty", "Other numbers of servers are to be ordered for a service, and have been recorded."}
+}
+
+// ServersOrdered reports that the platform accepted an order of servers.
+func ServersOrdered() Event {
+	return Event{2121, "servers_ordered", logrus.InfoLevel, "duty", "The platform accepted an order of servers."}
+}
+
+// ServerOrderRefused reports that the platform does not fulfill an order of servers.
+func ServerOrderRefused() Event {
+	return Event{2122, "server_order_refused", logrus.WarnLevel, "duty", "The platform has no servers of the kind now, or rejects the order; others are ordered in their place."}
+}
+
+// ServerOrderFailed reports that an order of servers could not be recorded or was not answered.
+func ServerOrderFailed() Event {
+	return Event{2123, "server_order_failed", logrus.WarnLevel, "duty", "An order of servers could not be recorded, or had no answer; it is tried again."}
+}
+
 // HostCutOff reports that this host reaches no backend server by itself.
 func HostCutOff() Event {
 	return Event{1972, "host_cut_off", logrus.WarnLevel, "fleet", "This host reaches no backend server by itself; it opens connections through other hosts that do."}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -123,6 +123,9 @@
 	return !member.Leaving && !member.announcement.leaving && !member.Replaced && (member.ExpiresAt.IsZero() || now.Before(member.ExpiresAt))
 }
 
+// IsLeaving reports whether the server is leaving, by its registration or by what it said itself.
+func (member *Member) IsLeaving() bool { return member.Leaving || member.announcement.leaving }
+
 // Fleet is the set of all known backend servers. It is safe for concurrent use.
 type Fleet struct {
 	mutex     sync.Mutex
@@ -290,6 +293,21 @@
 	return members
 }
 
+// Registered returns copies of all servers of a service, also those that are leaving, except processes
+// that were replaced.
+func (fleet *Fleet) Registered(service string, now time.Time) []Member {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.expireReports(now)
+	members := make([]Member, 0, len(fleet.byService[service]))
+	for _, member := range fleet.byService[service] {
+		if !member.Replaced && (member.ExpiresAt.IsZero() || now.Before(member.ExpiresAt)) {
+			members = append(members, *member)
+		}
+	}
+	return members
+}
+
 // Usable reports whether a server may be sent requests for a service now.
 func (fleet *Fleet) Usable(id, service string, now time.Time) bool {
 	member := fleet.find(id)
--- a/core/pick/rate.go
+++ b/core/pick/rate.go
@@ -58,6 +58,16 @@
 	return rates.initial
 }
 
+// Observed returns the rate of a service's engines at normal speed, 0 while too little is observed.
+func (rates *PrefillRates) Observed(service string) float64 {
+	rates.mutex.Lock()
+	defer rates.mutex.Unlock()
+	if observed := rates.services[service]; observed != nil {
+		return observed.rate
+	}
+	return 0
+}
+
 // Observe updates the rate from a request that an engine began at once: its tokens without
 // the cached ones, the time to its first event, and the engine's slowness.
 func (rates *PrefillRates) Observe(service string, tokens int, firstEvent time.Duration, slowness float64) {
--- a/core/table/rank.go
+++ b/core/table/rank.go
@@ -16,11 +16,13 @@
 	routes     []int
 	// lowest is the priority number of the least urgent routes, by service.
 	lowest map[string]int
+	// highest is that of the most urgent routes.
+	highest map[string]int
 }
 
 func newRanks(data Data) ranks {
 	workspaces, routes := map[int]bool{}, map[int]bool{}
-	lowest := map[string]int{}
+	lowest, highest := map[string]int{}, map[string]int{}
 	for _, workspace := range data.Workspaces {
 		if workspace.HasPriority {
 			workspaces[workspace.Priority] = true
@@ -30,9 +32,12 @@
 		routes[route.Priority] = true
 		for _, target := range route.Targets {
 			lowest[target.Service] = max(lowest[target.Service], route.Priority)
+			if first, ok := highest[target.Service]; !ok || route.Priority < first {
+				highest[target.Service] = route.Priority
+			}
 		}
 	}
-	return ranks{slices.Sorted(maps.Keys(workspaces)), slices.Sorted(maps.Keys(routes)), lowest}
+	return ranks{slices.Sorted(maps.Keys(workspaces)), slices.Sorted(maps.Keys(routes)), lowest, highest}
 }
 
 // Rank returns the urgency of a request from 0, the most urgent, to LastRank. A
@@ -53,3 +58,8 @@
 func (table *Table) Bulk(route Route, service string) bool {
 	return len(table.ranks.routes) > 1 && route.Priority > 0 && route.Priority == table.ranks.lowest[service]
 }
+
+// MostUrgent reports whether a route is among the most urgent ones of a service.
+func (table *Table) MostUrgent(route Route, service string) bool {
+	return route.Priority == table.ranks.highest[service]
+}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -50,6 +50,7 @@
 			return
 		}
 		step := call.nextStep(time.Now())
+		call.countDemand(step)
 		if call.endsWith(step) {
 			return
 		}
@@ -86,6 +87,20 @@
 	}
 }
 
+// countDemand reports the request as demand for servers, once.
+func (call *call) countDemand(step steer.Decision) {
+	onDemand := call.handler.options.OnDemand
+	if onDemand == nil || call.isDemandCounted {
+		return
+	}
+	call.isDemandCounted = true
+	tokens := call.work.PromptTokens
+	if step.Choice != nil {
+		tokens = step.Choice.Share.PrefillTokens
+	}
+	onDemand(&call.work, tokens, step.Reason == steer.Overload || step.Reason == steer.NoServer)
+}
+
 // endsWith ends the request if that is its next step. It reports whether it did.
 func (call *call) endsWith(step steer.Decision) bool {
 	switch step.Action {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -65,6 +65,10 @@
 	// OnBegun is called with the workspace of each request that a backend server has begun to run; nil:
 	// it is not wanted.
 	OnBegun func(workspace string, begun time.Time)
+	// OnDemand is called once for each request that is to be sent to a backend server, with the prompt
+	// tokens that are not expected in a cache, and whether it is refused for want of one; nil: it is not
+	// wanted.
+	OnDemand func(request *work.Request, tokens int, isRefused bool)
 	// TrustedServices holds the services whose responses may end with their connection.
 	TrustedServices map[string]bool
 	// Cuts holds where connections are known to have been closed in order within responses. TellCuts
@@ -173,6 +177,8 @@
 	waitsUntil time.Time
 
 	state work.State
+	// isDemandCounted: OnDemand was called.
+	isDemandCounted bool
 	// mayHaveRun is the number of attempts of which it is not certain that they have not run.
 	mayHaveRun int
 	// reached is the number of backend servers that may have received the request.
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -151,6 +151,12 @@
 	meter.SetTaggedGauge("requests_in_flight_by_rank", "rank", strconv.Itoa(rank), float64(requests))
 }
 
+// SetServersOrdered sets the number of servers that are ordered of a kind in a failure domain.
+func (meter *Meter) SetServersOrdered(service, failureDomain, kind string, servers int) {
+	tags := map[string]string{"service": service, "failure_domain": failureDomain, "kind": kind}
+	meter.scope.Tagged(tags).Gauge("servers_ordered").Update(float64(servers))
+}
+
 // SetGauge sets a gauge without tags.
 func (meter *Meter) SetGauge(name string, value float64) {
 	meter.scope.Gauge(name).Update(value)
