--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -37,6 +37,8 @@
 	require.Zero(t, servers.Put(leaving))
 	require.False(t, servers.Usable("a", "engines", time.Now()))
 	require.Equal(t, []string{"b"}, ids(servers.Members("engines", time.Now())))
+	require.Equal(t, []string{"a", "b"}, ids(servers.Registered("engines", time.Now())))
+	require.True(t, servers.Registered("engines", time.Now())[0].IsLeaving())
 	require.True(t, servers.Remove("b"))
 	require.False(t, servers.Remove("b"))
 }
--- a/core/scale/book.go
+++ b/core/scale/book.go
@@ -20,7 +20,7 @@
 
 // ServiceRecord is the numbers that are ordered for a service.
 type ServiceRecord struct {
-	// Start is the number of servers when the first plan was made.
+	// Start is the number of on-demand servers before the first order of some.
 	Start  int     `json:"start"`
 	Orders []Order `json:"orders"`
 }
@@ -108,15 +108,17 @@
 	recorded := book.record.Services[service]
 	state.LastFall = book.lastFall[service]
 	state.Start = recorded.Start
-	present := 0
+	present, isFirst := 0, true
 	for index := range state.Domains {
 		domain := &state.Domains[index]
-		present += domain.OnDemand.Ready + domain.Spot.Ready
+		present += domain.OnDemand.Ready
 		book.fillGroup(key{service, domain.Name, false}, recorded, &domain.OnDemand, state.Now)
 		book.fillGroup(key{service, domain.Name, true}, recorded, &domain.Spot, state.Now)
+		isFirst = isFirst && !domain.OnDemand.HasOrder
 	}
-	if state.Start == 0 {
-		state.Start = present
+	if isFirst {
+		// Those that were there at first may still be registering.
+		state.Start = max(state.Start, present)
 	}
 }
 
--- a/core/scale/demand.go
+++ b/core/scale/demand.go
@@ -15,8 +15,9 @@
 	trendSamples, maxGrowth = 5, 1.5
 	// rateSamples is the number of samples that the current demand is the mean of.
 	rateSamples = 2
-	// processTTL is how long the counters of a process are kept after its last message.
-	processTTL = 30 * time.Second
+	// processTTL is how long the counters of a process are kept after its last message. What it counts in
+	// a longer pause would look like the demand of a second when it is heard again.
+	processTTL = 5 * time.Second
 )
 
 // Counters holds the demand for a service that a host has seen since its start.
@@ -115,7 +116,7 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	known := tracker.processes[name]
-	if known == nil {
+	if known == nil || now.Sub(known.heardAt) > processTTL {
 		tracker.processes[name] = &process{counters, now}
 		return
 	}
--- a/core/scale/plan.go
+++ b/core/scale/plan.go
@@ -68,6 +68,7 @@
 		plan.Wanted = max(plan.Wanted, planner.wantedAtStart())
 	}
 	plan.Wanted = max(plan.Wanted, planner.Limits.Min*len(planner.domains))
+	plan.Wanted = (plan.Wanted + wantedStep - 1) / wantedStep * wantedStep
 	urgent := max(demand.Peak.UrgentTokens/(2*planner.sustainedPerS()*utilization), demand.Peak.UrgentInFlight/float64(planner.slots()))
 	least := int(math.Ceil(float64(planner.Start) * startBaseShare))
 	plan.Base = max(least, min(int(math.Ceil(urgent)), int(float64(plan.Wanted)*maxBaseShare)))
@@ -89,11 +90,11 @@
 	return planner.plan.Peak
 }
 
-// isShort reports whether a group does not get the servers that are ordered.
+// isShort reports whether a group does not get the servers that are ordered, or they are being reclaimed.
 func (planner *planner) isShort(group Group) bool {
 	isRefused := !group.RefusedAt.IsZero() && planner.Now.Sub(group.RefusedAt) < shortFor
 	isMissing := !group.MissingSince.IsZero() && planner.Now.Sub(group.MissingSince) > planner.Limits.Boot+bootMargin
-	return (isRefused || isMissing) && group.Ready < group.held()
+	return (isRefused || isMissing || group.Leaving > 0) && group.Ready < group.held()
 }
 
 // placeBase divides the on-demand engines that are kept among the cheapest failure domains.
--- a/core/scale/scale.go
+++ b/core/scale/scale.go
@@ -33,6 +33,8 @@
 	// refusedShare is the share of refused requests from which on more engines are ordered than the
 	// estimate of their capacity says, by refusedFactor relative to those that serve.
 	refusedShare, refusedFactor = 0.01, 1.25
+	// wantedStep is what the wanted number is rounded up to a multiple of, so that noise leads to few orders.
+	wantedStep = 6
 	// shortFor is how long engines that were refused are not counted on. The order is repeated meanwhile.
 	shortFor = 10 * time.Second
 	// bootMargin is how much longer than the boot time ordered engines are counted on.
@@ -87,7 +89,7 @@
 	Slots int
 	// TokensPerMs is the prefill rate of an engine as observed at best, 0 if not known.
 	TokensPerMs float64
-	// Start is the number of servers that there were when the first plan was made.
+	// Start is the number of on-demand servers that there were before the first order of some.
 	Start   int
 	Domains []Domain
 	Demand  Demand
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -96,6 +96,8 @@
 	require.Equal(t, built.Rank(bulk, first), built.Rank(bulk, third))
 	require.True(t, built.Bulk(bulk, "engines"))
 	require.False(t, built.Bulk(urgent, "engines"))
+	require.True(t, built.MostUrgent(urgent, "engines"))
+	require.False(t, built.MostUrgent(bulk, "engines"))
 }
 
 // An invalid configuration must be rejected with an error that names the field.
