core/scale: the price stays within the target through bursts and reclaimed spot engines

Cause: plays with bursts of chat, waves, and two domains without spot engines: the forecast of up to 1.5 overshot waves of 27 in 100, the on-demand base followed bursts (up to 36 engines), and on-demand engines in place of a failure domain's spot engines followed each wave; a restarting on-demand engine could have lowered its domain's number. Change: forecasts of at most 1.3; the base is an eighth of the engines at first, or up to 8 in 100 of the wanted ones; the loss of a failure domain is reckoned with at the demand held for 30 s, without a margin; numbers of on-demand engines that are not fulfilled stay. 1.6 times the engines at first are kept until the demand is known.

--- a/core/scale/demand.go
+++ b/core/scale/demand.go
@@ -11,8 +11,8 @@
 	// burstFactor is the growth of long prompts that engines are kept for.
 	burstFactor = 2.5
 	// trendSamples is the number of samples that a trend is taken from, and maxGrowth the most that is
-	// forecast from it: regular ups and downs have steep slopes.
-	trendSamples, maxGrowth = 5, 1.5
+	// forecast from it: regular ups and downs by a quarter have slopes of 15 in 100 a second.
+	trendSamples, maxGrowth = 5, 1.3
 	// rateSamples is the number of samples that the current demand is the mean of.
 	rateSamples = 2
 	// processTTL is how long the counters of a process are kept after its last message. What it counts in
@@ -60,9 +60,9 @@
 
 // Demand is what is known of the demand for a service.
 type Demand struct {
-	// Now is the demand of the last seconds, and Peak the highest within holdPeak, with the forecast growth
-	// of the tokens and of the requests that engines hold.
-	Now, Peak Load
+	// Now is the demand of the last seconds, Held the highest within holdPeak, and Peak the same with the
+	// forecast growth of the tokens and of the requests that engines hold.
+	Now, Held, Peak Load
 	// RefusedShare is the share of refused requests in the last seconds.
 	RefusedShare float64
 	// Known is set once there has been a request, and Settled if that was longer than holdPeak ago.
@@ -101,9 +101,10 @@
 	elapsed  time.Duration
 }
 
+// peak is the demand at a time, and what was forecast then.
 type peak struct {
-	at   time.Time
-	load Load
+	at             time.Time
+	load, forecast Load
 }
 
 // NewTracker returns a Tracker that knows of no demand.
@@ -168,16 +169,16 @@
 	current, refused := history.current()
 	forecast, growth := current, history.growth(boot+time.Second)
 	forecast.Tokens, forecast.InFlight = current.Tokens*growth, current.InFlight*growth
-	history.peaks = append(history.peaks, peak{now, forecast})
-	highest := Load{}
+	history.peaks = append(history.peaks, peak{now, current, forecast})
+	held, highest := Load{}, Load{}
 	for len(history.peaks) > 0 && now.Sub(history.peaks[0].at) > holdPeak {
 		history.peaks = history.peaks[1:]
 	}
 	for _, one := range history.peaks {
-		highest = highest.max(one.load)
+		held, highest = held.max(one.load), highest.max(one.forecast)
 	}
 	isKnown := !history.firstAt.IsZero()
-	return Demand{Now: current, Peak: highest, RefusedShare: refused, Known: isKnown, Settled: isKnown && now.Sub(history.firstAt) >= holdPeak}
+	return Demand{Now: current, Held: held, Peak: highest, RefusedShare: refused, Known: isKnown, Settled: isKnown && now.Sub(history.firstAt) >= holdPeak}
 }
 
 // current returns the mean of the latest samples, and the share of refused requests.
--- a/core/scale/plan.go
+++ b/core/scale/plan.go
@@ -58,8 +58,9 @@
 func (planner *planner) need() {
 	plan, demand := &planner.plan, planner.Demand
 	plan.Needed = planner.engines(demand.Now.Tokens, demand.Now.InFlight)
-	plan.Peak = max(plan.Needed, planner.engines(demand.Peak.Tokens, demand.Peak.InFlight))
-	plan.Burst = max(plan.Peak, planner.engines(demand.Peak.Burst, demand.Peak.InFlight))
+	plan.Held = max(plan.Needed, planner.engines(demand.Held.Tokens, demand.Held.InFlight))
+	plan.Peak = max(plan.Held, planner.engines(demand.Peak.Tokens, demand.Peak.InFlight))
+	plan.Burst = max(plan.Peak, planner.engines(demand.Held.Burst, demand.Held.InFlight))
 	plan.Wanted = plan.Burst
 	if demand.RefusedShare > refusedShare {
 		plan.Wanted = max(plan.Wanted, int(math.Ceil(float64(plan.Ready)*refusedFactor)))
@@ -69,7 +70,7 @@
 	}
 	plan.Wanted = max(plan.Wanted, planner.Limits.Min*len(planner.domains))
 	plan.Wanted = (plan.Wanted + wantedStep - 1) / wantedStep * wantedStep
-	urgent := max(demand.Peak.UrgentTokens/(2*planner.sustainedPerS()*utilization), demand.Peak.UrgentInFlight/float64(planner.slots()))
+	urgent := max(demand.Held.UrgentTokens/(2*planner.sustainedPerS()*utilization), demand.Held.UrgentInFlight/float64(planner.slots()))
 	least := int(math.Ceil(float64(planner.Start) * startBaseShare))
 	plan.Base = max(least, min(int(math.Ceil(urgent)), int(float64(plan.Wanted)*maxBaseShare)))
 }
@@ -184,12 +185,12 @@
 	}
 }
 
-// coverLoss adds engines until the loss of all spot engines of one failure domain leaves what the current
-// demand needs.
+// coverLoss adds engines until the loss of all spot engines of one failure domain leaves what the demand of
+// the last seconds needs. The held one counts, or on-demand engines would come and go with each wave.
 func (planner *planner) coverLoss() {
 	for {
 		largest := planner.largestSpot()
-		if largest == nil || planner.total()-largest.spot >= planner.plan.Needed {
+		if largest == nil || planner.total()-largest.spot >= planner.leastAfterLoss() {
 			return
 		}
 		if !planner.growSpot(largest) && !planner.growExtra() {
@@ -198,6 +199,12 @@
 	}
 }
 
+// leastAfterLoss returns the engines that must be left after such a loss: what the demand needs without a
+// margin, as new ones come within the boot time.
+func (planner *planner) leastAfterLoss() int {
+	return int(math.Ceil(float64(planner.plan.Held) * utilization))
+}
+
 func (planner *planner) largestSpot() *placed {
 	if len(planner.domains) == 0 {
 		return nil
@@ -220,7 +227,7 @@
 	for _, domain := range planner.domains {
 		largest = max(largest, domain.Spot.supply())
 	}
-	mayFall := planner.plan.Ready - max(planner.essential(), largest+planner.plan.Needed)
+	mayFall := planner.plan.Ready - max(planner.essential(), largest+planner.leastAfterLoss())
 	if planner.Demand.Known {
 		mayFall = min(mayFall, onDemandStep)
 	}
@@ -250,9 +257,13 @@
 	return 1
 }
 
-// orderOnDemand returns the number of on-demand servers to order, which falls by mayFall at most.
+// orderOnDemand returns the number of on-demand servers to order, which falls by mayFall at most. A number
+// that the platform does not fulfill stays, as with a server that restarts.
 func (planner *planner) orderOnDemand(domain *placed, mayFall *int) int {
 	held, target := domain.OnDemand.held(), domain.onDemand()
+	if planner.isShort(domain.OnDemand) {
+		return held
+	}
 	if target >= held {
 		return max(held, min(target, planner.Limits.Max-domain.Spot.held()))
 	}
--- a/core/scale/plan_test.go
+++ b/core/scale/plan_test.go
@@ -293,6 +293,32 @@
 				play.exhausted[group{"a", true}], play.exhausted[group{"c", true}] = true, true
 			}, maxCost: allOnDemand,
 		},
+		"two domains without spot engines, and ups and downs": {
+			load: func(second int) traffic {
+				return usual.times(1 + 0.27*wave(second))
+			},
+			fault: func(play *play) {
+				play.exhausted[group{"a", true}], play.exhausted[group{"c", true}] = true, true
+			}, maxCost: allOnDemand,
+		},
+		"spot engines of two domains are lost during a burst": {
+			load: func(second int) traffic {
+				load := usual
+				if second >= 50 && second < 59 {
+					load.long *= 2.4
+					load.chat *= 2.7
+				}
+				return load
+			},
+			fault: func(play *play) {
+				if play.second == 30 {
+					play.reclaim("b")
+				}
+				if play.second == 70 {
+					play.reclaim("a")
+				}
+			},
+		},
 		"answers are lost for 10 s": {
 			fault: func(play *play) { play.losesAnswers = play.second >= 16 && play.second < 26 },
 		},
--- a/core/scale/scale.go
+++ b/core/scale/scale.go
@@ -22,12 +22,12 @@
 	// defaultSlots is the assumed number of requests that an engine holds if the configuration names none.
 	defaultSlots = 16
 	// startFactor is the number of engines that are kept until the demand has been seen for holdPeak,
-	// relative to those that were there at first: with a third more, the spot engines of a failure
-	// domain may be reclaimed at once.
-	startFactor = 1.5
+	// relative to those that were there at first: without the spot engines of any failure domain, nearly
+	// as many are left.
+	startFactor = 1.6
 	// startBaseShare and maxBaseShare bound the on-demand engines that are kept in any case, relative to
 	// the engines at first and to the planned ones.
-	startBaseShare, maxBaseShare = 0.125, 0.2
+	startBaseShare, maxBaseShare = 0.125, 0.08
 	// baseDomains is the number of failure domains that share the base, so that the loss of one leaves a half.
 	baseDomains = 2
 	// refusedShare is the share of refused requests from which on more engines are ordered than the
@@ -108,9 +108,9 @@
 type Plan struct {
 	// Orders holds the number for each kind and domain that has an order, or needs one.
 	Orders []Order
-	// Needed is the number of engines that the demand of the last seconds needs, Peak that of the held
-	// peak, and Burst that of a burst of long prompts at the peak.
-	Needed, Peak, Burst int
+	// Needed is the number of engines that the demand of the last seconds needs, Held that of the highest
+	// one that is held, Peak the same with the forecast growth, and Burst with a burst of long prompts.
+	Needed, Held, Peak, Burst int
 	// Wanted is the number to aim at, Base the on-demand ones among them that are kept in any case.
 	Wanted, Base int
 	// Ready is the number of engines that serve and are not to leave.
