--- a/core/scale/plan.go
+++ b/core/scale/plan.go
@@ -34,6 +34,7 @@
 	})
 	planner.need()
 	planner.placeBase()
+	planner.placeLeast()
 	planner.placeSpot()
 	planner.placeExtra()
 	planner.coverLoss()
@@ -113,6 +114,20 @@
 	}
 }
 
+// placeLeast gives each failure domain the least number of servers, spot ones if they are to be had.
+func (planner *planner) placeLeast() {
+	for _, domain := range planner.domains {
+		for domain.onDemand()+domain.spot < planner.Limits.Min {
+			switch {
+			case planner.spotRoom(domain) > 0:
+				domain.spot++
+			default:
+				domain.extra++
+			}
+		}
+	}
+}
+
 // room returns the weight with which a group takes one more server than count; 0: it takes none.
 func (planner *planner) room(domain *placed, group Group, count int) float64 {
 	if domain.onDemand()+domain.spot >= planner.Limits.Max || planner.isShort(group) && count >= group.supply() {
@@ -228,7 +243,7 @@
 		largest = max(largest, domain.Spot.supply())
 	}
 	mayFall := planner.plan.Ready - max(planner.essential(), largest+planner.leastAfterLoss())
-	if planner.Demand.Known {
+	if planner.plan.Held*idleFactor >= planner.plan.Ready {
 		mayFall = min(mayFall, onDemandStep)
 	}
 	spotFalls := 0
--- a/core/scale/plan_test.go
+++ b/core/scale/plan_test.go
@@ -146,6 +146,7 @@
 			}
 		}
 		require.LessOrEqual(play.t, sum, 60, "second %d: too many engines are ordered in %s", play.second, domain)
+		require.GreaterOrEqual(play.t, sum, 1, "second %d: too few engines are ordered in %s", play.second, domain)
 	}
 	for _, order := range play.book.Due(map[string]time.Duration{"s": state.Limits.Boot}, play.now()) {
 		play.calls++
--- a/core/scale/scale.go
+++ b/core/scale/scale.go
@@ -42,9 +42,9 @@
 	// fallInterval is the time between two reductions of spot engines, each by one: they are cheap, and
 	// new ones take the boot time.
 	fallInterval = 4 * time.Second
-	// onDemandStep is the largest reduction of on-demand engines at once while there are requests: those
-	// that run there go on elsewhere, and cached prompts are lost.
-	onDemandStep = 6
+	// onDemandStep is the largest reduction of on-demand engines at once while the engines are in use, which
+	// is from 1/idleFactor of them on: requests that run there go on elsewhere, and cached prompts are lost.
+	onDemandStep, idleFactor = 6, 4
 )
 
 // Group is the servers of one kind in one failure domain.
