core/roster: a host that is expected again counts as heard

Cause: a host that becomes an entry host again begins to send to the watchers of the other failure domains. They compared with the time at which they had heard it last, before it stopped, took it for silent at once and left it out of the answers until its first message.

Change: a host that was not expected at the last observation counts as heard. The comment on minSilenceReports says what the code does.

Measured: TestHostThatIsExpectedAgainIsNotSilent fails without the change (silent for 6300 ms), passes with it; go test ./core/roster -run 'TestHostThat|TestNewProc' passes.

--- a/core/roster/silence.go
+++ b/core/roster/silence.go
@@ -20,8 +20,8 @@
 	// maxObservationGap is the time between two observations above which the host itself was paused.
 	// What it has not heard in that time says nothing of the others.
 	maxObservationGap = time.Second
-	// minSilenceReports is the number of watchers that must report a host as silent, unless there
-	// are fewer.
+	// minSilenceReports is the number of watchers that must report a host as silent. A watcher that hears
+	// no other one takes no host for gone.
 	minSilenceReports = 2
 )
 
@@ -68,6 +68,8 @@
 type heardHost struct {
 	incarnation uint64
 	at          time.Time
+	// expectedAt is when the host was expected last.
+	expectedAt time.Time
 }
 
 // receivedSilence is the latest report of another watcher.
@@ -106,19 +108,21 @@
 
 // Observe recomputes the local host's report and reports whether other hosts are to be told at once.
 // Expected holds the hosts that send messages to the local host; it is empty if that is no watcher. A
-// process of which nothing is known yet counts as heard when it is expected for the first time.
+// process counts as heard when it is expected and was not at the last observation.
 func (silence *Silence) Observe(expected, watchers []host.Host, now time.Time) (changed bool) {
 	silence.mutex.Lock()
 	defer silence.mutex.Unlock()
+	lastObserved := silence.lastObserved
 	silence.forgive(now)
 	before := silence.latest
 	silence.latest = SilenceReport{}
 	for _, one := range expected {
-		known, ok := silence.heard[one.Name]
-		if !ok || known.incarnation != one.Incarnation {
-			known = heardHost{incarnation: one.Incarnation, at: now}
-			silence.heard[one.Name] = known
+		known := silence.heard[one.Name]
+		if known.incarnation != one.Incarnation || known.expectedAt.IsZero() || !known.expectedAt.Equal(lastObserved) {
+			known.incarnation, known.at = one.Incarnation, now
 		}
+		known.expectedAt = now
+		silence.heard[one.Name] = known
 		if silentFor := now.Sub(known.at); silentFor >= silenceTimeout {
 			silence.latest.Silent = append(silence.latest.Silent, newSilentHost(one, silentFor))
 		}
--- a/core/roster/silence_test.go
+++ b/core/roster/silence_test.go
@@ -208,3 +208,23 @@
 		require.Empty(t, fleet.omitted(own))
 	}
 }
+
+// Guards against a sound host that is left out as soon as it becomes an entry host again: until then it
+// sends nothing to the watchers of other failure domains, which heard it last long ago.
+func TestHostThatIsExpectedAgainIsNotSilent(t *testing.T) {
+	now, silence := time.Now(), roster.NewSilence("host-0")
+	standing, returning := silenceHost(1, 0), silenceHost(2, 0)
+	silence.Heard(standing.Name, now)
+	silence.Observe([]host.Host{standing, returning}, nil, now)
+	for range 20 {
+		now = now.Add(observeInterval)
+		silence.Heard(standing.Name, now)
+		silence.Observe([]host.Host{standing}, nil, now)
+	}
+	for range 8 {
+		now = now.Add(observeInterval)
+		silence.Heard(standing.Name, now)
+		silence.Observe([]host.Host{standing, returning}, nil, now)
+		require.Empty(t, silence.Latest().Silent)
+	}
+}
