core/duty: whether a term continues the one before is decided at its first call

Cause: the store's changes may tell a host of its own new token before the answer to its claim does. The token then counted as that of another host, and the host left out the windows before a restoration, although nobody else could have reported them. A token of another host that was heard while the term settled did not count.

Change: the holder keeps the tokens above the one that it used last, drops its own when the term begins, and decides with the permit.

--- a/core/duty/duty_test.go
+++ b/core/duty/duty_test.go
@@ -82,6 +82,35 @@
 	require.False(t, permit.Continues)
 }
 
+// Guards against a host that takes its own new token for that of another host because the store's changes
+// tell of it before the lease counts as acquired: it would leave out windows that nobody else has reported.
+// Guards also against one that hears only after its term has begun that another host had the duty between.
+func TestTermContinuesUnlessAnotherHostHadATokenBetween(t *testing.T) {
+	for name, other := range map[string]int64{"own token only": 0, "another host's token, heard late": 8} {
+		lease := &heldLease{fence: 7, remaining: 3 * time.Second}
+		holder := newHolder(lease)
+		now := time.Now()
+		holder.Permit(now)
+		_, permitted := holder.Permit(now.Add(settle))
+		require.True(t, permitted)
+		*lease = heldLease{}
+		holder.Permit(now)
+		holder.ObserveFence(7)
+		if other == 0 {
+			holder.ObserveFence(9)
+		}
+		*lease = heldLease{fence: 9, remaining: 3 * time.Second}
+		holder.Permit(now)
+		holder.ObserveFence(9)
+		if other != 0 {
+			holder.ObserveFence(other)
+		}
+		permit, permitted := holder.Permit(now.Add(settle))
+		require.True(t, permitted)
+		require.Equal(t, other == 0, permit.Continues, name)
+	}
+}
+
 // Guards against a host that keeps a duty though its calls get no answers, and against one that gives it up
 // because the platform refuses a call.
 func TestHolderResignsWithoutAnswers(t *testing.T) {
--- a/core/duty/holder.go
+++ b/core/duty/holder.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -40,19 +41,21 @@
 	// fence is the token of the current term, and usableFrom the time of its first call.
 	fence      int64
 	usableFrom time.Time
-	// highest is the highest token that any host is known to have had, followed the highest one of another
-	// term than the current one, and lastUsed the one that the local host used last. continues: no other
-	// host is known to have had one between that and the current one.
+	// highest is the highest token that any host is known to have had, and lastUsed the one that the local
+	// host used last. before is the one that it used last in an earlier term, and others holds the tokens
+	// above it that are not known as its own.
 	highest       int64
 	lastUsed      int64
-	followed      int64
-	continues     bool
+	before        int64
+	others        map[int64]bool
 	failed        int
 	resignedUntil time.Time
 }
 
 // NewHolder returns a Holder.
-func NewHolder(options Options) *Holder { return &Holder{options: options} }
+func NewHolder(options Options) *Holder {
+	return &Holder{options: options, others: make(map[int64]bool)}
+}
 
 // Permit returns what a call is made under, and false if the local host must make none now. It is to
 // be asked right before each call, and regularly, as a term counts from when it is first seen.
@@ -65,14 +68,21 @@
 		return Permit{}, false
 	}
 	if fence != holder.fence {
-		holder.fence, holder.usableFrom, holder.failed = fence, now.Add(holder.options.Settle), 0
-		holder.continues = holder.lastUsed != 0 && holder.followed <= holder.lastUsed
+		holder.beginTerm(fence, now)
 	}
 	if fence < holder.highest || now.Before(holder.usableFrom) || remaining <= holder.options.CallTimeout || now.Before(holder.resignedUntil) {
 		return Permit{}, false
 	}
 	holder.highest, holder.lastUsed = max(holder.highest, fence), fence
-	return Permit{Holder: holder.options.Host, Fence: fence, Continues: holder.continues}, true
+	return Permit{Holder: holder.options.Host, Fence: fence, Continues: holder.before != 0 && len(holder.others) == 0}, true
+}
+
+// beginTerm begins a term with a token. The mutex is held.
+func (holder *Holder) beginTerm(fence int64, now time.Time) {
+	holder.fence, holder.usableFrom, holder.failed = fence, now.Add(holder.options.Settle), 0
+	holder.before = holder.lastUsed
+	// The store's changes may have told of the token before the lease did.
+	maps.DeleteFunc(holder.others, func(other int64, _ bool) bool { return other == fence || other <= holder.before })
 }
 
 // ObserveFence records a token that a host has had.
@@ -81,8 +91,9 @@
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
 	holder.highest = max(holder.highest, fence)
-	if fence != own && fence != holder.fence {
-		holder.followed = max(holder.followed, fence)
+	// A host that has used no token has no term that the next one could continue.
+	if holder.lastUsed != 0 && fence > holder.lastUsed && fence != own && fence != holder.fence {
+		holder.others[fence] = true
 	}
 }
 
