core/usage: late windows are reported, and none whose record may be gone

Cause: a window that was not reported within usage_late_s, because the store was away for 9 s, was never reported, although the counts are kept for a minute. The store kept four records, so a window could not have been made up safely for longer. A host that regained the duty after a term of its own reported windows which a holder of the era before its first term may have reported.

Windows of a former era stay left out once a term has begun without their records. UntilClose tells when the next window is closed.

--- a/core/usage/book.go
+++ b/core/usage/book.go
@@ -11,8 +11,10 @@
 	// closeDelay is the time from the end of a window until it is reported: what hosts have counted
 	// arrives within 0.5 s, and once more after a lost message.
 	closeDelay = 2 * time.Second
-	// recordedWindows is the number of reports that are kept in the store.
-	recordedWindows = 4
+	// recordedWindows is the number of reports that are kept in the store, and of windows that may still be
+	// reported: one that is older than all of them may have been reported and dropped. Hosts keep the counts
+	// of these windows, and of a later one if clocks differ.
+	recordedWindows = keptWindows - 2
 )
 
 // Report is what is reported of a window.
@@ -66,7 +68,7 @@
 	}
 }
 
-// RecordRestored records that the store was restored from a copy at a time.
+// RecordRestored records that the store was found restored from a copy at a time.
 func (book *Book) RecordRestored(at time.Time) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
@@ -74,33 +76,52 @@
 }
 
 // BeginTerm begins a term of the local host. If it continues the one before it, the local host knows all
-// reports that may have been sent. If not, what it has sent may be sent again.
+// reports that may have been sent since that began. If not, what it has sent may be sent again.
 func (book *Book) BeginTerm(continues bool) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	if continues {
-		book.notBefore = 0
-		return
+	if !continues {
+		book.since = max(book.since, book.notBefore)
+		clear(book.sent)
 	}
-	clear(book.sent)
+	book.notBefore = 0
 }
 
-// Due returns the windows that have to be sent now, oldest first: those that are closed, not sent yet,
-// and either recorded or known by their counts.
+// Due returns the windows that have to be sent now: those that are closed, not sent yet, and either
+// recorded or known by their counts. They are in order, those that are late after the others.
 func (book *Book) Due(now time.Time) []Window {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	var due []Window
-	for window := WindowOf(now.Add(-book.late), book.length); !now.Before(window.End(book.length).Add(closeDelay)); window++ {
-		if now.After(window.End(book.length).Add(book.late)) || book.sent[window] {
-			continue
-		}
-		_, isRecorded := book.recorded[window]
-		if isRecorded || window >= max(book.since, book.notBefore) {
+	var due, late []Window
+	for window := WindowOf(now, book.length) - recordedWindows + 1; !now.Before(window.End(book.length).Add(closeDelay)); window++ {
+		switch {
+		case book.sent[window] || !book.isKnown(window):
+		case now.After(window.End(book.length).Add(book.late)):
+			late = append(late, window)
+		default:
 			due = append(due, window)
 		}
 	}
-	return due
+	return append(due, late...)
+}
+
+// UntilClose returns the time until the next window is closed.
+func (book *Book) UntilClose(now time.Time) time.Duration {
+	return WindowOf(now.Add(-closeDelay), book.length).End(book.length).Add(closeDelay).Sub(now)
+}
+
+// isKnown reports whether the local host knows what is to be reported of a window. The mutex is held.
+func (book *Book) isKnown(window Window) bool {
+	if _, ok := book.recorded[window]; ok {
+		return true
+	}
+	newer := 0
+	for recorded := range book.recorded {
+		if recorded > window {
+			newer++
+		}
+	}
+	return window >= max(book.since, book.notBefore) && newer < recordedWindows
 }
 
 // Recorded returns the recorded report of a window.
@@ -111,14 +132,14 @@
 	return Report{window, counts}, ok
 }
 
-// ToStore returns the reports that the store has to hold so that a report may be sent: it and the newest
+// ToStore returns the reports that the store has to hold so that some may be sent: these and the newest
 // ones that are remembered, oldest first.
-func (book *Book) ToStore(added Report) []Report {
+func (book *Book) ToStore(added ...Report) []Report {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	reports := []Report{added}
+	reports := slices.Clone(added)
 	for window, counts := range book.recorded {
-		if window != added.Window {
+		if !slices.ContainsFunc(added, func(one Report) bool { return one.Window == window }) {
 			reports = append(reports, Report{window, counts})
 		}
 	}
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -72,6 +72,10 @@
 	number := usage.WindowOf(base, window)
 	require.Empty(t, book.Due(base.Add(window+time.Second)))
 	require.Equal(t, []usage.Window{number}, book.Due(base.Add(window+3*time.Second)))
+	closed := base.Add(window + time.Second + book.UntilClose(base.Add(window+time.Second)))
+	require.Equal(t, []usage.Window{number}, book.Due(closed))
+	require.Empty(t, book.Due(closed.Add(-time.Nanosecond)))
+	require.Equal(t, window, book.UntilClose(closed))
 	book.Observe([]usage.Report{{Window: number, Counts: usage.Counts{"w": 1}}})
 	book.RecordSent(number)
 	require.Empty(t, book.Due(base.Add(window+3*time.Second)))
@@ -98,3 +102,37 @@
 	other.BeginTerm(true)
 	require.Equal(t, []usage.Window{number}, other.Due(base.Add(9*time.Second)), "the holder before was this host")
 }
+
+// Guards against windows that are never reported because the store, or the platform, was away until after
+// they were due, and against windows that are due and wait for these.
+func TestLateWindowsAreReportedAfterTheOthers(t *testing.T) {
+	book := usage.NewBook(window, late, base)
+	number := usage.WindowOf(base, window)
+	require.Equal(t, []usage.Window{number + 1, number}, book.Due(base.Add(window+late+time.Second)))
+	require.Contains(t, book.Due(base.Add(50*time.Second)), number)
+}
+
+// Guards against different counts for a window whose record the store no longer holds, as newer ones have
+// taken its place, at a host that has not seen it and whose clock is behind.
+func TestWindowsBeforeTheRecordsAreLeftOut(t *testing.T) {
+	book := usage.NewBook(window, late, base)
+	number, now := usage.WindowOf(base, window), base.Add(20*time.Second)
+	var reports []usage.Report
+	for next := number + 1; len(book.ToStore(reports...)) == len(reports); next++ {
+		require.Contains(t, book.Due(now), number)
+		book.Observe(reports)
+		reports = append(reports, usage.Report{Window: next})
+	}
+	require.NotContains(t, book.Due(now), number)
+}
+
+// Guards against a host that regains the duty and reports windows which the holder before its own first
+// term may have reported in a former era of the store.
+func TestWindowsOfAFormerEraStayOut(t *testing.T) {
+	book := usage.NewBook(window, late, base)
+	number := usage.WindowOf(base, window)
+	book.RecordRestored(base.Add(8 * time.Second))
+	book.BeginTerm(false)
+	book.BeginTerm(true)
+	require.NotContains(t, book.Due(base.Add(13*time.Second)), number)
+}
