core/roster: watchers report entry hosts only, and look at the roster once less

Cause: watchers also listed silent standby hosts, whose addresses callers never get. In a fleet of 340 hosts of which 100 had ended, a report had 42 entries of about 24 bytes in each message to more than 80 hosts, and each change of it was sent to all of them at once. One observation read and sorted the roster three times.

Change: hosts are expected by watchers while they are entry hosts. The lists of entry hosts and watchers are computed once for each observation.

--- a/core/roster/silence.go
+++ b/core/roster/silence.go
@@ -253,25 +253,16 @@
 	return watchers(live)
 }
 
-// ExpectedSenders returns the other hosts that send messages to the local host regularly, whether or
-// not they have requests, if the local host is a watcher; otherwise none. It mirrors Recipients.
-func (roster *Roster) ExpectedSenders(now time.Time, busiest int) []host.Host {
-	own, live := roster.Own(), roster.Live(now)
+// ExpectedSenders returns the other entry hosts if the local host is a watcher, otherwise none. They send
+// messages to all watchers regularly, whether or not they have requests; the silence of other hosts matters
+// to no caller. They are in order, as reports are compared.
+func (roster *Roster) ExpectedSenders(entryHosts, watchers []host.Host) []host.Host {
+	own := roster.Own()
 	isOwn := func(one host.Host) bool { return one.Name == own.Name }
-	if len(live) <= smallFleetHosts {
-		return slices.DeleteFunc(live, isOwn)
-	}
-	relays := watchers(live)
-	if !slices.ContainsFunc(relays, isOwn) {
+	if !slices.ContainsFunc(watchers, isOwn) {
 		return nil
 	}
-	expected := append(relays, entryHosts(live, busiest)...)
-	for _, one := range live {
-		if one.FailureDomain == own.FailureDomain {
-			expected = append(expected, one)
-		}
-	}
+	expected := slices.DeleteFunc(slices.Clone(entryHosts), isOwn)
 	slices.SortFunc(expected, func(a, b host.Host) int { return cmp.Compare(a.Name, b.Name) })
-	expected = slices.CompactFunc(expected, func(a, b host.Host) bool { return a.Name == b.Name })
-	return slices.DeleteFunc(expected, isOwn)
+	return expected
 }
