--- a/core/roster/silence.go
+++ b/core/roster/silence.go
@@ -20,8 +20,8 @@
 	// maxObservationGap is the time between two observations above which the host itself was paused.
 	// What it has not heard in that time says nothing of the others.
 	maxObservationGap = time.Second
-	// minSilenceReports is the number of watchers that must report a host as silent, unless there
-	// are fewer.
+	// minSilenceReports is the number of watchers that must report a host as silent. A watcher that hears
+	// no other one takes no host for gone.
 	minSilenceReports = 2
 )
 
@@ -68,6 +68,8 @@
 type heardHost struct {
 	incarnation uint64
 	at          time.Time
+	// expectedAt is when the host was expected last.
+	expectedAt time.Time
 }
 
 // receivedSilence is the latest report of another watcher.
@@ -106,19 +108,21 @@
 
 // Observe recomputes the local host's report and reports whether other hosts are to be told at once.
 // Expected holds the hosts that send messages to the local host; it is empty if that is no watcher. A
-// process of which nothing is known yet counts as heard when it is expected for the first time.
+// process counts as heard when it is expected and was not at the last observation.
 func (silence *Silence) Observe(expected, watchers []host.Host, now time.Time) (changed bool) {
 	silence.mutex.Lock()
 	defer silence.mutex.Unlock()
+	lastObserved := silence.lastObserved
 	silence.forgive(now)
 	before := silence.latest
 	silence.latest = SilenceReport{}
 	for _, one := range expected {
-		known, ok := silence.heard[one.Name]
-		if !ok || known.incarnation != one.Incarnation {
-			known = heardHost{incarnation: one.Incarnation, at: now}
-			silence.heard[one.Name] = known
+		known := silence.heard[one.Name]
+		if known.incarnation != one.Incarnation || known.expectedAt.IsZero() || !known.expectedAt.Equal(lastObserved) {
+			known.incarnation, known.at = one.Incarnation, now
 		}
+		known.expectedAt = now
+		silence.heard[one.Name] = known
 		if silentFor := now.Sub(known.at); silentFor >= silenceTimeout {
 			silence.latest.Silent = append(silence.latest.Silent, newSilentHost(one, silentFor))
 		}
@@ -249,25 +253,16 @@
 	return watchers(live)
 }
 
-// ExpectedSenders returns the other hosts that send messages to the local host regularly, whether or
-// not they have requests, if the local host is a watcher; otherwise none. It mirrors Recipients.
-func (roster *Roster) ExpectedSenders(now time.Time, busiest int) []host.Host {
-	own, live := roster.Own(), roster.Live(now)
+// ExpectedSenders returns the other entry hosts if the local host is a watcher, otherwise none. They send
+// messages to all watchers regularly, whether or not they have requests; the silence of other hosts matters
+// to no caller. They are in order, as reports are compared.
+func (roster *Roster) ExpectedSenders(entryHosts, watchers []host.Host) []host.Host {
+	own := roster.Own()
 	isOwn := func(one host.Host) bool { return one.Name == own.Name }
-	if len(live) <= smallFleetHosts {
-		return slices.DeleteFunc(live, isOwn)
-	}
-	relays := watchers(live)
-	if !slices.ContainsFunc(relays, isOwn) {
+	if !slices.ContainsFunc(watchers, isOwn) {
 		return nil
 	}
-	expected := append(relays, entryHosts(live, busiest)...)
-	for _, one := range live {
-		if one.FailureDomain == own.FailureDomain {
-			expected = append(expected, one)
-		}
-	}
+	expected := slices.DeleteFunc(slices.Clone(entryHosts), isOwn)
 	slices.SortFunc(expected, func(a, b host.Host) int { return cmp.Compare(a.Name, b.Name) })
-	expected = slices.CompactFunc(expected, func(a, b host.Host) bool { return a.Name == b.Name })
-	return slices.DeleteFunc(expected, isOwn)
+	return expected
 }
