--- a/io/front/badstatus_test.go
+++ b/io/front/badstatus_test.go
@@ -81,7 +81,13 @@
 					t.Parallel()
 					harness := newHarness(t, nil)
 					harness.addUploadServer("a", answer)
-					for range 3 {
+					attempts := 3
+					if name == "reset at once" {
+						// Which fails first varies here. Without a guard of the body's end, 3 attempts found the
+						// fault in 4 of 15 runs.
+						attempts = 100
+					}
+					for range attempts {
 						got := harness.post(path, strings.Repeat("x", size))
 						require.False(t, got.err == nil && got.status == http.StatusOK, "%q is taken for whole\n%s", got.body, harness.log.String())
 					}
