core/lease: a test of the clock that counts suspensions

Cause: nothing guarded Options.Elapsed: with its comparison removed, all tests of core/lease and core/duty passed.

Change: a test whose machine is suspended while the other clocks stand.

Measured: TestSuspensionEndsTheLease fails without the comparison, passes with it, also with -race.

--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -326,3 +326,31 @@
 	copyingStore.granted = copyingStore.Copy()
 	return lease, err
 }
+
+// Guards against a holder that acts after its machine was suspended, and whose wall clock is wrong when it
+// resumes: of its clocks, only the one that counts the suspension shows that the lease has ended.
+func TestSuspensionEndsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started, suspended := time.Now(), time.Duration(0)
+		contender, err := lease.New(lease.Options{
+			Store: kv.New(kv.Options{}), Key: leaseKey, Holder: "host-a", TTL: 9 * time.Second,
+			Elapsed: func() time.Duration { return time.Second + time.Since(started) + suspended },
+		})
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			contender.Hold(ctx)
+		}()
+		_, err = contender.Wait(ctx)
+		require.NoError(t, err)
+		suspended = 7 * time.Second
+		require.NotZero(t, contender.Fence(), "a tenth of the time to live is kept as a margin")
+		suspended = 9 * time.Second
+		require.Zero(t, contender.Fence())
+		require.Zero(t, contender.Remaining())
+		cancel()
+		<-done
+	})
+}
