--- a/core/scale/demand_test.go
+++ b/core/scale/demand_test.go
@@ -102,3 +102,24 @@
 		require.Len(t, book.Due(waits, at(step.second)), step.due, "second %d", step.second)
 	}
 }
+
+// Guards against a number at first that is taken while servers are still registering, and against one that
+// follows the servers once some were given up.
+func TestServersAtFirst(t *testing.T) {
+	book := scale.NewBook()
+	start := func(ready int) int {
+		state := scale.State{Now: at(1), Domains: []scale.Domain{{Name: "a", OnDemand: scale.Group{Ready: ready}}}}
+		book.Fill("s", &state)
+		return state.Start
+	}
+	adopt := func(start int, orders ...scale.Order) {
+		record, _ := book.Next(map[string]scale.ServiceRecord{"s": {Start: start, Orders: orders}})
+		book.Adopt(record)
+	}
+	require.Equal(t, 10, start(10))
+	adopt(10, scale.Order{Domain: "a", Spot: true, Servers: 16})
+	require.Equal(t, 30, start(30))
+	adopt(30, scale.Order{Domain: "a", Servers: 4}, scale.Order{Domain: "a", Spot: true, Servers: 48})
+	require.Equal(t, 30, start(4))
+	require.Equal(t, 30, start(40))
+}
