core/scale: the spot engines of the cheapest failure domain are a smaller part

Cause: numbers in inverse proportion to the price put 41 in 100 spot engines into one failure domain, which may lose them at once. Change: in inverse proportion to the root of the price (37 in 100).

--- a/core/scale/plan.go
+++ b/core/scale/plan.go
@@ -17,13 +17,13 @@
 // planner makes one plan.
 type planner struct {
 	State
-	plan    Plan
+	plan    Result
 	domains []*placed
 }
 
-// Make returns the plan for a state. It raises numbers at once and lowers them slowly; on-demand engines
+// Plan returns the wanted numbers for a state. It raises numbers at once and lowers them slowly; on-demand engines
 // are given up only once other ones serve in their place.
-func Make(state State) Plan {
+func Plan(state State) Result {
 	planner := &planner{State: state}
 	for _, domain := range state.Domains {
 		planner.domains = append(planner.domains, &placed{Domain: domain})
@@ -128,12 +128,13 @@
 	}
 }
 
-// room returns the weight with which a group takes one more server than count; 0: it takes none.
+// room returns the weight with which a group takes one more server than count; 0: it takes none. Numbers
+// follow the inverse of the price's root: the largest part, which may be lost at once, stays small.
 func (planner *planner) room(domain *placed, group Group, count int) float64 {
 	if domain.onDemand()+domain.spot >= planner.Limits.Max || planner.isShort(group) && count >= group.supply() {
 		return 0
 	}
-	return domain.Price * float64(count+1)
+	return math.Sqrt(max(domain.Price, minPrice)) * float64(count+1)
 }
 
 // spotRoom is room for spot servers. The on-demand servers that are still there take room, too.
--- a/core/scale/plan_test.go
+++ b/core/scale/plan_test.go
@@ -68,7 +68,7 @@
 	// cost and peakCost are in price units, and calls the orders that were sent.
 	cost  float64
 	calls int
-	last  scale.Plan
+	last  scale.Result
 }
 
 func newPlay(t *testing.T) *play {
@@ -130,7 +130,7 @@
 	inFlight := scale.InFlight{All: int(load.inFlight()), Urgent: int(load.chat / 715 * 2)}
 	state.Demand = play.tracker.Sample("s", inFlight, state.Limits.Boot, play.now())
 	play.book.Fill("s", &state)
-	play.last = scale.Make(state)
+	play.last = scale.Plan(state)
 	record, isChanged := play.book.Next(map[string]scale.ServiceRecord{"s": {Start: state.Start, Orders: play.last.Orders}})
 	if isChanged && len(play.last.Orders) > 0 {
 		play.book.Adopt(record)
--- a/core/scale/scale.go
+++ b/core/scale/scale.go
@@ -35,6 +35,8 @@
 	refusedShare, refusedFactor = 0.01, 1.25
 	// wantedStep is what the wanted number is rounded up to a multiple of, so that noise leads to few orders.
 	wantedStep = 6
+	// minPrice is the least price that servers are divided by.
+	minPrice = 0.01
 	// shortFor is how long engines that were refused are not counted on. The order is repeated meanwhile.
 	shortFor = 10 * time.Second
 	// bootMargin is how much longer than the boot time ordered engines are counted on.
@@ -104,8 +106,8 @@
 	Servers int    `json:"servers"`
 }
 
-// Plan is the wanted numbers, and what they follow from.
-type Plan struct {
+// Result is the wanted numbers, and what they follow from.
+type Result struct {
 	// Orders holds the number for each kind and domain that has an order, or needs one.
 	Orders []Order
 	// Needed is the number of engines that the demand of the last seconds needs, Held that of the highest
