core/pick, platform: entry hosts tell each other where prompt parts are cached

Cause: each host knew only from its own requests which engines have a session's part of a prompt, and assumed that all engines have the parts before it. Sessions were prefilled again at engines that another host had not chosen, and copies multiplied when the preferred engine was busy.

--- a/core/pick/group.go
+++ b/core/pick/group.go
@@ -167,20 +167,3 @@
 func rendezvousWeight(key uint64, member *fleet.Member) uint64 {
 	return (key ^ member.Hash()) * 0x9e3779b97f4a7c15 >> 1
 }
-
-// uncachedTokens returns the prompt tokens that a server has to prefill for a
-// request. It assumes that all engines have cached the parts that many sessions
-// share, and that the preferred one has also cached the session's own part.
-func uncachedTokens(request *work.Request, preferred bool) int {
-	if len(request.Parts) < 2 {
-		return request.PromptTokens
-	}
-	tokens := request.PromptTokens
-	for _, part := range request.Parts[:len(request.Parts)-2] {
-		tokens -= part.Tokens
-	}
-	if preferred {
-		tokens -= sessionTokens(request)
-	}
-	return max(0, tokens)
-}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -160,6 +160,8 @@
 	Preferred bool
 	// Share is the load that the request adds to the server.
 	Share fleet.RequestLoad
+	// rendezvous is set if the server is the session's first one in rendezvous order.
+	rendezvous bool
 }
 
 // Server selects the member of a service with the lowest expected loss, excluding
@@ -173,14 +175,12 @@
 	if request.Route.HasPrompt {
 		candidates = options.matchingEngines(request, members, candidates, now)
 	}
-	preferred := preferredServer(request, candidates)
-	holders := options.Cached.engines(request, now)
+	copies := options.promptCopies(request, members, candidates, now)
 	countUnproven := anyFrames(candidates, now)
 	best := Choice{Candidates: len(candidates)}
 	for index := range candidates {
 		member := &candidates[index]
-		isPreferred := member.ID == preferred || slices.Contains(holders, member.ProcessHash())
-		evaluated := options.evaluate(request, member, isPreferred, now)
+		evaluated := options.evaluate(request, member, copies.at(member), now)
 		if countUnproven {
 			evaluated.Loss += member.UnprovenRate(now) * unprovenLoss
 		}
@@ -189,7 +189,8 @@
 			best = evaluated
 		}
 	}
-	best.Share = fleet.RequestLoad{Rank: request.Rank, PrefillTokens: uncachedTokens(request, best.Preferred), DecodeHeavy: DecodeHeavy(request)}
+	best.rendezvous = best.Member.ID == copies.preferred
+	best.Share = fleet.RequestLoad{Rank: request.Rank, PrefillTokens: copies.at(&best.Member).uncached, DecodeHeavy: DecodeHeavy(request)}
 	return best, true
 }
 
@@ -217,8 +218,8 @@
 
 // evaluate predicts the loss of a request at a server and, for model requests, the
 // time to its first event.
-func (options Options) evaluate(request *work.Request, member *fleet.Member, preferred bool, now time.Time) Choice {
-	choice := Choice{Member: *member, Preferred: preferred}
+func (options Options) evaluate(request *work.Request, member *fleet.Member, expected expectation, now time.Time) Choice {
+	choice := Choice{Member: *member, Preferred: expected.hasSession}
 	running := member.Own.Running + member.Peers.Running
 	loss := float64(running)*runningRequestLoss + member.FailureRate*failureLoss + member.DeclineRate(now)*declineLoss
 	if member.FailureDomain != options.FailureDomain {
@@ -238,7 +239,7 @@
 		return choice
 	}
 	perToken := slowness * batchingOverhead / options.tokensPerMs(request.Service)
-	uncached := uncachedTokens(request, preferred)
+	uncached := expected.uncached
 	queueDelay := options.prefillBacklog(request, member, age) * perToken
 	firstEvent := queueDelay + float64(uncached)*perToken
 	loss += options.latenessLoss(request, firstEvent, now) + firstEvent*lossPerMs
@@ -249,8 +250,8 @@
 		decodeRequests := member.Own.DecodeHeavy + member.Peers.DecodeHeavy
 		loss += inducedSlowdownLoss * float64(decodeRequests) * min(1, float64(uncached)/fullSlowdownTokens)
 	}
-	if !preferred && request.PromptTokens > 0 {
-		loss += cacheMissLoss * float64(sessionTokens(request)) / float64(request.PromptTokens)
+	if expected.missed > 0 && request.PromptTokens > 0 {
+		loss += cacheMissLoss * expected.missed / float64(request.PromptTokens)
 	}
 	scale := options.Correction.Factor(request.Service) * float64(time.Millisecond)
 	choice.Loss, choice.FirstEvent, choice.QueueDelay = loss, time.Duration(firstEvent*scale), time.Duration(queueDelay*scale)
--- a/core/pick/rate.go
+++ b/core/pick/rate.go
@@ -93,7 +93,8 @@
 // arrives from the chosen engine.
 func (options Options) ObserveFirstEvent(request *work.Request, choice *Choice, elapsed time.Duration, now time.Time) {
 	options.Correction.Observe(request.Service, choice.FirstEvent, elapsed)
-	options.Cached.Observe(request, choice.Member.Server, now)
+	options.Cached.Observe(request, choice.Member.Server, choice.rendezvous, now)
+	options.Cached.count(request, choice)
 	if choice.QueueDelay == 0 {
 		slowness := max(choice.Member.BaselineSlowness, choice.Member.Load.Slowness)
 		options.Rates.Observe(request.Service, choice.Share.PrefillTokens, elapsed, slowness)
--- a/io/study/study.go
+++ b/io/study/study.go
@@ -112,6 +112,9 @@
 	BySecond []float64 `json:"by_second"`
 	// Reread is the share of prompt tokens that engines read.
 	Read Mean `json:"read"`
+	// Again is the millions of shared prompt tokens that engines read within 6 s after their last use
+	// on any engine.
+	Again Mean `json:"again"`
 	// Responses counts the responses of all seeds that servers began, by phase and framing.
 	Responses []ResponseSummary `json:"responses"`
 }
@@ -184,6 +187,7 @@
 			return float64(result.Engines.Read) / max(1, float64(result.Engines.Read+result.Engines.Cached))
 		}),
 	}
+	summary.Again = meanOf(results, func(result *emul.Result) float64 { return float64(result.Engines.Again) / 1e6 })
 	gains := make([]float64, len(results))
 	for index := range results {
 		gains[index] = results[index].Worth() - first[index].Worth()
--- a/io/study/table.go
+++ b/io/study/table.go
@@ -12,9 +12,9 @@
 func (report Report) Write(out io.Writer) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(table, "day %s, %d seeds\n\n", report.Day, report.Seeds)
-	fmt.Fprintln(table, "policy\tworth\tgain\tworst seconds\tprompt read")
+	fmt.Fprintln(table, "policy\tworth\tgain\tworst seconds\tprompt read\tread again, millions")
 	for _, policy := range report.Policies {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", policy.Policy, policy.Worth, policy.Gain, policy.Worst, policy.Read)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", policy.Policy, policy.Worth, policy.Gain, policy.Worst, policy.Read, policy.Again)
 	}
 	fmt.Fprintln(table, "\npolicy\tclass\tworth\tin time\tlate\trefused\tlost\tfirst ms p50, p95\tpause ms p50, p95")
 	for _, policy := range report.Policies {
--- a/standin/emul/engine.go
+++ b/standin/emul/engine.go
@@ -108,12 +108,20 @@
 	stepping  bool
 	arrivals  uint64
 	stats     Work
+	// uses is when each shared part was last used on any engine.
+	uses map[uint64]time.Duration
 }
 
+// againTime is how long after the last use of a part another prefill of it counts as avoidable.
+const againTime = 6 * time.Second
+
 // Work is what the engines of a day did.
 type Work struct {
-	Read      int `json:"prompt_tokens_read"`
-	Cached    int `json:"prompt_tokens_cached"`
+	Read   int `json:"prompt_tokens_read"`
+	Cached int `json:"prompt_tokens_cached"`
+	// Again is the tokens of shared parts that were read within againTime after their last use on
+	// any engine.
+	Again     int `json:"prompt_tokens_read_again"`
 	Preempted int `json:"preempted"`
 }
 
@@ -172,10 +180,24 @@
 		engine.waiting = engine.waiting[1:]
 		next.unread, next.read = next.request.PromptTokens-cached+next.produced, cached
 		engine.stats.Cached += cached
+		engine.countAgain(next.request.Parts, cached)
 		engine.running = append(engine.running, next)
 	}
 }
 
+// countAgain counts the shared parts of a prompt beyond the cached tokens that were used lately on
+// any engine, and records their use.
+func (engine *engine) countAgain(parts []work.Part, cached int) {
+	for _, part := range parts[:max(0, len(parts)-1)] {
+		cached -= part.Tokens
+		used, known := engine.uses[part.ID]
+		if cached < 0 && known && engine.clock.now-used < againTime {
+			engine.stats.Again += part.Tokens
+		}
+		engine.uses[part.ID] = engine.clock.now
+	}
+}
+
 // preempt puts the newest of the least urgent tasks back, if it is less urgent than
 // a rank.
 func (engine *engine) preempt(rank int) bool {
--- a/standin/emul/host.go
+++ b/standin/emul/host.go
@@ -210,9 +210,14 @@
 	}
 	world := host.world
 	told := fleet.HostReport{Loads: host.fleet.LocalLoads(), Running: host.fleet.Running()}
+	host.pick.Cached.SetPeers(len(world.hosts) - 1)
+	copies := host.pick.Cached.Report(world.clock.time())
 	for _, other := range world.hosts {
 		if other != host {
-			world.clock.after(milliseconds(world.day.LinkMs), func() { other.fleet.UpdatePeer(host.name, told, world.clock.time()) })
+			world.clock.after(milliseconds(world.day.LinkMs), func() {
+				other.fleet.UpdatePeer(host.name, told, world.clock.time())
+				other.pick.Cached.ApplyReport(copies, world.clock.time())
+			})
 		}
 	}
 	world.clock.after(milliseconds(world.day.TellMs), host.tell)
--- a/standin/emul/result.go
+++ b/standin/emul/result.go
@@ -153,5 +153,6 @@
 func (result *Result) add(work Work) {
 	result.Engines.Read += work.Read
 	result.Engines.Cached += work.Cached
+	result.Engines.Again += work.Again
 	result.Engines.Preempted += work.Preempted
 }
--- a/standin/emul/world.go
+++ b/standin/emul/world.go
@@ -121,6 +121,7 @@
 
 // serve starts the servers.
 func (world *world) serve() {
+	uses := make(map[uint64]time.Duration)
 	for _, service := range world.day.Services {
 		for index := range service.Servers {
 			id := fmt.Sprintf("%s-%d", service.Name, index)
@@ -135,7 +136,7 @@
 			}
 			var started server = &plain{machine: base}
 			if service.Engine != nil {
-				started = &engine{machine: base, model: *service.Engine, cache: newCache()}
+				started = &engine{machine: base, model: *service.Engine, cache: newCache(), uses: uses}
 			} else {
 				started.(*plain).model = *service.Plain
 			}
