core/pace: learns servers' speeds, and limits the requests in flight at servers that start

Cause: hosts knew one prefill rate for a service. Slow and fast engines got the same work, and a server that had just started got requests from all hosts at once. Servers that start or recover get a window over all hosts, which doubles with each round of answers in time. Both act in services of 24 servers and more, the window at a start in all. The emulator has releases, servers that do not report their speed, and the policy no_pace.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -48,6 +48,7 @@
 		QuarantineStarted(),
 		QuarantineEnded(),
 		QuarantineIgnored(),
+		SlowStartBegan(), SlowStartEnded(),
 		VersionRecorded(),
 		VersionIgnored(),
 		StreamsIgnored(),
@@ -382,6 +383,16 @@
 	return Event{2112, "usage_report_failed", logrus.WarnLevel, "duty", "The usage of a window could not be recorded or sent; it is tried again."}
 }
 
+// SlowStartBegan reports that the requests in flight at a backend server are limited.
+func SlowStartBegan() Event {
+	return Event{2140, "slow_start_began", logrus.InfoLevel, "fleet", "A backend server has started or recovered; the requests in flight there are limited until it answers as fast as expected."}
+}
+
+// SlowStartEnded reports that they are no longer.
+func SlowStartEnded() Event {
+	return Event{2141, "slow_start_ended", logrus.InfoLevel, "fleet", "The requests in flight at a backend server that has started or recovered are no longer limited."}
+}
+
 // HostCutOff reports that this host reaches no backend server by itself.
 func HostCutOff() Event {
 	return Event{1972, "host_cut_off", logrus.WarnLevel, "fleet", "This host reaches no backend server by itself; it opens connections through other hosts that do."}
--- a/core/pick/group.go
+++ b/core/pick/group.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"primrosegw/core/fleet"
+	"primrosegw/core/pace"
 	"primrosegw/core/work"
 )
 
@@ -44,7 +45,7 @@
 without coordination.
 */
 func (options Options) matchingEngines(request *work.Request, members, candidates []fleet.Member, now time.Time) []fleet.Member {
-	decodeEngines := options.Groups.decodeEngines(request.Service, members, now)
+	decodeEngines := options.Groups.decodeEngines(request.Service, members, options.speeds, now)
 	decodeHeavy := DecodeHeavy(request)
 	var matching []fleet.Member
 	for _, member := range candidates {
@@ -59,12 +60,12 @@
 }
 
 // selectDecodeEngines returns the IDs of the engines for decode-heavy requests.
-func selectDecodeEngines(members []fleet.Member) map[string]bool {
+func selectDecodeEngines(members []fleet.Member, speeds pace.Speeds) map[string]bool {
 	ordered := make([]sortKey, len(members))
 	decodeRequests := 0
 	for index := range members {
 		member := &members[index]
-		ordered[index] = sortKey{member.BaselineSlowness > slowEngineThreshold, member.Hash(), member.ID}
+		ordered[index] = sortKey{isSlow(member, speeds), member.Hash(), member.ID}
 		decodeRequests += member.Own.DecodeHeavy + member.Peers.DecodeHeavy
 	}
 	slices.SortFunc(ordered, sortKey.compare)
@@ -102,15 +103,15 @@
 
 // decodeEngines returns the IDs of a service's decode engines. The cached set is
 // recomputed when it expires or the number of members changes.
-func (groups *EngineGroups) decodeEngines(service string, members []fleet.Member, now time.Time) map[string]bool {
+func (groups *EngineGroups) decodeEngines(service string, members []fleet.Member, speeds pace.Speeds, now time.Time) map[string]bool {
 	if groups == nil {
-		return selectDecodeEngines(members)
+		return selectDecodeEngines(members, speeds)
 	}
 	groups.mutex.Lock()
 	defer groups.mutex.Unlock()
 	cached, ok := groups.services[service]
 	if !ok || !now.Before(cached.expires) || cached.memberCount != len(members) {
-		cached = cachedGroup{now.Add(groupTTL), len(members), selectDecodeEngines(members)}
+		cached = cachedGroup{now.Add(groupTTL), len(members), selectDecodeEngines(members, speeds)}
 		groups.services[service] = cached
 	}
 	return cached.decodeEngines
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"primrosegw/core/fleet"
+	"primrosegw/core/pace"
 	"primrosegw/core/work"
 )
 
@@ -39,6 +40,10 @@
 	// proved nothing. It goes to a server that has lately framed its responses if there is one, or else
 	// to one of which that is not known.
 	PreferFraming bool
+	// Pace knows the speed of servers and which are in slow start. If nil, all are equally fast.
+	Pace *pace.Tracker
+	// speeds are the speeds of the service's servers for one request; nil: they do not differ.
+	speeds pace.Speeds
 }
 
 // Pacer tells when servers that have limits accept requests.
@@ -121,6 +126,9 @@
 	slownessLoss = 0.15
 	// runningRequestLoss is the loss for each request already running at the server.
 	runningRequestLoss = 0.01
+	// fullWindowLoss is the loss at a server in slow start whose window is full. It is below
+	// missedObjectiveLoss, so that no request is late for want of a server.
+	fullWindowLoss = 0.6
 	// waitingRequestLoss is the loss for each request queued at a server of a plain
 	// service.
 	waitingRequestLoss = 0.05
@@ -160,6 +168,13 @@
 	Preferred bool
 	// Share is the load that the request adds to the server.
 	Share fleet.RequestLoad
+	// slowness is the slowness that the server has reported lately, 0 if it has not, and usual the time to
+	// the first event that is predicted for a server of usual speed. cold is the prediction
+	// without any cached part of the prompt.
+	slowness    float64
+	usual, cold time.Duration
+	// total is the slowness that was assumed; 0: servers are not known to differ.
+	total float64
 }
 
 // Server selects the member of a service with the lowest expected loss, excluding
@@ -170,10 +185,27 @@
 		return Choice{}, false
 	}
 	candidates = options.framingCandidates(candidates, now)
+	full := options.Pace.Full(request.Service, members, now)
+	options.speeds = options.Pace.Speeds(request.Service, now)
 	if request.Route.HasPrompt {
 		candidates = options.matchingEngines(request, members, candidates, now)
 	}
-	preferred := preferredServer(request, candidates)
+	best := options.best(request, candidates, full, now)
+	for !full[best.Member.ID] && !options.Pace.Take(&best.Member, now) {
+		if full == nil {
+			full = make(map[string]bool)
+		}
+		full[best.Member.ID] = true
+		best = options.best(request, candidates, full, now)
+	}
+	best.Share = fleet.RequestLoad{Rank: request.Rank, PrefillTokens: uncachedTokens(request, best.Preferred), DecodeHeavy: DecodeHeavy(request)}
+	return best, true
+}
+
+// best returns the candidate with the lowest expected loss. Full holds those in slow start that are to get
+// nothing more now.
+func (options Options) best(request *work.Request, candidates []fleet.Member, full map[string]bool, now time.Time) Choice {
+	preferred := options.preferredServer(request, candidates, full)
 	holders := options.Cached.engines(request, now)
 	countUnproven := anyFrames(candidates, now)
 	best := Choice{Candidates: len(candidates)}
@@ -184,13 +216,15 @@
 		if countUnproven {
 			evaluated.Loss += member.UnprovenRate(now) * unprovenLoss
 		}
+		if full[member.ID] {
+			evaluated.Loss += fullWindowLoss
+		}
 		if best.Member.ID == "" || evaluated.Loss < best.Loss {
 			evaluated.Candidates = best.Candidates
 			best = evaluated
 		}
 	}
-	best.Share = fleet.RequestLoad{Rank: request.Rank, PrefillTokens: uncachedTokens(request, best.Preferred), DecodeHeavy: DecodeHeavy(request)}
-	return best, true
+	return best
 }
 
 // eligible returns the members that accept a request now and are neither tried nor
@@ -220,15 +254,12 @@
 func (options Options) evaluate(request *work.Request, member *fleet.Member, preferred bool, now time.Time) Choice {
 	choice := Choice{Member: *member, Preferred: preferred}
 	running := member.Own.Running + member.Peers.Running
-	loss := float64(running)*runningRequestLoss + member.FailureRate*failureLoss + member.DeclineRate(now)*declineLoss
+	slowness, reported := options.slowness(member, now)
+	loss := float64(running)*runningRequestLoss*options.speeds.Of(member.Hash()).Work + member.FailureRate*failureLoss + member.DeclineRate(now)*declineLoss
 	if member.FailureDomain != options.FailureDomain {
 		loss += crossDomainLoss
 	}
 	age := now.Sub(member.Load.ReportedAt)
-	slowness := max(1, member.BaselineSlowness)
-	if age < slownessMaxAge && member.Load.Slowness > 0 {
-		slowness = member.Load.Slowness
-	}
 	loss += max(0, slowness-1) * slownessLoss
 	if !request.Route.HasPrompt {
 		if age < loadReportMaxAge {
@@ -253,6 +284,12 @@
 		loss += cacheMissLoss * float64(sessionTokens(request)) / float64(request.PromptTokens)
 	}
 	scale := options.Correction.Factor(request.Service) * float64(time.Millisecond)
+	choice.slowness = reported
+	if options.speeds != nil {
+		choice.total = slowness
+	}
+	choice.usual = time.Duration(firstEvent * float64(time.Millisecond) / slowness)
+	choice.cold = time.Duration((queueDelay + float64(request.PromptTokens)*perToken) * scale)
 	choice.Loss, choice.FirstEvent, choice.QueueDelay = loss, time.Duration(firstEvent*scale), time.Duration(queueDelay*scale)
 	return choice
 }
--- a/core/pick/rate.go
+++ b/core/pick/rate.go
@@ -61,7 +61,7 @@
 // Observe updates the rate from a request that an engine began at once: its tokens without
 // the cached ones, the time to its first event, and the engine's slowness.
 func (rates *PrefillRates) Observe(service string, tokens int, firstEvent time.Duration, slowness float64) {
-	if rates == nil || tokens < minRateTokens || firstEvent <= firstEventOverhead {
+	if rates == nil || slowness <= 0 || tokens < minRateTokens || firstEvent <= firstEventOverhead {
 		return
 	}
 	prefillMs := float64(firstEvent-firstEventOverhead) / float64(time.Millisecond)
@@ -72,7 +72,7 @@
 		observed = &observedRates{}
 		rates.services[service] = observed
 	}
-	observed.add(float64(tokens) * max(1, slowness) * batchingOverhead / prefillMs)
+	observed.add(float64(tokens) * slowness * batchingOverhead / prefillMs)
 }
 
 // add replaces the oldest observation by a new one.
@@ -94,8 +94,12 @@
 func (options Options) ObserveFirstEvent(request *work.Request, choice *Choice, elapsed time.Duration, now time.Time) {
 	options.Correction.Observe(request.Service, choice.FirstEvent, elapsed)
 	options.Cached.Observe(request, choice.Member.Server, now)
+	options.observePace(request, choice, elapsed, now)
 	if choice.QueueDelay == 0 {
-		slowness := max(choice.Member.BaselineSlowness, choice.Member.Load.Slowness)
+		slowness := max(1, choice.Member.BaselineSlowness, choice.Member.Load.Slowness)
+		if choice.total > 0 {
+			slowness = choice.total
+		}
 		options.Rates.Observe(request.Service, choice.Share.PrefillTokens, elapsed, slowness)
 	}
 }
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -14,6 +14,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/fleet"
+	"primrosegw/core/pace"
 	"primrosegw/core/pick"
 	"primrosegw/core/work"
 	"primrosegw/io/pipe"
@@ -52,6 +53,8 @@
 	// received, so the connection may be reused.
 	reusable bool
 	delivery delivery
+	// spans measures the gaps between the events of a stream.
+	spans pace.Spans
 	// watch is nil until the request is sent.
 	watch *pathWatch
 	// hold is the memory of the response.
@@ -97,6 +100,8 @@
 		now := time.Now()
 		exchange.recordBegun(now)
 		call.handler.options.Pick.ObserveFirstEvent(&call.work, &exchange.choice, now.Sub(exchange.started), now)
+	} else {
+		call.handler.options.Pick.Pace.RecordLate(exchange.server, time.Now())
 	}
 	if info.Load != nil {
 		call.handler.options.Fleet.ReportLoad(exchange.server.ID, *info.Load)
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -35,6 +35,7 @@
 	call.events.resumed = call.events.lastID != ""
 	exchange.conn.SetReadDeadline(call.work.Deadline.Add(responseGrace))
 	err := exchange.copyEvents(response)
+	call.handler.options.Pick.ObserveGaps(&call.work, &exchange.choice, &exchange.spans, time.Now())
 	if err != nil {
 		exchange.conn.Discard()
 		return exchange.failAttempt(err)
@@ -141,6 +142,7 @@
 		call.maxEventGap = max(call.maxEventGap, now.Sub(call.lastEventAt))
 	}
 	call.lastEventAt = now
+	exchange.spans.Add(advanced.count, now)
 	call.events = advanced
 	call.recordWentOn()
 	exchange.startResponse(response)
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -139,6 +139,10 @@
 	BackendServers   = "backend_servers"
 	ListedHosts      = "listed_hosts"
 	OmittedHosts     = "omitted_hosts"
+	// ServersInSlowStart is the number of servers whose requests in flight are limited, and SpeedSpread
+	// the ratio of the slowest to the fastest server of a service.
+	ServersInSlowStart = "servers_in_slow_start"
+	SpeedSpread        = "speed_spread"
 	// MemoryHeldBytes is the part of MemoryBudgetBytes that is in use.
 	MemoryHeldBytes   = "memory_held_bytes"
 	MemoryBudgetBytes = "memory_budget_bytes"
--- a/standin/emul/day.go
+++ b/standin/emul/day.go
@@ -52,9 +52,11 @@
 type Service struct {
 	Name    string `json:"name"`
 	Servers int    `json:"servers"`
-	// Speeds are the usual slownesses of the servers, in turn.
-	Speeds []float64 `json:"speeds"`
-	Noise  Noise     `json:"noise"`
+	// Speeds are the usual slownesses of the servers, in turn. HidesSpeed: the servers report only what
+	// others on their machines do to them.
+	Speeds     []float64 `json:"speeds"`
+	HidesSpeed bool      `json:"hides_speed,omitempty"`
+	Noise      Noise     `json:"noise"`
 	// Engine or Plain describes the servers.
 	Engine *Engine `json:"engine,omitempty"`
 	Plain  *Plain  `json:"plain,omitempty"`
@@ -124,6 +126,9 @@
 	Crash Sort = "crash"
 	// Slow: a share of the servers takes X times as long.
 	Slow Sort = "slow"
+	// Release: a share of the servers is replaced in a row. Each one leaves, its successor starts
+	// releaseTime later with an empty cache and takes X times as long for warmTime.
+	Release Sort = "release"
 	// Lose: a share of the servers loses a part X of its answers.
 	Lose Sort = "lose"
 	// Stop: a share of the hosts, all if it is 0, stops in a planned way: callers are sent to the others,
@@ -251,7 +256,7 @@
 		if !classes[trouble.Class] {
 			return invalid(at+".class", fmt.Sprintf("%q is not among the classes", trouble.Class))
 		}
-	case Crash, Slow, Lose:
+	case Crash, Slow, Lose, Release:
 		if _, known := services[trouble.Service]; !known {
 			return invalid(at+".service", fmt.Sprintf("%q is not among the services", trouble.Service))
 		}
--- a/standin/emul/engine.go
+++ b/standin/emul/engine.go
@@ -80,7 +80,9 @@
 	// speed is the usual slowness, noise what others on the machine add at the
 	// moment, fault what an injected fault adds.
 	speed, noise, fault float64
-	down                bool
+	// hidesSpeed: what the machine reports leaves speed and fault out.
+	hidesSpeed bool
+	down       bool
 	// life counts restarts; what was scheduled in an earlier life does nothing.
 	life uint64
 }
@@ -90,6 +92,14 @@
 // slowness is how much longer work takes than at the service's norm.
 func (machine *machine) slowness() float64 { return machine.speed * machine.noise * machine.fault }
 
+// reportedSlowness is the slowness that the machine reports.
+func (machine *machine) reportedSlowness() float64 {
+	if machine.hidesSpeed {
+		return machine.noise
+	}
+	return machine.slowness()
+}
+
 // loses draws whether the answer to the next request is lost.
 func (machine *machine) loses() bool {
 	return machine.losing > 0 && machine.random.Float64() < machine.losing
@@ -115,6 +125,8 @@
 	Read      int `json:"prompt_tokens_read"`
 	Cached    int `json:"prompt_tokens_cached"`
 	Preempted int `json:"preempted"`
+	// BusyMs is the time in which an engine worked on steps.
+	BusyMs float64 `json:"-"`
 }
 
 func (engine *engine) submit(task *task) {
@@ -214,6 +226,7 @@
 	engine.stepping = true
 	life := engine.life
 	chunks, duration := engine.plan()
+	engine.stats.BusyMs += duration.Seconds() * 1000
 	engine.clock.after(duration, func() {
 		if life == engine.life {
 			engine.finish(chunks)
@@ -297,7 +310,7 @@
 func (engine *engine) load() fleet.Load {
 	return fleet.Load{
 		Running: len(engine.running), Waiting: len(engine.waiting), Slots: engine.model.Slots,
-		Slowness: engine.slowness(), ReportedAt: engine.clock.time(),
+		Slowness: engine.reportedSlowness(), ReportedAt: engine.clock.time(),
 	}
 }
 
--- a/standin/emul/host.go
+++ b/standin/emul/host.go
@@ -5,6 +5,7 @@
 
 	"primrosegw/core/ending"
 	"primrosegw/core/fleet"
+	"primrosegw/core/pace"
 	"primrosegw/core/pick"
 	"primrosegw/core/retry"
 	"primrosegw/core/steer"
@@ -18,6 +19,8 @@
 	// retryShare and retryReserve are the budget of second attempts of a host.
 	retryShare   = 0.18
 	retryReserve = 4
+	// paceInterval is the least time between two messages on servers in slow start.
+	paceInterval = 300 * time.Millisecond
 )
 
 // host decides about requests with the code of the project's core.
@@ -29,6 +32,8 @@
 	budget *retry.Budgets
 	pick   pick.Options
 	cuts   *ending.Cuts
+	// nextPace is the time from which on servers in slow start are reported again.
+	nextPace time.Duration
 	// stopping: callers are sent to other hosts. reloading: it reads its settings. gone: another process
 	// has replaced it.
 	stopping, reloading, gone bool
@@ -42,6 +47,10 @@
 	for _, server := range world.servers {
 		created.fleet.Put(server.base().server)
 	}
+	if world.policy != NoPace {
+		created.pick.Pace = pace.New(name)
+		created.pick.Pace.SetHosts(world.hostNames())
+	}
 	return created
 }
 
@@ -96,6 +105,7 @@
 	delay := host.delay(target)
 	host.fleet.RequestStarted(choice.Member.ID, choice.Share)
 	read := false
+	var spans pace.Spans
 	started := clock.now
 	sent := &task{request: &call.work, output: max(1, call.output-call.events*call.stride()), loses: target.base().loses(), work: call.length}
 	if call.fails {
@@ -114,6 +124,7 @@
 	sent.event = func(number int) {
 		clock.after(delay, func() {
 			first()
+			spans.Add(number, clock.time())
 			if !call.gone {
 				call.events = begun + number
 				call.event()
@@ -126,9 +137,15 @@
 				if outcome != broken {
 					host.fleet.ReportLoad(choice.Member.ID, target.load())
 				}
+				if outcome == whole || outcome == failed {
+					host.pick.ObserveFirstEvent(&call.work, &choice, clock.now-started, clock.time())
+				} else if outcome == declined {
+					host.pick.Pace.RecordLate(choice.Member.Server, clock.time())
+				}
 				read = true
 				host.fleet.PrefillDone(choice.Member.ID, choice.Share)
 			}
+			host.pick.ObserveGaps(&call.work, &choice, &spans, clock.time())
 			host.fleet.RequestEnded(choice.Member.ID, choice.Share)
 			call.settle(target, outcome)
 		})
@@ -210,9 +227,26 @@
 	}
 	world := host.world
 	told := fleet.HostReport{Loads: host.fleet.LocalLoads(), Running: host.fleet.Running()}
+	var paces []pace.Report
+	var speeds []pace.SpeedReport
+	if host.pick.Pace != nil {
+		speeds = host.pick.Pace.PendingSpeeds(len(world.hosts)-1, world.clock.time())
+	}
+	if host.pick.Pace != nil && world.clock.now >= host.nextPace {
+		host.nextPace = world.clock.now + paceInterval
+		paces = host.pick.Pace.PendingReports(world.clock.time())
+	}
 	for _, other := range world.hosts {
 		if other != host {
-			world.clock.after(milliseconds(world.day.LinkMs), func() { other.fleet.UpdatePeer(host.name, told, world.clock.time()) })
+			world.clock.after(milliseconds(world.day.LinkMs), func() {
+				other.fleet.UpdatePeer(host.name, told, world.clock.time())
+				if len(speeds) > 0 {
+					other.pick.Pace.ApplySpeeds(speeds, world.clock.time())
+				}
+				if len(paces) > 0 {
+					other.pick.Pace.ApplyReports(host.name, paces, world.clock.time())
+				}
+			})
 		}
 	}
 	world.clock.after(milliseconds(world.day.TellMs), host.tell)
--- a/standin/emul/plain.go
+++ b/standin/emul/plain.go
@@ -81,7 +81,7 @@
 func (plain *plain) load() fleet.Load {
 	return fleet.Load{
 		Running: len(plain.running), Waiting: len(plain.waiting), Slots: plain.model.Slots,
-		Slowness: plain.slowness(), ReportedAt: plain.clock.time(),
+		Slowness: plain.reportedSlowness(), ReportedAt: plain.clock.time(),
 	}
 }
 
--- a/standin/emul/policy.go
+++ b/standin/emul/policy.go
@@ -26,10 +26,14 @@
 	// Informed: as Production, but hosts know at each moment all that the engines
 	// hold, have cached and how fast they are. No word between hosts can do better.
 	Informed Policy = "informed"
+	// NoPace: hosts learn no speeds of servers, and send recently started ones any number of requests.
+	NoPace Policy = "no_pace"
 )
 
 // Policies are all policies.
-func Policies() []Policy { return []Policy{Production, OwnOnly, NoRefusal, LeastRunning, Informed} }
+func Policies() []Policy {
+	return []Policy{Production, OwnOnly, NoRefusal, LeastRunning, Informed, NoPace}
+}
 
 // Known reports whether there is such a policy.
 func (policy Policy) Known() bool { return slices.Contains(Policies(), policy) }
--- a/standin/emul/result.go
+++ b/standin/emul/result.go
@@ -19,6 +19,9 @@
 	// Seconds is the worth by the second in which requests began.
 	Seconds []Second `json:"seconds"`
 	Engines Work     `json:"engines"`
+	// Busiest is the time in which the busiest engine worked, relative to the mean.
+	Busiest float64 `json:"busiest"`
+	busyMs  []float64
 	// Responses counts responses by phase and framing.
 	Responses map[ResponseKey]*ResponseCount `json:"-"`
 }
@@ -154,4 +157,12 @@
 	result.Engines.Read += work.Read
 	result.Engines.Cached += work.Cached
 	result.Engines.Preempted += work.Preempted
+	result.busyMs = append(result.busyMs, work.BusyMs)
+	sum := 0.0
+	for _, busy := range result.busyMs {
+		sum += busy
+	}
+	if sum > 0 {
+		result.Busiest = slices.Max(result.busyMs) / sum * float64(len(result.busyMs))
+	}
 }
--- a/standin/emul/world.go
+++ b/standin/emul/world.go
@@ -125,7 +125,7 @@
 		for index := range service.Servers {
 			id := fmt.Sprintf("%s-%d", service.Name, index)
 			base := machine{
-				clock: world.clock, random: rand.New(rand.NewPCG(world.random.Uint64(), 0)), speed: 1, noise: 1, fault: 1,
+				clock: world.clock, random: rand.New(rand.NewPCG(world.random.Uint64(), 0)), speed: 1, noise: 1, fault: 1, hidesSpeed: service.HidesSpeed,
 				server: fleet.Server{
 					ID: id, Service: service.Name, FailureDomain: world.day.FailureDomains[index%len(world.day.FailureDomains)],
 				},
@@ -171,6 +171,10 @@
 		return
 	}
 	affected := world.affected(trouble)
+	if trouble.Kind == Release {
+		world.release(affected, trouble)
+		return
+	}
 	set := func(on bool) {
 		if trouble.Kind == Burst {
 			world.rates[trouble.Class] = cmp.Or(map[bool]float64{true: trouble.X}[on], 1)
