--- a/core/pick/copies.go
+++ b/core/pick/copies.go
@@ -177,15 +177,15 @@
 }
 
 // promptCopies looks up the copies of a prompt's parts. Members are all engines of the
-// service.
-func (options Options) promptCopies(request *work.Request, members, candidates []fleet.Member, now time.Time) promptCopies {
+// service, and full holds those in slow start that are to get nothing more now.
+func (options Options) promptCopies(request *work.Request, members, candidates []fleet.Member, full map[string]bool, now time.Time) promptCopies {
 	copies := promptCopies{request: request}
 	if len(request.Parts) < 2 {
 		return copies
 	}
 	parts := options.Cached
 	if parts == nil {
-		copies.preferred = preferredServer(request, candidates)
+		copies.preferred = options.preferredServer(request, candidates, full)
 		copies.assumed = leadingTokens(request)
 		return copies
 	}
@@ -193,12 +193,12 @@
 	defer parts.mutex.Unlock()
 	copies.session, _ = parts.freshCopies(sessionPart(request).ID, now)
 	if parts.peers == 0 {
-		copies.preferred = preferredServer(request, candidates)
+		copies.preferred = options.preferredServer(request, candidates, full)
 		copies.assumed = leadingTokens(request)
 		return copies
 	}
 	copies.shared = true
-	copies.preferred, copies.next = options.rendezvousOrder(request, members, now)
+	copies.preferred, copies.next = options.rendezvousOrder(request, members, full, now)
 	for _, part := range request.Parts[:len(request.Parts)-2] {
 		engines, known := parts.freshCopies(part.ID, now)
 		if part.Tokens < minToldTokens || now.Sub(parts.startedAt) < learnTime {
@@ -213,17 +213,17 @@
 // rendezvousOrder returns the first two engines for a session among those that may serve
 // the request's group. Suspended engines and those that are in the other group for now
 // count, so that copies elsewhere are reported and used after they return.
-func (options Options) rendezvousOrder(request *work.Request, members []fleet.Member, now time.Time) (preferred, next string) {
+func (options Options) rendezvousOrder(request *work.Request, members []fleet.Member, full map[string]bool, now time.Time) (preferred, next string) {
 	key := sessionPart(request).ID
-	decodeEngines := options.Groups.decodeEngines(request.Service, members, now)
+	decodeEngines := options.Groups.decodeEngines(request.Service, members, options.speeds, now)
 	decodeHeavy := DecodeHeavy(request)
-	first, second := uint64(0), uint64(0)
+	first, second := 0.0, 0.0
 	for index := range members {
-		if decodeEngines[members[index].ID] != decodeHeavy && len(members) > 1 {
+		id := members[index].ID
+		if decodeEngines[id] != decodeHeavy && len(members) > 1 || full[id] {
 			continue
 		}
-		id := members[index].ID
-		switch weight := rendezvousWeight(key, &members[index]); {
+		switch weight := options.rendezvousWeight(key, &members[index]); {
 		case preferred == "" || weight > first:
 			preferred, next, first, second = id, preferred, weight, first
 		case next == "" || weight > second:
--- a/core/pick/rate.go
+++ b/core/pick/rate.go
@@ -71,7 +71,7 @@
 // Observe updates the rate from a request that an engine began at once: its tokens without
 // the cached ones, the time to its first event, and the engine's slowness.
 func (rates *PrefillRates) Observe(service string, tokens int, firstEvent time.Duration, slowness float64) {
-	if rates == nil || tokens < minRateTokens || firstEvent <= firstEventOverhead {
+	if rates == nil || slowness <= 0 || tokens < minRateTokens || firstEvent <= firstEventOverhead {
 		return
 	}
 	prefillMs := float64(firstEvent-firstEventOverhead) / float64(time.Millisecond)
@@ -82,7 +82,7 @@
 		observed = &observedRates{}
 		rates.services[service] = observed
 	}
-	observed.add(float64(tokens) * max(1, slowness) * batchingOverhead / prefillMs)
+	observed.add(float64(tokens) * slowness * batchingOverhead / prefillMs)
 }
 
 // add replaces the oldest observation by a new one.
@@ -105,8 +105,12 @@
 	options.Correction.Observe(request.Service, choice.FirstEvent, elapsed)
 	options.Cached.Observe(request, choice.Member.Server, choice.rendezvous, now)
 	options.Cached.count(request, choice)
+	options.observePace(request, choice, elapsed, now)
 	if choice.QueueDelay == 0 {
-		slowness := max(choice.Member.BaselineSlowness, choice.Member.Load.Slowness)
+		slowness := max(1, choice.Member.BaselineSlowness, choice.Member.Load.Slowness)
+		if choice.total > 0 {
+			slowness = choice.total
+		}
 		options.Rates.Observe(request.Service, choice.Share.PrefillTokens, elapsed, slowness)
 	}
 }
