core/usage: a host whose clock is ahead displaces no current windows

Cause: a collector keeps 14 windows. Those of one host whose clock is minutes ahead took the place of the current ones of all hosts, which were then reported with no counts.

Change: statements of windows after the next one are not taken, nor confirmed, so that they come again.

Measured: TestWindowsOfAClockAheadDisplaceNone fails without the change, passes with it; two cases of TestUsageIsReportedOnce pass with -race.

--- a/core/usage/collector.go
+++ b/core/usage/collector.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Collector holds what all hosts have counted. Each host that may have to report keeps one. It is safe for
@@ -17,12 +18,16 @@
 // NewCollector returns an empty collector.
 func NewCollector() *Collector { return &Collector{statements: make(map[Window]map[string]Statement)} }
 
-// Put takes the statements of a process of a host and returns the confirmations for it.
-func (collector *Collector) Put(process string, statements []Statement) []Confirmation {
+// Put takes the statements of a process of a host and returns the confirmations for it. Those of windows
+// that begin later than the next one, of a host whose clock is ahead, are not taken.
+func (collector *Collector) Put(process string, statements []Statement, now time.Time, length time.Duration) []Confirmation {
 	collector.mutex.Lock()
 	defer collector.mutex.Unlock()
 	confirmations := make([]Confirmation, 0, len(statements))
 	for _, statement := range statements {
+		if statement.Window > WindowOf(now, length)+1 {
+			continue
+		}
 		known := collector.statements[statement.Window]
 		if known == nil {
 			known = make(map[string]Statement)
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -23,7 +23,7 @@
 	first, second := usage.NewCounter(window), usage.NewCounter(window)
 	collector, successor := usage.NewCollector(), usage.NewCollector()
 	tell := func(counter *usage.Counter, process string, to *usage.Collector, name string, confirmed bool) {
-		confirmations := to.Put(process, counter.Pending(name))
+		confirmations := to.Put(process, counter.Pending(name), base.Add(window), window)
 		if confirmed {
 			counter.Confirm(name, confirmations)
 		}
@@ -136,3 +136,15 @@
 	book.BeginTerm(true)
 	require.NotContains(t, book.Due(base.Add(13*time.Second)), number)
 }
+
+// Guards against a host whose clock is minutes ahead and whose windows take the place of the current ones.
+func TestWindowsOfAClockAheadDisplaceNone(t *testing.T) {
+	collector, ahead := usage.NewCollector(), usage.NewCounter(window)
+	number := usage.WindowOf(base, window)
+	collector.Put("host-a/1", []usage.Statement{{Window: number, Sequence: 1, Counts: usage.Counts{"w": 1}}}, base, window)
+	for index := range 20 {
+		ahead.Add("w", base.Add(time.Duration(20+index)*window))
+	}
+	require.Empty(t, collector.Put("host-b/1", ahead.Pending("holder"), base, window), "they come again when they are due")
+	require.Equal(t, usage.Counts{"w": 1}, collector.Sum(number))
+}
