--- a/io/front/badstatus_test.go
+++ b/io/front/badstatus_test.go
@@ -100,27 +100,16 @@
 // addUploadServer registers a backend server that reads the head and a part of the body of each request,
 // answers and resets the connection.
 func (harness *harness) addUploadServer(id string, answer func(conn net.Conn)) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(harness.t, err)
-	harness.t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err == nil && request.URL.Path == "/health" {
-					respondWith(http.StatusOK, "", "X-Instance: "+id)(request, conn)
-				} else if err == nil {
-					_, _ = io.CopyN(io.Discard, request.Body, 16<<10)
-					answer(conn)
-				}
-				resetConnection(request, conn)
-			}()
+	listener := harness.listen(func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil && request.URL.Path == "/health" {
+			respondWith(http.StatusOK, "", "X-Instance: "+id)(request, conn)
+		} else if err == nil {
+			_, _ = io.CopyN(io.Discard, request.Body, 16<<10)
+			answer(conn)
 		}
-	}()
+		resetConnection(request, conn)
+	})
 	harness.servers[id] = fleet.Server{ID: id, Service: "engines", Address: listener.Addr().String()}
 	harness.fleet.Put(harness.servers[id])
 }
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -259,6 +259,16 @@
 
 // addVersion is addServer for a server with a software version.
 func (harness *harness) addVersion(id, version string, respond responder) net.Listener {
+	harness.t.Helper()
+	listener := harness.listen(func(conn net.Conn) { harness.serveConn(id, conn, respond) })
+	harness.records.Put(origin.Origin{Service: "engines", Version: version}, time.Now())
+	harness.servers[id] = fleet.Server{ID: id, Service: "engines", Address: listener.Addr().String(), Version: version}
+	harness.fleet.Put(harness.servers[id])
+	return listener
+}
+
+// listen accepts connections until the end of the test.
+func (harness *harness) listen(serve func(conn net.Conn)) net.Listener {
 	harness.t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(harness.t, err)
@@ -269,12 +279,9 @@
 			if err != nil {
 				return
 			}
-			go harness.serveConn(id, conn, respond)
+			go serve(conn)
 		}
 	}()
-	harness.records.Put(origin.Origin{Service: "engines", Version: version}, time.Now())
-	harness.servers[id] = fleet.Server{ID: id, Service: "engines", Address: listener.Addr().String(), Version: version}
-	harness.fleet.Put(harness.servers[id])
 	return listener
 }
 
