--- a/core/pick/cached.go
+++ b/core/pick/cached.go
@@ -14,7 +14,7 @@
 	// use.
 	copyTTL = 10 * time.Second
 	// maxTrackedParts limits the memory for prompt parts.
-	maxTrackedParts = 4096
+	maxTrackedParts = 8192
 	// maxCopiesPerPart is the number of engines that are tracked for a session's part.
 	maxCopiesPerPart = 4
 )
@@ -35,7 +35,7 @@
 	// spent and spentAt limit the rate of reports.
 	spent   float64
 	spentAt time.Time
-	// startedAt is when the first prompt was observed.
+	// startedAt is when the first prompt was observed that other hosts may be told of.
 	startedAt time.Time
 	counts    CopyCounts
 }
@@ -70,30 +70,36 @@
 func (parts *CachedParts) SetPeers(peers int) {
 	parts.mutex.Lock()
 	defer parts.mutex.Unlock()
-	parts.peers = peers
+	if parts.peers = peers; peers == 0 {
+		parts.startedAt = time.Time{}
+		clear(parts.pending)
+	}
 }
 
 // Observe records that an engine has prefilled the prompt of a request. IsPreferred
 // tells whether it is the one by rendezvous hashing. It does nothing for a nil receiver
-// and for prompts without a session's part.
+// and for requests without a prompt that has a session's part.
 func (parts *CachedParts) Observe(request *work.Request, server fleet.Server, isPreferred bool, now time.Time) {
-	if parts == nil || len(request.Parts) < 2 {
+	if parts == nil || len(request.Parts) < 2 || !request.Route.HasPrompt {
 		return
 	}
 	parts.mutex.Lock()
 	defer parts.mutex.Unlock()
-	if parts.startedAt.IsZero() {
+	if parts.peers > 0 && parts.startedAt.IsZero() {
 		parts.startedAt = now
 	}
 	engine := engineKey(server)
 	last := len(request.Parts) - 2
 	for index, part := range request.Parts[:last+1] {
+		isSession := index == last
+		if !isSession && (part.Tokens < minToldTokens || parts.peers == 0) {
+			continue
+		}
 		key := partKey(part.ID)
 		known := parts.find(key, now)
-		if index < last {
+		if !isSession {
 			known.addSuccessor(partKey(request.Parts[index+1].ID))
 		}
-		isSession := index == last
 		limit := maxWideCopies
 		if isSession {
 			limit = maxCopiesPerPart
--- a/core/pick/copies.go
+++ b/core/pick/copies.go
@@ -31,7 +31,7 @@
 	minWideSuccessors = 3
 	// maxWideCopies is the number of engines that are tracked for a part that many
 	// sessions share.
-	maxWideCopies = 256
+	maxWideCopies = 1536
 	// learnTime is how long a host that has started does not take the lack of a report for
 	// the lack of a copy.
 	learnTime = 5 * time.Second
@@ -170,7 +170,7 @@
 // leadingPart is a part before the session's one.
 type leadingPart struct {
 	tokens  int
-	engines []uint32
+	engines map[uint32]bool
 	// isWide is set if several sessions share the part. Otherwise it is where the
 	// session's part is.
 	isWide bool
@@ -200,12 +200,16 @@
 	copies.shared = true
 	copies.preferred, copies.next = options.rendezvousOrder(request, members, now)
 	for _, part := range request.Parts[:len(request.Parts)-2] {
-		engines, known := parts.freshCopies(part.ID, now)
-		if part.Tokens < minToldTokens || now.Sub(parts.startedAt) < learnTime {
+		if part.Tokens < minToldTokens || parts.startedAt.IsZero() || now.Sub(parts.startedAt) < learnTime {
 			copies.assumed += part.Tokens
 			continue
 		}
-		copies.leading = append(copies.leading, leadingPart{part.Tokens, engines, known.isWide()})
+		engines, known := parts.freshCopies(part.ID, now)
+		leading := leadingPart{part.Tokens, make(map[uint32]bool, len(engines)), known.isWide()}
+		for _, engine := range engines {
+			leading.engines[engine] = true
+		}
+		copies.leading = append(copies.leading, leading)
 	}
 	return copies
 }
@@ -258,7 +262,7 @@
 	}
 	cached := copies.assumed
 	for _, part := range copies.leading {
-		if part.isWide && !slices.Contains(part.engines, engine) || !part.isWide && !found.hasSession {
+		if part.isWide && !part.engines[engine] || !part.isWide && !found.hasSession {
 			found.hasSession = false
 			found.missed += float64(part.tokens)
 			continue
@@ -282,7 +286,7 @@
 
 // count counts the tokens that were expected at the chosen engine.
 func (parts *CachedParts) count(request *work.Request, choice *Choice) {
-	if parts == nil || len(request.Parts) < 2 {
+	if parts == nil || len(request.Parts) < 2 || !request.Route.HasPrompt {
 		return
 	}
 	shared := int64(leadingTokens(request) + sessionTokens(request))
--- a/core/pick/copies_test.go
+++ b/core/pick/copies_test.go
@@ -292,3 +292,68 @@
 		require.LessOrEqual(t, sent, 21*2000+1000*peers, fmt.Sprint(peers))
 	}
 }
+
+// observe lets a host see a first event of a session's request from an engine.
+func observe(host pick.Options, session uint64, member fleet.Member, now time.Time) {
+	choice := pick.Choice{Member: member}
+	host.ObserveFirstEvent(prefillHeavy(session, now), &choice, 200*time.Millisecond, now)
+}
+
+// Guards against predictions that take a part which many sessions share for cached at each engine: one that
+// never got it, or that has started again, has to prefill it first.
+func TestEnginesWithoutTheSharedPartPayForIt(t *testing.T) {
+	start := time.Now()
+	host, _ := hostPair()
+	engines := members(6)
+	for session := range uint64(12) {
+		observe(host, session+10, engines[session%3], start)
+	}
+	now := start.Add(6 * time.Second)
+	for session := range uint64(12) {
+		observe(host, session+10, engines[session%3], now)
+	}
+	tokens := func(member fleet.Member) int {
+		choice, ok := pick.Server(host, prefillHeavy(100, now), []fleet.Member{member}, nil, now)
+		require.True(t, ok)
+		return choice.Share.PrefillTokens
+	}
+	require.Equal(t, 9000-2500-3700, tokens(engines[0]))
+	require.Equal(t, 9000, tokens(engines[5]))
+	engines[0].Started = now
+	require.Equal(t, 9000, tokens(engines[0]))
+}
+
+// Guards against a part that only one session uses being taken for one that all engines have: it is where
+// the session's part is.
+func TestPartOfOneSessionIsWhereItsCopyIs(t *testing.T) {
+	start := time.Now()
+	host, _ := hostPair()
+	engines := members(6)
+	observe(host, 10, engines[0], start)
+	now := start.Add(6 * time.Second)
+	observe(host, 10, engines[0], now)
+	tokens := func(member fleet.Member) int {
+		choice, ok := pick.Server(host, prefillHeavy(10, now), []fleet.Member{member}, nil, now)
+		require.True(t, ok)
+		return choice.Share.PrefillTokens
+	}
+	require.Equal(t, 2800, tokens(engines[0]))
+	require.Equal(t, 9000, tokens(engines[1]))
+}
+
+// Guards against a change where there is nobody to tell: a host alone assumes as before that each engine has
+// the part that many sessions share, and reports nothing.
+func TestHostAloneDecidesAsBefore(t *testing.T) {
+	now := time.Now()
+	alone, plainly := options(), options()
+	alone.Cached = pick.NewCachedParts()
+	engines := members(18)
+	for session := range uint64(40) {
+		want := engineOf(t, plainly, session, engines, now)
+		got := engineOf(t, alone, session, engines, now)
+		require.Equal(t, want.Member.ID, got.Member.ID)
+		require.Equal(t, want.Share, got.Share)
+		alone.ObserveFirstEvent(prefillHeavy(session, now), &got, 100*time.Millisecond, now)
+	}
+	require.Empty(t, alone.Cached.Report(now))
+}
