core/scale: plays with a rate of engines that is not known, and one that is too high

Cause: all plays had the true rate. Change: two plays, with no observed rate and with one of 50 tokens/ms.

--- a/core/scale/plan_test.go
+++ b/core/scale/plan_test.go
@@ -22,6 +22,8 @@
 	rate = 19_600.0
 	// targetCost is the price to reach, in units per second, and allOnDemand that of the engines at first.
 	targetCost, allOnDemand = 36.0, 91.5
+	// unknownRate is a rate of which nothing is observed.
+	unknownRate = -1
 	// slots is what an engine holds.
 	slots = 48
 )
@@ -61,6 +63,7 @@
 	exhausted    map[group]bool
 	losesAnswers bool
 	losesOrders  bool
+	tokensPerMs  float64
 	tracker      *scale.Tracker
 	book         *scale.Book
 	counters     scale.Counters
@@ -119,7 +122,7 @@
 // plan makes a plan, records and sends it.
 func (play *play) plan(load traffic) {
 	state := scale.State{
-		Now: play.now(), Slots: slots, TokensPerMs: 39.2,
+		Now: play.now(), Slots: slots, TokensPerMs: max(0, cmp.Or(play.tokensPerMs, 39.2)),
 		Limits: table.Autoscale{Min: 1, Max: 60, Boot: 4 * time.Second, SpotPrice: 0.15, DomainPrices: play.prices},
 	}
 	for domain, price := range play.prices {
@@ -221,6 +224,8 @@
 	fault func(play *play)
 	// maxCost is the highest mean price from the start of the traffic on, in units per second; 0: targetCost.
 	maxCost float64
+	// tokensPerMs is the rate that was observed; 0: 39.2, as it is.
+	tokensPerMs float64
 	// longer is how many seconds longer than the others the play is.
 	longer int
 	// check is done at the end.
@@ -231,6 +236,8 @@
 func loads() map[string]playCase {
 	return map[string]playCase{
 		"calm": {},
+		"calm, and the rate of the engines is not known":             {tokensPerMs: unknownRate},
+		"calm, and prompts were cached without being expected to be": {tokensPerMs: 50},
 		"regular ups and downs by 27 in 100": {
 			load: func(second int) traffic {
 				return usual.times(1 + 0.27*wave(second))
@@ -331,6 +338,7 @@
 
 // run plays a case, and checks in each second that the engines suffice.
 func (play *play) run(test playCase) {
+	play.tokensPerMs = test.tokensPerMs
 	for play.second < playEnd+test.longer {
 		load := traffic{}
 		if play.second >= trafficStart {
