--- a/core/pace/window.go
+++ b/core/pace/window.go
@@ -26,6 +26,9 @@
 	// turnTime is the time after which the hosts' order changes, so that a window below the number of
 	// hosts comes to each of them.
 	turnTime = 300 * time.Millisecond
+	// lateStartTime is the age from which on a window is lifted if the other hosts have the ordinary number
+	// in flight, whatever this host's answers say.
+	lateStartTime = time.Second
 	// choiceTime is the time for which a choice counts although the request may count as in flight by then:
 	// others that chose meanwhile did not see it.
 	choiceTime = 10 * time.Millisecond
@@ -245,6 +248,8 @@
 		}
 		limit := one.window.limit()
 		hasCarried := float64(one.inFlight) >= ordinary && float64(limit) >= ordinary
+		// The other hosts have lifted their windows: this one has learned of the server late.
+		hasCarried = hasCarried || float64(member.Peers.Running) >= ordinary && now.Sub(one.window.beganAt) >= lateStartTime
 		if !applies || hasCarried || float64(limit) >= liftFactor*ordinary || now.Sub(one.window.beganAt) >= maxWindowTime {
 			tracker.lift(one, now)
 			continue
--- a/core/pace/window_test.go
+++ b/core/pace/window_test.go
@@ -160,3 +160,16 @@
 	require.Equal(t, 3, limit)
 	require.Equal(t, pace.Recovered, tracker.TakeChanges()[0].Reason)
 }
+
+// Guards against a host without requests for a service that holds back at a server which the others have long
+// found to be fast.
+func TestHostThatLearnsLate(t *testing.T) {
+	hosts := newHosts(t, 12, 10, 48)
+	last := &hosts.members[9]
+	last.Peers.Running = 48
+	full := func() bool { return hosts.trackers[0].Full("engines", hosts.members, hosts.now)[last.ID] }
+	require.True(t, full())
+	hosts.now = hosts.now.Add(time.Second)
+	require.False(t, full())
+	require.Zero(t, hosts.trackers[0].Limited())
+}
