--- a/core/roster/silence.go
+++ b/core/roster/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -136,6 +137,7 @@
 	if len(silence.heard) > 2*len(expected) {
 		silence.forget(expected)
 	}
+	maps.DeleteFunc(silence.reports, func(_ string, report receivedSilence) bool { return now.Sub(report.at) >= reportTTL })
 	silence.latest.Gone = silence.decide(expected, watchers, now)
 	return !sameHosts(before.Silent, silence.latest.Silent) || !sameHosts(before.Gone, silence.latest.Gone)
 }
