core/ending, io/front, platform: framed responses that end whole clear a cut

Callers saw: after one response that one of four servers had broken off, each stream with neither a length nor chunks was reset at its end, with all of its events there, at all hosts, for ten minutes; plain responses of this kind got 502. Cause: core/ending kept the newest cut of a service for ten minutes, whatever came after it. One cut says that cuts happen, not how often; the framed responses that end whole at the same servers say that, and were not looked at. Beside it, a stream that began while a cut counted had chunks towards its caller, so that its end could not be passed on even after that. Not the servers, not SIGHUP: without the cut the same play loses nothing. A response that ends while a cut counts that may be cleared soon waits for that, for up to 2 s (one that can run again for half of its time), instead of being given up. Reports name cuts by an ID, so that a late one is not taken for a new cut; older builds ignore what is new. New event cut_cleared. Why it works: a device or server that goes on cutting would cut framed responses, too, before they clear anything.

--- a/core/ending/cuts.go
+++ b/core/ending/cuts.go
@@ -2,20 +2,38 @@
 
 import (
 	"cmp"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// CutMemory is how long a cut counts after it was seen.
+	// CutMemory is how long a cut counts after it was seen, unless it is cleared before.
 	CutMemory = 10 * time.Minute
-	// cutRefresh is the age from which on another cut at the same place is told to other hosts.
+	// ClearingResponses is the number of responses with a length or chunks that must end whole after a cut
+	// before it no longer counts. A device that cuts one in 50 responses shows another cut before that more often
+	// than not. One that cuts fewer is found out as the number doubles with each cut that comes again.
+	ClearingResponses = 50
+	// maxClearingResponses limits the number after cuts that have come again.
+	maxClearingResponses = ClearingResponses << 10
+	// cutRefresh is the age from which on another cut at the same place is told to all hosts.
 	cutRefresh = 30 * time.Second
 	// cutRepeat is the time after which a cut is told again, for hosts that have missed it.
 	cutRepeat = 5 * time.Second
-	// cutRepeats is how often a cut is told again at the next rounds, as single datagrams are lost.
+	// quietTime is the age of the newest cut at which a host that collects tells all hosts of it, if they only
+	// know of earlier ones.
+	quietTime = time.Second
+	// cutRepeats is how often a cut, or its clearing, is told again at the next rounds, as single datagrams are lost.
 	cutRepeats = 2
+	// cutSlack is the time between two cuts up to which the second one says no more than the first. Older builds
+	// do not name cuts, and tell two of a place at least cutRefresh apart: what they tell within unnamedSlack is
+	// the same cut, delayed.
+	cutSlack     = 50 * time.Millisecond
+	unnamedSlack = 5 * time.Second
+	// maxRecentCuts is the number of cuts at a place of which a late report is recognized.
+	maxRecentCuts = 16
 	// maxSuspectTime limits how long a cut is suspected without a conclusion, and maxSuspects the number of
 	// processes for which one is.
 	maxSuspectTime = 5 * time.Second
@@ -24,74 +42,124 @@
 	maxCuts = 256
 	// maxTold limits the number of cuts in one message.
 	maxTold = 16
+	// maxToldWhole limits the number of whole responses that one report tells.
+	maxToldWhole = 10_000
 	// maxNameBytes limits the names in a cut that another host tells.
 	maxNameBytes = 256
 )
 
+// Place is where cuts are seen: in the streams, or in the other responses, of a service's servers in a failure
+// domain. What cuts long streams need not show in short responses.
+type Place struct {
+	Service, FailureDomain string
+	// Plain: the cut response was no stream.
+	Plain bool
+}
+
 // CutReport says that the connection of a response was closed in order before the response ended. The age
-// holds when the report is made.
+// holds when the report is made. An older build sends and reads the first three fields.
 type CutReport struct {
 	Service       string `cbor:"1,keyasint"`
 	FailureDomain string `cbor:"2,keyasint"`
 	AgeMs         int64  `cbor:"3,keyasint"`
+	Plain         bool   `cbor:"4,keyasint,omitempty"`
+	// Whole is how many framed responses have ended whole at the sender since the cut and its last report.
+	Whole int `cbor:"5,keyasint,omitempty"`
+	// Cleared: the cut counts no longer.
+	Cleared bool `cbor:"6,keyasint,omitempty"`
+	// ID names the cut; 0: an older build does not.
+	ID uint32 `cbor:"7,keyasint,omitempty"`
+	// ToCollector: only the hosts that collect are told.
+	ToCollector bool `cbor:"8,keyasint,omitempty"`
 }
 
-// place is where cuts are seen: at the servers of a service in a failure domain.
-type place struct{ service, failureDomain string }
+func (report CutReport) place() Place {
+	return Place{Service: report.Service, FailureDomain: report.FailureDomain, Plain: report.Plain}
+}
 
 // seenCut is the newest cut at a place.
 type seenCut struct {
 	at time.Time
-	// own: this host has seen it, and tells other hosts of it.
+	// since is when cuts at the place began to count.
+	since time.Time
+	// id names the cut, and recent holds the IDs of the latest ones that are known.
+	id     uint32
+	recent []uint32
+	// whole is the number of framed responses known to have ended whole since, needed how many clear the cut.
+	whole, needed int
+	// cleared: so many have.
+	cleared bool
+	// untold is how many of them the collecting host has not been told of, and isNewer that it has not
+	// been told of the cut. whole is the number that this host has seen, unless it collects.
+	untold  int
+	isNewer bool
+	// own: this host tells the others of the cut, or of its clearing.
 	own bool
 	// told is how often it was told, the last time at toldAt.
 	told   int
 	toldAt time.Time
+	// announced is the cut that all hosts are told of, from announcedAt on.
+	announced   uint32
+	announcedAt time.Time
 }
 
-// Status says what is known of cuts that count for a response.
-type Status int
+// counts reports whether the cut speaks against responses.
+func (seen seenCut) counts(now time.Time) bool { return !seen.cleared && now.Sub(seen.at) < CutMemory }
 
-// The statuses.
-const (
-	// Unseen: no cuts are known.
-	Unseen Status = iota
-	// Suspected: a response was cut, and it is not known yet whether its process has ended.
-	Suspected
-	// Seen: cuts are known.
-	Seen
-)
+// isRemembered reports whether the cut or its clearing matters.
+func (seen seenCut) isRemembered(now time.Time) bool { return now.Sub(seen.at) < CutMemory }
 
-// Cuts remembers where connections were closed in order within responses, as seen by all hosts. A
-// process that ends cuts its responses, too, which says nothing of others: a cut counts once its
-// process is known to run. Cuts is safe for concurrent use.
+/*
+Cuts remembers where connections were closed in order within responses, as seen by all hosts. A
+process that ends cuts its responses, too, which says nothing of others: a cut counts once its
+process is known to run.
+
+A cut alone does not say how often responses are cut. Responses with a length or chunks that end whole after it do: a
+device or server that goes on cutting would have cut one of them. Each host tells those that it has seen, and
+further cuts, to one that collects them, until there are enough at the hosts together. Each time that a cut comes again after that, twice as
+many are needed. Cuts is safe for concurrent use.
+*/
 type Cuts struct {
 	mutex  sync.Mutex
-	places map[place]seenCut
+	places map[Place]seenCut
+	// collects: this host decides when a cut is cleared.
+	collects bool
 	// suspects holds, by process, the cuts of which it is not known yet whether the process has ended.
 	suspects map[string]suspectedCut
 }
 
 // suspectedCut is a cut whose process may have ended.
 type suspectedCut struct {
-	place place
+	place Place
 	at    time.Time
 }
 
-// NewCuts returns Cuts without any.
-func NewCuts() *Cuts { return &Cuts{places: map[place]seenCut{}, suspects: map[string]suspectedCut{}} }
+// NewCuts returns Cuts without any, of a host that collects.
+func NewCuts() *Cuts {
+	return &Cuts{places: map[Place]seenCut{}, collects: true, suspects: map[string]suspectedCut{}}
+}
+
+// SetCollects sets whether this host decides when a cut is cleared. One that begins to has not heard what
+// the others have seen so far.
+func (cuts *Cuts) SetCollects(collects bool) {
+	cuts.mutex.Lock()
+	defer cuts.mutex.Unlock()
+	if collects && !cuts.collects {
+		for at, seen := range cuts.places {
+			seen.whole = 0
+			cuts.places[at] = seen
+		}
+	}
+	cuts.collects = collects
+}
 
 // Suspect records a cut by a process, named by a key of the caller's, that may have ended. It reports
-// whether that is to be found out: it may be under way already, or make no difference.
-func (cuts *Cuts) Suspect(service, failureDomain, process string, now time.Time) bool {
+// whether that is to be found out: it may be under way already.
+func (cuts *Cuts) Suspect(at Place, process string, now time.Time) bool {
 	cuts.mutex.Lock()
 	defer cuts.mutex.Unlock()
-	at := place{service, failureDomain}
-	known, isKnown := cuts.places[at]
 	suspect, isSuspected := cuts.suspects[process]
 	switch {
-	case isKnown && now.Sub(known.at) < cutRefresh:
-		return false
 	case isSuspected && now.Sub(suspect.at) < maxSuspectTime:
 		return false
 	case !isSuspected && len(cuts.suspects) >= maxSuspects:
@@ -101,6 +169,25 @@
 	return true
 }
 
+// Any reports whether any cut counts.
+func (cuts *Cuts) Any(now time.Time) bool {
+	cuts.mutex.Lock()
+	defer cuts.mutex.Unlock()
+	for _, seen := range cuts.places {
+		if seen.counts(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// CountsAt reports whether a cut at a place counts.
+func (cuts *Cuts) CountsAt(at Place, now time.Time) bool {
+	cuts.mutex.Lock()
+	defer cuts.mutex.Unlock()
+	return cuts.places[at].counts(now)
+}
+
 // Clear ends the suspicion of a cut whose process has ended.
 func (cuts *Cuts) Clear(process string) {
 	cuts.mutex.Lock()
@@ -109,41 +196,159 @@
 }
 
 // Confirm is Record for a suspected cut whose process runs.
-func (cuts *Cuts) Confirm(service, failureDomain, process string, now time.Time) (isNews bool) {
+func (cuts *Cuts) Confirm(at Place, process string, now time.Time) (isNews bool) {
 	cuts.Clear(process)
-	return cuts.Record(service, failureDomain, now)
+	return cuts.Record(at, now)
 }
 
 // Record records a cut that this host has seen. It reports whether the other hosts are to be told at
 // once.
-func (cuts *Cuts) Record(service, failureDomain string, now time.Time) (isNews bool) {
+func (cuts *Cuts) Record(at Place, now time.Time) (isNews bool) {
 	cuts.mutex.Lock()
 	defer cuts.mutex.Unlock()
-	at := place{service, failureDomain}
-	known, found := cuts.places[at]
-	if found && now.Sub(known.at) < cutRefresh {
-		return false
+	known := cuts.places[at]
+	isNews = !known.counts(now) || now.Sub(known.announcedAt) >= cutRefresh
+	seen := known.renewed(1+rand.Uint32N(math.MaxUint32), now, now)
+	seen.isNewer = true
+	if isNews {
+		seen.announce(now)
+	}
+	cuts.put(at, seen, now)
+	return isNews
+}
+
+// announce makes all hosts be told of the newest cut.
+func (seen *seenCut) announce(now time.Time) {
+	seen.own, seen.told, seen.announced, seen.announcedAt = true, 0, seen.id, now
+}
+
+// renewed returns what is known of a place after another cut there. If the last one was cleared, the
+// cuts come again, more rarely than could be told.
+func (seen seenCut) renewed(id uint32, at, now time.Time) seenCut {
+	if !seen.isRemembered(now) {
+		seen = seenCut{}
+	}
+	if seen.cleared {
+		seen.needed *= 2
+	}
+	if seen.cleared || seen.since.IsZero() {
+		seen.since = at
+	}
+	seen.needed = min(max(seen.needed, ClearingResponses), maxClearingResponses)
+	seen.id, seen.at, seen.whole, seen.untold, seen.cleared = id, at, 0, 0, false
+	seen.remember(id)
+	return seen
+}
+
+// remember adds the ID of a cut.
+func (seen *seenCut) remember(id uint32) {
+	if slices.Contains(seen.recent, id) {
+		return
+	}
+	kept := seen.recent[max(0, len(seen.recent)+1-maxRecentCuts):]
+	seen.recent = append(slices.Clone(kept), id)
+}
+
+// RecordWhole records that a framed response of a service has ended whole at this host. It reports whether a
+// cut is cleared by that.
+func (cuts *Cuts) RecordWhole(service string, isStream bool, now time.Time) (isCleared bool) {
+	cuts.mutex.Lock()
+	defer cuts.mutex.Unlock()
+	for at, seen := range cuts.places {
+		if at.Service != service || !at.Plain && !isStream || !seen.counts(now) {
+			continue
+		}
+		seen.untold++
+		seen.whole++
+		seen = cuts.cleared(seen)
+		isCleared = isCleared || seen.cleared
+		cuts.places[at] = seen
+	}
+	return isCleared
+}
+
+// cleared returns what is known of a place, cleared if this host decides so.
+func (cuts *Cuts) cleared(seen seenCut) seenCut {
+	if cuts.collects && !seen.cleared && seen.whole >= seen.needed {
+		seen.cleared, seen.own, seen.told = true, true, 0
+	}
+	return seen
+}
+
+// TakeCounts returns what the host that collects is to be told: newer cuts, and how many framed responses have
+// ended whole.
+func (cuts *Cuts) TakeCounts(now time.Time) [][]CutReport {
+	cuts.mutex.Lock()
+	defer cuts.mutex.Unlock()
+	var counts []CutReport
+	for at, seen := range cuts.places {
+		if !seen.counts(now) || seen.untold == 0 && !seen.isNewer {
+			continue
+		}
+		report := at.report(seen, now)
+		report.Whole, report.ToCollector = min(seen.untold, maxToldWhole), true
+		seen.untold, seen.isNewer = 0, false
+		cuts.places[at] = seen
+		counts = append(counts, report)
+	}
+	return slices.Collect(slices.Chunk(counts, maxTold))
+}
+
+// MayClear reports whether the cuts that count for responses (Status) may be cleared soon: they have not
+// counted for long and not come again, and framed responses have ended whole since.
+func (cuts *Cuts) MayClear(service, failureDomain string, isFramed bool, now time.Time) bool {
+	cuts.mutex.Lock()
+	defer cuts.mutex.Unlock()
+	for at, seen := range cuts.places {
+		if !at.countsFor(service, failureDomain, isFramed) || !seen.counts(now) {
+			continue
+		}
+		if now.Sub(seen.since) >= maxClearingTime || seen.at.Sub(seen.since) >= sameFaultTime || seen.whole == 0 {
+			return false
+		}
 	}
-	cuts.put(at, seenCut{at: now, own: true}, now)
 	return true
 }
 
+const (
+	// maxClearingTime is how long after cuts began to count they are expected to be cleared soon.
+	maxClearingTime = 10 * time.Second
+	// sameFaultTime is the time from the first cut in which others may have the same cause: a device that
+	// restarts cuts all of its connections at once.
+	sameFaultTime = 500 * time.Millisecond
+)
+
+// countsFor reports whether cuts at the place count for responses of a service's servers in a failure domain.
+func (at Place) countsFor(service, failureDomain string, isFramed bool) bool {
+	return at.Service == service || !isFramed && at.FailureDomain == failureDomain
+}
+
+// Status says what is known of cuts that count for a response.
+type Status int
+
+// The statuses.
+const (
+	// Unseen: no cuts are known.
+	Unseen Status = iota
+	// Suspected: a response was cut, and it is not known yet whether its process has ended.
+	Suspected
+	// Seen: cuts are known.
+	Seen
+)
+
 // Status says what is known of cuts that count for responses of a service's servers in a failure
 // domain: those of that service anywhere or, if the service does not show cuts as it does not frame,
 // those of any service in the failure domain.
 func (cuts *Cuts) Status(service, failureDomain string, isFramed bool, now time.Time) Status {
 	cuts.mutex.Lock()
 	defer cuts.mutex.Unlock()
-	counts := func(at place) bool {
-		return at.service == service || !isFramed && at.failureDomain == failureDomain
-	}
-	for at, known := range cuts.places {
-		if counts(at) && now.Sub(known.at) < CutMemory {
+	for at, seen := range cuts.places {
+		if at.countsFor(service, failureDomain, isFramed) && seen.counts(now) {
 			return Seen
 		}
 	}
 	for _, suspect := range cuts.suspects {
-		if counts(suspect.place) && now.Sub(suspect.at) < maxSuspectTime {
+		if suspect.place.countsFor(service, failureDomain, isFramed) && now.Sub(suspect.at) < maxSuspectTime {
 			return Suspected
 		}
 	}
@@ -160,76 +365,141 @@
 	cuts.mutex.Lock()
 	defer cuts.mutex.Unlock()
 	var due []CutReport
-	for at, known := range cuts.places {
-		if !known.own || now.Sub(known.at) >= CutMemory || known.told > cutRepeats && now.Sub(known.toldAt) < cutRepeat {
+	for at, seen := range cuts.places {
+		if cuts.collects && seen.counts(now) && seen.announced != seen.id && now.Sub(seen.at) >= quietTime {
+			// What hosts count that do not know of a cut says nothing.
+			seen.announce(now)
+		}
+		isRepeated := seen.told > cutRepeats && (seen.cleared || now.Sub(seen.toldAt) < cutRepeat)
+		if !seen.own || !seen.isRemembered(now) || isRepeated {
 			continue
 		}
-		known.told, known.toldAt = known.told+1, now
-		cuts.places[at] = known
-		due = append(due, at.cut(known, now))
+		seen.told, seen.toldAt = seen.told+1, now
+		cuts.places[at] = seen
+		due = append(due, at.report(seen, now))
 	}
 	return slices.Collect(slices.Chunk(due, maxTold))
 }
 
-// Newest returns the newest cuts, for a host that starts, at most as many as a message holds.
+// Newest returns the newest cuts that count, for a host that starts, at most as many as a message holds.
 func (cuts *Cuts) Newest(now time.Time) []CutReport {
 	cuts.mutex.Lock()
 	defer cuts.mutex.Unlock()
 	var newest []CutReport
-	for at, known := range cuts.places {
-		if now.Sub(known.at) < CutMemory {
-			newest = append(newest, at.cut(known, now))
+	for at, seen := range cuts.places {
+		if seen.counts(now) {
+			newest = append(newest, at.report(seen, now))
 		}
 	}
 	slices.SortFunc(newest, func(a, b CutReport) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
 	return newest[:min(len(newest), maxTold)]
 }
 
-// Apply takes what another host tells, and returns the number of places at which no cut counted before.
-func (cuts *Cuts) Apply(told []CutReport, now time.Time) (added int) {
+// CutChange is the number of places at which a cut counts that did not before, and that of those at which one
+// was cleared.
+type CutChange struct{ Added, Cleared int }
+
+// Apply takes what another host tells.
+func (cuts *Cuts) Apply(told []CutReport, now time.Time) (change CutChange) {
 	cuts.mutex.Lock()
 	defer cuts.mutex.Unlock()
-	for _, cut := range told {
-		age := time.Duration(max(0, cut.AgeMs)) * time.Millisecond
-		if cut.AgeMs >= CutMemory.Milliseconds() || len(cut.Service) > maxNameBytes || len(cut.FailureDomain) > maxNameBytes {
+	for _, report := range told {
+		if report.AgeMs >= CutMemory.Milliseconds() || len(report.Service) > maxNameBytes || len(report.FailureDomain) > maxNameBytes {
 			continue
 		}
-		at, seenAt := place{cut.Service, cut.FailureDomain}, now.Add(-age)
-		known, found := cuts.places[at]
-		if found && !seenAt.After(known.at) {
-			continue
+		before := cuts.places[report.place()]
+		after := cuts.cleared(before.merged(report, now))
+		switch {
+		case after.counts(now) && !before.counts(now):
+			change.Added++
+		case !after.counts(now) && before.counts(now):
+			change.Cleared++
 		}
-		if !found || now.Sub(known.at) >= CutMemory {
-			added++
+		if !after.at.IsZero() {
+			cuts.put(report.place(), after, now)
 		}
-		// Of two hosts that see the same cut, the one that saw it first goes on telling it.
-		isOwn := found && known.own && seenAt.Sub(known.at) < cutRefresh
-		if !isOwn {
-			known = seenCut{}
+	}
+	return change
+}
+
+// merged returns what is known of a place after a report. What is older than the newest cut says nothing.
+func (seen seenCut) merged(report CutReport, now time.Time) seenCut {
+	seenAt := now.Add(-time.Duration(max(0, report.AgeMs)) * time.Millisecond)
+	if !seen.isRemembered(now) {
+		seen = seenCut{}
+	}
+	isNewer := seen.isNewerCut(report, seenAt)
+	if isNewer && !report.Cleared {
+		seen = seen.renewedByReport(report, seenAt, now)
+		seen.whole = report.whole()
+		return seen
+	}
+	seen.remember(report.ID)
+	switch {
+	case report.Cleared && !seen.at.IsZero() && !seen.cleared && !seenAt.Before(seen.at.Add(-cutSlack)):
+		// Older cuts are cleared, too.
+		seen.cleared, seen.own, seen.id = true, false, report.ID
+	case report.Cleared:
+	case seen.cleared && report.Whole > 0:
+		// The sender has missed that the cut was cleared.
+		seen.told = min(seen.told, cutRepeats)
+	case !seen.cleared && !seenAt.Before(seen.at.Add(-cutSlack)):
+		if report.ID == 0 && seenAt.After(seen.at) {
+			seen.at = seenAt
 		}
-		known.at, known.own = seenAt, isOwn
-		cuts.put(at, known, now)
+		seen.whole += report.whole()
+	}
+	return seen
+}
+
+// isNewerCut reports whether a report is of a cut that came after the newest known one.
+func (seen seenCut) isNewerCut(report CutReport, seenAt time.Time) bool {
+	switch {
+	case seen.at.IsZero():
+		return true
+	case report.ID == 0:
+		return seenAt.After(seen.at.Add(unnamedSlack))
+	}
+	return !slices.Contains(seen.recent, report.ID) && seenAt.After(seen.at.Add(cutSlack))
+}
+
+// whole returns the number of whole responses that a report tells, within its bounds.
+func (report CutReport) whole() int { return min(max(0, report.Whole), maxToldWhole) }
+
+// renewedByReport is renewed for a cut that another host has seen. If only the hosts that collect are told, and
+// the others take the last cut for cleared, this host tells them.
+func (seen seenCut) renewedByReport(report CutReport, seenAt, now time.Time) seenCut {
+	wasCleared := seen.cleared && seen.isRemembered(now)
+	// Of two hosts that see the same cut, the one that saw it first goes on telling it.
+	isOwn := seen.own && !seen.cleared && seenAt.Sub(seen.at) < cutRefresh
+	seen = seen.renewed(report.ID, seenAt, now)
+	seen.own, seen.isNewer = isOwn, false
+	switch {
+	case wasCleared && report.ToCollector:
+		seen.announce(now)
+	case !report.ToCollector:
+		seen.announced, seen.announcedAt = report.ID, seenAt
 	}
-	return added
+	return seen
 }
 
 // put remembers a cut. The mutex is held.
-func (cuts *Cuts) put(at place, seen seenCut, now time.Time) {
+func (cuts *Cuts) put(at Place, seen seenCut, now time.Time) {
 	if _, found := cuts.places[at]; !found && len(cuts.places) >= maxCuts {
 		cuts.forget(now)
 	}
 	cuts.places[at] = seen
 }
 
-// forget removes the cuts that do not count any more, and else the oldest one. The mutex is held.
+// forget removes the cuts that do not matter any more, and else the oldest one. The mutex is held.
 func (cuts *Cuts) forget(now time.Time) {
-	var oldest place
+	var oldest Place
 	oldestAt := now
-	for at, known := range cuts.places {
-		if now.Sub(known.at) >= CutMemory {
+	for at, seen := range cuts.places {
+		if !seen.isRemembered(now) {
 			delete(cuts.places, at)
-		} else if !known.at.After(oldestAt) {
-			oldest, oldestAt = at, known.at
+		} else if !seen.at.After(oldestAt) {
+			oldest, oldestAt = at, seen.at
 		}
 	}
 	if len(cuts.places) >= maxCuts {
@@ -237,6 +507,6 @@
 	}
 }
 
-func (at place) cut(known seenCut, now time.Time) CutReport {
-	return CutReport{Service: at.service, FailureDomain: at.failureDomain, AgeMs: now.Sub(known.at).Milliseconds()}
+func (at Place) report(seen seenCut, now time.Time) CutReport {
+	return CutReport{Service: at.Service, FailureDomain: at.FailureDomain, Plain: at.Plain, AgeMs: now.Sub(seen.at).Milliseconds(), Cleared: seen.cleared, ID: seen.id}
 }
--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -17,6 +17,7 @@
 		AttemptEnded(),
 		ResponseEndJudged(),
 		CutSeen(),
+		CutCleared(),
 		RequestEnded(),
 		RequestTurnedAway(),
 		CallerLeft(),
@@ -136,7 +137,12 @@
 
 // CutSeen reports that the connection of a response was closed in order before the response ended.
 func CutSeen() Event {
-	return Event{1962, "cut_seen", logrus.InfoLevel, "forward", "The connection of a response was closed in order before the response ended, by a server that runs on or a device; responses of the service with neither a length nor chunks do not count as whole for 10 minutes."}
+	return Event{1962, "cut_seen", logrus.InfoLevel, "forward", "The connection of a response was closed in order before the response ended, by a server that runs on or a device; responses of the service with neither a length nor chunks do not count as whole until framed ones have ended whole, for 10 minutes at most."}
+}
+
+// CutCleared reports that enough responses with a length or chunks have ended whole since a cut.
+func CutCleared() Event {
+	return Event{1964, "cut_cleared", logrus.InfoLevel, "forward", "So many responses with a length or chunks have ended whole since a cut that it counts no longer."}
 }
 
 // RequestEnded reports that a request was answered with the response of a
--- a/io/front/cuts.go
+++ b/io/front/cuts.go
@@ -35,33 +35,51 @@
 response ended. If the process of the server has not ended, such ends prove nothing for a while. Whether
 it has is found out in the background.
 */
-func (handler *Handler) recordCut(server fleet.Server, evidence cutEvidence) {
+func (handler *Handler) recordCut(server fleet.Server, evidence cutEvidence, isStream bool) {
 	now := time.Now()
-	if evidence == listedLonger {
-		handler.confirmCut(server, evidence, now)
-		return
+	cut := cutResponse{server: server, evidence: evidence, place: ending.Place{Service: server.Service, FailureDomain: server.FailureDomain, Plain: !isStream}}
+	switch {
+	case evidence == listedLonger || handler.options.Cuts.CountsAt(cut.place, now):
+		// Cuts count there, which one that ended with its process does not change.
+		handler.confirmCut(cut, now)
+	case handler.options.Cuts.Suspect(cut.place, connectionKey(server), now):
+		go handler.judgeCut(cut, now)
 	}
-	if handler.options.Cuts.Suspect(server.Service, server.FailureDomain, connectionKey(server), now) {
-		go handler.judgeCut(server, evidence, now)
+}
+
+// cutResponse is a response that was seen to be cut.
+type cutResponse struct {
+	server   fleet.Server
+	place    ending.Place
+	evidence cutEvidence
+}
+
+// recordWhole records that a framed response of a server has ended whole, which may clear cuts.
+func (handler *Handler) recordWhole(server fleet.Server, isStream bool, now time.Time) {
+	if !handler.options.Cuts.RecordWhole(server.Service, isStream, now) {
+		return
 	}
+	handler.options.TellCuts()
+	handler.options.Logger.Log(event.CutCleared(), logrus.Fields{"service": server.Service})
+	handler.options.Meter.AddToCounter("cuts_seen", "from", "cleared", 1)
 }
 
 // confirmCut records a cut by a process that has not ended.
-func (handler *Handler) confirmCut(server fleet.Server, evidence cutEvidence, now time.Time) {
-	if !handler.options.Cuts.Confirm(server.Service, server.FailureDomain, connectionKey(server), now) {
+func (handler *Handler) confirmCut(cut cutResponse, now time.Time) {
+	if !handler.options.Cuts.Confirm(cut.place, connectionKey(cut.server), now) {
 		return
 	}
 	handler.options.TellCuts()
 	handler.options.Logger.Log(event.CutSeen(), logrus.Fields{
-		"service": server.Service, "failure_domain": server.FailureDomain, "server": server.ID, "evidence": evidence,
+		"service": cut.place.Service, "failure_domain": cut.place.FailureDomain, "server": cut.server.ID, "evidence": cut.evidence, "plain": cut.place.Plain,
 	})
 	handler.options.Meter.AddToCounter("cuts_seen", "from", "own", 1)
 }
 
 // judgeCut finds out whether the process that cut a response has ended. The cut counts if it has not, or
 // if that does not become known, unless the host stops before.
-func (handler *Handler) judgeCut(server fleet.Server, evidence cutEvidence, cutAt time.Time) {
-	current := handler.options.Table.Load()
+func (handler *Handler) judgeCut(cut cutResponse, cutAt time.Time) {
+	server, current := cut.server, handler.options.Table.Load()
 	if current == nil {
 		handler.options.Cuts.Clear(connectionKey(server))
 		return
@@ -81,14 +99,14 @@
 		handler.options.Meter.AddToCounter("cuts_seen", "from", "ended", 1)
 		return
 	}
-	handler.confirmCut(server, evidence, time.Now())
+	handler.confirmCut(cut, time.Now())
 }
 
 // recordBrokenFraming records a cut if that is why the response could not be read. A connection that
 // was closed before the first byte may have been closed before the request, too.
 func (exchange *exchange) recordBrokenFraming(err error) {
 	if errors.Is(err, io.ErrUnexpectedEOF) && exchange.conn.Received() > exchange.delivery.receivedBefore {
-		exchange.call.handler.recordCut(exchange.server, brokenFraming)
+		exchange.call.handler.recordCut(exchange.server, brokenFraming, exchange.isStream)
 	}
 }
 
@@ -98,16 +116,36 @@
 	return handler.options.Cuts.Status(server.Service, server.FailureDomain, handler.framesLately(server.Service, now), now)
 }
 
-// awaitCuts reports whether no cuts count for the responses of a server. While it is not known whether a
-// process that cut some has ended, it waits until a time.
-func (handler *Handler) awaitCuts(server fleet.Server, until time.Time) (noCuts bool) {
-	for {
-		status := handler.cutStatus(server)
-		if status != ending.Suspected || !time.Now().Before(until) {
-			return status == ending.Unseen
+// awaitCuts reports whether no cuts count for the response. While it is not known whether a process that
+// cut some has ended, it waits; while those that count may be cleared, it waits longer.
+func (check *endCheck) awaitCuts(deadline time.Time) (noCuts bool) {
+	handler, caller := check.handler, check.caller
+	judgedBy := earlier(check.EndedAt.Add(suspectPatience), deadline)
+	clearedBy := handler.beforeExit(earlier(check.EndedAt.Add(clearingPatience), deadline))
+	for caller.Err() == nil {
+		now, poll := time.Now(), suspectPoll
+		switch handler.cutStatus(check.server) {
+		case ending.Unseen:
+			return true
+		case ending.Suspected:
+			if !now.Before(judgedBy) {
+				return false
+			}
+		case ending.Seen:
+			if !check.awaitsClearing || !now.Before(clearedBy) || !handler.mayClear(check.server) {
+				return false
+			}
+			poll = clearingPoll
 		}
-		time.Sleep(suspectPoll)
+		time.Sleep(poll)
 	}
+	return false
+}
+
+// mayClear reports whether cuts that count for the responses of a server may be cleared soon.
+func (handler *Handler) mayClear(server fleet.Server) bool {
+	now := time.Now()
+	return handler.options.Cuts.MayClear(server.Service, server.FailureDomain, handler.framesLately(server.Service, now), now)
 }
 
 // maxCutDoubt limits the time until it is known whether a process that cut a response has ended.
@@ -131,6 +169,10 @@
 	// counts, and suspectPoll how often it looks.
 	suspectPatience = 500 * time.Millisecond
 	suspectPoll     = 10 * time.Millisecond
+	// clearingPatience is how long a response that has ended waits until the cuts that count are cleared, and
+	// clearingPoll how often it looks. Callers have all of a stream by then but its end.
+	clearingPatience = 2 * time.Second
+	clearingPoll     = 50 * time.Millisecond
 )
 
 // framesLately reports whether a server of a service has lately framed a response.
@@ -154,7 +196,7 @@
 // recordWentOn records a cut if an earlier server's stream, whose end proved nothing, goes on.
 func (call *call) recordWentOn() {
 	if call.unprovenStream != nil {
-		call.handler.recordCut(*call.unprovenStream, wentOn)
+		call.handler.recordCut(*call.unprovenStream, wentOn, true)
 		call.unprovenStream = nil
 	}
 }
--- a/io/front/cuts_test.go
+++ b/io/front/cuts_test.go
@@ -230,7 +230,7 @@
 		}
 		respondUntilEnd(200, "all of it")(request, conn)
 	})
-	harness.cuts.Record("another", harness.servers["a"].FailureDomain, time.Now())
+	harness.cuts.Record(ending.Place{Service: "another", FailureDomain: harness.servers["a"].FailureDomain}, time.Now())
 	require.Equal(t, http.StatusBadGateway, harness.post("/once/", "x").status)
 	require.Equal(t, http.StatusOK, harness.post("/once/", "x", "X-Id", "framed").status)
 	require.Equal(t, http.StatusOK, harness.post("/once/", "x").status, harness.log.String())
@@ -265,3 +265,42 @@
 		require.False(t, isLogged(), name)
 	}
 }
+
+// Guards against a cut that costs a service its unframed responses though framed ones end whole since, among them
+// streams that began while the cut counted.
+func TestCutIsClearedByFramedResponses(t *testing.T) {
+	harness := newHarness(t, withReports)
+	began, isCleared := make(chan struct{}), make(chan struct{})
+	harness.addServer("a", reporting(1, func(request *http.Request, conn net.Conn) {
+		id := request.Header.Get("X-Id")
+		if strings.HasPrefix(id, "framed") {
+			respondWith(200, "framed", signed)(request, conn)
+			return
+		}
+		writeResponse(conn, 200, id, []string{signed, eventStream}, events(1, 2))
+		close(began)
+		<-isCleared
+		_, _ = io.WriteString(conn, events(3, 3))
+		_ = conn.Close()
+	}))
+	harness.startedAt("a", 1)
+	harness.cuts.Record(ending.Place{Service: "engines", FailureDomain: "elsewhere", Plain: true}, time.Now())
+	var content string
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		content, err = harness.exchangeRaw("/stream/")
+	}()
+	<-began
+	for number := range ending.ClearingResponses {
+		require.True(t, harness.cuts.Known("engines", "", true, time.Now()))
+		require.Equal(t, http.StatusOK, harness.post("/once/", "x", "X-Id", fmt.Sprint("framed-", number)).status)
+	}
+	require.Contains(t, harness.log.String(), `"event_name":"cut_cleared"`)
+	close(isCleared)
+	<-done
+	require.NoError(t, err, harness.log.String())
+	_, body, _ := strings.Cut(content, "\r\n\r\n")
+	require.Equal(t, events(1, 3), body, harness.log.String())
+}
--- a/io/front/endcheck.go
+++ b/io/front/endcheck.go
@@ -37,6 +37,8 @@
 	senderOpenedAt time.Time
 	// caller ends when nobody waits for the verdict any more.
 	caller context.Context
+	// awaitsClearing: the cuts that count for the response may be cleared before it has waited for long.
+	awaitsClearing bool
 	// lost: the server closed a connection that was opened after the end. One that names its ID only
 	// may have started again since, and proves nothing any more.
 	lost bool
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -28,15 +28,19 @@
 	call, now := exchange.call, time.Now()
 	check := &endCheck{handler: call.handler, server: exchange.server, table: call.table, requestID: call.work.ID, caller: call.request.Context(), senderOpenedAt: exchange.conn.OpenedAt, Evidence: ending.Evidence{
 		Framing: framing(response), Trusted: call.trustsEnds(exchange.server), BegunFramed: call.responseStarted && !call.isUnframed, EndedAt: now, UnreadFor: exchange.unreadFor,
-		Stream: isStream(response.Header), SenderKnown: isConfirmed(exchange.conn, exchange.server), NoCuts: call.handler.cutStatus(exchange.server) != ending.Seen,
+		Stream: isStream(response.Header), SenderKnown: isConfirmed(exchange.conn, exchange.server),
 		Outcome: ending.Unasked, Events: call.arrivedEvents(), RunEvents: ending.NotListed,
 	}}
+	check.awaitsClearing = call.handler.mayClear(exchange.server)
+	check.NoCuts = check.awaitsClearing || call.handler.cutStatus(exchange.server) != ending.Seen
 	exchange.conn.Discard()
 	if check.NeedsAnswer() {
 		check.run(earlier(now.Add(ending.TimeLimit), call.work.Deadline.Add(responseGrace)))
 		check.settle(call.work.Deadline.Add(-verdictMargin))
-		// The same device or process may have cut others at the same time.
-		check.NoCuts = check.NoCuts && call.handler.awaitCuts(exchange.server, earlier(now.Add(suspectPatience), call.work.Deadline))
+		if check.isPassedOn() {
+			// The same device or process may have cut others at the same time.
+			check.NoCuts = check.awaitCuts(call.verdictDue())
+		}
 	}
 	if !check.Stream {
 		// The run may make events of which the response is made up.
@@ -54,7 +58,7 @@
 		return exchange.leaveEnded(), false
 	}
 	if verdict == ending.Cut {
-		call.handler.recordCut(exchange.server, listedLonger)
+		call.handler.recordCut(exchange.server, listedLonger, check.Stream)
 	}
 	exchange.noteUnprovenStream(response)
 	call.isUnproven = remedy == ending.Refuse || remedy == ending.BreakOff
@@ -64,6 +68,15 @@
 	return exchange.leaveUnproven(), false
 }
 
+// verdictDue returns when the verdict on a response that has ended is due. A request that can run again
+// needs time for that.
+func (call *call) verdictDue() time.Time {
+	if call.progress().Remedy() == ending.Repeat {
+		return time.Now().Add(call.work.Remaining(time.Now()) / 2)
+	}
+	return call.work.Deadline.Add(-verdictMargin)
+}
+
 // trustsEnds reports whether the responses of a server may end with their connection.
 func (call *call) trustsEnds(server fleet.Server) bool {
 	return call.handler.options.TrustedServices[server.Service]
--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -49,6 +49,8 @@
 	unreadFor time.Duration
 	// promptRead: the server has read the prompt.
 	promptRead bool
+	// isStream: the response is one, or its head is not known and the route has streams.
+	isStream bool
 	// reusable: the whole request was sent, and no response to another request was
 	// received, so the connection may be reused.
 	reusable bool
@@ -200,6 +202,7 @@
 // the response if the caller is to get it.
 func (exchange *exchange) handleResponse(response pipe.Response, info ResponseInfo) work.Result {
 	success := isSuccess(response)
+	exchange.isStream = isStream(response.Header)
 	exchange.call.lastFraming = framing(response)
 	switch {
 	case info.NotRun:
@@ -340,7 +343,9 @@
 // recordProvenEnd records the end of a success that is whole.
 func (exchange *exchange) recordProvenEnd(response pipe.Response) {
 	if exchange.showsFraming(response) {
-		exchange.call.handler.options.Fleet.RecordFramed(exchange.server, time.Now())
+		handler, now := exchange.call.handler, time.Now()
+		handler.options.Fleet.RecordFramed(exchange.server, now)
+		handler.recordWhole(exchange.server, exchange.isStream, now)
 	}
 	exchange.recordAlive(time.Now())
 	exchange.call.recordHarmless()
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -221,7 +221,7 @@
 	}
 	options.Fleet.RequestStarted(server.ID, choice.Share)
 	defer options.Fleet.RequestEnded(server.ID, choice.Share)
-	exchange := &exchange{call: call, conn: conn, disown: disown, server: server, process: call.processCheckOf(conn, server, mustCheck), started: time.Now(), choice: choice}
+	exchange := &exchange{call: call, isStream: call.work.Route.Kind == table.Stream, conn: conn, disown: disown, server: server, process: call.processCheckOf(conn, server, mustCheck), started: time.Now(), choice: choice}
 	exchange.delivery = delivery{process: key, receivedBefore: conn.Received()}
 	defer exchange.markPromptRead()
 	exchange.openHold()
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -230,7 +230,7 @@
 
 // knowCuts makes the host know that connections of the service are closed in order within responses.
 func (harness *harness) knowCuts() *harness {
-	harness.cuts.Record("engines", "elsewhere", time.Now())
+	harness.cuts.Record(ending.Place{Service: "engines", FailureDomain: "elsewhere"}, time.Now())
 	return harness
 }
 
--- a/io/front/question.go
+++ b/io/front/question.go
@@ -37,7 +37,7 @@
 	response, err := conn.AwaitResponse(question.Method, deadline)
 	if err != nil {
 		if errors.Is(err, io.ErrUnexpectedEOF) && conn.Received() > receivedBefore {
-			handler.recordCut(server, brokenReport)
+			handler.recordCut(server, brokenReport, false)
 		}
 		return err
 	}
@@ -48,7 +48,7 @@
 		return fault.Wrap("front.ask", pipe.Lost, readErr)
 	}
 	if errors.Is(readErr, io.ErrUnexpectedEOF) {
-		handler.recordCut(server, brokenReport)
+		handler.recordCut(server, brokenReport, false)
 	}
 	answer := serverAnswer{status: response.StatusCode, info: handler.options.Headers.ParseResponse(response.StatusCode, response.Header), readErr: readErr}
 	handler.observeLeaving(server, answer.info)
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -8,7 +8,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"primrosegw/core/ending"
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/work"
@@ -61,8 +60,7 @@
 		return
 	}
 	copyHeader(call.writer.Header(), response.Header)
-	// While cuts are known, the end of this response will not be passed on, but perhaps that of a framed one.
-	call.isUnframed = !isDelimited(response) && (call.trustsEnds(exchange.server) || call.handler.cutStatus(exchange.server) != ending.Seen)
+	call.isUnframed = !isDelimited(response)
 	call.writeHead(response.StatusCode)
 	call.responseStarted = true
 	exchange.recordOrigin()
--- a/standin/emul/response.go
+++ b/standin/emul/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"primrosegw/core/ending"
@@ -98,7 +99,9 @@
 			judged = broken
 		}
 	case ended == broken && !machine.down:
-		host.recordCut(service, domain)
+		host.recordCut(service, domain, call.class.Kind == table.Stream)
+	case ended == whole:
+		host.recordWhole(service, call.class.Kind == table.Stream)
 	}
 	call.host.world.result.response(host.phase(service), call.framing).note(ended == whole, serves)
 	return judged
@@ -108,16 +111,34 @@
 func (call *call) begun() bool { return call.task.told > 0 || call.task.loses }
 
 // recordCut remembers that a response was broken off by a server that runs on, and tells the others.
-func (host *host) recordCut(service, domain string) {
-	world := host.world
-	if !host.cuts.Record(service, domain, world.clock.time()) {
-		return
-	}
-	reports := host.cuts.Newest(world.clock.time())
-	for _, other := range world.hosts {
-		if other != host {
-			world.clock.after(milliseconds(world.day.LinkMs), func() { other.cuts.Apply(reports, world.clock.time()) })
+func (host *host) recordCut(service, domain string, isStream bool) {
+	host.cuts.Record(ending.Place{Service: service, FailureDomain: domain, Plain: !isStream}, host.world.clock.time())
+	host.tellCuts()
+}
+
+// recordWhole remembers that a framed response has ended whole, and tells the host that collects.
+func (host *host) recordWhole(service string, isStream bool) {
+	host.cuts.RecordWhole(service, isStream, host.world.clock.time())
+	host.tellCuts()
+}
+
+// tellCuts tells the other hosts of cuts, and the first one of the responses that have ended whole since.
+func (host *host) tellCuts() {
+	world, now := host.world, host.world.clock.time()
+	due, counts := host.cuts.TakeDue(now), host.cuts.TakeCounts(now)
+	for index, other := range world.hosts {
+		reports := due
+		if index == 0 {
+			reports = append(slices.Clone(due), counts...)
 		}
+		if other == host || len(reports) == 0 {
+			continue
+		}
+		world.clock.after(milliseconds(world.day.LinkMs), func() {
+			for _, message := range reports {
+				other.cuts.Apply(message, world.clock.time())
+			}
+		})
 	}
 }
 
@@ -146,6 +167,7 @@
 	for index, known := range world.hosts {
 		if known == host {
 			world.hosts[index] = newHost(world, host.name, host.domain)
+			world.hosts[index].cuts.SetCollects(index == 0)
 			if world.policy != OwnOnly {
 				world.hosts[index].tell()
 			}
--- a/standin/emul/world.go
+++ b/standin/emul/world.go
@@ -67,6 +67,7 @@
 	for index := range day.Hosts {
 		domain := day.FailureDomains[index%len(day.FailureDomains)]
 		world.hosts = append(world.hosts, newHost(world, fmt.Sprintf("host-%d", index), domain))
+		world.hosts[index].cuts.SetCollects(index == 0)
 	}
 	if policy != OwnOnly {
 		for index, host := range world.hosts {
