io/front: a take-up whose next event is unclear is no failure of the server

Callers saw: after one stream without a length or chunks was taken up before its last event, at a service whose IDs increase by more than one, all streams and plain responses without framing of that service were broken at their ends for ten minutes. Cause: the event that is held back until the next one shows the step was taken at the end of the stream for a truncated one ("ended within an event"). Without framing that is an unexpected end, so the refused take-up counted as a cut by the server, beside a broken answer of it (suspension), a crash that its prompt may have caused, and doubt of its process. Evidence: TestUnclearNextEventIsNoFailureOfTheServer/unframed fails on: the status of cuts is Seen after three such take-ups of a sound stream; the log has attempt_ended with "the stream ended within an event, unexpected EOF" and cut_seen. Change: such an attempt, and one whose step is larger than those before, ends as unclear. Nothing is recorded against the server. Why it works: what the host can't judge says nothing of the server; an event that is really truncated is still taken for a cut. Measured: the test passes; TestCutsOfResponsesAreSeen has "an unframed stream, in event" as before.

--- a/io/front/sequence.go
+++ b/io/front/sequence.go
@@ -36,9 +36,17 @@
 	return err == nil && !sequence.unnumbered
 }
 
+// unclearNext says that a server goes on with an event of which it is not known whether it is the next one.
+type unclearNext struct{ id, after string }
+
+// Error implements error.
+func (unclear *unclearNext) Error() string {
+	return "nothing shows that event " + unclear.id + " is the next one after event " + unclear.after
+}
+
 // advance checks complete events and returns the sequence after them and their length. It fails
-// with pipe.Malformed when an event is out of order, or when the data are no events; the sequence
-// and the length are then those of the events before. It stops before an event of which only the next
+// with pipe.Malformed when an event is out of order, or when the data are no events, and with unclearNext; the
+// sequence and the length are then those of the events before. It stops before an event of which only the next
 // one shows whether it is the next.
 func (sequence sequence) advance(data []byte) (next sequence, length int, err error) {
 	var event streamEvent
@@ -71,8 +79,8 @@
 func (sequence *sequence) add(event streamEvent) error {
 	switch {
 	case event.hasID:
-		if !sequence.mayFollow(event.id) || !sequence.takeStep(event.id) {
-			return fault.New("front.take", pipe.Malformed, "event "+event.id+" after event "+sequence.lastID)
+		if err := sequence.takeID(event.id); err != nil {
+			return err
 		}
 		sequence.lastID, sequence.unnumbered, sequence.resumed = event.id, false, false
 	case !event.hasFields:
@@ -139,20 +147,28 @@
 	return !sequence.resumed || (lastErr == nil) == (err == nil)
 }
 
-// takeStep reports whether an ID may follow the last one, and notes the step.
-func (sequence *sequence) takeStep(id string) bool {
+// takeID checks that an ID may follow the last one, and notes the step.
+func (sequence *sequence) takeID(id string) error {
 	step, known := stepBetween(sequence.lastID, id)
-	if !known {
-		return true
-	}
-	if step <= 0 || sequence.resumed && !sequence.mixed && step > max(sequence.step, 1) {
-		return false
+	switch {
+	case !sequence.mayFollow(id) || known && step <= 0:
+		return fault.New("front.take", pipe.Malformed, "event "+id+" after event "+sequence.lastID)
+	case !known:
+		return nil
+	case sequence.resumed && !sequence.mixed && step > max(sequence.step, 1):
+		return &unclearNext{id: id, after: sequence.lastID}
 	}
 	if sequence.step != 0 && step != sequence.step {
 		sequence.mixed = true
 	}
 	sequence.step = step
-	return true
+	return nil
+}
+
+// held returns an error for the event before which advance has stopped, when no more follow.
+func (sequence *sequence) held(data []byte) error {
+	id, _ := followingID(data)
+	return &unclearNext{id: id, after: sequence.lastID}
 }
 
 // mustSeeNext reports whether an event can't be judged alone: the stream is resumed after an event
--- a/io/front/sequence_test.go
+++ b/io/front/sequence_test.go
@@ -5,11 +5,15 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/ending"
 )
 
 func eventsWith(ids ...int) string {
@@ -100,3 +104,39 @@
 		}
 	}
 }
+
+// tail responds to a request that goes on with a stream with its events after the last one that the caller has, and
+// to others with all of them.
+func tail(isFramed bool, ids ...int) responder {
+	return func(request *http.Request, conn net.Conn) {
+		last, _ := strconv.Atoi(request.Header.Get("X-Last"))
+		rest := slices.DeleteFunc(slices.Clone(ids), func(id int) bool { return id <= last })
+		if isFramed {
+			respondWithStream(true, eventsWith(rest...))(request, conn)
+			return
+		}
+		respondUntilEnd(200, eventsWith(rest...), eventStream)(request, conn)
+	}
+}
+
+// Guards against what a refused take-up sets off: a sound server that is suspended, or counts as crashed or as
+// cutting its responses, which would cost other callers theirs.
+func TestUnclearNextEventIsNoFailureOfTheServer(t *testing.T) {
+	for name, isFramed := range map[string]bool{"framed": true, "unframed": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			harness := newHarness(t, nil)
+			harness.addServer("a", tail(isFramed, 20, 40, 60))
+			for range 3 {
+				require.Equal(t, http.StatusBadGateway, harness.post("/resume/", "x", "X-Last", "40").status, harness.log.String())
+			}
+			// What is found out of a cut takes some time.
+			time.Sleep(300 * time.Millisecond)
+			require.Equal(t, ending.Unseen, harness.cuts.Status("engines", "", true, time.Now()), harness.log.String())
+			for _, event := range []string{"cut_seen", "server_suspended", "server_crashed", "quarantine_started"} {
+				require.NotContains(t, harness.log.String(), event)
+			}
+			require.Equal(t, eventsWith(20, 40, 60), harness.post("/stream/", "x").body, harness.log.String())
+		})
+	}
+}
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -35,7 +35,11 @@
 	exchange.conn.SetReadDeadline(call.work.Deadline.Add(responseGrace))
 	err := exchange.copyEvents(response)
 	call.handler.options.Pick.ObserveGaps(&call.work, &exchange.choice, &exchange.spans, time.Now())
-	if err != nil {
+	var unclear *unclearNext
+	switch {
+	case errors.As(err, &unclear):
+		return exchange.leaveUnclear(unclear)
+	case err != nil:
 		exchange.conn.Discard()
 		return exchange.failAttempt(err)
 	}
@@ -52,6 +56,14 @@
 	return work.Served
 }
 
+// leaveUnclear ends an attempt whose server goes on with an event that is not shown to be the next one. That is
+// no failure of the server, whose IDs may increase by any step.
+func (exchange *exchange) leaveUnclear(unclear *unclearNext) work.Result {
+	exchange.conn.Discard()
+	exchange.recordAlive(time.Now())
+	return exchange.logAttempt(work.Broken, 0, fault.Wrap("front.take", pipe.Malformed, unclear))
+}
+
 // startResponse starts the response to the caller with the headers of the server's, unless it has
 // started. It is called with the first event, so that a stream without one can still fail.
 func (exchange *exchange) startResponse(response pipe.Response) {
@@ -90,6 +102,9 @@
 			pending.drop(taken)
 		}
 		if err == io.EOF {
+			if complete := completeEventsLength(pending.data); complete > 0 && complete == len(pending.data) {
+				return exchange.call.events.held(pending.data)
+			}
 			if len(pending.data) > 0 {
 				return fault.Wrap("front.relay", pipe.Malformed, withinEvent(response))
 			}
