core/idstep, io/front, platform: streams of any step go on with their last event

Callers saw: streams whose event IDs increase by more than one (engines that number events by the tokens generated so far) did not go on when they were taken up before their last event; 502 for each, after a run at each of two engines. Streams with uneven steps did not go on at a host that had not seen them, whichever event was next, if the first step was larger than the second one. Cause: a host that goes on with a stream it has not seen does not know by how much its IDs increase. It took one for the step, held an event with a larger one back until the event after it showed the step, and had no other evidence; the last event has none after it. An event with at most the usual step is the next one. A larger one is judged as before by the event after it and, new, by a second server: if that goes on with the same event, it is the next one, unless this host has seen even steps only, where it would be a missing event at both. Why it works: nothing is taken for the next event without evidence that was not looked at before; a larger step than is known is refused as before. A stream is no longer held back until its second event where the step is known.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -24,6 +24,7 @@
 		AnswerBroken(),
 		StreamResumed(),
 		StreamTakenUp(),
+		StepLearned(),
 		ForeignAnswer(),
 		TableAdopted(),
 		TableRejected(),
@@ -140,6 +141,11 @@
 	return Event{1962, "cut_seen", logrus.InfoLevel, "forward", "The connection of a response was closed in order before the response ended, by a server that runs on or a device; responses of the service with neither a length nor chunks do not count as whole until framed ones have ended whole, for 10 minutes at most."}
 }
 
+// StepLearned reports by how much the IDs of events increase in the streams of a version.
+func StepLearned() Event {
+	return Event{1965, "step_learned", logrus.InfoLevel, "forward", "By how much the IDs of events increase in the streams of a service's servers was learned or has changed."}
+}
+
 // CutCleared reports that enough responses with a length or chunks have ended whole since a cut.
 func CutCleared() Event {
 	return Event{1964, "cut_cleared", logrus.InfoLevel, "forward", "So many responses with a length or chunks have ended whole since a cut that it counts no longer."}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -21,6 +21,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
+	"primrosegw/core/idstep"
 	"primrosegw/core/origin"
 	"primrosegw/core/pacer"
 	"primrosegw/core/pick"
@@ -75,6 +76,9 @@
 	// tells other hosts of those that this host has seen.
 	Cuts     *ending.Cuts
 	TellCuts func()
+	// Steps holds by how much the IDs of events increase. TellSteps tells other hosts.
+	Steps     *idstep.Registry
+	TellSteps func()
 	// ConnectionShare returns this host's share of a server's connection limit.
 	ConnectionShare func(limit int) int
 	// Budget limits the bytes of requests and responses that the host holds.
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -22,6 +22,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fleet"
 	"primrosegw/core/fresh"
+	"primrosegw/core/idstep"
 	"primrosegw/core/origin"
 	"primrosegw/core/pacer"
 	"primrosegw/core/pick"
@@ -121,6 +122,7 @@
 	handler *front.Handler
 	crashes *poison.CrashDetector
 	cuts    *ending.Cuts
+	steps   *idstep.Registry
 	// records holds the versions that are recorded in the store: those of all servers.
 	records *origin.Records
 	// paths says to which servers the direct path is down.
@@ -194,12 +196,12 @@
 	harness.copyLag.Store(int64(neverLate))
 	harness.records, harness.paths = origin.NewRecords(), reach.New()
 	harness.budget = budget.New(harnessBudget)
-	harness.cuts = ending.NewCuts()
+	harness.cuts, harness.steps = ending.NewCuts(), idstep.New()
 	harness.crashes = poison.NewCrashDetector(poison.DetectorOptions{})
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
 		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), Paths: harness.paths, RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, Registrations: harness, VersionRecords: harness.records, Pacer: pacer.New("host"), Room: room.New("host"), Pick: pick.Options{TokensPerMs: 50},
-		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{}, Budget: harness.budget, TrustedServices: harness.trusted, Cuts: harness.cuts, TellCuts: func() {},
+		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{}, Budget: harness.budget, TrustedServices: harness.trusted, Cuts: harness.cuts, TellCuts: func() {}, Steps: harness.steps, TellSteps: func() {},
 	})
 	listener, err := front.Listen(t.Context(), "127.0.0.1:0")
 	require.NoError(t, err)
--- a/io/front/sequence.go
+++ b/io/front/sequence.go
@@ -5,13 +5,15 @@
 	"strconv"
 
 	"primrosegw/core/fault"
+	"primrosegw/core/idstep"
 	"primrosegw/io/pipe"
 )
 
 // sequence tracks the events of a stream, so that no event is delivered twice or left out
 // when the stream is resumed at another server, and nothing else is delivered. Numbers as IDs must
 // increase. Where the stream is resumed, the step from the last ID must be no larger than those before,
-// if all of them were the same. Of other IDs it is only checked that the event after which a caller
+// if all of them were the same, or than is usual. If it is larger, the event after it may show that it is the
+// next one, or another server, which goes on after the same event with the same ID. Of other IDs it is only checked that the event after which a caller
 // takes the stream up does not come again.
 type sequence struct {
 	// lastID is the ID of the last delivered event, as the server sent it.
@@ -24,9 +26,40 @@
 	resumed bool
 	// takenUpAfter is the ID of the event after which the caller takes the stream up.
 	takenUpAfter string
-	// step is the step between IDs, 0 if none was seen; mixed if steps differ.
+	// step is the step between IDs, 0 if none was seen; mixed if steps differ. steps is their number.
 	step  int64
 	mixed bool
+	steps int
+	// usual is the usual step of the servers' version, even if no other one was seen.
+	usual int64
+	even  bool
+	// claimed is the ID of the event with which another server goes on, though it is not shown to be the next one;
+	// empty: none.
+	claimed string
+	// samples are the first steps within the response, without the one where the stream is resumed unless two
+	// servers go on so.
+	samples []int64
+}
+
+// enoughSteps is the number of equal steps of a stream from which on they count for more than the usual step.
+const enoughSteps = 3
+
+// begin prepares the sequence for the response of a server of a version.
+func (sequence *sequence) begin(steps *idstep.Registry, version idstep.Version) {
+	sequence.resumed, sequence.samples = sequence.lastID != "", nil
+	sequence.usual, sequence.even = steps.Usual(version), steps.IsEven(version)
+}
+
+// isClaimed reports whether another server goes on with an event, too. Where steps are even, both leave out the
+// events before it.
+func (sequence *sequence) isClaimed(id string) bool { return sequence.claimed == id && !sequence.even }
+
+// maxStep returns the largest step with which an event is taken for the next one where the stream is resumed.
+func (sequence *sequence) maxStep() int64 {
+	if sequence.steps >= enoughSteps {
+		return sequence.step
+	}
+	return max(sequence.step, sequence.usual, idstep.Default)
 }
 
 // mayResume reports whether a server can tell where to go on after the delivered events, and whether
@@ -155,13 +188,17 @@
 		return fault.New("front.take", pipe.Malformed, "event "+id+" after event "+sequence.lastID)
 	case !known:
 		return nil
-	case sequence.resumed && !sequence.mixed && step > max(sequence.step, 1):
+	case sequence.resumed && !sequence.mixed && !sequence.isClaimed(id) && step > sequence.maxStep():
 		return &unclearNext{id: id, after: sequence.lastID}
 	}
+	if isShown := !sequence.resumed || sequence.isClaimed(id); isShown && len(sequence.samples) < idstep.SamplesPerResponse {
+		sequence.samples = append(sequence.samples[:len(sequence.samples):len(sequence.samples)], step)
+	}
 	if sequence.step != 0 && step != sequence.step {
 		sequence.mixed = true
 	}
 	sequence.step = step
+	sequence.steps++
 	return nil
 }
 
@@ -175,7 +212,7 @@
 // before which no step was seen, and the ID increases by more than one.
 func (sequence *sequence) mustSeeNext(event streamEvent) bool {
 	step, known := stepBetween(sequence.lastID, event.id)
-	return event.hasID && sequence.resumed && sequence.step == 0 && known && step > 1
+	return event.hasID && sequence.resumed && sequence.step == 0 && !sequence.isClaimed(event.id) && known && step > sequence.maxStep()
 }
 
 // expectStep sets the step of a resumed stream from its first two IDs.
--- a/io/front/sequence_test.go
+++ b/io/front/sequence_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosegw/core/ending"
+	"primrosegw/core/idstep"
 )
 
 func eventsWith(ids ...int) string {
@@ -119,6 +120,86 @@
 	}
 }
 
+// Guards against a sound stream that does not go on for a caller who takes it up before its last event, because
+// its IDs increase by more than one: no event follows that would show the step.
+func TestTakenUpStreamGoesOnWithItsLastEvent(t *testing.T) {
+	for name, isFramed := range map[string]bool{"framed": true, "unframed": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			harness := newHarness(t, nil)
+			harness.addServer("a", tail(isFramed, 20, 40, 60))
+			require.Equal(t, eventsWith(20, 40, 60), harness.post("/resume/", "x").body, harness.log.String())
+			for last, rest := range map[string]string{"40": eventsWith(60), "20": eventsWith(40, 60)} {
+				got := harness.post("/resume/", "x", "X-Last", last)
+				require.Equal(t, http.StatusOK, got.status, harness.log.String())
+				require.NoError(t, got.err, harness.log.String())
+				require.Equal(t, rest, got.body)
+			}
+			require.Equal(t, 3, harness.streamsAt("a"), "no run in vain")
+		})
+	}
+}
+
+// Guards against the same at a host that has seen no stream: another host tells it the step.
+func TestStreamIsTakenUpWithAToldStep(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addServer("a", tail(true, 20, 40, 60))
+	harness.steps.Apply([]idstep.Report{{Service: "engines", Step: 20}}, time.Now())
+	got := harness.post("/resume/", "x", "X-Last", "40")
+	require.Equal(t, http.StatusOK, got.status, harness.log.String())
+	require.Equal(t, eventsWith(60), got.body)
+}
+
+// Guards against the same where no step is known: if two servers go on with the same event, it is the next one. One
+// alone, or two that differ, show nothing.
+func TestTwoServersShowTheNextEvent(t *testing.T) {
+	for name, test := range map[string]struct {
+		servers [][]int
+		want    string
+	}{
+		"one":                       {[][]int{{20, 40, 60}}, ""},
+		"two":                       {[][]int{{20, 40, 60}, {20, 40, 60}}, eventsWith(60)},
+		"two that differ":           {[][]int{{40, 60}, {40, 80}}, ""},
+		"uneven, a larger step":     {[][]int{{40, 60, 63}, {40, 60, 63}}, eventsWith(60, 63)},
+		"uneven, one leaves out":    {[][]int{{40, 60, 63}, {40, 63}}, ""},
+		"a smaller step than usual": {[][]int{{40, 41}}, eventsWith(41)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			harness := newHarness(t, nil)
+			for index, ids := range test.servers {
+				harness.addServer(string(rune('a'+index)), tail(true, ids...))
+			}
+			got := harness.post("/resume/", "x", "X-Last", "40")
+			if test.want == "" {
+				require.Equal(t, http.StatusBadGateway, got.status, harness.log.String())
+				return
+			}
+			require.Equal(t, http.StatusOK, got.status, harness.log.String())
+			require.Equal(t, test.want, got.body)
+		})
+	}
+}
+
+// Guards against a missing event where the step is known, though several servers leave it out.
+func TestMissingEventIsFoundWhereStepsAreEven(t *testing.T) {
+	harness := newHarness(t, nil)
+	respond := func(request *http.Request, conn net.Conn) {
+		if request.Header.Get("X-Last") == "" {
+			tail(true, 20, 40, 60, 80, 100)(request, conn)
+			return
+		}
+		tail(true, 80)(request, conn)
+	}
+	harness.addServer("a", respond)
+	harness.addServer("b", respond)
+	for range 2 {
+		require.Equal(t, http.StatusOK, harness.post("/resume/", "x").status)
+	}
+	require.Equal(t, http.StatusBadGateway, harness.post("/resume/", "x", "X-Last", "40").status, harness.log.String())
+	require.Equal(t, http.StatusOK, harness.post("/resume/", "x", "X-Last", "60").status, harness.log.String())
+}
+
 // Guards against what a refused take-up sets off: a sound server that is suspended, or counts as crashed or as
 // cutting its responses, which would cost other callers theirs.
 func TestUnclearNextEventIsNoFailureOfTheServer(t *testing.T) {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -10,6 +10,7 @@
 
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
+	"primrosegw/core/idstep"
 	"primrosegw/core/work"
 	"primrosegw/io/pipe"
 )
@@ -31,7 +32,7 @@
 	if call.responseStarted {
 		call.log(event.StreamResumed(), logrus.Fields{"server": exchange.server.ID, "from_event": call.events.lastID})
 	}
-	call.events.resumed = call.events.lastID != ""
+	call.events.begin(call.handler.options.Steps, exchange.softwareVersion())
 	exchange.conn.SetReadDeadline(call.work.Deadline.Add(responseGrace))
 	err := exchange.copyEvents(response)
 	call.handler.options.Pick.ObserveGaps(&call.work, &exchange.choice, &exchange.spans, time.Now())
@@ -56,14 +57,33 @@
 	return work.Served
 }
 
+// softwareVersion returns the version of the server's software.
+func (exchange *exchange) softwareVersion() idstep.Version {
+	return idstep.Version{Service: exchange.server.Service, Version: exchange.server.Version}
+}
+
 // leaveUnclear ends an attempt whose server goes on with an event that is not shown to be the next one. That is
-// no failure of the server, whose IDs may increase by any step.
+// no failure of the server, whose IDs may increase by any step. If another server goes on with the same event, it
+// is the next one.
 func (exchange *exchange) leaveUnclear(unclear *unclearNext) work.Result {
 	exchange.conn.Discard()
 	exchange.recordAlive(time.Now())
+	exchange.call.events.claimed = unclear.id
 	return exchange.logAttempt(work.Broken, 0, fault.Wrap("front.take", pipe.Malformed, unclear))
 }
 
+// observeSteps records the steps that were seen since some were.
+func (exchange *exchange) observeSteps(samples []int64, now time.Time) {
+	options, version := exchange.call.handler.options, exchange.softwareVersion()
+	for _, step := range samples {
+		if !options.Steps.Observe(version, step, now) {
+			continue
+		}
+		options.TellSteps()
+		options.Logger.Log(event.StepLearned(), logrus.Fields{"service": version.Service, "server_version": version.Version, "step": options.Steps.Usual(version)})
+	}
+}
+
 // startResponse starts the response to the caller with the headers of the server's, unless it has
 // started. It is called with the first event, so that a stream without one can still fail.
 func (exchange *exchange) startResponse(response pipe.Response) {
@@ -156,6 +176,7 @@
 	}
 	call.lastEventAt = now
 	exchange.spans.Add(advanced.count, now)
+	exchange.observeSteps(advanced.samples[len(call.events.samples):], now)
 	call.events = advanced
 	call.recordWentOn()
 	exchange.startResponse(response)
