io/front: the end of a plain response finds a crashed server that can't be asked

Cause: a busy server answers questions late; after three without an answer none is asked for 5 s. For a plain response the host then opened no connection either, so that the refusal of a server that has gone was not seen. For streams it did. Why it works: a process that has ended takes no connections; one that runs does, however busy it is. TestResponseOfACrashedServerThatIsNotAskedIsNotWhole fails before (200 in place of 502).

--- a/io/front/cuts_test.go
+++ b/io/front/cuts_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosegw/core/ending"
+	"primrosegw/core/table"
 )
 
 // Guards against a length or a last chunk by which a caller takes a response for whole that was passed
@@ -183,6 +184,19 @@
 	}
 }
 
+// Guards against a part of a response that looks whole though its server has crashed: a server that can't be asked
+// which process it is, as a busy one that has lately not answered, still shows by its listener that it has gone.
+func TestResponseOfACrashedServerThatIsNotAskedIsNotWhole(t *testing.T) {
+	harness := newHarness(t, func(data *table.Data) { data.Services[0].HealthPath = "" })
+	harness.addStoppableServer("a", func(request *http.Request, conn net.Conn, stop func()) {
+		stop()
+		harness.awaitRefusal("a")
+		respondUntilEnd(200, "a part")(request, conn)
+	})
+	require.Equal(t, http.StatusBadGateway, harness.post("/once/", "x").status, harness.log.String())
+	require.Regexp(t, `"case":"refused".*"verdict":"ended"`, harness.log.String())
+}
+
 // Guards against an unframed stream that is shown to have been cut, as it goes on elsewhere, and leaves
 // no evidence, and against one without a rest that does.
 func TestStreamThatGoesOnShowsACut(t *testing.T) {
--- a/io/front/endcheck.go
+++ b/io/front/endcheck.go
@@ -74,9 +74,9 @@
 	}
 }
 
-// watchesConnection reports whether a connection that stays open is evidence, though the server can't be
-// asked.
-func (check *endCheck) watchesConnection() bool { return check.Stream && !check.Trusted }
+// watchesConnection reports whether a connection is evidence, though the server can't be asked: one that stays
+// open, or one that is refused.
+func (check *endCheck) watchesConnection() bool { return !check.Trusted }
 
 // connectionLimit returns the number of connections to the server that this host may open; 0: unlimited.
 func (check *endCheck) connectionLimit() int {
