core/mirror: a host that starts while the store is away is not stuck if another call fails first

Callers saw: a host that started while the store was away was not ready 30 s after its return, and answered 503. Cause: the mirror waits until the store is reachable, which the probe finds out; the probe waits until the mirror has caught up or "a call to the store has failed". If that call was the registration's, before the mirror's first one, nothing ended that wait. TestHostThatStartsAfterAnotherCallHasFailedReadsTheStore fails before: nothing is read after 5 s. Change: each first failure ends the wait, whichever call it was, as WaitCaughtUp says.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -335,6 +335,8 @@
 		return
 	}
 	mirror.lostAt, mirror.regained = time.Now(), make(chan struct{})
+	// What waits for the mirror must not, as the mirror waits until the probe reaches the store.
+	mirror.caughtUpOnce.Do(func() { close(mirror.caughtUp) })
 	mirror.WakeProbe()
 	mirror.options.Logger.Log(event.StoreLost(), logrus.Fields{"call": call, "error": err.Error()})
 }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -259,6 +259,12 @@
 
 // runWithRole is run for a watcher or a standby host.
 func runWithRole(t *testing.T, watcher bool, test func(harness *harness)) {
+	t.Helper()
+	runPrepared(t, watcher, func(*harness) {}, test)
+}
+
+// runPrepared is runWithRole with something that happens before the mirror runs.
+func runPrepared(t *testing.T, watcher bool, prepare, test func(harness *harness)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		harness := &harness{source: newSource(), sink: &sink{values: map[string]string{}}, proof: fresh.New(4 * time.Second), start: time.Now()}
@@ -273,6 +279,7 @@
 		var group sync.WaitGroup
 		// Before the first read: a mirror that finds no key reads it again 0.7 s later.
 		harness.source.put("config", "1")
+		prepare(harness)
 		group.Go(func() { harness.mirror.Run(ctx) })
 		test(harness)
 		cancel()
@@ -301,6 +308,20 @@
 	}
 }
 
+// Guards against a host that starts while the store is away and never reads it: if another call than those of the
+// mirror failed first, the mirror waited for the probe, which waited for the mirror.
+func TestHostThatStartsAfterAnotherCallHasFailedReadsTheStore(t *testing.T) {
+	for _, watcher := range []bool{true, false} {
+		runPrepared(t, watcher, func(harness *harness) {
+			harness.mirror.RecordFailure(fault.New("kv.put", store.Unavailable, "no answer"), "register")
+		}, func(harness *harness) {
+			time.Sleep(5 * time.Second)
+			require.Equal(t, "1", harness.sink.value("config"))
+			require.True(t, harness.proof.Valid(harness.now()))
+		})
+	}
+}
+
 // All changes must be applied, and an idle mirror must use long polls instead of
 // repeated calls.
 func TestFollowsChanges(t *testing.T) {
