core/roster: watchers that have removed a silent host's entry go on reporting it

Cause: its entry disappears at different moments in different failure domains. Watchers that have removed it kept it among the hosts that are gone, but no longer among the silent ones; watchers that still listed it decide by reports of silence, so theirs, two of six, were outvoted by four that "heard" a host they had forgotten. Their followers then named it until they learned of the removal. TestHostThatIsGoneStaysOmittedWhileOneDomainListsIt plays this without a network and fails before. Why it works: the decision counts reports of those that hear nothing of the host; these watchers don't either.

--- a/core/roster/silence.go
+++ b/core/roster/silence.go
@@ -66,7 +66,8 @@
 
 // SilenceReport is what a watcher tells of silent hosts. It is empty if there are none.
 type SilenceReport struct {
-	// Silent holds the hosts of which the watcher itself hears nothing.
+	// Silent holds the hosts of which the watcher itself hears nothing, also those whose entries have disappeared
+	// lately.
 	Silent []SilentHost
 	// Gone holds those that it takes for gone, by the reports of all watchers.
 	Gone []SilentHost
@@ -144,7 +145,10 @@
 		silence.forget(expected)
 	}
 	maps.DeleteFunc(silence.reports, func(_ string, report receivedSilence) bool { return now.Sub(report.at) >= reportTTL })
-	silence.latest.Gone = append(silence.decide(expected, watchers, now), silence.unlisted(before.Gone, expected, now)...)
+	unlisted := silence.unlisted(before.Gone, expected, now)
+	silence.latest.Gone = append(silence.decide(expected, watchers, now), unlisted...)
+	// Watchers that still list them would otherwise stand alone with their reports.
+	silence.latest.Silent = append(silence.latest.Silent, unlisted...)
 	return !sameHosts(before.Silent, silence.latest.Silent) || !sameHosts(before.Gone, silence.latest.Gone)
 }
 
--- a/core/roster/silence_test.go
+++ b/core/roster/silence_test.go
@@ -257,6 +257,41 @@
 	}
 }
 
+// Guards against a host that is gone and is named again where the watchers learn later than those of other failure
+// domains that its entry has disappeared, and then stand alone with their reports of its silence: pfaf-warn-grown,
+// trouble-3, 18 to 41 answers named a host 9 s after its end.
+func TestHostThatIsGoneStaysOmittedWhileOneDomainListsIt(t *testing.T) {
+	const size = 24
+	for _, watches := range []bool{false, true} {
+		t.Run(fmt.Sprint("watcher ", watches), func(t *testing.T) {
+			fleet := newSilenceFleet(size, 12)
+			gone := fleet.entryHost(t, watches)
+			fleet.dead[gone] = true
+			fleet.run(omissionBound)
+			late := silenceHost(gone+1, 12).FailureDomain
+			isLate := func(own int) bool { return silenceHost(own, 12).FailureDomain == late }
+			for own := range size {
+				if !isLate(own) {
+					fleet.rosters[own].Remove(testHost(gone).Name, false, fleet.now)
+				}
+			}
+			for range 20 {
+				fleet.run(observeInterval)
+				for own := range size {
+					if own != gone && isLate(own) {
+						require.Contains(t, fleet.omitted(own), testHost(gone).Name, "host %d names it", own)
+					}
+				}
+			}
+			fleet.dead[gone] = false
+			fleet.run(2 * statusInterval)
+			for own := range size {
+				require.NotContains(t, fleet.omitted(own), testHost(gone).Name, "the host is heard again, at host %d", own)
+			}
+		})
+	}
+}
+
 // Guards against a host that is gone and is named again by hosts which learn later than the watchers that
 // its entry has disappeared: pfaf-warn-grown, trouble-3, 10 answers right after the lease had expired.
 func TestHostThatIsGoneStaysOmittedAfterItsEntry(t *testing.T) {
