--- a/io/front/cuts.go
+++ b/io/front/cuts.go
@@ -40,7 +40,7 @@
 	cut := cutResponse{server: server, evidence: evidence, place: ending.Place{Service: server.Service, FailureDomain: server.FailureDomain, Plain: !isStream}}
 	switch {
 	case evidence == listedLonger || handler.options.Cuts.CountsAt(cut.place, now):
-		// Cuts count there, which one that ended with its process does not change.
+		// Cuts count there. This one renews them, unjudged, so that none is cleared meanwhile.
 		handler.confirmCut(cut, now)
 	case handler.options.Cuts.Suspect(cut.place, connectionKey(server), now):
 		go handler.judgeCut(cut, now)
