--- a/core/roster/silence_test.go
+++ b/core/roster/silence_test.go
@@ -257,6 +257,18 @@
 	}
 }
 
+// removeElsewhere removes the entry of a host at all hosts but those of a failure domain, and returns these.
+func (fleet *silenceFleet) removeElsewhere(gone int, failureDomain string) (others []int) {
+	for own := range fleet.rosters {
+		if testHost(own).FailureDomain == failureDomain {
+			others = append(others, own)
+			continue
+		}
+		fleet.rosters[own].Remove(testHost(gone).Name, false, fleet.now)
+	}
+	return others
+}
+
 // Guards against a host that is gone and is named again where the watchers learn later than those of other failure
 // domains that its entry has disappeared, and then stand alone with their reports of its silence: pfaf-warn-grown,
 // trouble-3, 18 to 41 answers named a host 9 s after its end.
@@ -268,19 +280,11 @@
 			gone := fleet.entryHost(t, watches)
 			fleet.dead[gone] = true
 			fleet.run(omissionBound)
-			late := silenceHost(gone+1, 12).FailureDomain
-			isLate := func(own int) bool { return silenceHost(own, 12).FailureDomain == late }
-			for own := range size {
-				if !isLate(own) {
-					fleet.rosters[own].Remove(testHost(gone).Name, false, fleet.now)
-				}
-			}
+			late := fleet.removeElsewhere(gone, testHost(gone+1).FailureDomain)
 			for range 20 {
 				fleet.run(observeInterval)
-				for own := range size {
-					if own != gone && isLate(own) {
-						require.Contains(t, fleet.omitted(own), testHost(gone).Name, "host %d names it", own)
-					}
+				for _, own := range late {
+					require.Contains(t, fleet.omitted(own), testHost(gone).Name, "host %d names it", own)
 				}
 			}
 			fleet.dead[gone] = false
