core/ending: a late report of an older cut clears no newer one, and cuts at the same moment are one

A report that a cut is cleared was applied by time alone; one that arrives a second late cleared a cut that its host had seen meanwhile, and as its ID is known, no later report brought it back. And hosts that saw two cuts within 50 ms each kept their own, so that what they counted was not added.

--- a/core/ending/clearing_test.go
+++ b/core/ending/clearing_test.go
@@ -217,6 +217,46 @@
 	}
 }
 
+// Guards against a late report that an older cut is cleared, which clears a newer one for good.
+func TestLateClearingClearsNoNewerCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		collector, host := ending.NewCuts(), ending.NewCuts()
+		host.SetCollects(false)
+		host.Record(inAnswers, time.Now())
+		collector.Apply(host.TakeDue(time.Now())[0], time.Now())
+		endWhole(collector, ending.ClearingResponses, false)
+		late := collector.TakeDue(time.Now())[0]
+		time.Sleep(time.Second)
+		host.Record(inAnswers, time.Now())
+		time.Sleep(time.Second)
+		require.True(t, late[0].Cleared)
+		host.Apply(late, time.Now())
+		require.True(t, host.Known("a", "x", true, time.Now()))
+	})
+}
+
+// Guards against two cuts at the same moment of which each host knows another one, so that what they count is
+// never added.
+func TestCutsAtTheSameMomentAreClearedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(8)
+		for index := range fleet.hosts {
+			fleet.hosts[index].Record(inAnswers, time.Now())
+		}
+		for range 10 {
+			fleet.round()
+		}
+		rounds := 0
+		for ; fleet.known() > 0 && rounds < 50; rounds++ {
+			for _, host := range fleet.hosts {
+				endWhole(host, 2, false)
+			}
+			fleet.round()
+		}
+		require.LessOrEqual(t, rounds, 6, "16 responses a round")
+	})
+}
+
 // Guards against counts without bounds in reports of other hosts.
 func TestReportedCountsAreBounded(t *testing.T) {
 	cuts := ending.NewCuts()
--- a/core/ending/cuts.go
+++ b/core/ending/cuts.go
@@ -56,68 +56,15 @@
 	Plain bool
 }
 
-// CutReport says that the connection of a response was closed in order before the response ended. The age
-// holds when the report is made. An older build sends and reads the first three fields.
-type CutReport struct {
-	Service       string `cbor:"1,keyasint"`
-	FailureDomain string `cbor:"2,keyasint"`
-	AgeMs         int64  `cbor:"3,keyasint"`
-	Plain         bool   `cbor:"4,keyasint,omitempty"`
-	// Whole is how many framed responses have ended whole at the sender since the cut and its last report.
-	Whole int `cbor:"5,keyasint,omitempty"`
-	// Cleared: the cut counts no longer.
-	Cleared bool `cbor:"6,keyasint,omitempty"`
-	// ID names the cut; 0: an older build does not.
-	ID uint32 `cbor:"7,keyasint,omitempty"`
-	// ToCollector: only the hosts that collect are told.
-	ToCollector bool `cbor:"8,keyasint,omitempty"`
-}
-
-func (report CutReport) place() Place {
-	return Place{Service: report.Service, FailureDomain: report.FailureDomain, Plain: report.Plain}
-}
-
-// seenCut is the newest cut at a place.
-type seenCut struct {
-	at time.Time
-	// since is when cuts at the place began to count.
-	since time.Time
-	// id names the cut, and recent holds the IDs of the latest ones that are known.
-	id     uint32
-	recent []uint32
-	// whole is the number of framed responses known to have ended whole since, needed how many clear the cut.
-	whole, needed int
-	// cleared: so many have.
-	cleared bool
-	// untold is how many of them the collecting host has not been told of, and isNewer that it has not
-	// been told of the cut. whole is the number that this host has seen, unless it collects.
-	untold  int
-	isNewer bool
-	// own: this host tells the others of the cut, or of its clearing.
-	own bool
-	// told is how often it was told, the last time at toldAt.
-	told   int
-	toldAt time.Time
-	// announced is the cut that all hosts are told of, from announcedAt on.
-	announced   uint32
-	announcedAt time.Time
-}
-
-// counts reports whether the cut speaks against responses.
-func (seen seenCut) counts(now time.Time) bool { return !seen.cleared && now.Sub(seen.at) < CutMemory }
-
-// isRemembered reports whether the cut or its clearing matters.
-func (seen seenCut) isRemembered(now time.Time) bool { return now.Sub(seen.at) < CutMemory }
-
 /*
 Cuts remembers where connections were closed in order within responses, as seen by all hosts. A
 process that ends cuts its responses, too, which says nothing of others: a cut counts once its
 process is known to run.
 
-A cut alone does not say how often responses are cut. Responses with a length or chunks that end whole after it do: a
-device or server that goes on cutting would have cut one of them. Each host tells those that it has seen, and
-further cuts, to one that collects them, until there are enough at the hosts together. Each time that a cut comes again after that, twice as
-many are needed. Cuts is safe for concurrent use.
+A cut alone does not say how often responses are cut. Responses with a length or chunks that end whole after
+it do: a device or server that goes on cutting would have cut one of them. Each host tells those that it has
+seen, and further cuts, to hosts that collect them, until there are enough at the hosts together. Each time
+that a cut comes again after that, twice as many are needed. Cuts is safe for concurrent use.
 */
 type Cuts struct {
 	mutex  sync.Mutex
@@ -217,38 +164,6 @@
 	return isNews
 }
 
-// announce makes all hosts be told of the newest cut.
-func (seen *seenCut) announce(now time.Time) {
-	seen.own, seen.told, seen.announced, seen.announcedAt = true, 0, seen.id, now
-}
-
-// renewed returns what is known of a place after another cut there. If the last one was cleared, the
-// cuts come again, more rarely than could be told.
-func (seen seenCut) renewed(id uint32, at, now time.Time) seenCut {
-	if !seen.isRemembered(now) {
-		seen = seenCut{}
-	}
-	if seen.cleared {
-		seen.needed *= 2
-	}
-	if seen.cleared || seen.since.IsZero() {
-		seen.since = at
-	}
-	seen.needed = min(max(seen.needed, ClearingResponses), maxClearingResponses)
-	seen.id, seen.at, seen.whole, seen.untold, seen.cleared = id, at, 0, 0, false
-	seen.remember(id)
-	return seen
-}
-
-// remember adds the ID of a cut.
-func (seen *seenCut) remember(id uint32) {
-	if slices.Contains(seen.recent, id) {
-		return
-	}
-	kept := seen.recent[max(0, len(seen.recent)+1-maxRecentCuts):]
-	seen.recent = append(slices.Clone(kept), id)
-}
-
 // RecordWhole records that a framed response of a service has ended whole at this host. It reports whether a
 // cut is cleared by that.
 func (cuts *Cuts) RecordWhole(service string, isStream bool, now time.Time) (isCleared bool) {
@@ -422,67 +337,6 @@
 	return change
 }
 
-// merged returns what is known of a place after a report. What is older than the newest cut says nothing.
-func (seen seenCut) merged(report CutReport, now time.Time) seenCut {
-	seenAt := now.Add(-time.Duration(max(0, report.AgeMs)) * time.Millisecond)
-	if !seen.isRemembered(now) {
-		seen = seenCut{}
-	}
-	isNewer := seen.isNewerCut(report, seenAt)
-	if isNewer && !report.Cleared {
-		seen = seen.renewedByReport(report, seenAt, now)
-		seen.whole = report.whole()
-		return seen
-	}
-	seen.remember(report.ID)
-	switch {
-	case report.Cleared && !seen.at.IsZero() && !seen.cleared && !seenAt.Before(seen.at.Add(-cutSlack)):
-		// Older cuts are cleared, too.
-		seen.cleared, seen.own, seen.id = true, false, report.ID
-	case report.Cleared:
-	case seen.cleared && report.Whole > 0:
-		// The sender has missed that the cut was cleared.
-		seen.told = min(seen.told, cutRepeats)
-	case !seen.cleared && !seenAt.Before(seen.at.Add(-cutSlack)):
-		if report.ID == 0 && seenAt.After(seen.at) {
-			seen.at = seenAt
-		}
-		seen.whole += report.whole()
-	}
-	return seen
-}
-
-// isNewerCut reports whether a report is of a cut that came after the newest known one.
-func (seen seenCut) isNewerCut(report CutReport, seenAt time.Time) bool {
-	switch {
-	case seen.at.IsZero():
-		return true
-	case report.ID == 0:
-		return seenAt.After(seen.at.Add(unnamedSlack))
-	}
-	return !slices.Contains(seen.recent, report.ID) && seenAt.After(seen.at.Add(cutSlack))
-}
-
-// whole returns the number of whole responses that a report tells, within its bounds.
-func (report CutReport) whole() int { return min(max(0, report.Whole), maxToldWhole) }
-
-// renewedByReport is renewed for a cut that another host has seen. If only the hosts that collect are told, and
-// the others take the last cut for cleared, this host tells them.
-func (seen seenCut) renewedByReport(report CutReport, seenAt, now time.Time) seenCut {
-	wasCleared := seen.cleared && seen.isRemembered(now)
-	// Of two hosts that see the same cut, the one that saw it first goes on telling it.
-	isOwn := seen.own && !seen.cleared && seenAt.Sub(seen.at) < cutRefresh
-	seen = seen.renewed(report.ID, seenAt, now)
-	seen.own, seen.isNewer = isOwn, false
-	switch {
-	case wasCleared && report.ToCollector:
-		seen.announce(now)
-	case !report.ToCollector:
-		seen.announced, seen.announcedAt = report.ID, seenAt
-	}
-	return seen
-}
-
 // put remembers a cut. The mutex is held.
 func (cuts *Cuts) put(at Place, seen seenCut, now time.Time) {
 	if _, found := cuts.places[at]; !found && len(cuts.places) >= maxCuts {
@@ -506,7 +360,3 @@
 		delete(cuts.places, oldest)
 	}
 }
-
-func (at Place) report(seen seenCut, now time.Time) CutReport {
-	return CutReport{Service: at.Service, FailureDomain: at.FailureDomain, Plain: at.Plain, AgeMs: now.Sub(seen.at).Milliseconds(), Cleared: seen.cleared, ID: seen.id}
-}
--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -130,7 +130,7 @@
 	// Trusted: the operators say that the service's responses may end with their connection, and that
 	// no device closes it before.
 	Trusted bool
-	// NoCuts: Cuts knows none that count for the response.
+	// NoCuts: Cuts knows none that count for the response, or they may be cleared while it waits.
 	NoCuts bool
 	// Stream: the response is a stream, whose early end would leave out events. Other responses that end
 	// early are mostly found out by their content.
