--- a/io/front/sequence.go
+++ b/io/front/sequence.go
@@ -9,12 +9,16 @@
 	"primrosegw/io/pipe"
 )
 
-// sequence tracks the events of a stream, so that no event is delivered twice or left out
-// when the stream is resumed at another server, and nothing else is delivered. Numbers as IDs must
-// increase. Where the stream is resumed, the step from the last ID must be no larger than those before,
-// if all of them were the same, or than is usual. If it is larger, the event after it may show that it is the
-// next one, or another server, which goes on after the same event with the same ID. Of other IDs it is only checked that the event after which a caller
-// takes the stream up does not come again.
+/*
+sequence tracks the events of a stream, so that no event is delivered twice or left out when the stream is
+resumed at another server, and nothing else is delivered. Numbers as IDs must increase.
+
+Where the stream is resumed, the step from the last ID must be no larger than those before, if all of them were
+the same, or than is usual. If it is larger, the event after it may show that it is the next one, or another
+server, which goes on after the same event with the same ID.
+
+Of other IDs it is only checked that the event after which a caller takes the stream up does not come again.
+*/
 type sequence struct {
 	// lastID is the ID of the last delivered event, as the server sent it.
 	lastID string
