--- a/io/front/sequence_test.go
+++ b/io/front/sequence_test.go
@@ -136,6 +136,7 @@
 				require.Equal(t, rest, got.body)
 			}
 			require.Equal(t, 3, harness.streamsAt("a"), "no run in vain")
+			require.Regexp(t, `"event_name":"step_learned".*"step":20`, harness.log.String())
 		})
 	}
 }
