core/idstep: the usual step is computed when the samples change

Cause: each observed step sorted 64 samples, four for each response, though most streams number events evenly. Change: what follows from the samples is kept and computed when one is replaced by another value; IsEven no longer scans them. No change of behaviour; go test ./core/idstep passes.

--- a/core/idstep/idstep.go
+++ b/core/idstep/idstep.go
@@ -54,6 +54,9 @@
 	// samples are the latest steps, next the index of the oldest one once there are maxSamples.
 	samples []int64
 	next    int
+	// own is the usual step among the samples, 0 if there are none. isUniform: all are the same.
+	own       int64
+	isUniform bool
 	// told is what this host or another one has told last, 0: nothing.
 	told int64
 	// left is how often it is still to be told by this host, and toldAt when it began.
@@ -74,19 +77,36 @@
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	known := registry.use(version, now)
+	known.add(step)
+	return known.tellNews(now)
+}
+
+// add adds a step to the samples, in place of the oldest one if there are maxSamples.
+func (known *observed) add(step int64) {
 	if len(known.samples) < maxSamples {
 		known.samples = append(known.samples, step)
-	} else {
-		known.samples[known.next] = step
-		known.next = (known.next + 1) % maxSamples
+		known.summarize()
+		return
+	}
+	replaced := known.samples[known.next]
+	known.samples[known.next] = step
+	known.next = (known.next + 1) % maxSamples
+	if replaced != step {
+		known.summarize()
 	}
-	return known.tellNews(now)
+}
+
+// summarize updates what follows from the samples.
+func (known *observed) summarize() {
+	sorted := slices.Sorted(slices.Values(known.samples))
+	known.own = sorted[(len(sorted)-1)*commonPercent/100]
+	known.isUniform = sorted[0] == sorted[len(sorted)-1]
 }
 
 // tellNews makes the usual step be told if it is not what the hosts know. Uneven steps differ from host to host:
 // a smaller one is told only if it is far smaller.
 func (known *observed) tellNews(now time.Time) bool {
-	own, told := known.own(), max(known.told, Default)
+	own, told := known.own, max(known.told, Default)
 	if own <= told && own > told/2 || now.Sub(known.toldAt) < reportInterval {
 		return false
 	}
@@ -94,15 +114,6 @@
 	return true
 }
 
-// own returns the usual step among the samples.
-func (known *observed) own() int64 {
-	if len(known.samples) == 0 {
-		return 0
-	}
-	sorted := slices.Sorted(slices.Values(known.samples))
-	return sorted[(len(sorted)-1)*commonPercent/100]
-}
-
 // Usual returns the largest step that is usual in streams of a version, Default if none is known.
 func (registry *Registry) Usual(version Version) int64 {
 	registry.mutex.Lock()
@@ -112,9 +123,9 @@
 	case known == nil:
 		return Default
 	case len(known.samples) >= enoughSamples:
-		return max(known.own(), Default)
+		return max(known.own, Default)
 	}
-	return max(known.own(), known.told, Default)
+	return max(known.own, known.told, Default)
 }
 
 // IsEven reports whether this host has seen enough steps of a version, and all were the same.
@@ -122,11 +133,7 @@
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	known := registry.versions[version]
-	if known == nil || len(known.samples) < enoughSamples {
-		return false
-	}
-	isOther := func(step int64) bool { return step != known.samples[0] }
-	return !slices.ContainsFunc(known.samples, isOther)
+	return known != nil && len(known.samples) >= enoughSamples && known.isUniform
 }
 
 // TakeDue returns what the other hosts are to be told now, in messages.
