io/front: the end of a process that closes each connection is found

Cause: a process that ends takes connections for some milliseconds and closes them. The host opened a second one at once when the first was closed, both fell into that time, and nobody looked afterwards. For a plain response no answer says nothing. Evidence: each of the 10 ends in the logs has the outcome no_answer, no question, and a connection opened 1.8 to 14 ms after the end. Change: after a connection that the server has closed, the next one is opened 50 ms later, up to four; one that can't be asked is watched for 50 ms each time. Why it works: by then the address refuses, or another process answers; a server that goes on is asked, where it was given up unasked before.

--- a/io/front/endcheck.go
+++ b/io/front/endcheck.go
@@ -22,8 +22,9 @@
 // lookTime limits the time in which a server must take a last connection before a stream is passed on.
 const lookTime = 50 * time.Millisecond
 
-// maxEndConns is the number of connections on which a server is asked after the end of a response.
-const maxEndConns = 2
+// maxEndConns is the number of connections on which a server is asked after the end of a response, at most. The
+// next one is opened ending.Settle after the last, as a process that ends closes those that it still takes.
+const maxEndConns = 4
 
 // endCheck asks a server after the end of a response which process it is.
 type endCheck struct {
@@ -56,7 +57,10 @@
 	defer context.AfterFunc(handler.stopping, func() { time.AfterFunc(stopMargin-exitMargin, cancelOver) })()
 	ctx, cancel := context.WithDeadline(over, limit)
 	defer cancel()
-	for range maxEndConns {
+	for tries := range maxEndConns {
+		if tries > 0 {
+			sleepUntil(ctx, check.OpenedAt.Add(ending.Settle))
+		}
 		question := check.nextQuestion()
 		if question == nil && !check.watchesConnection() {
 			return
@@ -174,7 +178,7 @@
 // another connection may bring more.
 func (check *endCheck) askOn(ctx, over context.Context, conn *pipe.Conn, question *endQuestion, limit time.Time) bool {
 	silent := check.handler.ending
-	isQuiet := conn.AwaitQuiet(ctx, check.EndedAt.Add(ending.Settle))
+	isQuiet := conn.AwaitQuiet(ctx, check.quietUntil(question))
 	if !isQuiet || ctx.Err() != nil {
 		conn.Discard()
 		check.Outcome, check.lost = ending.NoAnswer, true
@@ -212,6 +216,15 @@
 	return false
 }
 
+// quietUntil returns when the server is asked on the connection that has been opened. One that can't be asked is
+// watched for as long on each connection.
+func (check *endCheck) quietUntil(question *endQuestion) time.Time {
+	if question == nil {
+		return check.OpenedAt.Add(ending.Settle)
+	}
+	return check.EndedAt.Add(ending.Settle)
+}
+
 // endQuestion is a question to a server which process it is.
 type endQuestion struct {
 	key     string
--- a/io/front/slowend_test.go
+++ b/io/front/slowend_test.go
@@ -82,6 +82,71 @@
 	return count
 }
 
+// Guards against a part of a response that looks whole, as its process took and closed connections while it ended,
+// more of them than it was asked on, and nobody looked again after that.
+func TestResponseOfAProcessThatClosesEachConnectionIsNotWhole(t *testing.T) {
+	for name, change := range map[string]func(*table.Data){
+		"reports its start": withReports, "names its ID": nil,
+		"can't be asked": func(data *table.Data) { data.Services[0].HealthPath = "" },
+	} {
+		for ends, after := range map[string]time.Duration{"soon": ending.Settle / 2, "slowly": 2 * ending.Settle} {
+			t.Run(name+", "+ends, func(t *testing.T) {
+				t.Parallel()
+				harness := newHarness(t, change)
+				harness.addClosingServer(respondUntilEnd(200, "a part"), after)
+				if name == "reports its start" {
+					harness.startedAt("a", 1)
+				}
+				require.Equal(t, http.StatusBadGateway, harness.post("/once/", "x").status, harness.log.String())
+				require.Regexp(t, `"case":"refused".*"verdict":"ended"`, harness.log.String())
+			})
+		}
+	}
+}
+
+// Guards against sound responses that are refused, or wait for long, as their server has closed connections for a
+// moment and takes them again.
+func TestResponseOfAServerThatClosesConnectionsForAMomentIsPassedOn(t *testing.T) {
+	for path, respond := range map[string]responder{
+		"/once/": respondUntilEnd(200, "all of it"), "/stream/": respondUntilEnd(200, events(1, 3), eventStream),
+	} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			harness := newHarness(t, withReports)
+			harness.addServer("a", reporting(1, func(request *http.Request, conn net.Conn) {
+				respond(request, conn)
+				harness.closeConnsFor("a", ending.Settle/2)
+			}))
+			harness.startedAt("a", 1)
+			began := time.Now()
+			got := harness.post(path, "x")
+			require.NoError(t, got.err, harness.log.String())
+			require.Equal(t, http.StatusOK, got.status, harness.log.String())
+			require.Regexp(t, `"outcome":"registered".*"verdict":"passed_on"`, harness.log.String())
+			require.Less(t, time.Since(began), ending.TimeLimit+time.Second)
+		})
+	}
+}
+
+// addClosingServer adds a server that responds as given and closes each connection from then on, and its
+// listener after a time.
+func (harness *harness) addClosingServer(respond responder, after time.Duration) {
+	harness.t.Helper()
+	harness.addStoppableServer("a", func(request *http.Request, conn net.Conn, stop func()) {
+		respond(request, conn)
+		harness.closeConnsFor("a", after)
+		stop()
+		harness.closeConns("a")
+	})
+}
+
+// closeConnsFor closes each connection of a server as soon as it is taken, for a time.
+func (harness *harness) closeConnsFor(id string, duration time.Duration) {
+	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		harness.closeConns(id)
+	}
+}
+
 // Guards against a process that cuts its responses while it ends slowly and counts as a device that cuts, which
 // costs other servers their responses without framing for ending.CutMemory.
 func TestProcessThatEndsSlowlyIsNoCut(t *testing.T) {
@@ -99,6 +164,19 @@
 	require.NotContains(t, harness.log.String(), "cut_seen")
 }
 
+// Guards against the same by a process that closes each connection that it still takes.
+func TestProcessThatClosesEachConnectionIsNoCut(t *testing.T) {
+	harness := newHarness(t, withReports)
+	harness.addClosingServer(func(_ *http.Request, conn net.Conn) {
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Signed: 1\r\nContent-Length: 10\r\n\r\npart"))
+		_ = conn.Close()
+	}, 2*ending.Settle)
+	harness.startedAt("a", 1)
+	harness.post("/once/", "x")
+	time.Sleep(time.Second)
+	require.NotContains(t, harness.log.String(), "cut_seen")
+}
+
 // reportingUntilStopped is reporting for a server that may be stopped.
 func reportingUntilStopped(respond func(*http.Request, net.Conn, func())) func(*http.Request, net.Conn, func()) {
 	return func(request *http.Request, conn net.Conn, stop func()) {
