core/roster: watchers that are cut off together leave nobody out

Cause: two reports that agree were enough, however few hosts their senders hear. Change: a watcher that hears less than a third of the entry hosts counts for nothing, its own observation included; what was known last stays. What it costs: if more than two thirds of the hosts end at once, they stay in the answers until their leases expire. TestWatchersThatHearOnlyEachOtherOmitNobody failed before: a watcher left out ten sound hosts of twelve. TestHostThatIsGoneStaysOmittedBesideLostMessages passes before, too.

--- a/core/roster/silence.go
+++ b/core/roster/silence.go
@@ -27,6 +27,9 @@
 	// minSilenceReports is the number of watchers that must report a host as silent. A watcher that hears
 	// no other one takes no host for gone.
 	minSilenceReports = 2
+	// A watcher that hears less than minHeardShare of the entry hosts is taken for the one that is cut off, with
+	// those that it still hears.
+	minHeardShare = 1.0 / 3
 )
 
 // SilentHost is a host of which a watcher has heard nothing for silenceTimeout.
@@ -44,7 +47,8 @@
 
 One host that hears nothing of another one may be the one that is cut off. A watcher therefore takes
 a host for gone only if more than half of the watchers whose reports arrive there, its own included,
-report it as silent, and at least minSilenceReports of them. Other hosts may hear one or two watchers
+report it as silent, and at least minSilenceReports of them. Watchers that hear few hosts do not count:
+those that are cut off together would leave out all others. Other hosts may hear one or two watchers
 only; they follow what more than half of these have decided. A host counts again as soon as one
 message of it reaches enough watchers. Silence is safe for concurrent use.
 */
@@ -174,7 +178,7 @@
 
 // decide returns the hosts that a watcher takes for gone. The mutex is held.
 func (silence *Silence) decide(expected, watchers []host.Host, now time.Time) []SilentHost {
-	reports := silence.currentReports(watchers, now)
+	reports := silence.currentReports(expected, watchers, now)
 	if len(reports) == 0 {
 		return nil
 	}
@@ -214,7 +218,7 @@
 func (silence *Silence) Omit(hosts, watchers []host.Host, now time.Time) []string {
 	silence.mutex.Lock()
 	defer silence.mutex.Unlock()
-	reports := silence.currentReports(watchers, now)
+	reports := silence.currentReports(hosts, watchers, now)
 	isWatcher := slices.ContainsFunc(watchers, func(one host.Host) bool { return one.Name == silence.own })
 	gone := silence.omitted
 	if len(reports) > 0 {
@@ -249,18 +253,40 @@
 	return omitted
 }
 
-// currentReports returns the reports of the other watchers that are heard, by name. The mutex is held.
-func (silence *Silence) currentReports(watchers []host.Host, now time.Time) map[string]SilenceReport {
+// currentReports returns the reports of the other watchers that count, by name: none if the local host is a watcher
+// that is cut off itself. The mutex is held.
+func (silence *Silence) currentReports(hosts, watchers []host.Host, now time.Time) map[string]SilenceReport {
 	reports := make(map[string]SilenceReport, len(watchers))
+	if silence.isCutOff(silence.latest, hosts) {
+		return reports
+	}
 	for _, watcher := range watchers {
 		report, ok := silence.reports[watcher.Name]
-		if ok && watcher.Name != silence.own && now.Sub(report.at) < reportTTL {
+		if ok && watcher.Name != silence.own && now.Sub(report.at) < reportTTL && !silence.isCutOff(report.SilenceReport, hosts) {
 			reports[watcher.Name] = report.SilenceReport
 		}
 	}
 	return reports
 }
 
+// isCutOff reports whether a watcher hears too few of the other hosts for its report to count.
+func (silence *Silence) isCutOff(report SilenceReport, hosts []host.Host) bool {
+	if len(report.Silent) == 0 {
+		return false
+	}
+	var others, heard float64
+	for _, one := range hosts {
+		if one.Name == silence.own {
+			continue
+		}
+		others++
+		if !slices.ContainsFunc(report.Silent, func(silent SilentHost) bool { return silent.is(one) }) {
+			heard++
+		}
+	}
+	return heard < minHeardShare*others
+}
+
 // votes counts the watchers by what they say of a host.
 type votes struct {
 	silent int
--- a/core/roster/silence_test.go
+++ b/core/roster/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -28,11 +29,14 @@
 	// dead hosts neither send nor receive; isCut tells of the other links.
 	dead  map[int]bool
 	isCut func(from, to int) bool
-	now   time.Time
+	// isLost tells whether the next message is lost, and interval is the time between the messages to a host.
+	isLost   func() bool
+	interval time.Duration
+	now      time.Time
 }
 
 func newSilenceFleet(size, highCapacity int) *silenceFleet {
-	fleet := &silenceFleet{dead: map[int]bool{}, isCut: func(int, int) bool { return false }, now: time.Now()}
+	fleet := &silenceFleet{dead: map[int]bool{}, isCut: func(int, int) bool { return false }, isLost: func() bool { return false }, interval: statusInterval, now: time.Now()}
 	for own := range size {
 		one := roster.New(silenceHost(own, highCapacity))
 		for other := range size {
@@ -74,11 +78,11 @@
 	for _, recipient := range one.Recipients(fleet.now, 0).Proofs {
 		var to int
 		_, _ = fmt.Sscanf(recipient.Name, "host-%d", &to)
-		if !changed && fleet.now.Sub(fleet.lastSent[own][to]) < statusInterval {
+		if !changed && fleet.now.Sub(fleet.lastSent[own][to]) < fleet.interval {
 			continue
 		}
 		fleet.lastSent[own][to] = fleet.now
-		if !fleet.dead[to] && !fleet.isCut(own, to) {
+		if !fleet.dead[to] && !fleet.isCut(own, to) && !fleet.isLost() {
 			fleet.silences[to].Heard(testHost(own).Name, fleet.now)
 			fleet.silences[to].Received(testHost(own).Name, silence.Latest(), fleet.now)
 		}
@@ -197,6 +201,58 @@
 	}
 }
 
+// Guards against a host that is gone and is named again, and against sound ones that are left out, as messages are
+// lost where hosts send one every 1.5 s, as in fleets of hundreds.
+func TestHostThatIsGoneStaysOmittedBesideLostMessages(t *testing.T) {
+	const size, lostPercent = 96, 5
+	random := rand.New(rand.NewPCG(1, size))
+	fleet := newSilenceFleet(size, 48)
+	fleet.interval = 2 * statusInterval
+	fleet.isLost = func() bool { return random.IntN(100) < lostPercent }
+	gone := fleet.entryHost(t, false)
+	fleet.dead[gone] = true
+	fleet.run(omissionBound + fleet.interval)
+	for range 20 {
+		fleet.run(observeInterval)
+		for own := range size {
+			if own != gone {
+				require.Equal(t, []string{testHost(gone).Name}, fleet.omitted(own), "at host %d", own)
+			}
+		}
+	}
+}
+
+// Guards against sound hosts that are left out by two watchers which are cut off and hear only each other, and
+// against a host that is gone and is named again there.
+func TestWatchersThatHearOnlyEachOtherOmitNobody(t *testing.T) {
+	const size = 24
+	fleet := newSilenceFleet(size, 12)
+	gone := fleet.entryHost(t, false)
+	fleet.dead[gone] = true
+	fleet.run(omissionBound)
+	isCutOff := func(index int) bool {
+		watchers := names(fleet.rosters[0].Watchers(fleet.now))
+		return testHost(index).FailureDomain == testHost(gone+1).FailureDomain && slices.Contains(watchers, testHost(index).Name)
+	}
+	fleet.isCut = func(from, to int) bool { return isCutOff(from) != isCutOff(to) }
+	fleet.run(10 * time.Second)
+	var cutOff int
+	for own := range size {
+		if own != gone && isCutOff(own) {
+			cutOff++
+			require.Equal(t, []string{testHost(gone).Name}, fleet.omitted(own), "at host %d", own)
+		}
+	}
+	require.Equal(t, 2, cutOff)
+	fleet.isCut = func(int, int) bool { return false }
+	fleet.run(2 * statusInterval)
+	for own := range size {
+		if own != gone {
+			require.Equal(t, []string{testHost(gone).Name}, fleet.omitted(own), "all hosts are heard again, at host %d", own)
+		}
+	}
+}
+
 // Guards against a host that has started again and is left out for the silence of its process before.
 func TestNewProcessIsNotOmitted(t *testing.T) {
 	fleet := newSilenceFleet(24, 24)
