--- a/core/pick/copies.go
+++ b/core/pick/copies.go
@@ -228,23 +228,12 @@
 // the request's group. Suspended engines and those that are in the other group for now
 // count, so that copies elsewhere are reported and used after they return.
 func (options Options) rendezvousOrder(request *work.Request, members []fleet.Member, full map[string]bool, now time.Time) (preferred, next string) {
-	key := sessionPart(request).ID
 	decodeEngines := options.Groups.decodeEngines(request.Service, members, options.speeds, now)
 	decodeHeavy := DecodeHeavy(request)
-	first, second := 0.0, 0.0
-	for index := range members {
-		id := members[index].ID
-		if decodeEngines[id] != decodeHeavy && len(members) > 1 || full[id] {
-			continue
-		}
-		switch weight := options.rendezvousWeight(key, &members[index]); {
-		case preferred == "" || weight > first:
-			preferred, next, first, second = id, preferred, weight, first
-		case next == "" || weight > second:
-			next, second = id, weight
-		}
-	}
-	return preferred, next
+	return options.highest(sessionPart(request).ID, members, func(member *fleet.Member) bool {
+		isOfOtherGroup := decodeEngines[member.ID] != decodeHeavy && len(members) > 1
+		return !isOfOtherGroup && !full[member.ID]
+	})
 }
 
 // expectation is what is expected of the shared parts of a prompt at an engine.
--- a/core/pick/group.go
+++ b/core/pick/group.go
@@ -134,23 +134,6 @@
 	return cmp.Compare(key.hash, other.hash)
 }
 
-// preferredServer returns the ID of the server that is likely to have the
-// session's prompt cached: the one with the highest rendezvous weight. It is empty
-// if the prompt has no part that requests may share.
-func preferredServer(request *work.Request, candidates []fleet.Member) string {
-	if len(request.Parts) < 2 {
-		return ""
-	}
-	key := sessionPart(request).ID
-	best, highest := "", uint64(0)
-	for index := range candidates {
-		if weight := rendezvousWeight(key, &candidates[index]); best == "" || weight > highest {
-			best, highest = candidates[index].ID, weight
-		}
-	}
-	return best
-}
-
 // sessionPart returns the session's own part of the prompt, the last one that
 // requests may share.
 func sessionPart(request *work.Request) work.Part {
--- a/core/pick/pace.go
+++ b/core/pick/pace.go
@@ -68,30 +68,38 @@
 	return weightedRendezvous(key, member, options.speeds)
 }
 
-// preferredServer is preferredServer of the candidates without those whose windows are full: a server that
-// has just started has nothing cached.
+// preferredServer returns the ID of the server that is likely to have the session's prompt cached: the one with the
+// highest rendezvous weight. It is empty if the prompt has no part that requests may share. Servers whose windows are
+// full do not count, unless all are: one that has just started has nothing cached.
 func (options Options) preferredServer(request *work.Request, candidates []fleet.Member, full map[string]bool) string {
-	if len(full) > 0 {
-		open := make([]fleet.Member, 0, len(candidates))
-		for _, member := range candidates {
-			if !full[member.ID] {
-				open = append(open, member)
-			}
-		}
-		if len(open) > 0 {
-			candidates = open
-		}
+	if len(request.Parts) < 2 {
+		return ""
 	}
-	if options.speeds == nil || len(request.Parts) < 2 {
-		return preferredServer(request, candidates)
+	key := sessionPart(request).ID
+	preferred, _ := options.highest(key, candidates, func(member *fleet.Member) bool { return !full[member.ID] })
+	if preferred == "" {
+		preferred, _ = options.highest(key, candidates, func(*fleet.Member) bool { return true })
 	}
-	key, best, highest := sessionPart(request).ID, "", 0.0
-	for index := range candidates {
-		if weight := options.rendezvousWeight(key, &candidates[index]); best == "" || weight > highest {
-			best, highest = candidates[index].ID, weight
+	return preferred
+}
+
+// highest returns the IDs of the two members with the highest rendezvous weights for a part of a prompt among those
+// that may be chosen, empty where there is none.
+func (options Options) highest(key uint64, members []fleet.Member, mayChoose func(*fleet.Member) bool) (preferred, next string) {
+	first, second := 0.0, 0.0
+	for index := range members {
+		member := &members[index]
+		if !mayChoose(member) {
+			continue
+		}
+		switch weight := options.rendezvousWeight(key, member); {
+		case preferred == "" || weight > first:
+			preferred, next, first, second = member.ID, preferred, weight, first
+		case next == "" || weight > second:
+			next, second = member.ID, weight
 		}
 	}
-	return best
+	return preferred, next
 }
 
 // observePace updates what is known of a server's speed when its first event, or the answer of a plain
--- a/core/usage/book.go
+++ b/core/usage/book.go
@@ -29,8 +29,8 @@
 
 /*
 Book decides which reports are due. A window is closed once all hosts have told their final counts, or shortly before
-its report is due: hosts that are cut off may tell theirs later. A report is recorded in the store before it is sent, so that whoever
-sends it, or sends it again, uses the same counts.
+its report is due: hosts that are cut off may tell theirs later. A report is recorded in the store before it is sent,
+so that whoever sends it, or sends it again, uses the same counts.
 
 All hosts remember the recorded reports that they see, for longer than the store keeps them: a store that is
 restored from a copy may have lost the newest ones, which may have been sent. A window that ended before the
--- a/io/front/cuts.go
+++ b/io/front/cuts.go
@@ -88,7 +88,7 @@
 		Framing: ending.Connection, NoCuts: true, Stream: true, SenderKnown: true, EndedAt: cutAt, Outcome: ending.Unasked, Events: 1, RunEvents: ending.NotListed,
 	}}
 	check.run(cutAt.Add(ending.TimeLimit))
-	check.settle(cutAt.Add(maxCutDoubt))
+	check.settle(cutAt.Add(settleTime))
 	if check.isPassedOn() {
 		// A process that closes its connections one after another answers for a while.
 		sleepUntil(handler.stopping, cutAt.Add(slowEndTime))
@@ -148,9 +148,6 @@
 	return handler.options.Cuts.MayClear(server.Service, server.FailureDomain, handler.framesLately(server.Service, now), now)
 }
 
-// maxCutDoubt limits the time until it is known whether a process that cut a response has ended.
-const maxCutDoubt = registrationTime + settlePatience
-
 // slowEndTime is how long after it has cut a response a process that ends may still take connections.
 const slowEndTime = 300 * time.Millisecond
 
--- a/io/front/endcheck.go
+++ b/io/front/endcheck.go
@@ -94,7 +94,7 @@
 */
 func (check *endCheck) settle(deadline time.Time) {
 	handler := check.handler
-	until := earlier(deadline, check.EndedAt.Add(registrationTime+settlePatience))
+	until := earlier(deadline, check.EndedAt.Add(settleTime))
 	for check.isInDoubt() && check.caller.Err() == nil && !check.isReplaced() && (check.SenderKnown || check.mayKnowSender()) {
 		left := time.Until(handler.beforeExit(until)) - lookTime
 		if left <= 0 {
--- a/io/front/known.go
+++ b/io/front/known.go
@@ -16,6 +16,9 @@
 	// reached, and settlePoll how often it looks.
 	settlePatience = time.Second
 	settlePoll     = 50 * time.Millisecond
+	// settleTime limits the time from the end of a response, or the opening of its connection, until it is known
+	// which process sent it.
+	settleTime = registrationTime + settlePatience
 	// slowSettlePoll replaces settlePoll while nothing waits for the answer.
 	slowSettlePoll = 500 * time.Millisecond
 	// maxSettleTime is how long a host tries to find out which process began a stream.
@@ -99,7 +102,7 @@
 	if began == nil || call.events.lastID == "" || call.isOnlyVersion() {
 		return true
 	}
-	giveUpAt := began.openedAt.Add(registrationTime + settlePatience)
+	giveUpAt := began.openedAt.Add(settleTime)
 	for !call.handler.isSettled(began.server, began.openedAt) {
 		if time.Now().After(giveUpAt) || call.ctx.Err() != nil || !call.handler.maySettle(began.server, began.openedAt) {
 			return false
@@ -119,7 +122,7 @@
 	}
 	for _, member := range call.handler.options.Fleet.Members(call.work.Service, now) {
 		if !call.reportsProcess(member.Server) {
-			return registrationTime + settlePatience
+			return settleTime
 		}
 	}
 	return 0
