core/room: a server that has not answered is brittle while its service is

Cause: a server was known as brittle by answers with its ID only; one that had not answered had no limit and was the only one with room. Change: while a server of a service says that it is brittle, those that have not answered within 10 s are taken for it, with a limit of 1 over all hosts; an answer without the header ends that, and is told to the others. TestServerThatStartsInABrittleTimeIsNotFlooded failed before (4 refusals within a second); TestSoundServersBesideABrittleOneAreNotLimited is the other side. TestBrittleServersStayUp passes.

--- a/core/room/report.go
+++ b/core/room/report.go
@@ -56,7 +56,7 @@
 	}
 	var reports []Report
 	for key, known := range limiter.servers {
-		if known.isBrittle(now) {
+		if known.saysBrittle(now) {
 			reports = append(reports, known.report(key, now))
 		}
 	}
--- a/core/room/room.go
+++ b/core/room/room.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -44,6 +45,9 @@
 refusal for want of room. All hosts derive it from what they tell each other, and divide it by rendezvous
 hashing, so that the sum of their shares is the limit.
 
+A brittle time is one of a service: servers of it that have not answered yet are taken for brittle, so that one that
+has just started does not get all that waits before its first answer.
+
 A Limiter is safe for concurrent use. It limits nothing while no server is brittle.
 */
 type Limiter struct {
@@ -54,8 +58,10 @@
 	heard   map[string]time.Time
 	servers map[uint64]*server
 	queues  map[string]*queue
-	// brittle is the number of servers that are brittle.
-	brittle int
+	// brittle is the number of servers that are brittle, and brittleUntil the end of the brittle time of a service
+	// unless one of its servers says again that it is brittle.
+	brittle      int
+	brittleUntil map[string]time.Time
 }
 
 // hostSet is a set of hosts that limits are divided among.
@@ -92,12 +98,15 @@
 	refused bool
 	// blockedUntil is the end of the time without requests after a refusal.
 	blockedUntil time.Time
+	// The server has said nothing and is taken for brittle from assumedAt until assumedUntil.
+	assumedAt, assumedUntil time.Time
 }
 
 // New returns a limiter for a host that knows of no other hosts and no brittle servers.
 func New(own string) *Limiter {
 	return &Limiter{
 		own: own, hosts: newHostSet([]string{own}), heard: make(map[string]time.Time), servers: make(map[uint64]*server), queues: make(map[string]*queue),
+		brittleUntil: make(map[string]time.Time),
 	}
 }
 
@@ -175,14 +184,7 @@
 	defer limiter.mutex.Unlock()
 	key := fleet.ServerHash(registered.ID)
 	if answer.Number == 0 {
-		known := limiter.servers[key]
-		if known == nil || known.number == 0 || !answer.SentAt.After(known.observedAt) {
-			return None
-		}
-		known.own = true
-		limiter.set(known, 0, now, now)
-		limiter.wake(known.service)
-		return Ended
+		return limiter.observeSound(key, answer, now)
 	}
 	known := limiter.server(key)
 	known.id, known.service, known.own = registered.ID, registered.Service, true
@@ -197,10 +199,34 @@
 	return None
 }
 
+// observeSound records an answer that does not say that its server is brittle.
+func (limiter *Limiter) observeSound(key uint64, answer Observation, now time.Time) Change {
+	known := limiter.servers[key]
+	if known == nil || limiter.brittle == 0 || !answer.SentAt.After(known.observedAt) || !answer.SentAt.After(known.assumedAt) {
+		return None
+	}
+	wasBrittle, wasAssumed := known.number > 0, now.Before(known.assumedUntil)
+	known.own = known.own || wasBrittle || wasAssumed
+	if wasAssumed {
+		known.changedAt = now
+	}
+	limiter.set(known, 0, now, now)
+	limiter.wake(known.service)
+	if !wasBrittle {
+		return None
+	}
+	return Ended
+}
+
 // set records what a server says. It reports whether that is new.
 func (limiter *Limiter) set(known *server, number int, observedAt, now time.Time) bool {
-	isNew := (number > 0) != known.isBrittle(now)
-	known.observedAt = observedAt
+	isNew := (number > 0) != known.saysBrittle(now)
+	known.observedAt, known.assumedUntil = observedAt, time.Time{}
+	if number > 0 {
+		limiter.brittleUntil[known.service] = observedAt.Add(quietTimeout)
+	} else if isNew {
+		delete(limiter.brittleUntil, known.service)
+	}
 	if known.number != number {
 		known.changedAt = now
 	}
@@ -236,22 +262,46 @@
 	defer limiter.mutex.Unlock()
 	var ended []string
 	for key, known := range limiter.servers {
-		if known.number > 0 && !known.isBrittle(now) {
+		if known.number > 0 && !known.saysBrittle(now) {
 			limiter.brittle--
 			known.number = 0
 			ended = append(ended, known.id)
 		}
-		if known.number == 0 && known.inFlight == 0 && now.Sub(known.observedAt) > quietTimeout {
+		if known.number == 0 && known.inFlight == 0 && now.Sub(known.observedAt) > quietTimeout && !known.isBrittle(now) {
 			delete(limiter.servers, key)
 		}
 	}
+	maps.DeleteFunc(limiter.brittleUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 	return ended
 }
 
+// isBrittle reports whether the server says that it is brittle, or is taken for it.
 func (server *server) isBrittle(now time.Time) bool {
+	return server.saysBrittle(now) || now.Before(server.assumedUntil)
+}
+
+// saysBrittle reports whether the newest answer says that the server is brittle.
+func (server *server) saysBrittle(now time.Time) bool {
 	return server.number > 0 && now.Sub(server.observedAt) < quietTimeout
 }
 
+// assume takes a server for brittle that has said nothing lately, if another one of its service says that it is
+// brittle. It returns the state of the server, nil if there is none.
+func (limiter *Limiter) assume(key uint64, registered fleet.Server, now time.Time) *server {
+	known := limiter.servers[key]
+	if until, found := limiter.brittleUntil[registered.Service]; !found || !now.Before(until) {
+		return known
+	}
+	known = limiter.server(key)
+	if known.isBrittle(now) || now.Sub(known.observedAt) < quietTimeout {
+		return known
+	}
+	known.id, known.service, known.slots = registered.ID, registered.Service, cmp.Or(known.slots, registered.Slots)
+	known.base, known.cutAt, known.refused = lowestLimit, now, false
+	known.assumedAt, known.assumedUntil = now, now.Add(quietTimeout)
+	return known
+}
+
 // limit returns the number of requests that all hosts together may have in flight at the server.
 func (server *server) limit(now time.Time) float64 {
 	raised := server.base + float64(max(0, now.Sub(server.cutAt))/raiseInterval)
@@ -320,7 +370,7 @@
 		return 0
 	}
 	key := fleet.ServerHash(registered.ID)
-	known := limiter.servers[key]
+	known := limiter.assume(key, registered, now)
 	if known == nil || limiter.hasRoom(key, known, now) {
 		return 0
 	}
@@ -350,6 +400,7 @@
 	defer limiter.mutex.Unlock()
 	key := fleet.ServerHash(registered.ID)
 	known := limiter.server(key)
+	limiter.assume(key, registered, now)
 	known.id, known.service = registered.ID, registered.Service
 	if known.isBrittle(now) {
 		if !limiter.hasRoom(key, known, now) || !limiter.isNext(registered.Service, ticket) {
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -33,6 +33,8 @@
 	refusals []time.Time
 	// worst is the largest number of refusals within a second.
 	worst, served int
+	// isSound: the server is not brittle, and has room for all requests.
+	isSound bool
 }
 
 // flight is a request of a host at an engine.
@@ -133,7 +135,7 @@
 	if now.Sub(play.begin) >= warning {
 		present = slots + lateRoom
 	}
-	if len(engine.present) >= present {
+	if len(engine.present) >= present && !engine.isSound {
 		engine.refuse(now, now.Sub(play.begin) >= warning)
 		host.limiter.Observe(engine.server, room.Observation{Number: number, Slots: slots, Refused: true, SentAt: now}, now)
 		host.limiter.Done(engine.server, true, now, now)
@@ -167,18 +169,30 @@
 		}
 		engine.served++
 		if !flight.host.isDown {
-			flight.host.limiter.Observe(engine.server, room.Observation{Number: number, Slots: slots, SentAt: flight.sentAt}, now)
+			flight.host.limiter.Observe(engine.server, engine.answer(flight.sentAt), now)
 			flight.host.limiter.Done(engine.server, true, flight.sentAt, now)
 		}
 	}
 	engine.present = present
-	for _, flight := range present[:min(slots, len(present))] {
+	working := slots
+	if engine.isSound {
+		working = len(present)
+	}
+	for _, flight := range present[:min(working, len(present))] {
 		if flight.startedAt.IsZero() {
 			flight.startedAt = now
 		}
 	}
 }
 
+// answer returns what an answer of the engine says.
+func (engine *engine) answer(sentAt time.Time) room.Observation {
+	if engine.isSound {
+		return room.Observation{Slots: slots, SentAt: sentAt}
+	}
+	return room.Observation{Number: number, Slots: slots, SentAt: sentAt}
+}
+
 // served returns the number of requests that all engines have served.
 func (play *play) served() int {
 	total := 0
@@ -214,6 +228,42 @@
 	}
 }
 
+// Guards against a server that starts again under a new ID while its service is brittle, and falls over at each
+// start, as it gets all that waits before its first answer (review/10).
+func TestServerThatStartsInABrittleTimeIsNotFlooded(t *testing.T) {
+	for _, hosts := range []int{1, 4, 16, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			play := newPlay(hosts, 0.05)
+			play.run(warning + 2*time.Second)
+			for start := range 3 {
+				play.engines[0] = &engine{server: fleet.Server{ID: fmt.Sprint("i-0-", start), Service: "service", Slots: slots}}
+				play.run(4 * time.Second)
+				play.requireUp(t)
+				require.Greater(t, play.engines[0].served, slots*10, "it is used, %d hosts", hosts)
+			}
+		})
+	}
+}
+
+// Guards against sound servers that are limited for long because another one of their service is brittle.
+func TestSoundServersBesideABrittleOneAreNotLimited(t *testing.T) {
+	for _, hosts := range []int{1, 4, 16, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			play := newPlay(hosts, 0.05)
+			for _, engine := range play.engines[1:] {
+				engine.isSound = true
+			}
+			play.run(2 * time.Second)
+			before := play.served()
+			play.run(15 * time.Second)
+			// Each host has one request after another for each step at each sound engine.
+			busy := (len(play.engines) - 1) * hosts * int(15*time.Second/step)
+			require.Greater(t, play.served()-before, busy*95/100, "%d hosts", hosts)
+			play.requireUp(t)
+		})
+	}
+}
+
 // Guards against servers that fall over because hosts come, go, or are heard of by some only.
 func TestRoomIsKeptWhileHostsChange(t *testing.T) {
 	for _, hosts := range []int{2, 4, 8, 32} {
