io/front: the test of a closing process does not answer questions while it ends

At a high load the process could answer a question between two closes, which is not what the test is about. It closes each connection without an answer now, and its listener 62 ms after the response instead of 100 ms, so that the third connection is refused whatever the load.

--- a/io/front/slowend_test.go
+++ b/io/front/slowend_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,7 +90,7 @@
 		"reports its start": withReports, "names its ID": nil,
 		"can't be asked": func(data *table.Data) { data.Services[0].HealthPath = "" },
 	} {
-		for ends, after := range map[string]time.Duration{"soon": ending.Settle / 2, "slowly": 2 * ending.Settle} {
+		for ends, after := range map[string]time.Duration{"soon": ending.Settle / 2, "slowly": 5 * ending.Settle / 4} {
 			t.Run(name+", "+ends, func(t *testing.T) {
 				t.Parallel()
 				harness := newHarness(t, change)
@@ -128,11 +129,17 @@
 	}
 }
 
-// addClosingServer adds a server that responds as given and closes each connection from then on, and its
-// listener after a time.
+// addClosingServer adds a server that responds as given and closes each connection from then on without an answer,
+// and its listener after a time.
 func (harness *harness) addClosingServer(respond responder, after time.Duration) {
 	harness.t.Helper()
+	harness.scriptsHealth = true
+	var isEnding atomic.Bool
 	harness.addStoppableServer("a", func(request *http.Request, conn net.Conn, stop func()) {
+		if isEnding.Swap(true) {
+			_ = conn.Close()
+			return
+		}
 		respond(request, conn)
 		harness.closeConnsFor("a", after)
 		stop()
@@ -170,7 +177,7 @@
 	harness.addClosingServer(func(_ *http.Request, conn net.Conn) {
 		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nX-Signed: 1\r\nContent-Length: 10\r\n\r\npart"))
 		_ = conn.Close()
-	}, 2*ending.Settle)
+	}, 5*ending.Settle/4)
 	harness.startedAt("a", 1)
 	harness.post("/once/", "x")
 	time.Sleep(time.Second)
