--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -23,8 +23,7 @@
 	minDiffering      = 3
 	minDifferingShare = 0.1
 	// largeService is the number of servers from which on speeds are used and servers that recover are limited.
-	// In smaller ones each server carries a large share, and both cost 0.005 to 0.014 of the worth in the
-	// experiments with 9 and 18 engines.
+	// In smaller ones each server carries a large share of the requests.
 	largeService = 24
 	// minHeaderSpread is the ratio of the highest to the lowest usual slowness in the load headers from
 	// which on a service's servers differ.
