--- a/io/front/cuts_test.go
+++ b/io/front/cuts_test.go
@@ -291,6 +291,12 @@
 			respondWith(200, "framed", signed)(request, conn)
 			return
 		}
+		select {
+		case <-began:
+			t.Errorf("a second stream is asked for: %s %s %v from %v\n%s", request.Method, request.RequestURI, request.Header, conn.RemoteAddr(), harness.log.String())
+			return
+		default:
+		}
 		writeResponse(conn, 200, id, []string{signed, eventStream}, events(1, 2))
 		close(began)
 		<-isCleared
