--- a/review/parts-3/drillrevoke.go
+++ b/review/parts-3/drillrevoke.go
@@ -11,10 +11,20 @@
 comes back from a copy a second old. 1.9 s after its return the operator has written again. A request with the key
 that is sent later than revoke_ms after the confirmation must not run.
 */
-func drillRevoke(world *world) ([]string, error) {
+func drillRevoke(world *world) ([]string, error) { return playDrill(world, 3600*time.Millisecond, 0) }
+
+/*
+drillLoading is drillRevoke with a longer drill: for the last seconds before its return the store answers 503, in its
+new era, while it reads the copy.
+*/
+func drillLoading(world *world) ([]string, error) {
+	return playDrill(world, 8*time.Second, 2900*time.Millisecond)
+}
+
+// playDrill plays a drill in which the store is away for a time, for the last part of which it answers 503.
+func playDrill(world *world, away, loading time.Duration) ([]string, error) {
 	const (
 		revoke = 5000 * time.Millisecond
-		away   = 3600 * time.Millisecond
 		again  = 1900 * time.Millisecond
 		gap    = 10 * time.Millisecond
 	)
@@ -52,7 +62,7 @@
 	var mutex sync.Mutex
 	var calls []sent
 	var group sync.WaitGroup
-	stop := confirmedAt.Add(9 * time.Second)
+	stop := confirmedAt.Add(away + 4*time.Second)
 	for _, host := range world.hosts {
 		for _, key := range []string{"taken-key", "kept-key"} {
 			group.Go(func() {
@@ -69,6 +79,11 @@
 		}
 	}
 	if world.trouble {
+		if loading > 0 {
+			time.Sleep(time.Until(confirmedAt.Add(away - loading)))
+			world.store.load()
+			world.record.note("the store answers 503 in its new era, and reads the copy")
+		}
 		time.Sleep(time.Until(confirmedAt.Add(away)))
 		world.store.comeBack(copied)
 		world.record.note("the store is back from a copy")
--- a/review/parts-3/store.go
+++ b/review/parts-3/store.go
@@ -44,7 +44,9 @@
 	nextLease int64
 	era       int64
 	down      bool
-	conns     map[net.Conn]bool
+	// loading: the store has begun a new era and answers 503 until it has read the copy.
+	loading bool
+	conns   map[net.Conn]bool
 	// changed is closed at each change.
 	changed chan struct{}
 	address string
@@ -100,13 +102,17 @@
 func (store *platformStore) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		store.mutex.Lock()
-		down, era := store.down, store.era
+		down, era, loading := store.down, store.era, store.loading
 		refuse, onCall := store.refuse, store.onCall
 		store.mutex.Unlock()
 		if down || refuse != nil && refuse(request) {
 			panic(http.ErrAbortHandler)
 		}
 		writer.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+		if loading {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		next.ServeHTTP(writer, request)
 		if onCall != nil {
 			onCall(request)
@@ -125,15 +131,26 @@
 	store.notify()
 }
 
+// load makes a store that is away answer 503, in the next era, until comeBack.
+func (store *platformStore) load() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.down, store.loading = false, true
+	store.era++
+	store.notify()
+}
+
 // comeBack ends goAway. A copy replaces what the store holds, and begins a new era.
 func (store *platformStore) comeBack(copied *content) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	store.down = false
 	if copied != nil {
 		store.content = copied.clone()
-		store.era++
+		if !store.loading {
+			store.era++
+		}
 	}
+	store.down, store.loading = false, false
 	// Leases pause while the store is away.
 	for id, ttl := range store.content.leases {
 		store.content.expires[id] = time.Now().Add(ttl)
@@ -186,7 +203,7 @@
 func (store *platformStore) putRaw(key string, data []byte) bool {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	if store.down {
+	if store.down || store.loading {
 		return false
 	}
 	store.write(key, data, 0, false)
@@ -216,7 +233,7 @@
 	for {
 		time.Sleep(20 * time.Millisecond)
 		store.mutex.Lock()
-		if !store.down {
+		if !store.down && !store.loading {
 			for id, at := range store.content.expires {
 				if time.Now().After(at) {
 					store.endLease(id)
