--- a/review/parts-3/engine.go
+++ b/review/parts-3/engine.go
@@ -3,13 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -30,10 +29,10 @@
 	server            *http.Server
 	stopBeat          context.CancelFunc
 	// handle answers a request in place of the usual answer; it returns false for the usual one. May be nil.
-	handle  func(writer http.ResponseWriter, request *http.Request, body []byte) bool
-	work    time.Duration
-	mutex   sync.Mutex
-	running int
+	handle func(writer http.ResponseWriter, request *http.Request, body []byte) bool
+	// runs lists the runs for the report; nil: none are listed.
+	runs func() []any
+	work time.Duration
 }
 
 // entry is what the engine says of itself in the store.
@@ -86,12 +85,8 @@
 	header["Date"] = nil
 	switch {
 	case engine.isModel && request.URL.Path == "/-/report":
-		body, _ := json.Marshal(map[string]any{
-			"phase": "colocated", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "seq_no": 1,
-			"queued": 0, "active": 0, "kv_used": 0, "kv_total": 400000, "kv_handles": 0, "born": engine.started.UnixMilli(), "runs": []any{},
-		})
 		header.Set("Content-Type", "application/json")
-		_, _ = writer.Write(body)
+		_, _ = writer.Write(engine.encodeReport())
 		return
 	case request.URL.Path == "/healthz":
 		header.Set("Instance-Id", engine.id)
@@ -130,3 +125,6 @@
 		time.Sleep(gap)
 	}
 }
+
+// countEvents returns the number of whole events.
+func countEvents(body string) int { return strings.Count(body, "\n\n") }
--- a/review/parts-3/store.go
+++ b/review/parts-3/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -211,24 +210,6 @@
 	return true
 }
 
-// remove deletes a key.
-func (store *platformStore) remove(key string) {
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
-	if !store.down {
-		store.write(key, nil, 0, true)
-		store.notify()
-	}
-}
-
-// get returns a key.
-func (store *platformStore) get(key string) (item, bool) {
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
-	found, ok := store.content.items[key]
-	return found, ok
-}
-
 func (store *platformStore) expireLeases() {
 	for {
 		time.Sleep(20 * time.Millisecond)
@@ -467,8 +448,3 @@
 	}
 	answer(writer, http.StatusOK, map[string]any{})
 }
-
-// describe names a request for the record.
-func describe(request *http.Request) string {
-	return fmt.Sprintf("%s %s", request.Method, request.URL.RequestURI())
-}
--- a/review/parts-3/world.go
+++ b/review/parts-3/world.go
@@ -9,6 +9,12 @@
 	"time"
 )
 
+// Bounds of the settings.
+const (
+	contactTime = 3 * time.Second
+	applyTime   = 2 * time.Second
+)
+
 // world is a small deployment with its platform.
 type world struct {
 	root, folder string
