--- a/review/parts-3/main.go
+++ b/review/parts-3/main.go
@@ -26,7 +26,7 @@
 }
 
 func play(name, root, recordPath string) int {
-	scenarios := map[string]scenario{"drill-revoke": drillRevoke, "drill-loading": drillLoading, "fraction-bounds": fractionBounds, "shorter-timeout": shorterTimeout}
+	scenarios := map[string]scenario{"drill-revoke": drillRevoke, "drill-loading": drillLoading, "fraction-bounds": fractionBounds, "cut-stream": oneCutStream, "shorter-timeout": shorterTimeout}
 	chosen, ok := scenarios[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "there is no case", name)
