--- a/review/parts-3/client.go
+++ b/review/parts-3/client.go
@@ -40,10 +40,10 @@
 		panic(err)
 	}
 	request.Host = frontName
-	request.Header.Set("Request-Id", call.id)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
+	request.Header.Set(wire("request_id"), call.id)
+	request.Header.Set(wire("deadline_ms"), fmt.Sprint(timeout.Milliseconds()))
 	if key != "" {
-		request.Header.Set("Api-Key", key)
+		request.Header.Set(wire("api_key"), key)
 	}
 	for name, values := range header {
 		request.Header[name] = values
@@ -61,6 +61,6 @@
 		_ = response.Body.Close()
 	}
 	call.took = time.Since(call.at)
-	record.note("%s answered after %d ms: status %d, %d bytes, signature %q, error %v", call.id, call.took.Milliseconds(), call.status, len(call.body), call.header.Get("Engine-Signature"), call.err)
+	record.note("%s answered after %d ms: status %d, %d bytes, signature %q, error %v", call.id, call.took.Milliseconds(), call.status, len(call.body), call.header.Get(wire("engine_signature")), call.err)
 	return call
 }
--- a/review/parts-3/cutstream.go
+++ b/review/parts-3/cutstream.go
@@ -37,7 +37,7 @@
 */
 func oneCutStream(world *world) ([]string, error) {
 	routes := []map[string]any{route("r-1", "/raxo777/", "streaming", "huvo11a", 2, 8000, false)}
-	world.store.put("op/config", config(7, routes, "kept-key"))
+	world.store.put(wire("config_key"), config(7, routes, "kept-key"))
 	play := &cutStream{world: world}
 	for range 4 {
 		made, err := world.addEngine("huvo11a", "v1", true)
@@ -45,7 +45,7 @@
 			return nil, err
 		}
 		made.handle = func(writer http.ResponseWriter, request *http.Request, _ []byte) bool {
-			play.answer(made, writer, request.Header.Get("Request-Id"))
+			play.answer(made, writer, request.Header.Get(wire("request_id")))
 			return true
 		}
 	}
@@ -86,7 +86,7 @@
 func (play *cutStream) answer(made *engine, writer http.ResponseWriter, id string) {
 	header := writer.Header()
 	header.Set("Content-Type", "text/event-stream")
-	header.Set("Engine-Signature", "s."+id)
+	header.Set(wire("engine_signature"), "s."+id)
 	// net/http then sends neither a length nor chunks, and closes the connection at the end.
 	header.Set("Transfer-Encoding", "identity")
 	stream(writer, 1, 2, eventGap)
@@ -103,7 +103,7 @@
 
 // read reads a stream to its end and judges it.
 func (play *cutStream) read(host *gatewayHost) {
-	header := http.Header{"Model": {"m"}, "Token-Usage": {"100,25"}, "Prefix-Hash": {fmt.Sprintf("5c1e07a2:60,%x:40", time.Now().UnixNano())}}
+	header := http.Header{"Model": {"m"}, wire("token_usage"): {"100,25"}, wire("prefix_hash"): {fmt.Sprintf("5c1e07a2:60,%x:40", time.Now().UnixNano())}}
 	call := send(play.world.record, host.frontend, http.MethodPost, "/raxo777/2f", "kept-key", streamPatient, "what is this", header)
 	ended := time.Now()
 	events := countEvents(call.body)
--- a/review/parts-3/drillrevoke.go
+++ b/review/parts-3/drillrevoke.go
@@ -39,7 +39,7 @@
 	time.Sleep(time.Second)
 	without := config(9, routes, "kept-key")
 	world.store.awaitPause()
-	world.store.put("op/config", without)
+	world.store.put(wire("config_key"), without)
 	confirmedAt := time.Now()
 	world.record.note("the store confirms version 9 without taken-key")
 	if world.trouble {
@@ -59,7 +59,7 @@
 
 // startSmall writes the first config, and starts six engines and three hosts.
 func startSmall(world *world, routes []map[string]any) error {
-	world.store.put("op/config", config(7, routes, "kept-key", "taken-key"))
+	world.store.put(wire("config_key"), config(7, routes, "kept-key", "taken-key"))
 	for range 6 {
 		if _, err := world.addEngine("wuno96b", "v1", false); err != nil {
 			return err
@@ -82,7 +82,7 @@
 	world.store.comeBack(copied)
 	world.record.note("the store is back from a copy")
 	time.Sleep(time.Until(confirmedAt.Add(away + againAfter)))
-	world.store.put("op/config", without)
+	world.store.put(wire("config_key"), without)
 	world.record.note("the operator has written version 9 again")
 }
 
--- a/review/parts-3/engine.go
+++ b/review/parts-3/engine.go
@@ -84,24 +84,24 @@
 	header := writer.Header()
 	header["Date"] = nil
 	switch {
-	case engine.isModel && request.URL.Path == "/-/report":
+	case engine.isModel && request.URL.Path == wire("report_path"):
 		header.Set("Content-Type", "application/json")
 		_, _ = writer.Write(engine.encodeReport())
 		return
 	case request.URL.Path == "/healthz":
 		header.Set("Instance-Id", engine.id)
-		header.Set("Engine-Load", "0,0,64")
+		header.Set(wire("engine_load"), "0,0,64")
 		return
 	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
 	}
-	id := request.Header.Get("Request-Id")
-	header.Set("Request-Id", id)
-	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != engine.id {
+	id := request.Header.Get(wire("request_id"))
+	header.Set(wire("request_id"), id)
+	if expected := request.Header.Get(wire("expect_instance")); expected != "" && expected != engine.id {
 		header.Set("Instance-Id", engine.id)
-		header.Set("Not-Executed", "1")
+		header.Set(wire("not_executed"), "1")
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -110,8 +110,8 @@
 		return
 	}
 	time.Sleep(engine.work)
-	header.Set("Engine-Signature", "s."+id)
-	header.Set("Engine-Load", "1,0,64")
+	header.Set(wire("engine_signature"), "s."+id)
+	header.Set(wire("engine_load"), "1,0,64")
 	content := bytes.Repeat([]byte("x"), 400)
 	header.Set("Content-Length", strconv.Itoa(len(content)))
 	_, _ = writer.Write(content)
--- a/review/parts-3/fraction.go
+++ b/review/parts-3/fraction.go
@@ -15,7 +15,7 @@
 */
 func fractionBounds(world *world) ([]string, error) {
 	routes := []map[string]any{route("r-1", "/puxa403/", "idempotent", "wuno96b", 2, 2000, false)}
-	world.store.put("op/config", config(7, routes, "kept-key"))
+	world.store.put(wire("config_key"), config(7, routes, "kept-key"))
 	for range 3 {
 		if _, err := world.addEngine("wuno96b", "v1", false); err != nil {
 			return nil, err
--- a/review/parts-3/store.go
+++ b/review/parts-3/store.go
@@ -69,13 +69,13 @@
 	}
 	store.address = listener.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/kv-key", store.getKey)
-	mux.HandleFunc("GET /-/kv-range", store.getRange)
-	mux.HandleFunc("GET /-/kv-watch", store.watch)
-	mux.HandleFunc("POST /-/kv-txn", store.transact)
-	mux.HandleFunc("POST /-/kv-lease", store.grant)
-	mux.HandleFunc("POST /-/kv-keep/{id}", store.keep)
-	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", store.end)
+	mux.HandleFunc(wire("get_call"), store.getKey)
+	mux.HandleFunc(wire("range_call"), store.getRange)
+	mux.HandleFunc(wire("watch_call"), store.watch)
+	mux.HandleFunc(wire("transact_call"), store.transact)
+	mux.HandleFunc(wire("grant_call"), store.grant)
+	mux.HandleFunc(wire("keep_call"), store.keep)
+	mux.HandleFunc(wire("end_call"), store.end)
 	server := &http.Server{Handler: store.guard(mux), ReadHeaderTimeout: time.Minute, ConnState: store.track}
 	go func() { _ = server.Serve(listener) }()
 	go store.expireLeases()
@@ -253,11 +253,11 @@
 	revision := store.content.revision
 	store.mutex.Unlock()
 	if !ok {
-		answer(writer, http.StatusNotFound, map[string]any{"as_of": revision})
+		answer(writer, http.StatusNotFound, map[string]any{wire("revision_field"): revision})
 		return
 	}
 	answer(writer, http.StatusOK, map[string]any{
-		"key": found.Key, "value": found.Value, "revision": found.Revision, "created": found.Created, "lease": found.Lease, "as_of": revision,
+		"key": found.Key, "value": found.Value, "revision": found.Revision, "created": found.Created, "lease": found.Lease, wire("revision_field"): revision,
 	})
 }
 
@@ -279,7 +279,7 @@
 	}
 	revision := store.content.revision
 	store.mutex.Unlock()
-	answer(writer, http.StatusOK, map[string]any{"entries": entries, "truncated": truncated, "as_of": revision})
+	answer(writer, http.StatusOK, map[string]any{"entries": entries, "truncated": truncated, wire("revision_field"): revision})
 }
 
 func (store *platformStore) watch(writer http.ResponseWriter, request *http.Request) {
@@ -310,7 +310,7 @@
 			answer(writer, http.StatusGone, map[string]any{})
 			return
 		case len(events) > 0:
-			answer(writer, http.StatusOK, map[string]any{"events": events, "as_of": revision})
+			answer(writer, http.StatusOK, map[string]any{"events": events, wire("revision_field"): revision})
 			return
 		}
 		select {
@@ -318,7 +318,7 @@
 		case <-request.Context().Done():
 			return
 		case <-timer.C:
-			answer(writer, http.StatusOK, map[string]any{"events": events, "as_of": revision})
+			answer(writer, http.StatusOK, map[string]any{"events": events, wire("revision_field"): revision})
 			return
 		}
 	}
@@ -345,12 +345,15 @@
 	}
 }
 
+// expectation is a condition of a transaction.
+type expectation struct {
+	Key      string `json:"key"`
+	Revision int64  `json:"revision"`
+}
+
 type transaction struct {
-	Expected []struct {
-		Key      string `json:"key"`
-		Revision int64  `json:"revision"`
-	} `json:"expected_rev"`
-	Writes []struct {
+	Expected []expectation `json:"-"`
+	Writes   []struct {
 		Key   string `json:"key"`
 		Value []byte `json:"value"`
 		Lease int64  `json:"lease"`
@@ -358,10 +361,29 @@
 	Remove []string `json:"remove"`
 }
 
-func (store *platformStore) transact(writer http.ResponseWriter, request *http.Request) {
+// readTransaction decodes a transaction. The name of the field with its conditions is data.
+func readTransaction(body io.Reader) (transaction, error) {
 	var change transaction
-	data, err := io.ReadAll(request.Body)
-	if err != nil || json.Unmarshal(data, &change) != nil {
+	var conditions map[string]json.RawMessage
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return change, err
+	}
+	if err := json.Unmarshal(data, &change); err != nil {
+		return change, err
+	}
+	if err := json.Unmarshal(data, &conditions); err != nil {
+		return change, err
+	}
+	if expected, found := conditions[wire("expected_field")]; found {
+		return change, json.Unmarshal(expected, &change.Expected)
+	}
+	return change, nil
+}
+
+func (store *platformStore) transact(writer http.ResponseWriter, request *http.Request) {
+	change, err := readTransaction(request.Body)
+	if err != nil {
 		answer(writer, http.StatusBadRequest, map[string]any{})
 		return
 	}
--- a/review/parts-3/timelimit.go
+++ b/review/parts-3/timelimit.go
@@ -49,7 +49,7 @@
 	routes := func(timeout float64) []map[string]any {
 		return []map[string]any{route("r-1", "/lohu930/", "streaming", "huvo11a", 1, timeout, false)}
 	}
-	world.store.put("op/config", config(7, routes(longTimeout), "kept-key"))
+	world.store.put(wire("config_key"), config(7, routes(longTimeout), "kept-key"))
 	for range 4 {
 		made, err := world.addEngine("huvo11a", "v1", true)
 		if err != nil {
@@ -70,7 +70,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	if world.trouble {
-		world.store.put("op/config", config(9, routes(shortTimeout), "kept-key"))
+		world.store.put(wire("config_key"), config(9, routes(shortTimeout), "kept-key"))
 		world.record.note("the store confirms version 9: timeout_ms of r-1 is %d in place of %d", shortTimeout, longTimeout)
 	}
 	time.Sleep(applyTime)
@@ -90,12 +90,12 @@
 
 // answer writes a stream that ends with its connection, and stops work at the time limit that the request names.
 func (play *timeLimit) answer(made *engine, list *runList, writer http.ResponseWriter, request *http.Request) {
-	id, header := request.Header.Get("Request-Id"), writer.Header()
-	limit, _ := strconv.Atoi(request.Header.Get("Deadline-Ms"))
+	id, header := request.Header.Get(wire("request_id")), writer.Header()
+	limit, _ := strconv.Atoi(request.Header.Get(wire("deadline_ms")))
 	stopAt := time.Now().Add(time.Duration(limit) * time.Millisecond)
 	events, _ := strconv.Atoi(request.Header.Get("Length-Hint"))
 	header.Set("Content-Type", "text/event-stream")
-	header.Set("Engine-Signature", "s."+id)
+	header.Set(wire("engine_signature"), "s."+id)
 	// net/http then sends neither a length nor chunks, and closes the connection at the end.
 	header.Set("Transfer-Encoding", "identity")
 	run := list.begin(id)
@@ -117,7 +117,7 @@
 
 // read reads a stream to its end and judges it.
 func (play *timeLimit) read(host *gatewayHost, events int) {
-	header := http.Header{"Model": {"m"}, "Token-Usage": {"100,60"}, "Length-Hint": {strconv.Itoa(events)}, "Prefix-Hash": {fmt.Sprintf("5c1e07a2:60,%x:40", time.Now().UnixNano())}}
+	header := http.Header{"Model": {"m"}, wire("token_usage"): {"100,60"}, "Length-Hint": {strconv.Itoa(events)}, wire("prefix_hash"): {fmt.Sprintf("5c1e07a2:60,%x:40", time.Now().UnixNano())}}
 	call := send(play.world.record, host.frontend, http.MethodPost, "/lohu930/2f", "kept-key", callerPatience, "what is this", header)
 	got := countEvents(call.body)
 	play.mutex.Lock()
--- a/review/parts-3/world.go
+++ b/review/parts-3/world.go
@@ -76,7 +76,7 @@
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, host := range world.hosts {
-			response, err := client.Get("http://" + host.readiness + "/-/readyz")
+			response, err := client.Get("http://" + host.readiness + wire("ready_path"))
 			if err != nil {
 				continue
 			}
@@ -113,8 +113,8 @@
 // route is a route of the configuration.
 func route(name, prefix, kind, service string, attempts int, timeoutMs float64, resumable bool) map[string]any {
 	return map[string]any{
-		"name": name, "host": frontName, "path_prefix": prefix, "route_kind": kind, "timeout_ms": timeoutMs, "slo_ms": 300, "priority": 1, "service": service,
-		"max_attempts": attempts, "anonymous": false, "sticky": kind == "streaming", "resumable": resumable, "itl_target_ms": 250,
+		"name": name, "host": frontName, "path_prefix": prefix, wire("kind_field"): kind, "timeout_ms": timeoutMs, wire("objective_field"): 300, "priority": 1, "service": service,
+		"max_attempts": attempts, "anonymous": false, "sticky": kind == "streaming", "resumable": resumable, wire("gap_field"): 250,
 	}
 }
 
@@ -123,13 +123,13 @@
 	return map[string]any{
 		"version": version, "routes": routes,
 		"services": []any{
-			map[string]any{"name": "huvo11a", "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 64, "kv_capacity": 438022, "kv_token_bytes": 18432, "link_mbps": 550000.0, "stride": 5, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "kv_handle_s": 5.0,
+			map[string]any{"name": "huvo11a", "health_path": "/healthz", wire("connections_field"): 370, "protocol": "h1", "tls": false, "engine": map[string]any{
+				"slots": 64, wire("memory_field"): 438022, "kv_token_bytes": 18432, "link_mbps": 550000.0, "stride": 5, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "kv_handle_s": 5.0,
 				"models": []any{map[string]any{"name": "m"}},
 			}},
-			map[string]any{"name": "wuno96b", "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false},
+			map[string]any{"name": "wuno96b", "health_path": "/healthz", wire("connections_field"): 110, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "api_keys": keys}, map[string]any{"name": "fida11", "api_keys": []string{"other-key"}}},
+		"tenants": []any{map[string]any{"name": "hule930", wire("keys_field"): keys}, map[string]any{"name": "fida11", wire("keys_field"): []string{"other-key"}}},
 	}
 }
