core/grace, platform: the record of an earlier era does not settle a newer one

Callers saw: after a drill of the store, a key that had been taken away right before it worked again, later than revoke_ms, though every host's proof had lapsed during the drill and hosts without a proof wait 2.1 s for the operator.

Cause: a host that another one tells of the new era closes its gate before it has itself had an answer of the store in that era. Gateway.eraIsSettled compared the era recorded in the store with the newest era in the host's own answers (Store.Era), which was still the one before, and so the record of the era before ended the wait at once (log: store_restored and newest_learned in the same millisecond, store_regained 0.2 s later).

Change: core/grace holds the newest era that is known from anywhere and its period; the mirror begins it under the lock that guards its position, so that the gate can't be open for an era that a read is already of. The gate's generations are the eras.

--- a/core/mirror/era.go
+++ b/core/mirror/era.go
@@ -35,8 +35,8 @@
 		return false
 	}
 	mirror.position = store.Position{Era: era}
+	mirror.options.Grace.Begin(era, time.Now())
 	if previous.Era == unknownEra {
-		mirror.recordFirstSeen()
 		return false
 	}
 	mirror.restored, mirror.expected = true, store.Position{}
@@ -59,23 +59,9 @@
 	mirror.regainedAt = mirror.restoredAt
 }
 
-// recordFirstSeen records that the store was reached for the first time. It may have been restored
-// shortly before.
-func (mirror *Mirror) recordFirstSeen() {
-	mirror.healthMutex.Lock()
-	defer mirror.healthMutex.Unlock()
-	mirror.firstSeenAt = time.Now()
-}
-
 // mayLack reports whether the store may lack what its clients are still writing again.
 func (mirror *Mirror) mayLack(now time.Time) bool {
-	if mirror.RecentlyRestored(now) {
-		return true
-	}
-	mirror.healthMutex.Lock()
-	firstSeenAt := mirror.firstSeenAt
-	mirror.healthMutex.Unlock()
-	return now.Before(firstSeenAt.Add(ReregistrationGrace)) && !mirror.options.IsSettled()
+	return mirror.RecentlyRestored(now) || !mirror.options.Grace.Over(now)
 }
 
 // isRestored reports whether the keys of a restored store are to be listed.
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -14,6 +14,7 @@
 	"primrosegw/core/event"
 	"primrosegw/core/fault"
 	"primrosegw/core/fresh"
+	"primrosegw/core/grace"
 	"primrosegw/core/store"
 )
 
@@ -126,9 +127,9 @@
 	// BeforeProbe is called before the first read of the probed key, and may wait for proofs of
 	// other hosts. It may be nil.
 	BeforeProbe func(ctx context.Context)
-	// IsSettled reports whether the clients of the store are known to have written again what it may
-	// have lost before this host started. Nil means that this is not known.
-	IsSettled func() bool
+	// Grace is the time in which the clients of the store write again what it lost when it was restored. The
+	// mirror records the eras there. Nil means one of ReregistrationGrace.
+	Grace *grace.Period
 	// OnRestored is called after the store was restored from a copy, in which all that
 	// was written lately is missing. It may be nil.
 	OnRestored func()
@@ -203,8 +204,8 @@
 	lostAt time.Time
 	// regainedAt is when the store last became reachable again or was found restored.
 	regainedAt time.Time
-	// restoredAt is when the store was last found restored, and firstSeenAt when it was first reached.
-	restoredAt, firstSeenAt time.Time
+	// restoredAt is when the store was last found restored.
+	restoredAt time.Time
 	// regained is closed when the store becomes reachable again; nil while it is
 	// reachable.
 	regained chan struct{}
@@ -226,8 +227,8 @@
 	if options.BeforeProbe == nil {
 		options.BeforeProbe = func(context.Context) {}
 	}
-	if options.IsSettled == nil {
-		options.IsSettled = func() bool { return false }
+	if options.Grace == nil {
+		options.Grace = grace.New(ReregistrationGrace)
 	}
 	if options.OnRestored == nil {
 		options.OnRestored = func() {}
