--- a/core/mirror/current.go
+++ b/core/mirror/current.go
@@ -24,7 +24,7 @@
 // that is not known, or if clients of a restored store may still be writing again what was lost, as
 // they may when a host has just started.
 func (mirror *Mirror) CurrentAsOf() time.Time {
-	if mirror.mayLack(time.Now()) {
+	if !mirror.options.Grace.Over(time.Now()) {
 		return time.Time{}
 	}
 	mirror.mutex.Lock()
--- a/core/mirror/era.go
+++ b/core/mirror/era.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	mirror.position = store.Position{Era: era}
-	mirror.options.Grace.Begin(era, time.Now())
+	mirror.options.Grace.Begin(era)
 	if previous.Era == unknownEra {
 		return false
 	}
@@ -55,13 +55,7 @@
 func (mirror *Mirror) recordRestored() {
 	mirror.healthMutex.Lock()
 	defer mirror.healthMutex.Unlock()
-	mirror.restoredAt = time.Now()
-	mirror.regainedAt = mirror.restoredAt
-}
-
-// mayLack reports whether the store may lack what its clients are still writing again.
-func (mirror *Mirror) mayLack(now time.Time) bool {
-	return mirror.RecentlyRestored(now) || !mirror.options.Grace.Over(now)
+	mirror.regainedAt = time.Now()
 }
 
 // isRestored reports whether the keys of a restored store are to be listed.
--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -84,8 +84,8 @@
 	if err != nil {
 		return err
 	}
-	mirror.recordSuccess()
 	mirror.ObserveEra(position.Era)
+	mirror.recordRead(position.Era)
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	if position.Era != mirror.position.Era {
@@ -218,6 +218,7 @@
 		return false, err
 	}
 	mirror.ObserveEra(position.Era)
+	mirror.options.Grace.Read(position.Era, time.Now())
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	if after.Era != mirror.position.Era || position.Era != after.Era {
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -128,7 +128,7 @@
 	// other hosts. It may be nil.
 	BeforeProbe func(ctx context.Context)
 	// Grace is the time in which the clients of the store write again what it lost when it was restored. The
-	// mirror records the eras there. Nil means one of ReregistrationGrace.
+	// mirror records there which era it reads, and when it can't. Nil means one of ReregistrationGrace.
 	Grace *grace.Period
 	// OnRestored is called after the store was restored from a copy, in which all that
 	// was written lately is missing. It may be nil.
@@ -204,8 +204,6 @@
 	lostAt time.Time
 	// regainedAt is when the store last became reachable again or was found restored.
 	regainedAt time.Time
-	// restoredAt is when the store was last found restored.
-	restoredAt time.Time
 	// regained is closed when the store becomes reachable again; nil while it is
 	// reachable.
 	regained chan struct{}
@@ -282,14 +280,6 @@
 	}
 }
 
-// RecentlyRestored reports whether the store was found restored so recently that its
-// clients may still be writing again what was lost.
-func (mirror *Mirror) RecentlyRestored(now time.Time) bool {
-	mirror.healthMutex.Lock()
-	defer mirror.healthMutex.Unlock()
-	return !mirror.restoredAt.IsZero() && now.Before(mirror.restoredAt.Add(ReregistrationGrace))
-}
-
 // WaitCaughtUp waits until the changes since the first listing have been applied, a
 // call to the store has failed, or the context ends.
 func (mirror *Mirror) WaitCaughtUp(ctx context.Context) {
@@ -309,8 +299,9 @@
 	return true
 }
 
-// recordSuccess records that the store answered.
-func (mirror *Mirror) recordSuccess() {
+// recordRead records that the store answered a read in an era.
+func (mirror *Mirror) recordRead(era int64) {
+	mirror.options.Grace.Read(era, time.Now())
 	mirror.healthMutex.Lock()
 	defer mirror.healthMutex.Unlock()
 	if mirror.lostAt.IsZero() {
--- a/core/mirror/probe.go
+++ b/core/mirror/probe.go
@@ -32,6 +32,7 @@
 		}
 		if ctx.Err() == nil {
 			mirror.RecordFailure(err, "probe")
+			mirror.options.Grace.Lose(time.Now())
 		}
 		sleep(ctx, mirror.jitter(delay))
 		delay = min(2*delay, mirror.maxRetryDelay())
@@ -120,7 +121,8 @@
 	if err != nil && !fault.Is(err, store.Absent) {
 		return err
 	}
-	mirror.recordSuccess()
+	mirror.ObserveEra(position.Era)
+	mirror.recordRead(position.Era)
 	if err != nil || !mirror.applyProbed(entry, position, before, calledAt) {
 		// There is nothing to confirm yet.
 		mirror.waitOrWake(ctx, mirror.jitter(absentRetryDelay))
@@ -131,7 +133,6 @@
 // applyProbed applies the entry of the probed key that was read at a position, and reports
 // whether it confirms the proof as of the start of the read.
 func (mirror *Mirror) applyProbed(entry store.Entry, position store.Position, before fresh.Instant, calledAt time.Time) bool {
-	mirror.ObserveEra(position.Era)
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	if position.Era != mirror.position.Era {
