core/room: hosts tell of a sound server beside a brittle one, also if they never took it for brittle

Cause: a server of a brittle service that has said nothing is taken for brittle, and the hosts that have a share find out and tell the others. A host that had the sound answer just before it could take the server for brittle never told: only servers that were brittle or taken for it count as a host's own.

Change: while the service is brittle, an answer of a sound server is the host's own, and is told when it becomes so.

Measured: TestSoundServerIsToldToHostsWithoutAShare failed and passes.

--- a/core/room/room.go
+++ b/core/room/room.go
@@ -205,11 +205,12 @@
 	if known == nil || limiter.brittle == 0 || !answer.SentAt.After(known.observedAt) || !answer.SentAt.After(known.assumedAt) {
 		return None
 	}
-	wasBrittle, wasAssumed := known.number > 0, now.Before(known.assumedUntil)
-	known.own = known.own || wasBrittle || wasAssumed
-	if wasAssumed {
+	wasBrittle := known.number > 0
+	if !known.own && limiter.isBrittleTime(known.service, now) || now.Before(known.assumedUntil) {
+		// Other hosts take it for brittle.
 		known.changedAt = now
 	}
+	known.own = known.own || wasBrittle || limiter.isBrittleTime(known.service, now)
 	limiter.set(known, 0, now, now)
 	limiter.wake(known.service)
 	if !wasBrittle {
@@ -289,7 +290,7 @@
 // brittle. It returns the state of the server, nil if there is none.
 func (limiter *Limiter) assume(key uint64, registered fleet.Server, now time.Time) *server {
 	known := limiter.servers[key]
-	if until, found := limiter.brittleUntil[registered.Service]; !found || !now.Before(until) {
+	if !limiter.isBrittleTime(registered.Service, now) {
 		return known
 	}
 	known = limiter.server(key)
@@ -302,6 +303,11 @@
 	return known
 }
 
+// isBrittleTime reports whether a server of a service has lately said that it is brittle.
+func (limiter *Limiter) isBrittleTime(service string, now time.Time) bool {
+	return now.Before(limiter.brittleUntil[service])
+}
+
 // limit returns the number of requests that all hosts together may have in flight at the server.
 func (server *server) limit(now time.Time) float64 {
 	raised := server.base + float64(max(0, now.Sub(server.cutAt))/raiseInterval)
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -264,6 +264,36 @@
 	}
 }
 
+// Guards against hosts without a share of a sound server beside a brittle one that never send it anything: the hosts with
+// a share knew that it is sound before it could be taken for brittle, and did not tell.
+func TestSoundServerIsToldToHostsWithoutAShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := room.New("first"), room.New("second")
+		for _, limiter := range []*room.Limiter{first, second} {
+			limiter.SetHosts([]string{"first", "second"}, time.Now())
+			limiter.Heard("first", time.Now())
+			limiter.Heard("second", time.Now())
+		}
+		time.Sleep(time.Second)
+		for number := range 20 {
+			service := fmt.Sprint("service-", number)
+			brittle, sound := fleet.Server{ID: "brittle of " + service, Service: service, Slots: 1}, fleet.Server{ID: "sound of " + service, Service: service, Slots: 1}
+			sentAt := time.Now()
+			require.True(t, first.Take(sound, nil, sentAt))
+			time.Sleep(time.Millisecond)
+			first.Observe(brittle, room.Observation{Number: 3, Slots: 1, SentAt: sentAt}, time.Now())
+			first.Observe(sound, room.Observation{Slots: 1, SentAt: sentAt}, time.Now())
+			first.Done(sound, true, sentAt, time.Now())
+			second.ApplyReports(first.PendingReports(time.Now()), time.Now())
+			// The second host, which has no share of half of the servers, needs them.
+			second.Wait(sound, time.Now())
+			time.Sleep(100 * time.Millisecond)
+			second.ApplyReports(first.PendingReports(time.Now()), time.Now())
+			require.Zero(t, second.Wait(sound, time.Now()), "%s", sound.ID)
+		}
+	})
+}
+
 // Guards against servers that fall over because hosts come, go, or are heard of by some only.
 func TestRoomIsKeptWhileHostsChange(t *testing.T) {
 	for _, hosts := range []int{2, 4, 8, 32} {
