core/room: a brittle time that begins unseen does not flood its servers (review/10 with hosts that start slowly)

Hosts know a brittle time from answers alone. When it has begun before the first request, after the hosts' start or after a pause of all callers, nobody has said so, and each host sends all that waits: 48 requests to 24 places and 8 that may wait.

Change: until a server of a service has answered within the last 2 s without saying that it is brittle, each server gets no more requests in flight than it works on at once, divided among the hosts as in a brittle time, at least one from each. Servers keep their room for contact_ms (3 s or more) after they began to say that they are brittle, so a recent answer shows that there is room. Requests beyond that wait at their host, not at the server. A server whose registration names no places is not limited.

Tests: TestBrittleTimeEnds required no limit at a server that has said nothing for 10 s while 11 requests are in flight there. Whether a brittle time has begun is not known then; it now requires that the server does not count as brittle, that it is limited for that reason, and that one answer ends the limit.

Where there are more hosts than places, each may still have one request at a server that has said nothing.

--- a/core/room/queue.go
+++ b/core/room/queue.go
@@ -106,7 +106,7 @@
 func (limiter *Limiter) expectedWait(service string, before int, now time.Time) time.Duration {
 	places := 0
 	for key, known := range limiter.servers {
-		if known.service == service && known.isBrittle(now) {
+		if known.service == service && limiter.isLimited(known, now) {
 			places += limiter.share(key, known, now)
 		}
 	}
--- a/core/room/room.go
+++ b/core/room/room.go
@@ -31,6 +31,9 @@
 	// unansweredTime is the time for which a request without an answer counts as in flight, because the
 	// server may still run it.
 	unansweredTime = time.Second
+	// soundTime is how long an answer that does not say that its server is brittle shows that the servers of its
+	// service have room: servers let fewer requests wait some seconds after they began to say that they are brittle.
+	soundTime = 2 * time.Second
 	// noRoomWait is the time after which a server without room is asked for again if nothing is known of
 	// how long requests run there.
 	noRoomWait = 50 * time.Millisecond
@@ -48,7 +51,11 @@
 A brittle time is one of a service: servers of it that have not answered yet are taken for brittle, so that one that
 has just started does not get all that waits before its first answer.
 
-A Limiter is safe for concurrent use. It limits nothing while no server is brittle.
+A brittle time may have begun unseen: before this host started, or while nothing was sent. Until one of the servers of a
+service has answered lately, a server gets no more requests than it works on at once, divided in the same way, but at
+least one from each host. It is not limited if it does not say how many it works on.
+
+A Limiter is safe for concurrent use. It limits nothing while the servers of a service say that they are not brittle.
 */
 type Limiter struct {
 	own     string
@@ -62,6 +69,8 @@
 	// unless one of its servers says again that it is brittle.
 	brittle      int
 	brittleUntil map[string]time.Time
+	// soundAt is when a server of a service last answered without saying that it is brittle.
+	soundAt map[string]time.Time
 }
 
 // hostSet is a set of hosts that limits are divided among.
@@ -106,7 +115,7 @@
 func New(own string) *Limiter {
 	return &Limiter{
 		own: own, hosts: newHostSet([]string{own}), heard: make(map[string]time.Time), servers: make(map[uint64]*server), queues: make(map[string]*queue),
-		brittleUntil: make(map[string]time.Time),
+		brittleUntil: make(map[string]time.Time), soundAt: make(map[string]time.Time),
 	}
 }
 
@@ -184,6 +193,7 @@
 	defer limiter.mutex.Unlock()
 	key := fleet.ServerHash(registered.ID)
 	if answer.Number == 0 {
+		limiter.recordSound(registered.Service, now)
 		return limiter.observeSound(key, answer, now)
 	}
 	known := limiter.server(key)
@@ -199,6 +209,20 @@
 	return None
 }
 
+// recordSound records that a server of a service does not say that it is brittle.
+func (limiter *Limiter) recordSound(service string, now time.Time) {
+	wasUnknown := limiter.isUnknown(service, now)
+	limiter.soundAt[service] = now
+	if wasUnknown {
+		limiter.wake(service)
+	}
+}
+
+// isUnknown reports whether no server of a service has lately shown that it has room.
+func (limiter *Limiter) isUnknown(service string, now time.Time) bool {
+	return now.Sub(limiter.soundAt[service]) >= soundTime
+}
+
 // observeSound records an answer that does not say that its server is brittle.
 func (limiter *Limiter) observeSound(key uint64, answer Observation, now time.Time) Change {
 	known := limiter.servers[key]
@@ -317,8 +341,16 @@
 	return raised
 }
 
-// share returns this host's part of the limit.
+// isLimited reports whether the requests in flight at a server are limited.
+func (limiter *Limiter) isLimited(known *server, now time.Time) bool {
+	return known.isBrittle(now) || known.slots > 0 && limiter.isUnknown(known.service, now)
+}
+
+// share returns this host's part of the limit of a server that has one.
 func (limiter *Limiter) share(key uint64, known *server, now time.Time) int {
+	if !known.isBrittle(now) {
+		return max(1, limiter.hosts.share(limiter.own, key, known.slots))
+	}
 	if now.Before(known.blockedUntil) {
 		return 0
 	}
@@ -372,7 +404,7 @@
 func (limiter *Limiter) Wait(registered fleet.Server, now time.Time) time.Duration {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	if limiter.brittle == 0 {
+	if limiter.brittle == 0 && !limiter.isUnknown(registered.Service, now) {
 		return 0
 	}
 	key := fleet.ServerHash(registered.ID)
@@ -384,7 +416,7 @@
 }
 
 func (limiter *Limiter) hasRoom(key uint64, known *server, now time.Time) bool {
-	return !known.isBrittle(now) || known.inFlight < limiter.share(key, known, now)
+	return !limiter.isLimited(known, now) || known.inFlight < limiter.share(key, known, now)
 }
 
 // Limit returns the limit of a server and this host's share of it; false: it is not brittle.
@@ -407,8 +439,8 @@
 	key := fleet.ServerHash(registered.ID)
 	known := limiter.server(key)
 	limiter.assume(key, registered, now)
-	known.id, known.service = registered.ID, registered.Service
-	if known.isBrittle(now) {
+	known.id, known.service, known.slots = registered.ID, registered.Service, cmp.Or(known.slots, registered.Slots)
+	if limiter.isLimited(known, now) {
 		if !limiter.hasRoom(key, known, now) || !limiter.isNext(registered.Service, ticket) {
 			return false
 		}
@@ -446,7 +478,5 @@
 // release ends a request at a server.
 func (limiter *Limiter) release(known *server) {
 	known.inFlight--
-	if limiter.brittle > 0 {
-		limiter.wake(known.service)
-	}
+	limiter.wake(known.service)
 }
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -341,6 +341,10 @@
 		require.Equal(t, room.Began, limiter.Observe(server, brittle(), time.Now()))
 		time.Sleep(10 * time.Second)
 		require.Equal(t, []string{"i-0"}, limiter.Expire(time.Now()))
+		_, _, isBrittle := limiter.Limit(server, time.Now())
+		require.False(t, isBrittle)
+		require.Positive(t, limiter.Wait(server, time.Now()), "11 are in flight, and whether a brittle time has begun is not known")
+		require.Equal(t, room.None, limiter.Observe(server, room.Observation{SentAt: time.Now()}, time.Now()))
 		require.Zero(t, limiter.Wait(server, time.Now()))
 	})
 }
@@ -413,3 +417,52 @@
 		require.Zero(t, limiter.Wait(server, time.Now()))
 	})
 }
+
+// Guards against servers that fall over because a brittle time began before any host had an answer in it: after the
+// start of the hosts, or after a time without requests (review/10, with hosts that start slowly).
+func TestServersOfAnUnseenBrittleTimeAreNotFlooded(t *testing.T) {
+	// Each host may have one request at a server that has said nothing, so more hosts than a server bears are too many.
+	for _, hosts := range []int{1, 2, 4, slots + lateRoom + number} {
+		for _, name := range []string{"hosts start", "nothing was sent for a while"} {
+			synctest.Test(t, func(t *testing.T) {
+				play := newPlay(hosts, 0.05)
+				if name == "nothing was sent for a while" {
+					play.setSound(true)
+					play.run(time.Second)
+					play.setSound(false)
+				}
+				time.Sleep(warning)
+				play.begin = time.Now().Add(-warning)
+				play.run(6 * time.Second)
+				play.requireUp(t)
+				require.Greater(t, play.served(), 6*slots*20, "they are used, %d hosts, %s", hosts, name)
+			})
+		}
+	}
+}
+
+// Guards against sound servers that get less than they can take, because nothing was heard of them at first or for a
+// while: more than a few requests wait, or requests wait for answers that take long.
+func TestSoundServersThatWereSilentAreNotLimited(t *testing.T) {
+	for _, hosts := range []int{1, 4, 16, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			play := newPlay(hosts, 0.05)
+			play.setSound(true)
+			for range 3 {
+				before := play.served()
+				play.run(time.Second)
+				// Each host has one request after another for each step at each engine, and waits for one answer at first.
+				busy := len(play.engines) * hosts * int((time.Second-3*workTime)/step)
+				require.Greater(t, play.served()-before, busy*95/100, "%d hosts", hosts)
+				time.Sleep(5 * time.Second)
+			}
+		})
+	}
+}
+
+// setSound makes all engines sound or brittle.
+func (play *play) setSound(isSound bool) {
+	for _, engine := range play.engines {
+		engine.isSound = isSound
+	}
+}
