--- a/core/mirror/follow.go
+++ b/core/mirror/follow.go
@@ -84,8 +84,11 @@
 	if err != nil {
 		return err
 	}
+	mirror.recordSuccess()
 	mirror.ObserveEra(position.Era)
-	mirror.recordRead(position.Era)
+	if !stale {
+		mirror.options.Grace.Read(position.Era, time.Now())
+	}
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	if position.Era != mirror.position.Era {
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -299,9 +299,8 @@
 	return true
 }
 
-// recordRead records that the store answered a read in an era.
-func (mirror *Mirror) recordRead(era int64) {
-	mirror.options.Grace.Read(era, time.Now())
+// recordSuccess records that the store answered.
+func (mirror *Mirror) recordSuccess() {
 	mirror.healthMutex.Lock()
 	defer mirror.healthMutex.Unlock()
 	if mirror.lostAt.IsZero() {
--- a/core/mirror/probe.go
+++ b/core/mirror/probe.go
@@ -121,8 +121,9 @@
 	if err != nil && !fault.Is(err, store.Absent) {
 		return err
 	}
+	mirror.recordSuccess()
 	mirror.ObserveEra(position.Era)
-	mirror.recordRead(position.Era)
+	mirror.options.Grace.Read(position.Era, time.Now())
 	if err != nil || !mirror.applyProbed(entry, position, before, calledAt) {
 		// There is nothing to confirm yet.
 		mirror.waitOrWake(ctx, mirror.jitter(absentRetryDelay))
