--- a/core/room/room.go
+++ b/core/room/room.go
@@ -5,13 +5,10 @@
 import (
 	"cmp"
 	"maps"
-	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"primrosegw/core/fleet"
-	"primrosegw/core/host"
 )
 
 const (
@@ -73,44 +70,6 @@
 	soundAt map[string]time.Time
 }
 
-// hostSet is a set of hosts that limits are divided among.
-type hostSet struct {
-	names []string
-	// ranks caches the position of this host in the rendezvous order, by hash of the server's ID.
-	ranks map[uint64]int
-}
-
-// pastHosts are hosts that the limits were divided among before.
-type pastHosts struct {
-	*hostSet
-	replacedAt time.Time
-}
-
-// server is the state of a server.
-type server struct {
-	id, service string
-	// inFlight is the number of this host's requests there.
-	inFlight int
-	// number is the number of refusals within a second that the server bears; 0: it is not brittle.
-	number int
-	// slots is the number of requests that it works on at once; 0: unknown.
-	slots int
-	// observedAt is when the newest answer was received that said whether it is brittle, by any host. Own
-	// is set if this host received it.
-	observedAt time.Time
-	own        bool
-	changedAt  time.Time
-	reportedAt time.Time
-	// base is the limit at cutAt, from which on it rises. Refused is set if the limit was cut then.
-	base    float64
-	cutAt   time.Time
-	refused bool
-	// blockedUntil is the end of the time without requests after a refusal.
-	blockedUntil time.Time
-	// The server has said nothing and is taken for brittle from assumedAt until assumedUntil.
-	assumedAt, assumedUntil time.Time
-}
-
 // New returns a limiter for a host that knows of no other hosts and no brittle servers.
 func New(own string) *Limiter {
 	return &Limiter{
@@ -119,41 +78,6 @@
 	}
 }
 
-func newHostSet(names []string) *hostSet { return &hostSet{names: names, ranks: make(map[uint64]int)} }
-
-// SetHosts sets the hosts among which the limits are divided; others have no share. Those that were among
-// them before count for as long as they are heard of.
-func (limiter *Limiter) SetHosts(hosts []string, now time.Time) {
-	limiter.mutex.Lock()
-	defer limiter.mutex.Unlock()
-	hosts = slices.Clone(hosts)
-	for name, at := range limiter.heard {
-		if now.Sub(at) >= heardTimeout {
-			delete(limiter.heard, name)
-		} else if !slices.Contains(hosts, name) && slices.Contains(limiter.hosts.names, name) {
-			hosts = append(hosts, name)
-		}
-	}
-	slices.Sort(hosts)
-	limiter.past = slices.DeleteFunc(limiter.past, func(past pastHosts) bool { return now.Sub(past.replacedAt) >= settleTime })
-	if slices.Equal(hosts, limiter.hosts.names) {
-		return
-	}
-	limiter.past = append(limiter.past, pastHosts{limiter.hosts, now})
-	limiter.hosts = newHostSet(hosts)
-	for _, server := range limiter.servers {
-		// Hosts that have just been listed may not know of it.
-		server.changedAt = now
-	}
-}
-
-// Heard records that another host sent a message.
-func (limiter *Limiter) Heard(name string, now time.Time) {
-	limiter.mutex.Lock()
-	defer limiter.mutex.Unlock()
-	limiter.heard[name] = now
-}
-
 // server returns the state of a server, which it adds if there is none.
 func (limiter *Limiter) server(key uint64) *server {
 	known := limiter.servers[key]
@@ -265,13 +189,6 @@
 	return isNew
 }
 
-// cut reduces the limit, and sends the server nothing for so long that it has to turn away at most one
-// request less than it bears within a second.
-func (server *server) cut(base float64, now time.Time) {
-	server.base, server.cutAt, server.refused, server.changedAt = base, now, true, now
-	server.blockedUntil = now.Add(time.Second / time.Duration(max(1, server.number-1)))
-}
-
 // RecordCrash records that a server refuses connections. It starts again with the lowest limit.
 func (limiter *Limiter) RecordCrash(registered fleet.Server, now time.Time) {
 	limiter.mutex.Lock()
@@ -300,16 +217,6 @@
 	return ended
 }
 
-// isBrittle reports whether the server says that it is brittle, or is taken for it.
-func (server *server) isBrittle(now time.Time) bool {
-	return server.saysBrittle(now) || now.Before(server.assumedUntil)
-}
-
-// saysBrittle reports whether the newest answer says that the server is brittle.
-func (server *server) saysBrittle(now time.Time) bool {
-	return server.number > 0 && now.Sub(server.observedAt) < quietTimeout
-}
-
 // assume takes a server for brittle that has said nothing lately, if another one of its service says that it is
 // brittle. It returns the state of the server, nil if there is none.
 func (limiter *Limiter) assume(key uint64, registered fleet.Server, now time.Time) *server {
@@ -332,15 +239,6 @@
 	return now.Before(limiter.brittleUntil[service])
 }
 
-// limit returns the number of requests that all hosts together may have in flight at the server.
-func (server *server) limit(now time.Time) float64 {
-	raised := server.base + float64(max(0, now.Sub(server.cutAt))/raiseInterval)
-	if server.slots > 0 {
-		return min(raised, float64(server.slots))
-	}
-	return raised
-}
-
 // isLimited reports whether the requests in flight at a server are limited.
 func (limiter *Limiter) isLimited(known *server, now time.Time) bool {
 	return known.isBrittle(now) || known.slots > 0 && limiter.isUnknown(known.service, now)
@@ -367,39 +265,6 @@
 	return share
 }
 
-// isIsolated reports whether this host hears none of the others.
-func (limiter *Limiter) isIsolated(now time.Time) bool {
-	for _, at := range limiter.heard {
-		if now.Sub(at) < heardTimeout {
-			return false
-		}
-	}
-	return len(limiter.hosts.names) > 1
-}
-
-// share returns a host's part of a limit that is divided among the hosts; 0 if it is not one of them.
-func (hosts *hostSet) share(own string, key uint64, limit int) int {
-	if !slices.Contains(hosts.names, own) {
-		return 0
-	}
-	part, rest := limit/len(hosts.names), limit%len(hosts.names)
-	if rest > 0 && hosts.rank(own, key) < rest {
-		part++
-	}
-	return part
-}
-
-// rank returns the position of a host in the rendezvous order for a server.
-func (hosts *hostSet) rank(own string, key uint64) int {
-	rank, known := hosts.ranks[key]
-	if known {
-		return rank
-	}
-	rank = host.Position("room/"+strconv.FormatUint(key, 16), own, hosts.names)
-	hosts.ranks[key] = rank
-	return rank
-}
-
 // Wait returns the time after which this host may have room for a request at a server; 0: it has.
 func (limiter *Limiter) Wait(registered fleet.Server, now time.Time) time.Duration {
 	limiter.mutex.Lock()
