--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -441,8 +441,8 @@
 	}
 }
 
-// Guards against sound servers that get less than they can take, because nothing was heard of them at first or for a
-// while: more than a few requests wait, or requests wait for answers that take long.
+// Guards against sound servers that get less than they can take for longer than until their first answer, because
+// nothing was heard of them at first or for a while.
 func TestSoundServersThatWereSilentAreNotLimited(t *testing.T) {
 	for _, hosts := range []int{1, 4, 16, 40} {
 		synctest.Test(t, func(t *testing.T) {
