core/reach: a silence of all servers ends no attempt

Callers saw: while all servers a host talks to were silent for 1.2 to 2 s and went on, streams were broken off and requests with time left got 502. Cause: two servers that answer no question, directly or through another host, make a host count as cut off, and every attempt that had been silent for 0.6 s was ended then ("the path to the server is down"). That no sign arrives was taken for a sign. Class: an answer that is ended for want of proof. Change: an attempt ends only if its path is shown to be cut: another host has reached the server, or any server for a host that is cut off, since this one last did, and a direct dial that began after that, and after the attempt fell silent, got no byte. A path that is found down is dialed once more at once.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -39,8 +39,11 @@
 	// failedAt is when a path last failed or was seen to be down. Nothing is in doubt long after, so that a
 	// request on a calm day looks at no other path than its own.
 	failedAt time.Time
-	// lastTunnel is when another host last reached a server for this one.
-	lastTunnel time.Time
+	// lastTunnel is when another host last reached a server for this one, and tunnelSince when one first did
+	// after lastSign; zero if none has.
+	lastTunnel, tunnelSince time.Time
+	// refutedAt is when the last direct dial in the background began that got no byte.
+	refutedAt time.Time
 	// lastByte is when the last byte arrived from any server.
 	lastByte time.Time
 	// probedAt is when the last probe of a silent path began.
@@ -53,9 +56,10 @@
 type path struct {
 	// downSince is when the path was found down; zero if it is not.
 	downSince time.Time
-	// dialedAt is when the last direct dial in the background was due.
-	dialedAt time.Time
-	lastByte time.Time
+	// dialedAt is when the last direct dial in the background was due, and refutedAt when the last one began
+	// that got no byte.
+	dialedAt, refutedAt time.Time
+	lastByte            time.Time
 	// failedAt is when a dial last failed directly and through other hosts.
 	failedAt time.Time
 	// muteAt is when a question on a new direct connection, and through other hosts, last got no byte.
@@ -103,7 +107,7 @@
 	found := paths.find(process, now)
 	found.downSince, found.brokenNewAt, found.muteAt = time.Time{}, time.Time{}, time.Time{}
 	signAge := now.Sub(paths.lastSign)
-	paths.lastSign = now
+	paths.recordSign(now)
 	if paths.cutOffSince.IsZero() {
 		return Change{}
 	}
@@ -226,6 +230,27 @@
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
 	paths.lastTunnel = now
+	if paths.tunnelSince.IsZero() {
+		paths.tunnelSince = now
+	}
+}
+
+// RecordRefuted records that a direct dial to a process in the background, which began at a time, got no byte.
+func (paths *Paths) RecordRefuted(process string, began time.Time) {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	paths.refutedAt = later(paths.refutedAt, began)
+	if refuted := paths.paths[process]; refuted != nil {
+		refuted.refutedAt = later(refuted.refutedAt, began)
+	}
+}
+
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // RecordFailed records that a dial to a process failed directly and through other hosts.
@@ -276,7 +301,13 @@
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
 	paths.find(process, now).lastByte = now
-	paths.lastSign, paths.lastByte = now, now
+	paths.lastByte = now
+	paths.recordSign(now)
+}
+
+// recordSign records that a server has shown that this host reaches it. The caller holds the mutex.
+func (paths *Paths) recordSign(now time.Time) {
+	paths.lastSign, paths.tunnelSince = now, time.Time{}
 }
 
 // HasSignSince reports whether a server has shown since a time that this host reaches it.
@@ -339,7 +370,7 @@
 	return true
 }
 
-// Breaks reports whether an attempt on a direct connection is broken by its path: the path is down, and
+// Breaks reports whether an attempt on a direct connection is broken by its path: the path is cut, and
 // neither the connection since a time nor its process has sent a byte for SilenceBeforeBreak.
 func (paths *Paths) Breaks(process string, silentSince, now time.Time) bool {
 	paths.mutex.Lock()
@@ -348,7 +379,20 @@
 		return false
 	}
 	found := paths.paths[process]
-	return found == nil || now.Sub(found.lastByte) >= SilenceBeforeBreak
+	return paths.isCut(found, silentSince) && (found == nil || now.Sub(found.lastByte) >= SilenceBeforeBreak)
+}
+
+/*
+isCut reports whether a path, which may be nil, is shown to be cut, and its server not just silent since a time:
+another host has reached the server, or any server if this host is cut off, and a direct dial that began afterwards
+got no byte. Servers that fall silent together, or go on while a dial waits for them, leave no such sequence. The
+caller holds the mutex.
+*/
+func (paths *Paths) isCut(path *path, silentSince time.Time) bool {
+	if path != nil && !path.downSince.IsZero() && path.refutedAt.After(later(path.downSince, silentSince)) {
+		return true
+	}
+	return !paths.cutOffSince.IsZero() && !paths.tunnelSince.IsZero() && paths.refutedAt.After(later(paths.tunnelSince, silentSince))
 }
 
 // DueDials returns the processes to which a direct dial in the background is due: those whose paths are
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -99,8 +99,13 @@
 	require.False(t, paths.TakeProbe("a", at(0), at(600)), "another server has sent something")
 	require.True(t, paths.TakeProbe("a", at(310), at(600)))
 	paths.RecordDown("a", at(620))
+	require.False(t, paths.Breaks("a", at(310), at(910)), "the server may have been silent until another host reached it")
+	paths.RecordRefuted("a", at(619))
+	require.False(t, paths.Breaks("a", at(310), at(910)), "a dial that began before says nothing more")
+	paths.RecordRefuted("a", at(621))
 	require.False(t, paths.Breaks("a", at(310), at(909)))
 	require.True(t, paths.Breaks("a", at(310), at(910)))
+	require.False(t, paths.Breaks("a", at(650), at(1300)), "nothing is known of the time since the server fell silent")
 	require.False(t, paths.Breaks("b", at(310), at(2000)))
 	paths.RecordByte("a", at(915))
 	require.False(t, paths.Breaks("a", at(310), at(920)), "other connections of the process go on")
@@ -251,3 +256,28 @@
 	peers.Record("a", true, at(0))
 	require.False(t, peers.MayCarry("a", live, at(1)), "it is cut off")
 }
+
+// Guards against a host that takes servers which fall silent together for a cut of its own paths, and ends the
+// attempts there.
+func TestSilenceOfAllServersBreaksNothing(t *testing.T) {
+	paths := reach.New()
+	require.False(t, paths.RecordMute("a", false, at(250), at(400)).CutOff)
+	require.True(t, paths.RecordMute("b", false, at(300), at(450)).CutOff)
+	paths.RecordRefuted("a", at(700))
+	paths.RecordRefuted("b", at(700))
+	for _, process := range []string{"a", "b", "c"} {
+		require.False(t, paths.Breaks(process, at(0), at(2000)), "no other host has reached a server")
+	}
+	paths.RecordTunnel(at(1000))
+	require.False(t, paths.Breaks("a", at(0), at(1400)), "the servers may have gone on")
+	paths.RecordRefuted("a", at(1010))
+	for _, process := range []string{"a", "b", "c"} {
+		require.True(t, paths.Breaks(process, at(0), at(1450)))
+	}
+	paths.RecordByte("b", at(1460))
+	require.False(t, paths.Breaks("a", at(0), at(1470)), "a server has gone on")
+	paths.RecordTunnel(at(1480))
+	require.False(t, paths.Breaks("a", at(0), at(1490)))
+	paths.RecordRefuted("a", at(1481))
+	require.True(t, paths.Breaks("a", at(0), at(1900)))
+}
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -363,13 +363,13 @@
 // record records whether the direct path is up.
 func (race *race) record(isUp bool) {
 	paths := race.dialer.options.Paths
-	change := reach.Change{}
 	if isUp {
-		change = paths.RecordDirect(race.process, time.Now())
-	} else {
-		change = paths.RecordDown(race.process, time.Now())
+		race.dialer.report(paths.RecordDirect(race.process, time.Now()))
+		return
 	}
-	race.dialer.report(change)
+	race.dialer.report(paths.RecordDown(race.process, time.Now()))
+	// The server may have been silent until another host reached it.
+	go race.dialer.Redial(context.Background(), race.process, race.address)
 }
 
 // report tells of a change for the host as a whole.
@@ -403,17 +403,29 @@
 func (dialer *Dialer) Redial(ctx context.Context, process, address string) {
 	ctx, cancel := context.WithTimeout(ctx, dialer.options.Timeout)
 	defer cancel()
+	began, paths := time.Now(), dialer.options.Paths
+	err := dialer.askDirect(ctx, process, address)
+	now := time.Now()
+	switch {
+	case err == nil, errors.Is(err, ErrNoQuestion) && paths.CutOffFor(now) == 0:
+		dialer.report(paths.RecordDirect(process, now))
+	case errors.Is(err, ErrNoQuestion):
+		// That a host is no longer cut off takes a byte of a server.
+	default:
+		paths.RecordRefuted(process, began)
+	}
+}
+
+// askDirect opens a direct connection to a process and asks it a question, if there is one.
+func (dialer *Dialer) askDirect(ctx context.Context, process, address string) error {
 	conn, err := dialer.options.Direct(ctx, address)
 	if err != nil {
-		return
+		return err
 	}
 	defer conn.Close()
-	if dialer.options.Ask != nil {
-		_, err = dialer.options.Ask(ctx, conn, process)
-	}
-	paths, now := dialer.options.Paths, time.Now()
-	// That a host is no longer cut off takes a byte of a server.
-	if err == nil || errors.Is(err, ErrNoQuestion) && paths.CutOffFor(now) == 0 {
-		dialer.report(paths.RecordDirect(process, now))
+	if dialer.options.Ask == nil {
+		return nil
 	}
+	_, err = dialer.options.Ask(ctx, conn, process)
+	return err
 }
--- a/io/front/path_test.go
+++ b/io/front/path_test.go
@@ -54,6 +54,7 @@
 					harness.fleet.Remove("b")
 					harness.addServer("b", respondWith(200, "served", signed))
 					harness.paths.RecordDown(harness.processOf("a"), time.Now())
+					harness.paths.RecordRefuted(harness.processOf("a"), time.Now())
 				})
 				began := time.Now()
 				got := harness.post(path, "x")
