io/front, core/room: a request whose route moves leaves the queue of its old service

Callers saw: beside a change of the configuration that moved a route to another service, requests that waited for room at the brittle servers of the old one waited on, up to their objective, and were refused (503 "brittle") though the new service had room. Requests of routes that stayed waited behind them. Cause: a request kept its ticket when its service changed. Only the first ticket of a queue looks at the table, and one that belongs to another queue is never the first there, so such a request waits at both services or blocks the old queue. Class: a permission or place that outlives what it was for. Change: a request leaves its queue when its service changes, and a new table ends the wait of each request for another look (Current.Replaced). The harness of io/front got the room limiter and the header of brittle servers. core/room's queue test passes the new argument of Await.

--- a/core/room/queue.go
+++ b/core/room/queue.go
@@ -47,6 +47,9 @@
 	return cmp.Or(cmp.Compare(ticket.turn.rank, other.turn.rank), cmp.Compare(ticket.start, other.start), cmp.Compare(ticket.number, other.number))
 }
 
+// Service returns the service at whose servers the request waits for room.
+func (ticket *Ticket) Service() string { return ticket.service }
+
 // Request is what the order of a request depends on.
 type Request struct {
 	Service, Workspace string
@@ -116,14 +119,17 @@
 	return limiter.holdTime(service) * time.Duration(before+1) / time.Duration(places)
 }
 
-// Await waits until the request of a ticket may find room, or until the context is done. It reports which.
-func (limiter *Limiter) Await(ctx context.Context, ticket *Ticket) bool {
+// Await waits until the request of a ticket may find room, or until what it is to be sent to has changed, as a closed
+// channel tells. It returns false if the context is done before.
+func (limiter *Limiter) Await(ctx context.Context, ticket *Ticket, changed <-chan struct{}) bool {
 	timer := time.NewTimer(pollInterval)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ticket.woken:
 			return true
+		case <-changed:
+			return true
 		case <-ctx.Done():
 			return false
 		case <-timer.C:
--- a/core/room/queue_test.go
+++ b/core/room/queue_test.go
@@ -39,7 +39,7 @@
 	}
 	go func() {
 		for !line.limiter.Take(line.server, ticket, time.Now()) {
-			if !line.limiter.Await(ctx, ticket) {
+			if !line.limiter.Await(ctx, ticket, nil) {
 				line.limiter.Leave(ticket)
 				return
 			}
--- a/core/table/current.go
+++ b/core/table/current.go
@@ -22,6 +22,8 @@
 	mutex   sync.Mutex
 	// moves holds the latest changes of what routes of resumable streams lead to, in order of time.
 	moves []move
+	// replaced is closed when the next table is adopted; nil: nobody has asked for it.
+	replaced chan struct{}
 }
 
 // move is the end of a time in which requests for a host name and path prefix led to other services.
@@ -47,9 +49,28 @@
 		current.recordMoves(active, table, time.Now())
 	}
 	current.pointer.Store(table)
+	if current.replaced != nil {
+		close(current.replaced)
+		current.replaced = nil
+	}
 	return true
 }
 
+// Replaced returns a channel that is closed when a table ceases to be the active one, and is closed already if it has.
+func (current *Current) Replaced(table *Table) <-chan struct{} {
+	current.mutex.Lock()
+	defer current.mutex.Unlock()
+	if current.pointer.Load() != table {
+		replaced := make(chan struct{})
+		close(replaced)
+		return replaced
+	}
+	if current.replaced == nil {
+		current.replaced = make(chan struct{})
+	}
+	return current.replaced
+}
+
 // PastServices returns the services to which requests for a host name and path led after since by tables
 // that have been replaced, where these led elsewhere. Only routes of resumable streams count.
 func (current *Current) PastServices(host, path string, since time.Time) []string {
--- a/core/table/current_test.go
+++ b/core/table/current_test.go
@@ -49,3 +49,25 @@
 	require.True(t, current.Adopt(moved(t, 2, map[string]string{"/a/": "first", "/b/": "second"})))
 	require.Empty(t, current.PastServices("h.example", "/a/", time.Now().Add(-time.Minute)), "it leads to the same service")
 }
+
+// Guards against a request that waits on although its table has been replaced, also if that was before it asked.
+func TestReplacedTablesAreTold(t *testing.T) {
+	current := &table.Current{}
+	first, second := moved(t, 1, nil), moved(t, 2, nil)
+	current.Adopt(first)
+	replaced := current.Replaced(first)
+	require.False(t, current.Adopt(moved(t, 1, nil)))
+	select {
+	case <-replaced:
+		require.Fail(t, "the table is still the active one")
+	default:
+	}
+	require.True(t, current.Adopt(second))
+	<-replaced
+	<-current.Replaced(first)
+	select {
+	case <-current.Replaced(second):
+		require.Fail(t, "the table is the active one")
+	default:
+	}
+}
--- a/io/front/brittle.go
+++ b/io/front/brittle.go
@@ -87,7 +87,7 @@
 	}
 	ctx, cancel := context.WithDeadline(call.ctx, call.waitsUntil)
 	defer cancel()
-	if call.handler.options.Room.Await(ctx, call.ticket) {
+	if call.handler.options.Room.Await(ctx, call.ticket, call.handler.options.Table.Replaced(call.table)) {
 		return nil
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: steer.Brittle}
@@ -106,5 +106,13 @@
 func (call *call) leaveQueue() {
 	if call.ticket != nil {
 		call.handler.options.Room.Leave(call.ticket)
+		call.ticket = nil
+	}
+}
+
+// leaveOtherQueue ends the wait for room at a service to which the request is no longer to be sent.
+func (call *call) leaveOtherQueue() {
+	if call.ticket != nil && call.ticket.Service() != call.work.Service {
+		call.leaveQueue()
 	}
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -313,6 +313,7 @@
 	call.work.PromptTokens, call.work.OutputTokens = call.info.PromptTokens, call.info.OutputTokens
 	call.work.Parts = call.info.Parts
 	call.work.Service = call.pickService(route)
+	call.leaveOtherQueue()
 	if route.Resumable && !call.responseStarted {
 		call.events.lastID, call.events.takenUpAfter = call.info.LastEventID, call.info.LastEventID
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -68,7 +68,8 @@
 
 func (headerCodec) ParseResponse(status int, header http.Header) front.ResponseInfo {
 	retryAfter, _ := time.ParseDuration(header.Get("X-Away"))
-	return front.ResponseInfo{ID: header.Get("X-Id"), Signed: header.Get("X-Signed") != "", NotRun: header.Get("X-Not-Run") != "" || status == 421, Leaving: header.Get("X-Leaving") != "", RetryAfter: retryAfter, Instance: header.Get("X-Instance")}
+	brittle, _ := strconv.Atoi(header.Get("X-Brittle"))
+	return front.ResponseInfo{ID: header.Get("X-Id"), Signed: header.Get("X-Signed") != "", NotRun: header.Get("X-Not-Run") != "" || status == 421, Leaving: header.Get("X-Leaving") != "", RetryAfter: retryAfter, Instance: header.Get("X-Instance"), Brittle: brittle}
 }
 
 func (headerCodec) HealthRequest(_ fleet.Server, path string) pipe.Request {
@@ -127,6 +128,7 @@
 	records *origin.Records
 	// paths says to which servers the direct path is down.
 	paths *reach.Paths
+	room  *room.Limiter
 	// servers holds the registrations of the servers that were added.
 	servers map[string]fleet.Server
 	server  *httptest.Server
@@ -195,12 +197,12 @@
 	harness.proof.Confirm(1)
 	harness.copyLag.Store(int64(neverLate))
 	harness.records, harness.paths = origin.NewRecords(), reach.New()
-	harness.budget = budget.New(harnessBudget)
+	harness.budget, harness.room = budget.New(harnessBudget), room.New("host")
 	harness.cuts, harness.steps = ending.NewCuts(), idstep.New()
 	harness.crashes = poison.NewCrashDetector(poison.DetectorOptions{})
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
-		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), Paths: harness.paths, RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, Registrations: harness, VersionRecords: harness.records, Pacer: pacer.New("host"), Room: room.New("host"), Pick: pick.Options{TokensPerMs: 50},
+		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), Paths: harness.paths, RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, Registrations: harness, VersionRecords: harness.records, Pacer: pacer.New("host"), Room: harness.room, Pick: pick.Options{TokensPerMs: 50, Room: harness.room},
 		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{}, Budget: harness.budget, TrustedServices: harness.trusted, Cuts: harness.cuts, TellCuts: func() {}, Steps: harness.steps, TellSteps: func() {},
 	})
 	listener, err := front.Listen(t.Context(), "127.0.0.1:0")
--- /dev/null
+++ b/io/front/tablestorm_test.go
@@ -0,0 +1,110 @@
+package front_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosegw/core/room"
+	"primrosegw/core/table"
+)
+
+const (
+	// brittleHeader says that a server is brittle.
+	brittleHeader = "X-Brittle: 3"
+	// soon is the time within which a request whose wait is over gets its answer. It is shorter than the objective.
+	soon = 400 * time.Millisecond
+)
+
+// addServerOf is addServer for a service.
+func (harness *harness) addServerOf(service, id string, respond responder) {
+	harness.t.Helper()
+	harness.addServer(id, respond)
+	harness.fleet.Remove(id)
+	server := harness.servers[id]
+	server.Service = service
+	harness.servers[id] = server
+	harness.fleet.Put(server)
+}
+
+// fill makes a server brittle with one place, and takes it.
+func (harness *harness) fill(id string) {
+	harness.t.Helper()
+	harness.room.Observe(harness.servers[id], room.Observation{Number: 3, Slots: 1}, time.Now())
+	require.True(harness.t, harness.room.Take(harness.servers[id], nil, time.Now()))
+}
+
+// empty ends the request of fill.
+func (harness *harness) empty(id string) {
+	harness.room.Done(harness.servers[id], true, time.Now(), time.Now())
+}
+
+// start sends a request in the background, which soon waits for room.
+func (harness *harness) start(path, id string, headers ...string) <-chan response {
+	done := make(chan response, 1)
+	go func() { done <- harness.post(path, "x", append(headers, "X-Id", id)...) }()
+	time.Sleep(100 * time.Millisecond)
+	return done
+}
+
+// requireSoon returns a response that must come soon.
+func requireSoon(t *testing.T, done <-chan response, name string) response {
+	t.Helper()
+	select {
+	case got := <-done:
+		return got
+	case <-time.After(soon):
+		require.Fail(t, "the request still waits", name)
+		return response{}
+	}
+}
+
+// moveRoutes puts the next version in force, in which some routes lead to a service.
+func (harness *harness) moveRoutes(version int64, service string, names ...string) {
+	harness.adopt(func(data *table.Data) {
+		data.Version, data.Services = version, append(data.Services, table.Service{Name: "others", HealthPath: "/health"})
+		for index, route := range data.Routes {
+			for _, name := range names {
+				if route.Name == name {
+					data.Routes[index].Targets = []table.Target{{Service: service, Weight: 1}}
+				}
+			}
+		}
+	})
+}
+
+func brittleSuccess() responder { return respondWith(200, "ok", signed, brittleHeader) }
+
+// Guards against a request that waits behind those of a service to which its route no longer leads.
+func TestWaitForRoomEndsWhenTheRouteMoves(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addServer("a", brittleSuccess())
+	harness.addServerOf("others", "b", respondWith(200, "ok", signed))
+	harness.fill("a")
+	first := harness.start("/once/", "id-1")
+	moved := harness.start("/safe/", "id-2")
+	harness.moveRoutes(2, "others", "safe")
+	require.Equal(t, 200, requireSoon(t, moved, "moved").status)
+	harness.empty("a")
+	require.Equal(t, 200, requireSoon(t, first, "first").status)
+	require.Equal(t, []string{"b /safe/ x", "a /once/ x"}, harness.requestsReceived())
+}
+
+// Guards against a request that holds its place in the queue of a service to which its route no longer leads, or
+// that finds no place in the queue of the other one.
+func TestRouteThatMovesTakesItsQueueAlong(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.addServer("a", brittleSuccess())
+	harness.addServerOf("others", "b", brittleSuccess())
+	harness.fill("a")
+	harness.fill("b")
+	moved := harness.start("/safe/", "id-1")
+	stays := harness.start("/once/", "id-2")
+	harness.moveRoutes(2, "others", "safe")
+	time.Sleep(100 * time.Millisecond)
+	harness.empty("a")
+	require.Equal(t, 200, requireSoon(t, stays, "stays").status)
+	harness.empty("b")
+	require.Equal(t, 200, requireSoon(t, moved, "moved").status)
+}
