io/front: a new timeout holds for requests that wait

Callers saw: beside a change of the configuration that lengthens the timeout of a route, requests that waited for room or whose connection was being opened were refused at the old timeout (503 "brittle", "no_server") with time left; after a shorter one, requests behind others waited on for longer than it allows. Cause: the context of a request had the deadline of the table with which it was admitted, and the time up to which it may wait for room was computed once, when it joined the queue; only work.Deadline followed the table. Change: matchRoute makes a new context when the deadline moves, the end of the wait is computed from the table in force, and an attempt that the deadline ends does not count its server as tried: a newer deadline decides at the next step. The caller's own timeout bounds both as before. Costs one context for each change of a deadline.

--- a/io/front/brittle.go
+++ b/io/front/brittle.go
@@ -55,8 +55,10 @@
 	return call.handler.options.Room.Take(server, call.ticket, time.Now())
 }
 
-// attemptInRoom makes an attempt that takeRoom has counted.
+// attemptInRoom makes an attempt that takeRoom has counted. Its server counts as tried, unless the deadline has ended the
+// attempt before a connection was open: that says nothing of the server, and a new table may have moved the deadline.
 func (call *call) attemptInRoom(choice pick.Choice) work.Result {
+	call.tried[choice.Member.ID] = true
 	takenAt, result := time.Now(), work.Broken
 	// A ticket is for one attempt.
 	call.ticket = nil
@@ -64,6 +66,9 @@
 		call.handler.options.Room.Done(choice.Member.Server, result != work.Broken, takenAt, time.Now())
 	}()
 	result = call.attempt(choice, 0)
+	if result == work.NoConnection && call.ctx.Err() != nil {
+		delete(call.tried, choice.Member.ID)
+	}
 	return result
 }
 
@@ -72,20 +77,20 @@
 func (call *call) awaitRoom() *refusal {
 	now := time.Now()
 	if call.ticket == nil {
-		call.waitsUntil = now.Add(call.maxRoomWait(now))
 		rank := call.work.Rank
 		if call.reached > 0 {
 			rank = retryRank
 		}
 		ticket, wait := call.handler.options.Room.Join(room.Request{
-			Service: call.work.Service, Workspace: call.work.Workspace, Rank: rank, MaxWait: call.waitsUntil.Sub(now),
+			Service: call.work.Service, Workspace: call.work.Workspace, Rank: rank, MaxWait: call.maxRoomWait(now),
 		}, now)
 		if ticket == nil {
 			return &refusal{status: http.StatusServiceUnavailable, reason: steer.Brittle, retryAfter: wait}
 		}
-		call.ticket = ticket
+		call.ticket, call.joinedAt = ticket, now
 	}
-	ctx, cancel := context.WithDeadline(call.ctx, call.waitsUntil)
+	// A table that has come since the request joined the queue may have moved its objective or its deadline.
+	ctx, cancel := context.WithDeadline(call.ctx, call.joinedAt.Add(call.maxRoomWait(call.joinedAt)))
 	defer cancel()
 	if call.handler.options.Room.Await(ctx, call.ticket, call.handler.options.Table.Replaced(call.table)) {
 		return nil
@@ -93,7 +98,7 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: steer.Brittle}
 }
 
-// maxRoomWait returns how long the request may wait for room: until its objective has passed.
+// maxRoomWait returns how long the request may wait for room from now on: until its objective has passed.
 func (call *call) maxRoomWait(now time.Time) time.Duration {
 	remaining := time.Duration(roomWaitShare * float64(call.work.Remaining(now)))
 	if call.work.Route.Objective <= 0 {
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -66,7 +66,6 @@
 		if !isAcquired {
 			continue
 		}
-		call.tried[step.Choice.Member.ID] = true
 		result := call.attemptInRoom(*step.Choice)
 		call.state = call.state.Next(result)
 		if !work.Unsent.Next(result).NotRun() {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -148,14 +148,12 @@
 	}
 	writer.Header()["Date"] = nil
 	defer call.releaseMemory()
+	defer call.endContext()
 	call.limitWrites(call.work.Received.Add(defaultTimeout))
 	if refusal := call.admit(); refusal != nil {
 		call.refuse(*refusal)
 		return
 	}
-	ctx, cancel := context.WithDeadline(request.Context(), call.work.Deadline)
-	defer cancel()
-	call.ctx = ctx
 	rank := call.work.Rank
 	handler.inFlightByRank[rank].Add(1)
 	defer handler.inFlightByRank[rank].Add(-1)
@@ -167,7 +165,10 @@
 	handler *Handler
 	writer  http.ResponseWriter
 	request *http.Request
-	ctx     context.Context
+	// ctx ends with the request, at the latest at its deadline; cancel ends it before. Both are nil until the request
+	// has a deadline.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	info RequestInfo
 	body []byte
@@ -177,8 +178,8 @@
 	table *table.Table
 	// ticket is the place in the queue for room at brittle servers; nil: the request has not waited.
 	ticket *room.Ticket
-	// waitsUntil is until when the request may wait there.
-	waitsUntil time.Time
+	// joinedAt is when the request got it.
+	joinedAt time.Time
 
 	state work.State
 	// isDemandCounted: OnDemand was called.
@@ -318,11 +319,28 @@
 		call.events.lastID, call.events.takenUpAfter = call.info.LastEventID, call.info.LastEventID
 	}
 	call.work.LowestPriority = current.Bulk(route, call.work.Service)
-	call.work.Deadline = call.deadline(route)
-	call.limitWrites(call.work.Deadline)
+	call.setDeadline(call.deadline(route))
 	return nil
 }
 
+// setDeadline sets the deadline of the request, which a new table may move.
+func (call *call) setDeadline(deadline time.Time) {
+	if call.ctx != nil && deadline.Equal(call.work.Deadline) {
+		return
+	}
+	call.endContext()
+	call.work.Deadline = deadline
+	call.ctx, call.cancel = context.WithDeadline(call.request.Context(), deadline)
+	call.limitWrites(deadline)
+}
+
+// endContext releases what the context of the request holds.
+func (call *call) endContext() {
+	if call.cancel != nil {
+		call.cancel()
+	}
+}
+
 // pickService returns the service for the request. A stream goes on at the one where it
 // began, unless the route no longer leads there.
 func (call *call) pickService(route table.Route) string {
--- a/io/front/tablestorm_test.go
+++ b/io/front/tablestorm_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,3 +109,63 @@
 	harness.empty("b")
 	require.Equal(t, 200, requireSoon(t, moved, "moved").status)
 }
+
+// Guards against a request that ends at the timeout of a table that is no longer in force.
+func TestNewTimeoutHoldsForWaitingRequests(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		before, after   time.Duration
+		freedAfter      time.Duration
+		status          int
+		atLeast, latest time.Duration
+	}{
+		{"longer", 800 * time.Millisecond, 5 * time.Second, 700 * time.Millisecond, 200, 650 * time.Millisecond, 1200 * time.Millisecond},
+		{"shorter", 5 * time.Second, 600 * time.Millisecond, 2 * time.Second, 503, 0, 900 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			setTimeouts := func(data *table.Data, timeout time.Duration) {
+				for index := range data.Routes {
+					data.Routes[index].Timeout, data.Routes[index].Objective = timeout, 3*time.Second
+				}
+			}
+			harness := newHarness(t, func(data *table.Data) { setTimeouts(data, test.before) })
+			harness.addServer("a", brittleSuccess())
+			harness.fill("a")
+			begun := time.Now()
+			done := harness.start("/once/", "id-1")
+			behind := harness.start("/once/", "id-2")
+			harness.adopt(func(data *table.Data) {
+				data.Version = 2
+				setTimeouts(data, test.after)
+			})
+			time.AfterFunc(time.Until(begun.Add(test.freedAfter)), func() { harness.empty("a") })
+			for _, answered := range []<-chan response{done, behind} {
+				got := <-answered
+				require.Equal(t, test.status, got.status, got.body)
+				require.GreaterOrEqual(t, time.Since(begun), test.atLeast)
+				require.Less(t, time.Since(begun), test.latest)
+			}
+		})
+	}
+}
+
+// Guards against a dial that fails at the timeout of a table that is no longer in force and costs the request its only
+// server.
+func TestNewTimeoutHoldsWhileAConnectionIsOpened(t *testing.T) {
+	harness := newHarness(t, func(data *table.Data) {
+		for index := range data.Routes {
+			data.Routes[index].Timeout = 200 * time.Millisecond
+		}
+	})
+	var dials atomic.Int64
+	harness.whileDialing = func() {
+		if dials.Add(1) == 1 {
+			harness.adopt(func(data *table.Data) { data.Version = 2 })
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+	harness.addServer("a", respondWith(200, "ok", signed))
+	got := harness.post("/once/", "x")
+	require.Equal(t, 200, got.status, got.body)
+}
