io/pipe: a connection that its server closed unused is not kept

Callers saw: a request whose answer was lost (502, or a resumption), sent on a connection that its server had closed before: probes and questions hold connections without a request, and return them to the pool. Cause: the end of a connection that is held is told to its holder. ReleaseUnused did not look, so the pool kept a closed connection; the goroutine that watches it waited for its holder for ever, so it neither closed when it expired nor gave back its place among the connections to the server (max_connections). Class: news that comes while nobody reads. Change: ReleaseUnused closes a connection on which something has been told, and the watcher tells it under the mutex.

--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -93,8 +93,9 @@
 			conn.earlyResponse = true
 			conn.raw.SetWriteDeadline(time.Now())
 		}
-		conn.mutex.Unlock()
+		// There is room, as the holder has taken what it was told before. Under the mutex, so that ReleaseUnused sees it.
 		conn.readable <- struct{}{}
+		conn.mutex.Unlock()
 		<-conn.rearm
 		if conn.isClosed() {
 			return
@@ -356,14 +357,19 @@
 }
 
 // ReleaseUnused returns a connection to the pool on which no request was sent. If
-// it came from the pool, its idle deadline stays the same.
+// it came from the pool, its idle deadline stays the same. It is closed if the server has closed it or sent something.
 func (conn *Conn) ReleaseUnused() {
 	if !conn.Dialed {
 		conn.idleTimeout = time.Until(conn.idleDeadline)
 	}
 	conn.mutex.Lock()
-	conn.inUse = false
+	conn.inUse = len(conn.readable) > 0
+	isReadable := conn.inUse
 	conn.mutex.Unlock()
+	if isReadable {
+		conn.Discard()
+		return
+	}
 	conn.pool.putIdle(conn)
 }
 
