io/pipe: a connection keeps the idle time of the server's last answer

Callers would see (found by reading, shown at the pool only): a request sent on a connection that its server is closing, so that it is not known whether it ran. Cause: Reuse read the Keep-Alive header of an answer to a question (health, process) only to see whether the connection stays open. A connection that was then returned without a request was kept for 4 s, whatever the header said. Change: Reuse stores the time. A connection from the pool keeps its earlier deadline as before. Evidence: TestUnusedConnectionKeepsTheTimeOfItsLastAnswer fails before in 1 of 1 run (the connection is kept past the server's 2 s), passes now in 5 of 5. Other side: none that was measured; such connections are closed sooner.

--- a/io/pipe/conn.go
+++ b/io/pipe/conn.go
@@ -376,7 +376,8 @@
 // Reuse makes the connection ready for another request of its holder, after a complete response
 // with the given headers. It returns false if the server does not keep it open, or has sent more.
 func (conn *Conn) Reuse(header http.Header) bool {
-	if keepAliveTimeout(header) <= 0 || conn.reader.Buffered() > 0 {
+	conn.idleTimeout = keepAliveTimeout(header)
+	if conn.idleTimeout <= 0 || conn.reader.Buffered() > 0 {
 		return false
 	}
 	conn.answered = true
--- a/io/pipe/unused_test.go
+++ b/io/pipe/unused_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -33,3 +34,16 @@
 	pool.CloseExpired(time.Now().Add(time.Hour))
 	require.Eventually(t, func() bool { return pool.OpenConnections("key") == 0 }, 2*time.Second, time.Millisecond)
 }
+
+// Guards against a request on a connection that its server is about to close, as it said in its answer to a question.
+func TestUnusedConnectionKeepsTheTimeOfItsLastAnswer(t *testing.T) {
+	pool := pipe.New(pipe.Options{})
+	conn := get(t, pool, serve(t, echo))
+	_, _ = roundTrip(t, conn, "x")
+	require.True(t, conn.Reuse(http.Header{"Keep-Alive": {"timeout=2"}}))
+	conn.ReleaseUnused()
+	pool.CloseExpired(time.Now().Add(time.Second))
+	require.Equal(t, 1, pool.OpenConnections("key"))
+	pool.CloseExpired(time.Now().Add(2 * time.Second))
+	require.Eventually(t, func() bool { return pool.OpenConnections("key") == 0 }, 2*time.Second, time.Millisecond)
+}
