io/front: a new table does not close the connection of a request that waits for it

Callers saw: while versions of the configuration came faster than connections to a server opened, requests were refused ("unreachable") though the server was sound. Cause: a request that finds a new table in force right before it is sent must decide again. Its connection was closed, although nothing was sent on it, so that the next attempt opened another one, which took as long. Change: if a new table is the reason and the server is usable, the connection goes back to the pool, unless the request's caller or the host's stop has closed it. Each request reaches the server once.

--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -214,7 +214,7 @@
 		return work.NoConnection
 	}
 	if !call.mayStillSend(server) {
-		conn.Discard()
+		call.keepUnused(conn, server, disown)
 		delete(call.tried, server.ID)
 		return work.NoConnection
 	}
@@ -240,6 +240,18 @@
 		call.hasProof() && call.work.Remaining(now) > 0 && call.finishesInDrain(now) && !call.crashesServers()
 }
 
+// keepUnused ends the use of a connection on which the request is not sent. If a new table is the reason, it returns the
+// connection to the pool for the next attempt: versions may come faster than connections open.
+func (call *call) keepUnused(conn *pipe.Conn, server fleet.Server, disown func() bool) {
+	options := call.handler.options
+	isSound := options.Table.Load() != call.table && options.Fleet.Usable(server.ID, call.work.Service, time.Now())
+	if isSound && disown() {
+		conn.ReleaseUnused()
+		return
+	}
+	conn.Discard()
+}
+
 // hasProof reports whether the routing table is confirmed, if keys depend on it. It comes last before a
 // request is written, as the time in between is the one in which a pause goes unnoticed.
 func (call *call) hasProof() bool {
--- a/io/front/tablestorm_test.go
+++ b/io/front/tablestorm_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -169,3 +170,52 @@
 	got := harness.post("/once/", "x")
 	require.Equal(t, 200, got.status, got.body)
 }
+
+// Guards against a request that is never sent because its connections take longer to open than a version of the table
+// lasts.
+func TestVersionsShorterThanADialDoNotStarveRequests(t *testing.T) {
+	harness := newHarness(t, nil)
+	harness.whileDialing = func() { time.Sleep(40 * time.Millisecond) }
+	harness.addServer("a", respondWith(200, "ok", signed))
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ticker := time.NewTicker(10 * time.Millisecond)
+		defer ticker.Stop()
+		for version := int64(2); ; version++ {
+			select {
+			case <-ticker.C:
+				harness.adopt(func(data *table.Data) { data.Version = version })
+			case <-stop:
+				return
+			}
+		}
+	}()
+	defer func() {
+		close(stop)
+		<-stopped
+	}()
+	for number := range 5 {
+		got := harness.post("/once/", strconv.Itoa(number), "X-Timeout-Ms", "1000")
+		require.Equal(t, 200, got.status, got.body)
+	}
+	require.Len(t, harness.requestsReceived(), 5)
+}
+
+// Guards against a request that is refused because new versions of the table came while its connections were being
+// opened, and against one that is then sent twice.
+func TestNewTablesDoNotUseUpConnections(t *testing.T) {
+	harness := newHarness(t, nil)
+	var dials atomic.Int64
+	harness.whileDialing = func() {
+		if dialed := dials.Add(1); dialed <= 6 {
+			harness.adopt(func(data *table.Data) { data.Version = 1 + dialed })
+		}
+	}
+	harness.addServer("a", respondWith(200, "ok", signed))
+	for number := range 3 {
+		got := harness.post("/once/", strconv.Itoa(number))
+		require.Equal(t, 200, got.status, got.body)
+	}
+	require.Equal(t, []string{"a /once/ 0", "a /once/ 1", "a /once/ 2"}, harness.requestsReceived())
+}
