core/room, io/front: requests to silent servers are not refused for want of room

Callers saw (by a model without a network): while sound servers of a service were silent for 1.7 s after a quiet moment, all but one request at each server were refused (503 "brittle"), though no server was brittle. Cause: since a server that has answered nothing for 2 s gets a share of the requests that it works on at once, one from each host if there are many. What was beyond it waited for room up to its objective and was then refused, or at once if the queue looked too long. Class: that nothing is known is taken for trouble. Change: a request that has waited up to its objective is sent all the same if no server of its service is brittle (LetPass, once), and none is refused at once by an estimate then. A server without room turns requests away at once, so one that answers nothing is silent or works for long.

--- a/core/room/queue.go
+++ b/core/room/queue.go
@@ -5,6 +5,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"primrosegw/core/fleet"
 )
 
 // pollInterval is the time after which the first request of a queue looks for room again: limits rise and
@@ -41,6 +43,8 @@
 	number  int64
 	woken   chan struct{}
 	left    bool
+	// passes: the request has waited for as long as it may, and no server was brittle.
+	passes bool
 }
 
 func (ticket *Ticket) compare(other *Ticket) int {
@@ -80,7 +84,7 @@
 }
 
 // Join queues a request. It returns nil, and the time after which room is likely, if the request would
-// wait for longer than it may.
+// wait for longer than it may at servers that are brittle.
 func (limiter *Limiter) Join(request Request, now time.Time) (*Ticket, time.Duration) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
@@ -89,7 +93,7 @@
 	ticket := &Ticket{service: request.Service, turn: turn, start: max(queue.now[request.Rank], queue.next[turn]), number: queue.last + 1, woken: make(chan struct{}, 1)}
 	position, _ := slices.BinarySearchFunc(queue.waiting, ticket, (*Ticket).compare)
 	wait := limiter.expectedWait(request.Service, position, now)
-	if wait > request.MaxWait {
+	if wait > request.MaxWait && limiter.isBrittleTime(request.Service, now) {
 		if wait == unlikely {
 			// Another host has the room.
 			wait = limiter.holdTime(request.Service)
@@ -141,6 +145,41 @@
 	}
 }
 
+// LetPass lets the request of a ticket that has waited for as long as it may be sent to servers that have said nothing: they
+// are silent rather than without room, or work for long. It returns false if servers of the service are brittle, or
+// if it has let the request pass before.
+func (limiter *Limiter) LetPass(ticket *Ticket, now time.Time) bool {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	if ticket.passes || limiter.isBrittleTime(ticket.service, now) {
+		return false
+	}
+	ticket.passes = true
+	return true
+}
+
+// Passes reports whether LetPass lets the request pass.
+func (ticket *Ticket) Passes() bool { return ticket.passes }
+
+// Brittle is the view of a limiter that limits only servers that are brittle.
+type Brittle struct{ limiter *Limiter }
+
+// Brittle returns the view of the limiter for requests that LetPass lets pass.
+func (limiter *Limiter) Brittle() Brittle { return Brittle{limiter} }
+
+// Wait is that of Limiter for a server that is brittle, and 0 for others.
+func (brittle Brittle) Wait(registered fleet.Server, now time.Time) time.Duration {
+	limiter := brittle.limiter
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	key := fleet.ServerHash(registered.ID)
+	known := limiter.assume(key, registered, now)
+	if known == nil || !known.isBrittle(now) || limiter.hasRoom(key, known, now) {
+		return 0
+	}
+	return limiter.holdTime(registered.Service)
+}
+
 func (limiter *Limiter) isFirst(ticket *Ticket) bool {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
--- a/core/room/queue_test.go
+++ b/core/room/queue_test.go
@@ -148,3 +148,33 @@
 		require.Equal(t, []string{"second0"}, line.order())
 	})
 }
+
+// Guards against requests that are refused because sound servers are silent for a while, and against requests that are sent
+// to a server without room because they have waited for long.
+func TestRequestsPassSilentServersOnly(t *testing.T) {
+	for _, isBrittle := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			limiter, server := room.New("host"), fleet.Server{ID: "i-0", Service: "service", Slots: 2}
+			limiter.SetHosts([]string{"host", "host-1", "host-2", "host-3"}, time.Now())
+			limiter.Heard("host-1", time.Now())
+			require.True(t, limiter.Take(server, nil, time.Now()))
+			var tickets []*room.Ticket
+			for range 100 {
+				ticket, _ := limiter.Join(room.Request{Service: "service", MaxWait: time.Second}, time.Now())
+				require.NotNil(t, ticket, "nobody knows how long it would wait")
+				require.False(t, limiter.Take(server, ticket, time.Now()))
+				tickets = append(tickets, ticket)
+			}
+			if isBrittle {
+				limiter.Observe(server, room.Observation{Number: 3, Slots: 2}, time.Now())
+			}
+			time.Sleep(time.Second)
+			for _, ticket := range tickets {
+				require.Equal(t, !isBrittle, limiter.LetPass(ticket, time.Now()))
+				require.Equal(t, !isBrittle, limiter.Brittle().Wait(server, time.Now()) == 0)
+				require.Equal(t, !isBrittle, limiter.Take(server, ticket, time.Now()))
+				require.False(t, limiter.LetPass(ticket, time.Now()), "once")
+			}
+		})
+	}
+}
--- a/core/room/room.go
+++ b/core/room/room.go
@@ -50,7 +50,8 @@
 
 A brittle time may have begun unseen: before this host started, or while nothing was sent. Until one of the servers of a
 service has answered lately, a server gets no more requests than it works on at once, divided in the same way, but at
-least one from each host. It is not limited if it does not say how many it works on.
+least one from each host. It is not limited if it does not say how many it works on. Requests that have waited for that
+for as long as they may are sent all the same: a server without room answers at once, so one that does not is silent.
 
 A Limiter is safe for concurrent use. It limits nothing while the servers of a service say that they are not brittle.
 */
@@ -305,7 +306,8 @@
 	known := limiter.server(key)
 	limiter.assume(key, registered, now)
 	known.id, known.service, known.slots = registered.ID, registered.Service, cmp.Or(known.slots, registered.Slots)
-	if limiter.isLimited(known, now) {
+	mayPass := ticket != nil && ticket.passes && !known.isBrittle(now)
+	if limiter.isLimited(known, now) && !mayPass {
 		if !limiter.hasRoom(key, known, now) || !limiter.isNext(registered.Service, ticket) {
 			return false
 		}
--- a/io/front/brittle.go
+++ b/io/front/brittle.go
@@ -95,6 +95,9 @@
 	if call.handler.options.Room.Await(ctx, call.ticket, call.handler.options.Table.Replaced(call.table)) {
 		return nil
 	}
+	if call.ctx.Err() == nil && call.handler.options.Room.LetPass(call.ticket, time.Now()) {
+		return nil
+	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: steer.Brittle}
 }
 
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -167,6 +167,9 @@
 	progress := steer.Progress{State: call.state, Reached: call.reached, Tried: call.excluded(members)}
 	choose := options.Pick
 	choose.PreferFraming = call.hadUnproven
+	if call.ticket != nil && call.ticket.Passes() {
+		choose.Room = options.Room.Brittle()
+	}
 	return steer.Next(choose, &call.work, progress, options.RetryBudgets, members, now)
 }
 
