io/front: a silent server loses no response of a trusted service

Callers saw: a whole response without a length or chunks of a trusted service was broken off, or answered with 502, when its server fell silent at its end. Cause: the server was asked for 350 ms which process it is, and three questions without an answer, often of one silence, ended the questions for 5 s, in which each such response was lost. That no answer comes was taken for one that speaks against the response. A question that had less time does not count as in vain. An ID alone that comes later than before proves an end only once the registrations show that no other process has taken the address (case answered_late); a registration that does not say when its process started never shows that. Cost: a trusted server that answers no question holds each response for 2.5 s in place of 0.35 s until three have failed so.

--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -14,6 +14,9 @@
 	// TimeLimit limits the time from the end of a response to its verdict, because the caller waits.
 	// It leaves a server the 300 ms after Settle that it has for its report elsewhere.
 	TimeLimit = 350 * time.Millisecond
+	// SilenceLimit replaces TimeLimit for a response of a trusted service, which is lost without an answer: a sound
+	// server may be silent for up to 2 s.
+	SilenceLimit = 2500 * time.Millisecond
 	// MaxConnectTime is the time after the end within which the connection must have been opened on
 	// which a server names its ID only: later, a process that started again under the ID may take it.
 	// 3 ms broke off responses of sound servers on a busy machine.
@@ -119,6 +122,9 @@
 	// ConnectedLate: the server named its ID only, on a connection that a process which has started
 	// again under the ID may have taken.
 	ConnectedLate Case = "connected_late"
+	// AnsweredLate: the server of a trusted service named its ID only, so late that a process which has started
+	// again under the ID may have taken the listener over.
+	AnsweredLate Case = "answered_late"
 )
 
 // NotListed is in place of a number of events that the server does not list the run.
@@ -149,7 +155,9 @@
 	// OpenedAt is when the opening of the connection began on which the server was asked,
 	// ConnectedAt when it was open, and AskedAt when the server was asked; zero: it was not.
 	OpenedAt, ConnectedAt, AskedAt time.Time
-	Outcome                        Outcome
+	// AnsweredAt is when the outcome was known; zero: it was not asked for.
+	AnsweredAt time.Time
+	Outcome    Outcome
 	// Events is the number of events of the run that arrived. RunEvents is how many it has made as
 	// the registered process says, some hundred milliseconds late.
 	Events, RunEvents int
@@ -166,7 +174,8 @@
 the process lists the run with more events than arrived. That list is old, so that a run without more
 events may have made some since.
 
-A response of a trusted service is whole if the process is shown to run. Any other one is passed on if
+A response of a trusted service is whole if the process is shown to run, and if it was silent before and names its
+ID only, no other one has registered meanwhile. Any other one is passed on if
 nothing speaks against it, a stream only if it has events and the process is shown to run. That is shown by a question
 that was asked Settle later, on a connection that was opened after the end, as earlier ones may outlive
 the process. Only the time at which it started names a process. For a server that does not say it, a
@@ -204,11 +213,20 @@
 		if evidence.isEarly() || evidence.Outcome == SameID && evidence.isLate() {
 			return evidence.doubt(), Unknown
 		}
+		if evidence.AwaitsRegistrations() {
+			return AnsweredLate, Unknown
+		}
 		return Case(evidence.Outcome), Whole
 	}
 	return Case(evidence.Outcome), Unknown
 }
 
+// AwaitsRegistrations reports whether a trusted response is whole once no other process can have registered: its
+// server named its ID only, after a silence in which another process may have taken its listener over.
+func (evidence Evidence) AwaitsRegistrations() bool {
+	return evidence.Trusted && evidence.Outcome == SameID && !evidence.Settled && evidence.AnsweredAt.Sub(evidence.EndedAt) > TimeLimit
+}
+
 // showsProcess reports whether the process that sent a stream is shown to run after its end.
 func (evidence Evidence) showsProcess() bool {
 	switch evidence.Outcome {
--- a/io/front/endcheck.go
+++ b/io/front/endcheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -114,6 +115,19 @@
 	}
 }
 
+// settleLate waits until no other process can have registered, if a server that was silent named its ID only. One
+// whose registration does not say when it started leaves no trace there if it starts again.
+func (check *endCheck) settleLate(deadline time.Time) {
+	until := check.handler.beforeExit(earlier(deadline, check.EndedAt.Add(ending.SilenceLimit+settlePatience)))
+	for check.AwaitsRegistrations() && !check.server.Started.IsZero() && check.caller.Err() == nil && !check.isReplaced() {
+		check.observeRegistrations()
+		if !time.Now().Before(until) {
+			return
+		}
+		time.Sleep(settlePoll)
+	}
+}
+
 // lookAgain finds out whether the server has closed its listener since it was asked. A process that closes its
 // connections one after another may have answered before.
 func (check *endCheck) lookAgain() {
@@ -196,12 +210,15 @@
 		var reusable bool
 		disown := context.AfterFunc(over, conn.Close)
 		check.Outcome, reusable, check.err = check.ask(conn, question, limit)
+		check.AnsweredAt = time.Now()
 		if !disown() {
 			// No answer says nothing of the server.
 			conn.Discard()
 			return false
 		}
-		silent.Record(question.key, check.Outcome, time.Now())
+		if !check.wasCutShort() {
+			silent.Record(question.key, check.Outcome, time.Now())
+		}
 		if !reusable {
 			conn.Discard()
 			check.lost = check.Outcome == ending.NoAnswer
@@ -216,6 +233,12 @@
 	return false
 }
 
+// wasCutShort reports whether a server of a trusted service had less than the time of a silence for its answer. It
+// may answer the next question, and without one each response would be lost.
+func (check *endCheck) wasCutShort() bool {
+	return check.Trusted && errors.Is(check.err, os.ErrDeadlineExceeded) && time.Now().Before(check.EndedAt.Add(ending.SilenceLimit))
+}
+
 // quietUntil returns when the server is asked on the connection that has been opened. One that can't be asked is
 // watched for as long on each connection.
 func (check *endCheck) quietUntil(question *endQuestion) time.Time {
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -35,8 +35,9 @@
 	check.awaitsClearing, check.NoCuts = mayClear, mayClear || status != ending.Seen
 	exchange.conn.Discard()
 	if check.NeedsAnswer() {
-		check.run(earlier(now.Add(ending.TimeLimit), call.work.Deadline.Add(responseGrace)))
+		check.run(earlier(call.answerDue(check), call.work.Deadline.Add(responseGrace)))
 		check.settle(call.work.Deadline.Add(-verdictMargin))
+		check.settleLate(call.work.Deadline.Add(-verdictMargin))
 		if check.isPassedOn() {
 			// The same device or process may have cut others at the same time.
 			check.NoCuts = check.awaitCuts(call.verdictDue())
@@ -77,6 +78,19 @@
 	return call.work.Deadline.Add(-verdictMargin)
 }
 
+// answerDue returns until when a server is asked after the end of its response.
+func (call *call) answerDue(check *endCheck) time.Time {
+	due := check.EndedAt.Add(ending.TimeLimit)
+	if !check.Trusted {
+		return due
+	}
+	patient := check.EndedAt.Add(ending.SilenceLimit)
+	if call.progress().Remedy() == ending.Repeat {
+		patient = earlier(patient, call.verdictDue())
+	}
+	return later(due, patient)
+}
+
 // trustsEnds reports whether the responses of a server may end with their connection.
 func (call *call) trustsEnds(server fleet.Server) bool {
 	return call.handler.options.TrustedServices[server.Service]
@@ -162,6 +176,14 @@
 // milliseconds returns a duration in milliseconds with three decimals.
 func milliseconds(duration time.Duration) float64 { return float64(duration.Microseconds()) / 1000 }
 
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // earlier returns the earlier one of two times.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
