io/front: a new health path loses no response of a trusted service

Callers saw: after a change of a service's health path, whole responses without a length or chunks of a trusted service whose servers name their ID there were broken off or answered with 502, for up to 30 s. Cause: the question after the end of a response used the configuration by which the request had been sent. A server that had followed the new one answered 404, which counted as "does not name its process" for 30 s, for the new path, too. Fix: the path of the newest configuration is asked first, then the one by which the request was sent, each remembered by itself. A path on which the server does not name itself counts for nothing while it does on another one. A service that the newest configuration no longer has is asked as it was. Cost: while the two differ and the server answers on the older one, one more question on the same connection. Not covered: a server that follows a new path only after the host has asked it there, with the older path gone from the host's configuration, is not asked for 30 s as before.

--- a/io/front/endcheck.go
+++ b/io/front/endcheck.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -219,6 +220,9 @@
 		if !check.wasCutShort() {
 			silent.Record(question.key, check.Outcome, time.Now())
 		}
+		if check.Outcome == ending.SameID {
+			check.recordNamed()
+		}
 		if !reusable {
 			conn.Discard()
 			check.lost = check.Outcome == ending.NoAnswer
@@ -260,20 +264,62 @@
 // it started, else its health path. It returns nil if there is none.
 func (check *endCheck) nextQuestion() *endQuestion {
 	handler, server := check.handler, check.server
-	service, ok := check.table.Service(server.Service)
-	if !ok {
-		return nil
-	}
 	headers, silent, now := handler.options.Headers, handler.ending, time.Now()
-	if key := connectionKey(server) + " report"; service.Engine != nil && !server.Started.IsZero() && silent.MayAsk(key, now) {
+	if key := connectionKey(server) + " report"; check.reports() && !server.Started.IsZero() && silent.MayAsk(key, now) {
 		return &endQuestion{key: key, request: headers.ReportRequest(server), read: check.readReport}
 	}
-	if key := connectionKey(server) + " health"; service.HealthPath != "" && !check.lost && silent.MayAsk(key, now) {
-		return &endQuestion{key: key, request: headers.HealthRequest(server, service.HealthPath), read: check.readHealth}
+	for _, path := range check.healthPaths() {
+		if key := healthKey(server, path); !check.lost && silent.MayAsk(key, now) {
+			return &endQuestion{key: key, request: headers.HealthRequest(server, path), read: check.readHealth}
+		}
 	}
 	return nil
 }
 
+// healthKey names the question on a health path of a server.
+func healthKey(server fleet.Server, path string) string {
+	return connectionKey(server) + " health " + path
+}
+
+// services returns the server's service as the newest configuration has it, which the server may follow, and
+// as the one does by which the request was sent. Either may lack it.
+func (check *endCheck) services() []table.Service {
+	var services []table.Service
+	for _, known := range []*table.Table{check.handler.options.Table.Load(), check.table} {
+		if known == nil {
+			continue
+		}
+		if service, ok := known.Service(check.server.Service); ok {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// reports reports whether the server has a report.
+func (check *endCheck) reports() bool {
+	return slices.ContainsFunc(check.services(), func(service table.Service) bool { return service.Engine != nil })
+}
+
+// healthPaths returns the paths on which the server may name its ID.
+func (check *endCheck) healthPaths() []string {
+	var paths []string
+	for _, service := range check.services() {
+		if service.HealthPath != "" && !slices.Contains(paths, service.HealthPath) {
+			paths = append(paths, service.HealthPath)
+		}
+	}
+	return paths
+}
+
+// recordNamed records that the server names its ID on one of its health paths. It may follow the configuration
+// on the others soon.
+func (check *endCheck) recordNamed() {
+	for _, path := range check.healthPaths() {
+		check.handler.ending.Record(healthKey(check.server, path), ending.SameID, time.Now())
+	}
+}
+
 func (check *endCheck) readReport(answer serverAnswer) ending.Outcome {
 	handler, server := check.handler, check.server
 	report := handler.options.Headers.ParseReport(answer.body)
