io/front: callers are told how long an idle connection is kept

Callers saw: a request on a connection that had been idle for nearly idle_timeout_ms got neither an answer nor a refusal, but the end of its connection. Cause: the host closes an idle connection at the limit without having told it, and a request that is on its way then is never read. A new version of the configuration that lowers the limit moves the close to a time that no caller can expect. Class: a close that the other side cannot know of. Change: each response on a connection that stays open has Keep-Alive: timeout=N, N being the limit less 3 s (at most half of it) in whole seconds, and the connection is kept for at least the limit from which its last response told N. A response of which nothing can be told has Connection: close: limits below 2 s, where the alternative is a wait beyond the operators' limit; an unread body, where net/http would decide after the head; HTTP/1.0 without a length. Refusals have a length now, so that callers on HTTP/1.0 are told, too. Why it works: the caller stops using the connection N seconds after it has got the response, which is after the host began to count, and the difference is more than the delays of both directions.

--- a/io/front/heads.go
+++ b/io/front/heads.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"primrosegw/core/budget"
@@ -24,10 +25,13 @@
 )
 
 // Heads makes the heads of requests, which net/http reads before a handler runs, take their memory
-// from a budget, and limits their time. The limits may change while connections are open.
+// from a budget, and limits their time. Responses tell callers how long an idle connection is kept. The limits
+// may change while connections are open; a connection is kept for as long as its last response told.
 type Heads struct {
 	budget *budget.Budget
 	times  func() HeadTimes
+	// isStopping: the shutdown of a server has begun.
+	isStopping atomic.Bool
 }
 
 // NewHeads returns a Heads with a budget, which asks times for the limits.
@@ -41,9 +45,9 @@
 	Idle, Head time.Duration
 }
 
-// Serve serves connections of a listener until the server is closed. It sets the server's ConnState,
-// and its ConnContext, and takes the place of its time limits for heads and idle connections, which count the time before
-// the first request of a connection as that of its head.
+// Serve serves connections of a listener until the server is closed. It sets the server's ConnState and
+// ConnContext, wraps its Handler, and takes the place of its time limits for heads and idle connections, which
+// count the time before the first request of a connection as that of its head.
 func (heads *Heads) Serve(server *http.Server, listener net.Listener) error {
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		switch state {
@@ -53,7 +57,10 @@
 			conn.(*headConn).beginHead()
 		}
 	}
-	server.ConnContext = ConnContext
+	server.ConnContext = connContext
+	server.Handler = heads.tellIdle(server.Handler)
+	server.DisableGeneralOptionsHandler = true
+	server.RegisterOnShutdown(func() { heads.isStopping.Store(true) })
 	return server.Serve(&headListener{Listener: listener, heads: heads})
 }
 
@@ -84,6 +91,8 @@
 	inHead bool
 	read   int64
 	taken  int64
+	// promised is the limit for the idle connection from which its last response told a time.
+	promised time.Duration
 }
 
 // Read implements net.Conn.
@@ -134,7 +143,7 @@
 func (conn *headConn) awaitHead() {
 	conn.inHead = true
 	// An error shows at the next read.
-	_ = conn.Conn.SetReadDeadline(time.Now().Add(conn.times().Idle))
+	_ = conn.Conn.SetReadDeadline(time.Now().Add(max(conn.times().Idle, conn.promised)))
 }
 
 // SetReadDeadline implements net.Conn. While a head is read, the limits of Heads hold instead.
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -80,6 +81,7 @@
 	if err != nil {
 		body = []byte("{}")
 	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	call.writer.WriteHeader(refusal.status)
 	// An error means that the caller has gone, so there is nobody to report it to.
 	_, _ = call.writer.Write(body)
