io/front: a host that was held up reads what has arrived before it closes

Callers saw: a request on an idle connection got a reset, although it had arrived 1.7 s before the limit, if the host's process was paused across the limit. Cause: a read after its deadline fails without a look at what has arrived, and the runtime may run the deadline's timer before it notices the bytes. The connection is then closed with the request unread. Change: the deadline is 100 ms before the limit. The first time that it passes, the connection is read once more, until the limit or for 100 ms if the process was late. The same holds for the limit of a head. Evidence: TestRequestThatArrivedBeforeTheCloseIsRead (a connection whose every second read comes after its deadline) failed before with a reset. Why it works: after the deadline has been set anew, a read first takes what the kernel holds. A limit still ends at its time (TestIdleConnectionIsClosed, TestTricklingHeadIsEnded, unchanged) unless the process was late. Other side: such a connection is kept up to 100 ms longer after a pause, and each idle connection costs one more read before it is closed.

--- a/io/front/heads.go
+++ b/io/front/heads.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +18,9 @@
 	freeHeadBytes = 4 << 10
 	// requestHeadCost is the memory that a byte of a request's head may take.
 	requestHeadCost = 4
+	// lastLook is the part of a time limit that a connection gets in any case after its deadline was noticed. A
+	// process that was held up until then reads what has arrived meanwhile.
+	lastLook = 100 * time.Millisecond
 	// maxRefusedHeadTime and maxRefusedHeadBytes limit how much of a refused head is read and dropped,
 	// so that its caller reads the refusal.
 	maxRefusedHeadTime  = time.Second
@@ -93,6 +98,9 @@
 	taken  int64
 	// promised is the limit for the idle connection from which its last response told a time.
 	promised time.Duration
+	// until is the limit for the idle connection or the head, and isLastLook is set for its last part.
+	until      time.Time
+	isLastLook bool
 }
 
 // Read implements net.Conn.
@@ -101,9 +109,12 @@
 	if !conn.inHead {
 		return count, err
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && count == 0 && !conn.isLastLook {
+		conn.lookAgain()
+		count, err = conn.Conn.Read(buffer)
+	}
 	if conn.read == 0 && count > 0 {
-		// An error shows at the next read.
-		_ = conn.Conn.SetReadDeadline(time.Now().Add(conn.times().Head))
+		conn.limit(conn.times().Head)
 	}
 	conn.read += int64(count)
 	if more := (conn.read-freeHeadBytes)*requestHeadCost - conn.taken; more > 0 {
@@ -116,6 +127,28 @@
 	return count, err
 }
 
+// limit sets the limit for the idle connection or the head.
+func (conn *headConn) limit(after time.Duration) {
+	conn.until, conn.isLastLook = time.Now().Add(after), false
+	// An error shows at the next read.
+	_ = conn.Conn.SetReadDeadline(conn.until.Add(-lastLook))
+}
+
+// lookAgain begins the last part of the limit. A read after its deadline fails even if bytes have arrived.
+func (conn *headConn) lookAgain() {
+	conn.isLastLook = true
+	// An error shows at the next read.
+	_ = conn.Conn.SetReadDeadline(conn.lastLookUntil(time.Now()))
+}
+
+// lastLookUntil returns the end of the last part of the limit that begins now.
+func (conn *headConn) lastLookUntil(now time.Time) time.Time {
+	if until := now.Add(lastLook); until.After(conn.until) {
+		return until
+	}
+	return conn.until
+}
+
 // refuse answers the request whose head is being read.
 func (conn *headConn) refuse() {
 	// Errors mean that the caller has gone.
@@ -142,8 +175,7 @@
 // awaitHead makes the bytes that are read from now on the head of a request.
 func (conn *headConn) awaitHead() {
 	conn.inHead = true
-	// An error shows at the next read.
-	_ = conn.Conn.SetReadDeadline(time.Now().Add(max(conn.times().Idle, conn.promised)))
+	conn.limit(max(conn.times().Idle, conn.promised))
 }
 
 // SetReadDeadline implements net.Conn. While a head is read, the limits of Heads hold instead.
--- a/io/front/idle_test.go
+++ b/io/front/idle_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -202,6 +203,47 @@
 	}
 }
 
+// lateListener accepts connections whose Read has timed out by the time that it is called, like that of a
+// process that was paused, although bytes have arrived.
+type lateListener struct{ net.Listener }
+
+func (listener lateListener) Accept() (net.Conn, error) {
+	conn, err := listener.Listener.Accept()
+	return &lateConn{Conn: conn}, err
+}
+
+type lateConn struct {
+	net.Conn
+	reads int
+}
+
+// Read implements net.Conn. Every second time, it comes after the deadline.
+func (conn *lateConn) Read(buffer []byte) (int, error) {
+	conn.reads++
+	if conn.reads%2 == 1 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return conn.Conn.Read(buffer)
+}
+
+// Guards against a request that has arrived and is not read because its host was held up beyond the limit.
+func TestRequestThatArrivedBeforeTheCloseIsRead(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	times := func() front.HeadTimes { return front.HeadTimes{Idle: time.Minute, Head: time.Minute} }
+	go func() { _ = front.NewHeads(budget.New(1<<20), times).Serve(server, lateListener{listener}) }()
+	defer server.Close()
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
 // Guards against responses that tell a time of a connection which does not stay open, or that tell none of one which does.
 func TestKeepAliveIsToldIfTheConnectionStaysOpen(t *testing.T) {
 	handle := func(writer http.ResponseWriter, request *http.Request) {
