--- a/io/front/heads.go
+++ b/io/front/heads.go
@@ -1,9 +1,13 @@
 package front
 
 import (
+	"container/list"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"primrosegw/core/budget"
@@ -15,6 +19,11 @@
 	freeHeadBytes = 4 << 10
 	// requestHeadCost is the memory that a byte of a request's head may take.
 	requestHeadCost = 4
+	// lastLook is the part of a time limit that a connection gets in any case after its deadline was noticed. A
+	// process that was held up until then reads what has arrived meanwhile.
+	lastLook = 100 * time.Millisecond
+	// evictedLook is the same for an idle connection whose place is taken. It covers a request that has been sent.
+	evictedLook = 20 * time.Millisecond
 	// maxRefusedHeadTime and maxRefusedHeadBytes limit how much of a refused head is read and dropped,
 	// so that its caller reads the refusal.
 	maxRefusedHeadTime  = time.Second
@@ -24,10 +33,15 @@
 )
 
 // Heads makes the heads of requests, which net/http reads before a handler runs, take their memory
-// from a budget, and limits their time. The limits may change while connections are open.
+// from a budget, and limits their time. Responses tell callers how long an idle connection is kept. The limits
+// may change while connections are open; a connection is kept for as long as its last response told.
 type Heads struct {
 	budget *budget.Budget
 	times  func() HeadTimes
+	// connections limits the idle connections; nil: they are not limited.
+	connections *Connections
+	// isStopping: the shutdown of a server has begun.
+	isStopping atomic.Bool
 }
 
 // NewHeads returns a Heads with a budget, which asks times for the limits.
@@ -35,15 +49,18 @@
 	return &Heads{budget: budget, times: times}
 }
 
+// LimitIdle makes the connections count for a limit, which several Heads may share. It is called before Serve.
+func (heads *Heads) LimitIdle(connections *Connections) { heads.connections = connections }
+
 // HeadTimes limits the time of a connection on which no request runs.
 type HeadTimes struct {
 	// Idle is the time until the first byte of a request. Head is the time from there to the end of its head.
 	Idle, Head time.Duration
 }
 
-// Serve serves connections of a listener until the server is closed. It sets the server's ConnState,
-// and its ConnContext, and takes the place of its time limits for heads and idle connections, which count the time before
-// the first request of a connection as that of its head.
+// Serve serves connections of a listener until the server is closed. It sets the server's ConnState and
+// ConnContext, wraps its Handler, and takes the place of its time limits for heads and idle connections, which
+// count the time before the first request of a connection as that of its head.
 func (heads *Heads) Serve(server *http.Server, listener net.Listener) error {
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		switch state {
@@ -53,7 +70,10 @@
 			conn.(*headConn).beginHead()
 		}
 	}
-	server.ConnContext = ConnContext
+	server.ConnContext = connContext
+	server.Handler = heads.tellIdle(server.Handler)
+	server.DisableGeneralOptionsHandler = true
+	server.RegisterOnShutdown(func() { heads.isStopping.Store(true) })
 	return server.Serve(&headListener{Listener: listener, heads: heads})
 }
 
@@ -68,7 +88,8 @@
 	if err != nil {
 		return nil, err
 	}
-	head := &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), times: listener.heads.times}
+	head := &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), times: listener.heads.times, connections: listener.heads.connections}
+	head.connections.opened()
 	head.awaitHead()
 	return head, nil
 }
@@ -84,6 +105,17 @@
 	inHead bool
 	read   int64
 	taken  int64
+	// promised is the limit for the idle connection from which its last response told a time.
+	promised time.Duration
+	// until is the limit for the idle connection or the head, and isLastLook is set for its last part.
+	until      time.Time
+	isLastLook bool
+
+	connections *Connections
+	// place is that among the idle connections; nil: it is none of them. isEvicted: it was taken for a new
+	// connection. They and isClosed belong to connections.
+	place               *list.Element
+	isEvicted, isClosed bool
 }
 
 // Read implements net.Conn.
@@ -92,9 +124,13 @@
 	if !conn.inHead {
 		return count, err
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && count == 0 && !conn.isLastLook {
+		conn.lookAgain()
+		count, err = conn.Conn.Read(buffer)
+	}
 	if conn.read == 0 && count > 0 {
-		// An error shows at the next read.
-		_ = conn.Conn.SetReadDeadline(time.Now().Add(conn.times().Head))
+		conn.connections.endIdle(conn)
+		conn.limit(conn.times().Head)
 	}
 	conn.read += int64(count)
 	if more := (conn.read-freeHeadBytes)*requestHeadCost - conn.taken; more > 0 {
@@ -107,6 +143,26 @@
 	return count, err
 }
 
+// limit sets the limit for the idle connection or the head.
+func (conn *headConn) limit(after time.Duration) {
+	conn.until, conn.isLastLook = time.Now().Add(after), false
+	// An error shows at the next read.
+	_ = conn.Conn.SetReadDeadline(conn.until.Add(-lastLook))
+}
+
+// lookAgain begins the last part of the limit. A read after its deadline fails even if bytes have arrived.
+func (conn *headConn) lookAgain() {
+	conn.isLastLook = true
+	until := time.Now().Add(lastLook)
+	if conn.connections.endIdle(conn) {
+		until = time.Now().Add(evictedLook)
+	} else if until.Before(conn.until) {
+		until = conn.until
+	}
+	// An error shows at the next read.
+	_ = conn.Conn.SetReadDeadline(until)
+}
+
 // refuse answers the request whose head is being read.
 func (conn *headConn) refuse() {
 	// Errors mean that the caller has gone.
@@ -118,6 +174,7 @@
 
 // endHead is called when the head of a request has been read and before its handler runs.
 func (conn *headConn) endHead() {
+	conn.connections.endIdle(conn)
 	conn.inHead = false
 	// An error shows at the next read.
 	_ = conn.Conn.SetReadDeadline(time.Time{})
@@ -133,8 +190,8 @@
 // awaitHead makes the bytes that are read from now on the head of a request.
 func (conn *headConn) awaitHead() {
 	conn.inHead = true
-	// An error shows at the next read.
-	_ = conn.Conn.SetReadDeadline(time.Now().Add(conn.times().Idle))
+	conn.limit(max(conn.times().Idle, conn.promised))
+	conn.connections.beginIdle(conn)
 }
 
 // SetReadDeadline implements net.Conn. While a head is read, the limits of Heads hold instead.
@@ -165,5 +222,6 @@
 // Close implements net.Conn.
 func (conn *headConn) Close() error {
 	conn.hold.Release()
+	conn.connections.closed(conn)
 	return conn.Conn.Close()
 }
