io/logs: lines are written in pieces that a collector takes whole

Callers saw: nothing. Operators could not tell a request that ended without an answer from one whose line was lost. Cause: the lines of 200 ms went out in one write of up to 256 KiB. The limits are not the cause: no host has more than 24 lines of an event in a second, and no log has a lines_suppressed or lines_dropped line. Class: lines lost without a count. Change: a write holds whole lines of at most 4 KiB, the PIPE_BUF of Linux, which a pipe takes as a whole, or one longer line, and 4 KiB that are pending are written without a wait. Lines that the output fails to take are counted. TestWritesArePiecesOfWholeLines, with an output that takes 8 KiB of each write, keeps 204 of 561 lines before and 561 after; TestFailedWritesAreCounted counts 0 of 300 before and 300 after. That the collector takes 8 KiB for each write, and not for each span of time, is suspected. Other side: more writes, at most one for each 4 KiB.

--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -3,6 +3,7 @@
 package logs
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -11,9 +12,12 @@
 const (
 	// CapacityBytes limits the size of the buffered lines.
 	CapacityBytes = 256 << 10
-	// flushInterval is the longest time that a line stays in the buffer. Lines
-	// logged within it are written with one system call.
+	// flushInterval is the longest time that a line stays in the buffer.
 	flushInterval = 200 * time.Millisecond
+	// pieceBytes is the number of buffered bytes that are written without a wait, and the largest write of
+	// several lines. It is the PIPE_BUF of Linux: a pipe takes a write of that size as a whole, and log
+	// collectors that read a fixed number of bytes at a time lose the rest of a longer one.
+	pieceBytes = 4 << 10
 )
 
 // Writer buffers lines for an output that may be slow and drops those that do not
@@ -24,6 +28,8 @@
 	pending []byte
 	dropped int
 	wake    chan struct{}
+	// full receives a value when pieceBytes are pending.
+	full    chan struct{}
 	closing chan struct{}
 	done    chan struct{}
 	// OnDropped is called after a flush with the number of lines dropped since the
@@ -34,7 +40,7 @@
 // New returns a Writer to out and starts its goroutine, which Close stops.
 func New(out io.Writer) *Writer {
 	writer := &Writer{
-		out: out, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{}),
+		out: out, wake: make(chan struct{}, 1), full: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{}),
 		OnDropped: func(int) {},
 	}
 	go writer.run()
@@ -50,18 +56,27 @@
 		writer.mutex.Unlock()
 		return len(line), nil
 	}
-	wasEmpty := len(writer.pending) == 0
+	before := len(writer.pending)
 	writer.pending = append(writer.pending, line...)
+	after := len(writer.pending)
 	writer.mutex.Unlock()
-	if wasEmpty {
-		select {
-		case writer.wake <- struct{}{}:
-		default:
-		}
+	if before == 0 {
+		signal(writer.wake)
+	}
+	if before < pieceBytes && after >= pieceBytes {
+		signal(writer.full)
 	}
 	return len(line), nil
 }
 
+// signal wakes the receiver of a channel that holds one value.
+func signal(to chan struct{}) {
+	select {
+	case to <- struct{}{}:
+	default:
+	}
+}
+
 // Close writes the buffered lines and stops the writer's goroutine.
 func (writer *Writer) Close() {
 	close(writer.closing)
@@ -79,23 +94,46 @@
 		}
 		select {
 		case <-time.After(flushInterval):
+		case <-writer.full:
 		case <-writer.closing:
 		}
 		writer.flush()
 	}
 }
 
-// flush writes all buffered lines. Lines are lost when the output fails, and the
-// error is ignored, since there is no other place to report it.
+// flush writes all buffered lines in pieces. Lines that the output fails to take are counted as dropped.
 func (writer *Writer) flush() {
 	writer.mutex.Lock()
 	lines, dropped := writer.pending, writer.dropped
 	writer.pending, writer.dropped = nil, 0
+	select {
+	case <-writer.full:
+	default:
+	}
 	writer.mutex.Unlock()
-	if len(lines) > 0 {
-		_, _ = writer.out.Write(lines)
+	for len(lines) > 0 {
+		length := pieceLength(lines)
+		if written, err := writer.out.Write(lines[:length]); err != nil {
+			dropped += bytes.Count(lines[min(written, length):length], []byte("\n"))
+		}
+		lines = lines[length:]
 	}
 	if dropped > 0 {
 		writer.OnDropped(dropped)
 	}
 }
+
+// pieceLength returns the length of the whole lines at the start that fit into a piece, or that of the first
+// line if it is longer.
+func pieceLength(lines []byte) int {
+	if len(lines) <= pieceBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:pieceBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -79,3 +80,61 @@
 		require.Equal(t, 51, strings.Count(out.buffer.String(), "\n"))
 	})
 }
+
+// collector takes at most the first 8 KiB of each write, as a collector with one read for each wake-up does.
+type collector struct {
+	taken  bytes.Buffer
+	writes []int
+}
+
+func (collector *collector) Write(data []byte) (int, error) {
+	const readBytes = 8 << 10
+	collector.writes = append(collector.writes, len(data))
+	collector.taken.Write(data[:min(len(data), readBytes)])
+	return len(data), nil
+}
+
+// Guards against lines on outcomes that are lost because a busy host writes all lines of 200 ms at once.
+func TestWritesArePiecesOfWholeLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &collector{}
+		writer := logs.New(out)
+		// A host at 70 requests/s that is paused for 0.2 s writes 14 lines of 700 bytes on starts and 14 of 500 on outcomes.
+		want := 0
+		for range 20 {
+			for range 14 {
+				_, _ = writer.Write([]byte(strings.Repeat("s", 699) + "\n"))
+				_, _ = writer.Write([]byte(strings.Repeat("o", 499) + "\n"))
+				want += 2
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		long := strings.Repeat("p", 6000) + "\n"
+		_, _ = writer.Write([]byte(long))
+		writer.Close()
+		require.Equal(t, want+1, strings.Count(out.taken.String(), "\n"))
+		require.Contains(t, out.taken.String(), long, "a long line is written by itself")
+		for _, length := range out.writes[:len(out.writes)-1] {
+			require.LessOrEqual(t, length, 4<<10)
+		}
+	})
+}
+
+// failing is an output that takes nothing.
+type failing struct{}
+
+func (failing) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// Guards against lines that are lost without a count because the output fails.
+func TestFailedWritesAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		writer := logs.New(failing{})
+		dropped := 0
+		writer.OnDropped = func(lines int) { dropped += lines }
+		for range 300 {
+			_, _ = writer.Write([]byte(strings.Repeat("x", 99) + "\n"))
+		}
+		writer.Close()
+		require.Equal(t, 300, dropped)
+	})
+}
