core/event, io/logs: lines on outcomes have a reserve, and missing ones are told

Callers saw: nothing. Beside many attempts, refusals or a slow output the log lost starts and outcomes alike, so that a request without an outcome could have ended in any way. Cause: 600 lines a second of each event and one buffer of 256 KiB for all, which is also all that was written in 200 ms. Class: lines lost without a count of what they said. Change: events that end requests (and those on missing lines) get four times as many lines, and may fill 128 KiB of the buffer that others can't. Those that are missing all the same are counted by event, cause and second: outcomes_suppressed. Other side: up to 2,400 lines a second of each of seven events in place of 600, and 128 KiB more while the output is stalled.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -34,7 +34,9 @@
 
 // Logger writes the events of a host.
 type Logger struct {
-	log        *logrus.Logger
+	log *logrus.Logger
+	// outcomes writes the events that end requests, by name. Nil: log does.
+	outcomes   map[string]*logrus.Logger
 	host       string
 	subsystems map[string]bool
 	limiter    limiter
@@ -43,15 +45,20 @@
 // New returns a logger that writes JSON lines. For the given subsystems, it also
 // writes debug events if the level is above debug.
 func New(out io.Writer, host string, level logrus.Level, subsystems []string) *Logger {
-	log := logrus.New()
-	log.SetOutput(out)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
-	log.SetLevel(level)
+	log := newLog(out, level)
 	enabled := make(map[string]bool, len(subsystems))
 	for _, subsystem := range subsystems {
 		enabled[subsystem] = true
 	}
-	return &Logger{log: log, host: host, subsystems: enabled, limiter: limiter{windows: make(map[string]*window)}}
+	return &Logger{log: log, host: host, subsystems: enabled, limiter: limiter{windows: make(map[string]*window), outcomes: make(map[SuppressedOutcomes]int)}}
+}
+
+func newLog(out io.Writer, level logrus.Level) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	log.SetLevel(level)
+	return log
 }
 
 // Discard returns a logger that discards all events.
@@ -60,18 +67,24 @@
 }
 
 // SetLevel changes the log level. It can be called while the logger is in use.
-func (logger *Logger) SetLevel(level logrus.Level) { logger.log.SetLevel(level) }
+func (logger *Logger) SetLevel(level logrus.Level) {
+	logger.log.SetLevel(level)
+	for _, log := range logger.outcomes {
+		log.SetLevel(level)
+	}
+}
 
-// SetLineLimit sets the maximum number of lines per second for each event. Lines above
-// it are suppressed and counted; see TakeSuppressed.
+// SetLineLimit sets the maximum number of lines per second for each event. Events that end
+// requests get outcomeFactor times as many. Lines above it are suppressed and counted;
+// see TakeSuppressed and TakeSuppressedOutcomes.
 func (logger *Logger) SetLineLimit(perSecond int) {
 	logger.limiter.mutex.Lock()
 	defer logger.limiter.mutex.Unlock()
 	logger.limiter.maxLines = perSecond
 }
 
-// TakeSuppressed returns the number of suppressed lines by event name, and resets the
-// counts.
+// TakeSuppressed returns the number of suppressed lines by event name, except those on
+// outcomes, and resets the counts.
 func (logger *Logger) TakeSuppressed() map[string]int { return logger.limiter.takeSuppressed() }
 
 // Enabled reports whether an event would be written, regardless of the line limit.
@@ -86,10 +99,10 @@
 // Log writes an event. The field for the event's name is event_name, because callers
 // use the field name for the names of hosts and servers.
 func (logger *Logger) Log(event Event, fields logrus.Fields) {
-	if !logger.Enabled(event) || !logger.limiter.allow(event.Name, time.Now()) {
+	if !logger.Enabled(event) || !logger.limiter.allow(event, time.Now()) {
 		return
 	}
-	entry := logger.log.WithFields(fields).WithFields(logrus.Fields{
+	entry := logger.logOf(event).WithFields(fields).WithFields(logrus.Fields{
 		"event": event.Number, "event_name": event.Name, "subsystem": event.Subsystem, "host": logger.host,
 	})
 	level := event.Level
--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -76,6 +76,7 @@
 		RelayListenFailed(),
 		LinesDropped(),
 		LinesSuppressed(),
+		OutcomesSuppressed(),
 	}
 }
 
@@ -462,6 +463,11 @@
 	return Event{1961, "lines_suppressed", logrus.WarnLevel, "log", "Log lines of an event were suppressed, because it occurred too often."}
 }
 
+// OutcomesSuppressed reports that lines on how requests ended are missing.
+func OutcomesSuppressed() Event {
+	return Event{1966, "outcomes_suppressed", logrus.WarnLevel, "log", "Log lines on how requests ended are missing."}
+}
+
 // TunnelRefused reports that the host opened no tunnel to a backend server for another host.
 func TunnelRefused() Event {
 	return Event{1970, "tunnel_refused", logrus.WarnLevel, "relay", "No tunnel to a backend server was opened for another host."}
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -12,12 +12,16 @@
 const (
 	// CapacityBytes limits the size of the buffered lines.
 	CapacityBytes = 256 << 10
+	// ReservedBytes is what lines to Reserved may fill beyond it: those on the outcomes of about 300 requests.
+	ReservedBytes = 128 << 10
 	// flushInterval is the longest time that a line stays in the buffer.
 	flushInterval = 200 * time.Millisecond
 	// pieceBytes is the number of buffered bytes that are written without a wait, and the largest write of
 	// several lines. It is the PIPE_BUF of Linux: a pipe takes a write of that size as a whole, and log
 	// collectors that read a fixed number of bytes at a time lose the rest of a longer one.
 	pieceBytes = 4 << 10
+	// maxSpareBytes is the size up to which a buffer is kept for later lines.
+	maxSpareBytes = 4 * pieceBytes
 )
 
 // Writer buffers lines for an output that may be slow and drops those that do not
@@ -26,6 +30,8 @@
 	out     io.Writer
 	mutex   sync.Mutex
 	pending []byte
+	// spare is an empty buffer that becomes the next pending one. Only flush uses it.
+	spare   []byte
 	dropped int
 	wake    chan struct{}
 	// full receives a value when pieceBytes are pending.
@@ -50,11 +56,38 @@
 // Write buffers a line or drops it when the buffer is full. It never waits for
 // the output and never returns an error.
 func (writer *Writer) Write(line []byte) (int, error) {
+	writer.buffer(line, CapacityBytes)
+	return len(line), nil
+}
+
+// Reserved returns a writer of lines that are dropped only when the buffer is full to CapacityBytes and
+// ReservedBytes. OnDropped is called for each of them that is dropped.
+func (writer *Writer) Reserved(onDropped func()) io.Writer {
+	return &reserved{writer: writer, onDropped: onDropped}
+}
+
+// reserved writes lines that may use the reserve of a Writer.
+type reserved struct {
+	writer    *Writer
+	onDropped func()
+}
+
+// Write implements io.Writer in the manner of Writer.Write.
+func (reserved *reserved) Write(line []byte) (int, error) {
+	if !reserved.writer.buffer(line, CapacityBytes+ReservedBytes) {
+		reserved.onDropped()
+	}
+	return len(line), nil
+}
+
+// buffer buffers a line, or drops and counts it if the buffer would hold more than limit bytes. It reports
+// whether it has buffered the line.
+func (writer *Writer) buffer(line []byte, limit int) bool {
 	writer.mutex.Lock()
-	if len(writer.pending)+len(line) > CapacityBytes {
+	if len(writer.pending)+len(line) > limit {
 		writer.dropped++
 		writer.mutex.Unlock()
-		return len(line), nil
+		return false
 	}
 	before := len(writer.pending)
 	writer.pending = append(writer.pending, line...)
@@ -66,7 +99,7 @@
 	if before < pieceBytes && after >= pieceBytes {
 		signal(writer.full)
 	}
-	return len(line), nil
+	return true
 }
 
 // signal wakes the receiver of a channel that holds one value.
@@ -105,12 +138,15 @@
 func (writer *Writer) flush() {
 	writer.mutex.Lock()
 	lines, dropped := writer.pending, writer.dropped
-	writer.pending, writer.dropped = nil, 0
+	writer.pending, writer.spare, writer.dropped = writer.spare, nil, 0
 	select {
 	case <-writer.full:
 	default:
 	}
 	writer.mutex.Unlock()
+	if cap(lines) <= maxSpareBytes {
+		defer func(buffer []byte) { writer.spare = buffer }(lines[:0])
+	}
 	for len(lines) > 0 {
 		length := pieceLength(lines)
 		if written, err := writer.out.Write(lines[:length]); err != nil {
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -138,3 +138,30 @@
 		require.Equal(t, 300, dropped)
 	})
 }
+
+// Guards against lines on outcomes that are dropped because others have filled the buffer.
+func TestReserveOutlastsOtherLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &output{stalled: make(chan struct{})}
+		writer := logs.New(out)
+		total, dropped := 0, 0
+		writer.OnDropped = func(lines int) { total += lines }
+		outcomes := writer.Reserved(func() { dropped++ })
+		_, _ = writer.Write([]byte("first\n"))
+		time.Sleep(time.Second)
+		start, outcome := []byte(strings.Repeat("s", 511)+"\n"), []byte(strings.Repeat("o", 511)+"\n")
+		for range 1000 {
+			_, _ = writer.Write(start)
+		}
+		const fitting = logs.ReservedBytes / 512
+		for range fitting + 7 {
+			_, err := outcomes.Write(outcome)
+			require.NoError(t, err)
+		}
+		require.Equal(t, 7, dropped)
+		close(out.stalled)
+		writer.Close()
+		require.Equal(t, fitting, strings.Count(out.buffer.String(), string(outcome)))
+		require.Equal(t, 1000-logs.CapacityBytes/512+7, total)
+	})
+}
