core/mirror: a read that began before a restored store counted proves nothing

Callers would see: after a drill of the store, a key that was taken away right before it works at a host for up to 3.6 s longer (shown in core/mirror with a read whose answer comes 0.6 s late; not seen with real processes). Cause: whether a read of the configuration is a proof was asked when its answer was handled. A read that began, and saw the copy, within the 2.1 s in which the operator writes again, but was handled after them, because the store, the network or the paused process was slow, confirmed the copy as of its beginning. Class: a permission that is checked at another time than that at which its evidence was gathered. Change: the gate must be open before the read begins, and in the era that the answer names (MayProve); whether the value is the newest is asked afterwards as before. After the gate has opened the key is read at once, as before. Evidence: TestReadFromBeforeTheEndOfTheWaitProvesNothing failed before (the proof is 0.61 s old instead of at least 2.1 s) and passes now, 5 of 5 with -race. Existing test TestOutdatedValueOfARestoredStoreProvesNothing: its harness names the era in which reads are proofs; nothing in it is weaker.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -124,6 +124,9 @@
 	// IsCurrent reports whether what the store holds under ProbeKey is the newest value
 	// that is known, so that reading it is a proof. Nil means that it always is.
 	IsCurrent func() bool
+	// MayProve reports whether a read of ProbeKey that begins now may be a proof, and in which era of the store.
+	// IsCurrent is asked after the read, which may have taken long. Nil means that it may in each era.
+	MayProve func() (era int64, may bool)
 	// BeforeProbe is called before the first read of the probed key, and may wait for proofs of
 	// other hosts. It may be nil.
 	BeforeProbe func(ctx context.Context)
@@ -222,6 +225,9 @@
 	if options.IsCurrent == nil {
 		options.IsCurrent = func() bool { return true }
 	}
+	if options.MayProve == nil {
+		options.MayProve = func() (int64, bool) { return anyEra, true }
+	}
 	if options.BeforeProbe == nil {
 		options.BeforeProbe = func(context.Context) {}
 	}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -35,10 +35,10 @@
 	stalled bool
 	// lag is the number of revisions by which stale listings are behind.
 	lag int64
-	// listDelay is how long a listing of all keys takes.
-	listDelay time.Duration
-	changed   chan struct{}
-	calls     map[string]int
+	// listDelay is how long a listing of all keys takes, and getDelay after how long the answer to a read of one comes.
+	listDelay, getDelay time.Duration
+	changed             chan struct{}
+	calls               map[string]int
 	// era counts the restorations; onEra is called with it on each call.
 	era   int64
 	onEra func(era int64)
@@ -105,8 +105,11 @@
 }
 
 func (source *source) Get(_ context.Context, key string) (store.Entry, store.Position, error) {
+	var delay time.Duration
+	defer func() { time.Sleep(delay) }()
 	source.mutex.Lock()
 	defer source.mutex.Unlock()
+	delay = source.getDelay
 	if err := source.countCall("get"); err != nil {
 		return store.Entry{}, store.Position{}, err
 	}
@@ -228,7 +231,9 @@
 	idle atomic.Bool
 	// outdated marks the stored value of the probed key as older than a known one.
 	outdated atomic.Bool
-	log      bytes.Buffer
+	// provenEra is the era in which reads are proofs.
+	provenEra atomic.Int64
+	log       bytes.Buffer
 }
 
 func (harness *harness) publish(batch mirror.Batch) {
@@ -273,6 +278,7 @@
 			Now: harness.now, Logger: event.New(&harness.log, "host", logrus.InfoLevel, nil), Random: rand.New(rand.NewPCG(1, 2)),
 			IsWatcher: func() bool { return watcher }, IsIdle: harness.idle.Load, Publish: harness.publish,
 			IsCurrent: func() bool { return !harness.outdated.Load() },
+			MayProve:  func() (int64, bool) { return harness.provenEra.Load(), !harness.outdated.Load() },
 		})
 		harness.source.onEra = harness.mirror.ObserveEra
 		ctx, cancel := context.WithCancel(t.Context())
--- a/core/mirror/probe.go
+++ b/core/mirror/probe.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"primrosegw/core/fault"
-	"primrosegw/core/fresh"
 	"primrosegw/core/store"
 )
 
@@ -117,6 +116,7 @@
 	defer cancel()
 	before, calledAt := mirror.options.Now(), time.Now()
 	mirror.startRead(calledAt)
+	provenEra, mayProve := mirror.options.MayProve()
 	entry, position, err := mirror.options.Source.Get(ctx, mirror.options.ProbeKey)
 	if err != nil && !fault.Is(err, store.Absent) {
 		return err
@@ -124,16 +124,22 @@
 	mirror.recordSuccess()
 	mirror.ObserveEra(position.Era)
 	mirror.options.Grace.Read(position.Era, time.Now())
-	if err != nil || !mirror.applyProbed(entry, position, before, calledAt) {
+	isCurrent := err == nil && mirror.applyProbed(entry, position, calledAt)
+	if !isCurrent || !mayProve || provenEra != anyEra && provenEra != position.Era {
 		// There is nothing to confirm yet.
 		mirror.waitOrWake(ctx, mirror.jitter(absentRetryDelay))
+		return nil
 	}
+	mirror.options.Proof.Confirm(before)
 	return nil
 }
 
+// anyEra stands for each era of the store.
+const anyEra = -1
+
 // applyProbed applies the entry of the probed key that was read at a position, and reports
-// whether it confirms the proof as of the start of the read.
-func (mirror *Mirror) applyProbed(entry store.Entry, position store.Position, before fresh.Instant, calledAt time.Time) bool {
+// whether it is the newest value that is known.
+func (mirror *Mirror) applyProbed(entry store.Entry, position store.Position, calledAt time.Time) bool {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	if position.Era != mirror.position.Era {
@@ -144,9 +150,5 @@
 	}
 	mirror.expectPosition(position)
 	mirror.observeCurrency(position, calledAt)
-	if !mirror.options.IsCurrent() {
-		return false
-	}
-	mirror.options.Proof.Confirm(before)
-	return true
+	return mirror.options.IsCurrent()
 }
--- a/core/mirror/restored_test.go
+++ b/core/mirror/restored_test.go
@@ -73,9 +73,40 @@
 		age, _ := harness.proof.Age(harness.now())
 		require.GreaterOrEqual(t, age, 2*time.Second)
 		harness.outdated.Store(false)
+		harness.provenEra.Store(1)
 		time.Sleep(time.Second)
 		require.True(t, harness.proof.Valid(harness.now()))
 		age, _ = harness.proof.Age(harness.now())
 		require.Less(t, age, time.Second)
 	})
 }
+
+// Guards against a proof by a read that began before a restored store held the newest value again, and whose answer came
+// late.
+func TestReadFromBeforeTheEndOfTheWaitProvesNothing(t *testing.T) {
+	for _, name := range []string{"the wait ends", "an era passes"} {
+		run(t, func(harness *harness) {
+			time.Sleep(time.Second)
+			harness.source.set(func() { harness.source.getDelay = 600 * time.Millisecond })
+			harness.outdated.Store(name == "the wait ends")
+			for harness.calls("get") < 3 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			harness.provenEra.Store(map[string]int64{"the wait ends": 0, "an era passes": 1}[name])
+			reads := harness.calls("get")
+			for harness.calls("get") == reads {
+				time.Sleep(time.Millisecond)
+			}
+			before, _ := harness.proof.Age(harness.now())
+			time.Sleep(300 * time.Millisecond)
+			harness.outdated.Store(false)
+			time.Sleep(310 * time.Millisecond)
+			age, _ := harness.proof.Age(harness.now())
+			require.GreaterOrEqual(t, age, before+600*time.Millisecond, name)
+			harness.provenEra.Store(0)
+			time.Sleep(3 * time.Second)
+			age, _ = harness.proof.Age(harness.now())
+			require.Less(t, age, 2*time.Second, name)
+		})
+	}
+}
