io/front: routes without keys need no proof of the configuration

Callers saw: while keys could not be confirmed (the store is away for longer than a proof lasts, or has been restored), requests on routes without keys were refused ("table_unconfirmed"), and streams of such routes broke off when they had to go on elsewhere, if the configuration has keys for other routes. Cause: the proof was asked for each request of a configuration with workspaces. Class: a refusal whose reason does not hold for the request. Change: the proof counts where a key does. A path without a route is still refused as unconfirmed, not as missing. A route that gets a key while a host is out of touch with the store is served without one there until the host hears of it, as is a configuration that gets its first workspace.

--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -255,11 +255,11 @@
 	conn.Discard()
 }
 
-// hasProof reports whether the routing table is confirmed, if keys depend on it. It comes last before a
+// hasProof reports whether the routing table is confirmed, if the request's key depends on it. It comes last before a
 // request is written, as the time in between is the one in which a pause goes unnoticed.
 func (call *call) hasProof() bool {
 	options := call.handler.options
-	return !call.table.RequiresKey() || options.Proof.Valid(options.Now())
+	return !needsProof(call.table, call.work.Route) || options.Proof.Valid(options.Now())
 }
 
 func (call *call) logSent(choice pick.Choice, exchange *exchange) {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -291,14 +291,18 @@
 func (call *call) matchRoute() *refusal {
 	options := call.handler.options
 	current := options.Table.Load()
-	if current.RequiresKey() && !options.Proof.Valid(options.Now()) {
+	route, ok := call.work.Route, true
+	if current != call.table {
+		route, ok = current.Match(call.request.Host, call.path())
+	}
+	// An unconfirmed table does not show either that there is no route.
+	if needsProof(current, route) && !options.Proof.Valid(options.Now()) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "table_unconfirmed"}
 	}
 	if current == call.table {
 		return nil
 	}
 	call.table = current
-	route, ok := current.Match(call.request.Host, call.path())
 	if !ok {
 		return &refusal{status: http.StatusNotFound, reason: "no_route"}
 	}
@@ -341,6 +345,11 @@
 	}
 }
 
+// needsProof reports whether requests of a route depend on keys, which may have been revoked.
+func needsProof(current *table.Table, route table.Route) bool {
+	return current.RequiresKey() && !route.Anonymous
+}
+
 // pickService returns the service for the request. A stream goes on at the one where it
 // began, unless the route no longer leads there.
 func (call *call) pickService(route table.Route) string {
