io/front: an attempt that a new table ends is no failed connection

Callers saw: while versions of the configuration came faster than connections opened, some requests were refused ("unreachable") though their servers were sound. Cause: four attempts without a connection end a request, and an attempt that a new table ended counted as one. Change: it does not count. The deadline of the request still ends the loop, which makes one attempt for each version at most; servers that refuse a connection count as tried as before.

--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -76,7 +76,7 @@
 			call.countReached()
 			return
 		case work.NoConnection:
-			if connectFailures++; connectFailures >= maxConnectFailures {
+			if connectFailures += call.countNoConnection(); connectFailures >= maxConnectFailures {
 				call.giveUp(unservedRefusal(call.state, false, call.noServerReason("unreachable")))
 				return
 			}
@@ -86,6 +86,15 @@
 	}
 }
 
+// countNoConnection returns by how much an attempt that found no connection counts toward maxConnectFailures: not at all if
+// a new table came meanwhile, which ends attempts at sound servers.
+func (call *call) countNoConnection() int {
+	if call.handler.options.Table.Load() != call.table {
+		return 0
+	}
+	return 1
+}
+
 // countDemand reports the request as demand for servers, once.
 func (call *call) countDemand(step steer.Decision) {
 	onDemand := call.handler.options.OnDemand
