--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -76,7 +76,7 @@
 			call.countReached()
 			return
 		case work.NoConnection:
-			if connectFailures++; connectFailures >= maxConnectFailures {
+			if connectFailures += call.countNoConnection(); connectFailures >= maxConnectFailures {
 				call.giveUp(unservedRefusal(call.state, false, call.noServerReason("unreachable")))
 				return
 			}
@@ -86,6 +86,15 @@
 	}
 }
 
+// countNoConnection returns by how much an attempt that found no connection counts toward maxConnectFailures: not at all if
+// a new table came meanwhile, which ends attempts at sound servers.
+func (call *call) countNoConnection() int {
+	if call.handler.options.Table.Load() != call.table {
+		return 0
+	}
+	return 1
+}
+
 // countDemand reports the request as demand for servers, once.
 func (call *call) countDemand(step steer.Decision) {
 	onDemand := call.handler.options.OnDemand
@@ -255,11 +264,11 @@
 	conn.Discard()
 }
 
-// hasProof reports whether the routing table is confirmed, if keys depend on it. It comes last before a
+// hasProof reports whether the routing table is confirmed, if the request's key depends on it. It comes last before a
 // request is written, as the time in between is the one in which a pause goes unnoticed.
 func (call *call) hasProof() bool {
 	options := call.handler.options
-	return !call.table.RequiresKey() || options.Proof.Valid(options.Now())
+	return !needsProof(call.table, call.work.Route) || options.Proof.Valid(options.Now())
 }
 
 func (call *call) logSent(choice pick.Choice, exchange *exchange) {
