--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -212,8 +212,6 @@
 	regained chan struct{}
 	// wakeProbe wakes the probe after another call has failed.
 	wakeProbe chan struct{}
-	// retryNow ends the delay before the next attempt to reach a store that is lost.
-	retryNow chan struct{}
 }
 
 // New returns a mirror that has read nothing yet.
@@ -243,7 +241,7 @@
 		options.Publish = func(Batch) {}
 	}
 	mirror := &Mirror{
-		options: options, position: store.Position{Era: unknownEra}, random: options.Random, wakeProbe: make(chan struct{}, 1), retryNow: make(chan struct{}, 1), catchUp: make(chan struct{}, 1),
+		options: options, position: store.Position{Era: unknownEra}, random: options.Random, wakeProbe: make(chan struct{}, 1), catchUp: make(chan struct{}, 1),
 		caughtUp: make(chan struct{}),
 	}
 	mirror.drawProbePhase()
--- a/core/mirror/probe.go
+++ b/core/mirror/probe.go
@@ -33,41 +33,11 @@
 			mirror.RecordFailure(err, "probe")
 			mirror.options.Grace.Lose(time.Now())
 		}
-		if mirror.awaitRetry(ctx, mirror.jitter(delay)) {
-			delay = retryDelayBase
-			continue
-		}
+		sleep(ctx, mirror.jitter(delay))
 		delay = min(2*delay, mirror.maxRetryDelay())
 	}
 }
 
-// RetryNow makes the next attempt to reach a store that is lost without delay, as something else has shown that
-// the host's network is back.
-func (mirror *Mirror) RetryNow() {
-	mirror.healthMutex.Lock()
-	defer mirror.healthMutex.Unlock()
-	if mirror.lostAt.IsZero() {
-		return
-	}
-	select {
-	case mirror.retryNow <- struct{}{}:
-	default:
-	}
-}
-
-// awaitRetry waits before the next attempt to reach the store, and reports whether RetryNow ended the wait.
-func (mirror *Mirror) awaitRetry(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	case <-mirror.retryNow:
-		return true
-	}
-	return false
-}
-
 // maxRetryDelay returns the longest delay between two attempts to reach the store.
 func (mirror *Mirror) maxRetryDelay() time.Duration {
 	if mirror.options.IsIdle() {
--- a/core/roster/silence.go
+++ b/core/roster/silence.go
@@ -57,8 +57,6 @@
 	mutex sync.Mutex
 	// heard holds the time of the last message by host name.
 	heard map[string]heardHost
-	// lastHeard is the time of the last message of any host.
-	lastHeard time.Time
 	// reports holds the latest report by watcher.
 	reports map[string]receivedSilence
 	// gone holds when the local host, a watcher, last took hosts for gone that were listed, by hash.
@@ -98,13 +96,10 @@
 	return &Silence{own: own, heard: make(map[string]heardHost), gone: make(map[uint64]time.Time), reports: make(map[string]receivedSilence)}
 }
 
-// Heard records a message of a host. It reports whether it is the first one of any host after silenceTimeout: the
-// local host may have been cut off until now.
-func (silence *Silence) Heard(name string, now time.Time) (isBack bool) {
+// Heard records a message of a host.
+func (silence *Silence) Heard(name string, now time.Time) {
 	silence.mutex.Lock()
 	defer silence.mutex.Unlock()
-	isBack = !silence.lastHeard.IsZero() && now.Sub(silence.lastHeard) > silenceTimeout
-	silence.lastHeard = now
 	known := silence.heard[name]
 	known.at = now
 	silence.heard[name] = known
@@ -113,7 +108,6 @@
 		delete(silence.gone, hash)
 		silence.omitted = slices.DeleteFunc(slices.Clone(silence.omitted), func(omitted SilentHost) bool { return omitted.Host == hash })
 	}
-	return isBack
 }
 
 // Received records the report of another host, which is empty if that is no watcher.
--- a/core/roster/silence_test.go
+++ b/core/roster/silence_test.go
@@ -285,16 +285,6 @@
 	}
 }
 
-// Guards against a host that does not notice the end of a cut, and one that takes each message for it.
-func TestFirstMessageAfterASilenceOfAllIsTold(t *testing.T) {
-	now, silence := time.Now(), roster.NewSilence("host-0")
-	require.False(t, silence.Heard("host-1", now), "it has just started")
-	require.False(t, silence.Heard("host-2", now.Add(2*time.Second)))
-	require.False(t, silence.Heard("host-1", now.Add(4*time.Second)))
-	require.True(t, silence.Heard("host-1", now.Add(7*time.Second)))
-	require.False(t, silence.Heard("host-2", now.Add(7*time.Second)))
-}
-
 // Guards against a host that is gone and is named again because the watchers of the asked host are cut off:
 // 18 answers named a host 9 s after its end, beside a cut of 25 of 81 hosts.
 func TestHostThatIsGoneStaysOmittedWithoutWatchers(t *testing.T) {
