io/front: a silent server breaks no stream whose time is short or proof late

Callers saw: a whole stream without a length or chunks was reset at its end when its server fell silent then and either the deadline or the exit of the host was less than about 1.2 s away, or the store was away. Cause: the server was asked for 350 ms. After that the connection was given up and the next question went out on another one. A connection taken later than 10 ms after the end shows nothing once time is up ("connected_late"), and a question without an answer nothing at all ("no_answer"), while a server that can't be asked needs only to leave the first connection open. Fix: a server of a stream is asked on the first connection for as long as the registrations take anyway (1 s), or until shortly before the deadline or the exit. One that leaves it open without an answer is judged like one that can't be asked. One that closes a connection is judged as before. Evidence: TestSilenceAfterTheEndBreaksNoStream fails in 9 of 10 cases on the code before; TestStreamOfASilentProcessThatEndsIsNotPassedOn guards the other side and passes on both. Cost: a stream at a server that never answers ends 1 s after its last event, as before, and its connection stays open for that time.

--- a/io/front/endcheck.go
+++ b/io/front/endcheck.go
@@ -223,6 +223,11 @@
 		if check.Outcome == ending.SameID {
 			check.recordNamed()
 		}
+		if check.isSilent() {
+			conn.Discard()
+			check.Outcome = ending.Accepted
+			return false
+		}
 		if !reusable {
 			conn.Discard()
 			check.lost = check.Outcome == ending.NoAnswer
@@ -237,6 +242,12 @@
 	return false
 }
 
+// isSilent reports whether a server that took the connection has left it open without an answer, as one does that
+// can't be asked. A stream needs no answer from either.
+func (check *endCheck) isSilent() bool {
+	return check.Stream && !check.Trusted && !check.closed && !check.lost && check.Outcome == ending.NoAnswer && errors.Is(check.err, os.ErrDeadlineExceeded)
+}
+
 // wasCutShort reports whether a server of a trusted service had less than the time of a silence for its answer. It
 // may answer the next question, and without one each response would be lost.
 func (check *endCheck) wasCutShort() bool {
--- a/io/front/ending.go
+++ b/io/front/ending.go
@@ -35,7 +35,7 @@
 	check.awaitsClearing, check.NoCuts = mayClear, mayClear || status != ending.Seen
 	exchange.conn.Discard()
 	if check.NeedsAnswer() {
-		check.run(earlier(call.answerDue(check), call.work.Deadline.Add(responseGrace)))
+		check.run(call.answerDue(check))
 		check.settle(call.work.Deadline.Add(-verdictMargin))
 		check.settleLate(call.work.Deadline.Add(-verdictMargin))
 		if check.isPassedOn() {
@@ -80,15 +80,21 @@
 
 // answerDue returns until when a server is asked after the end of its response.
 func (call *call) answerDue(check *endCheck) time.Time {
-	due := check.EndedAt.Add(ending.TimeLimit)
-	if !check.Trusted {
-		return due
-	}
-	patient := check.EndedAt.Add(ending.SilenceLimit)
-	if call.progress().Remedy() == ending.Repeat {
-		patient = earlier(patient, call.verdictDue())
+	latest := call.work.Deadline.Add(responseGrace)
+	due := earlier(check.EndedAt.Add(ending.TimeLimit), latest)
+	switch {
+	case check.Trusted:
+		patient := earlier(check.EndedAt.Add(ending.SilenceLimit), latest)
+		if call.progress().Remedy() == ending.Repeat {
+			patient = earlier(patient, call.verdictDue())
+		}
+		return later(due, patient)
+	case check.Stream && check.Events > 0:
+		// By then the registrations show what a silent server does not say.
+		due = later(due, earlier(check.EndedAt.Add(registrationTime), call.work.Deadline.Add(-verdictMargin)))
+		return call.handler.beforeExit(due.Add(lookTime)).Add(-lookTime)
 	}
-	return later(due, patient)
+	return due
 }
 
 // trustsEnds reports whether the responses of a server may end with their connection.
