io/front: idle connections of callers leave room for requests

Callers saw: whole requests on new connections got neither an answer nor a refusal, and others 503, at a host whose descriptors idle connections had taken. Cause: nothing limits callers' connections. At the limit of its files the host can accept none, so that requests wait unread, net/http waits up to a second between tries to accept, and the host cannot connect to a server for requests that it has read. Change: front.Connections counts callers' connections and the idle ones among them, for all listeners of the host. Beyond a number from limits.max_fds and limits.memory_mb, responses have Connection: close, which loses nothing. Beyond twice that number, where a connection with a request counts twice, those that have been idle for the longest time make room for new ones. That may be before the time told, as new callers would wait for 15 s otherwise; they are read for 20 ms more, so that a request which has been sent is answered. One that has been idle for less than 0.5 s makes no room: its caller may be about to send. A host that can open no socket makes room and tries to accept again after 20 ms. Other side: above the number each request takes a connection of its own.

--- a/io/front/heads.go
+++ b/io/front/heads.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"primrosegw/core/budget"
+	"primrosegw/io/socket"
 )
 
 const (
@@ -21,6 +22,10 @@
 	// lastLook is the part of a time limit that a connection gets in any case after its deadline was noticed. A
 	// process that was held up until then reads what has arrived meanwhile.
 	lastLook = 100 * time.Millisecond
+	// evictedLook is the same for an idle connection whose place is taken. It covers a request that has been sent.
+	evictedLook = 20 * time.Millisecond
+	// acceptRetryDelay is the time between two tries to accept a connection while the host can open no socket.
+	acceptRetryDelay = 20 * time.Millisecond
 	// maxRefusedHeadTime and maxRefusedHeadBytes limit how much of a refused head is read and dropped,
 	// so that its caller reads the refusal.
 	maxRefusedHeadTime  = time.Second
@@ -35,6 +40,8 @@
 type Heads struct {
 	budget *budget.Budget
 	times  func() HeadTimes
+	// connections limits the idle connections; nil: they are not limited.
+	connections *Connections
 	// isStopping: the shutdown of a server has begun.
 	isStopping atomic.Bool
 }
@@ -44,6 +51,9 @@
 	return &Heads{budget: budget, times: times}
 }
 
+// LimitIdle makes the connections count for a limit, which several Heads may share. It is called before Serve.
+func (heads *Heads) LimitIdle(connections *Connections) { heads.connections = connections }
+
 // HeadTimes limits the time of a connection on which no request runs.
 type HeadTimes struct {
 	// Idle is the time until the first byte of a request. Head is the time from there to the end of its head.
@@ -76,15 +86,29 @@
 
 // Accept implements net.Listener.
 func (listener *headListener) Accept() (net.Conn, error) {
-	conn, err := listener.Listener.Accept()
+	conn, err := listener.accept()
 	if err != nil {
 		return nil, err
 	}
-	head := &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), times: listener.heads.times}
+	head := &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), times: listener.heads.times, place: place{connections: listener.heads.connections}}
+	head.place.connections.opened()
 	head.awaitHead()
 	return head, nil
 }
 
+// accept waits for a connection. While the host can open no socket, it makes room and tries again soon: net/http
+// would wait for up to a second.
+func (listener *headListener) accept() (net.Conn, error) {
+	for {
+		conn, err := listener.Listener.Accept()
+		if !socket.IsLacking(err) {
+			return conn, err
+		}
+		listener.heads.connections.makeRoom()
+		time.Sleep(acceptRetryDelay)
+	}
+}
+
 // headConn is a caller's connection. The background read of net/http runs only between the states
 // active and idle, so its fields need no lock.
 type headConn struct {
@@ -101,6 +125,8 @@
 	// until is the limit for the idle connection or the head, and isLastLook is set for its last part.
 	until      time.Time
 	isLastLook bool
+
+	place place
 }
 
 // Read implements net.Conn.
@@ -114,6 +140,7 @@
 		count, err = conn.Conn.Read(buffer)
 	}
 	if conn.read == 0 && count > 0 {
+		conn.place.endIdle()
 		conn.limit(conn.times().Head)
 	}
 	conn.read += int64(count)
@@ -137,16 +164,14 @@
 // lookAgain begins the last part of the limit. A read after its deadline fails even if bytes have arrived.
 func (conn *headConn) lookAgain() {
 	conn.isLastLook = true
-	// An error shows at the next read.
-	_ = conn.Conn.SetReadDeadline(conn.lastLookUntil(time.Now()))
-}
-
-// lastLookUntil returns the end of the last part of the limit that begins now.
-func (conn *headConn) lastLookUntil(now time.Time) time.Time {
-	if until := now.Add(lastLook); until.After(conn.until) {
-		return until
+	until := time.Now().Add(lastLook)
+	if conn.place.lastLook() {
+		until = time.Now().Add(evictedLook)
+	} else if until.Before(conn.until) {
+		until = conn.until
 	}
-	return conn.until
+	// An error shows at the next read.
+	_ = conn.Conn.SetReadDeadline(until)
 }
 
 // refuse answers the request whose head is being read.
@@ -160,6 +185,7 @@
 
 // endHead is called when the head of a request has been read and before its handler runs.
 func (conn *headConn) endHead() {
+	conn.place.endIdle()
 	conn.inHead = false
 	// An error shows at the next read.
 	_ = conn.Conn.SetReadDeadline(time.Time{})
@@ -176,6 +202,7 @@
 func (conn *headConn) awaitHead() {
 	conn.inHead = true
 	conn.limit(max(conn.times().Idle, conn.promised))
+	conn.place.beginIdle(conn)
 }
 
 // SetReadDeadline implements net.Conn. While a head is read, the limits of Heads hold instead.
@@ -206,5 +233,6 @@
 // Close implements net.Conn.
 func (conn *headConn) Close() error {
 	conn.hold.Release()
+	conn.place.closed()
 	return conn.Conn.Close()
 }
--- a/io/front/idle_test.go
+++ b/io/front/idle_test.go
@@ -64,12 +64,19 @@
 
 // serveIdle serves connections with a limit for idle ones that may change.
 func serveIdle(t *testing.T, limit *atomic.Int64, handler http.HandlerFunc) *pipeListener {
+	return serveLimited(t, limit, nil, handler)
+}
+
+// serveLimited is serveIdle with a limit for the number of connections.
+func serveLimited(t *testing.T, limit *atomic.Int64, connections *front.Connections, handler http.HandlerFunc) *pipeListener {
 	listener := newPipeListener()
 	server := &http.Server{Handler: handler}
 	times := func() front.HeadTimes {
 		return front.HeadTimes{Idle: time.Duration(limit.Load()), Head: time.Second}
 	}
-	go func() { _ = front.NewHeads(budget.New(1<<20), times).Serve(server, listener) }()
+	heads := front.NewHeads(budget.New(1<<20), times)
+	heads.LimitIdle(connections)
+	go func() { _ = heads.Serve(server, listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener
 }
@@ -327,3 +334,69 @@
 		_ = caller.conn.Close()
 	})
 }
+
+// Guards against idle connections that keep the places of new callers, and requests that are lost when they make room.
+func TestLongestIdleConnectionMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 2
+		listener := serveLimited(t, idleLimit(15*time.Second), front.NewConnections(limit), readBody)
+		dial := func() *idleCaller { return &idleCaller{dial: listener.dial} }
+		var callers []*idleCaller
+		for range limit {
+			callers = append(callers, dial())
+			response, err := callers[len(callers)-1].send(plainRequest)
+			require.NoError(t, err)
+			require.Equal(t, 12*time.Second, toldTime(response.Header))
+			time.Sleep(time.Second)
+		}
+		beyond := dial()
+		response, err := beyond.send(plainRequest)
+		require.NoError(t, err)
+		require.True(t, response.Close, "no connection beyond the limit stays open")
+		synctest.Wait()
+		fresh := []net.Conn{listener.dial()}
+		time.Sleep(time.Second)
+		require.False(t, callers[0].isClosed(), "connections have room up to twice the limit")
+		fresh = append(fresh, listener.dial())
+		synctest.Wait()
+		_, err = callers[0].send(plainRequest)
+		require.NoError(t, err, "a request that is on its way is read")
+		require.Nil(t, callers[0].conn)
+		synctest.Wait()
+		fresh = append(fresh, listener.dial())
+		time.Sleep(time.Second)
+		require.True(t, callers[1].isClosed(), "the one that has been idle for the longest time")
+		for _, conn := range fresh {
+			require.False(t, (&idleCaller{conn: conn, reader: bufio.NewReader(conn)}).isClosed())
+			_ = conn.Close()
+		}
+		callers[1].close()
+	})
+}
+
+// Guards against new connections that make room before their callers have sent a request.
+func TestNewConnectionsMakeNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := serveLimited(t, idleLimit(15*time.Second), front.NewConnections(1), readBody)
+		var conns []net.Conn
+		for range 10 {
+			conns = append(conns, listener.dialFar())
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, conn := range conns {
+			caller := &idleCaller{dial: func() net.Conn { return conn }}
+			_, err := caller.send(plainRequest)
+			require.NoError(t, err)
+			caller.close()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// isClosed reports whether the end of the connection has arrived.
+func (caller *idleCaller) isClosed() bool {
+	_ = caller.conn.SetReadDeadline(time.Now().Add(time.Microsecond))
+	_, err := caller.reader.Peek(1)
+	_ = caller.conn.SetReadDeadline(time.Time{})
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
--- a/io/front/keepalive.go
+++ b/io/front/keepalive.go
@@ -107,7 +107,7 @@
 	}
 	limit := teller.conn.times().Idle
 	told := toldIdle(limit)
-	if told < keepAliveUnit || teller.heads.isStopping.Load() || !teller.hasEnd() || !teller.isBodyRead() {
+	if told < keepAliveUnit || teller.conn.place.connections.isFull() || teller.heads.isStopping.Load() || !teller.hasEnd() || !teller.isBodyRead() {
 		header.Set("Connection", "close")
 		return
 	}
--- a/io/socket/socket.go
+++ b/io/socket/socket.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -49,6 +50,12 @@
 	return Options{KeepAlive: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}}
 }
 
+// IsLacking reports whether an error says that this host could open no socket, or had no port for it. That says
+// nothing of a peer.
+func IsLacking(err error) bool {
+	return errors.IsAny(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL)
+}
+
 // Dialer returns a dialer whose connections have the options.
 func (options Options) Dialer(timeout time.Duration) *net.Dialer {
 	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: options.KeepAlive, Control: options.control}
