io/dial: a host that can open no socket blames neither server nor path

Callers saw: 503 from a host at the limit of its descriptors for requests that a server could have taken, as the server counted as suspended. Cause: a dial that fails because this host has no descriptor, port or buffer left counted like one that the server refused: the server was suspended, its path was down if another host reached it, and a further failure refuted the path, which may end attempts on open connections. Change: socket.IsLacking tells these errors. Such a dial fails with NoPath, unless another host could not reach the server either, and records nothing. Other side: a server that is really down while the host has no descriptor is tried by each request until one is free.

--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -12,6 +12,7 @@
 	"primrosegw/core/fault"
 	"primrosegw/core/host"
 	"primrosegw/core/reach"
+	"primrosegw/io/socket"
 )
 
 // Kind classifies the errors of this package.
@@ -338,7 +339,7 @@
 	if race.direct.conn != nil {
 		_ = race.direct.conn.Close()
 	}
-	if race.direct.err != nil || race.direct.isProven {
+	if race.direct.err != nil && !socket.IsLacking(race.direct.err) || race.direct.isProven {
 		race.record(race.direct.err == nil)
 	}
 }
@@ -382,6 +383,9 @@
 // failure returns the error of a dial of which both ways have failed.
 func (race *race) failure() error {
 	paths, now := race.dialer.options.Paths, time.Now()
+	if socket.IsLacking(race.direct.err) && (race.tunnel == nil || !race.tunnel.confirmed) {
+		return fault.Wrap("dial.dial", NoPath, race.direct.err)
+	}
 	paths.RecordFailed(race.process, now)
 	isMute := errors.Is(race.direct.err, errMute)
 	if isMute {
@@ -409,6 +413,7 @@
 	switch {
 	case err == nil, errors.Is(err, ErrNoQuestion) && paths.CutOffFor(now) == 0:
 		dialer.report(paths.RecordDirect(process, now))
+	case socket.IsLacking(err):
 	case errors.Is(err, ErrNoQuestion):
 		// That a host is no longer cut off takes a byte of a server.
 	default:
