--- a/io/front/heads.go
+++ b/io/front/heads.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"container/list"
 	"errors"
 	"io"
 	"net"
@@ -11,6 +10,7 @@
 	"time"
 
 	"primrosegw/core/budget"
+	"primrosegw/io/socket"
 )
 
 const (
@@ -24,6 +24,8 @@
 	lastLook = 100 * time.Millisecond
 	// evictedLook is the same for an idle connection whose place is taken. It covers a request that has been sent.
 	evictedLook = 20 * time.Millisecond
+	// acceptRetryDelay is the time between two tries to accept a connection while the host can open no socket.
+	acceptRetryDelay = 20 * time.Millisecond
 	// maxRefusedHeadTime and maxRefusedHeadBytes limit how much of a refused head is read and dropped,
 	// so that its caller reads the refusal.
 	maxRefusedHeadTime  = time.Second
@@ -84,16 +86,29 @@
 
 // Accept implements net.Listener.
 func (listener *headListener) Accept() (net.Conn, error) {
-	conn, err := listener.Listener.Accept()
+	conn, err := listener.accept()
 	if err != nil {
 		return nil, err
 	}
-	head := &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), times: listener.heads.times, connections: listener.heads.connections}
-	head.connections.opened()
+	head := &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), times: listener.heads.times, place: place{connections: listener.heads.connections}}
+	head.place.connections.opened()
 	head.awaitHead()
 	return head, nil
 }
 
+// accept waits for a connection. While the host can open no socket, it makes room and tries again soon: net/http
+// would wait for up to a second.
+func (listener *headListener) accept() (net.Conn, error) {
+	for {
+		conn, err := listener.Listener.Accept()
+		if !socket.IsLacking(err) {
+			return conn, err
+		}
+		listener.heads.connections.makeRoom()
+		time.Sleep(acceptRetryDelay)
+	}
+}
+
 // headConn is a caller's connection. The background read of net/http runs only between the states
 // active and idle, so its fields need no lock.
 type headConn struct {
@@ -111,11 +126,7 @@
 	until      time.Time
 	isLastLook bool
 
-	connections *Connections
-	// place is that among the idle connections; nil: it is none of them. isEvicted: it was taken for a new
-	// connection. They and isClosed belong to connections.
-	place               *list.Element
-	isEvicted, isClosed bool
+	place place
 }
 
 // Read implements net.Conn.
@@ -129,7 +140,7 @@
 		count, err = conn.Conn.Read(buffer)
 	}
 	if conn.read == 0 && count > 0 {
-		conn.connections.endIdle(conn)
+		conn.place.endIdle()
 		conn.limit(conn.times().Head)
 	}
 	conn.read += int64(count)
@@ -154,7 +165,7 @@
 func (conn *headConn) lookAgain() {
 	conn.isLastLook = true
 	until := time.Now().Add(lastLook)
-	if conn.connections.endIdle(conn) {
+	if conn.place.lastLook() {
 		until = time.Now().Add(evictedLook)
 	} else if until.Before(conn.until) {
 		until = conn.until
@@ -174,7 +185,7 @@
 
 // endHead is called when the head of a request has been read and before its handler runs.
 func (conn *headConn) endHead() {
-	conn.connections.endIdle(conn)
+	conn.place.endIdle()
 	conn.inHead = false
 	// An error shows at the next read.
 	_ = conn.Conn.SetReadDeadline(time.Time{})
@@ -191,7 +202,7 @@
 func (conn *headConn) awaitHead() {
 	conn.inHead = true
 	conn.limit(max(conn.times().Idle, conn.promised))
-	conn.connections.beginIdle(conn)
+	conn.place.beginIdle(conn)
 }
 
 // SetReadDeadline implements net.Conn. While a head is read, the limits of Heads hold instead.
@@ -222,6 +233,6 @@
 // Close implements net.Conn.
 func (conn *headConn) Close() error {
 	conn.hold.Release()
-	conn.connections.closed(conn)
+	conn.place.closed()
 	return conn.Conn.Close()
 }
--- a/io/front/idle_test.go
+++ b/io/front/idle_test.go
@@ -353,13 +353,16 @@
 		response, err := beyond.send(plainRequest)
 		require.NoError(t, err)
 		require.True(t, response.Close, "no connection beyond the limit stays open")
+		synctest.Wait()
 		fresh := []net.Conn{listener.dial()}
 		time.Sleep(time.Second)
 		require.False(t, callers[0].isClosed(), "connections have room up to twice the limit")
 		fresh = append(fresh, listener.dial())
+		synctest.Wait()
 		_, err = callers[0].send(plainRequest)
 		require.NoError(t, err, "a request that is on its way is read")
 		require.Nil(t, callers[0].conn)
+		synctest.Wait()
 		fresh = append(fresh, listener.dial())
 		time.Sleep(time.Second)
 		require.True(t, callers[1].isClosed(), "the one that has been idle for the longest time")
@@ -371,6 +374,25 @@
 	})
 }
 
+// Guards against new connections that make room before their callers have sent a request.
+func TestNewConnectionsMakeNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := serveLimited(t, idleLimit(15*time.Second), front.NewConnections(1), readBody)
+		var conns []net.Conn
+		for range 10 {
+			conns = append(conns, listener.dialFar())
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, conn := range conns {
+			caller := &idleCaller{dial: func() net.Conn { return conn }}
+			_, err := caller.send(plainRequest)
+			require.NoError(t, err)
+			caller.close()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
 // isClosed reports whether the end of the connection has arrived.
 func (caller *idleCaller) isClosed() bool {
 	_ = caller.conn.SetReadDeadline(time.Now().Add(time.Microsecond))
