core/room, io/front: a request that only a full server may take does not hold up the others

Callers saw: in a brittle time, requests waited, and were refused at their objective, though a server of their service had room: before them in the queue stood a stream that may only go on at servers of one version, which were full. Cause: a queue belongs to a service, and only its first request may be sent. Class: one order for requests that do not compete for the same thing. Change: a request names the servers to which it may not be sent when it joins; at those it does not come before others. Up to the first request without exceptions all look for room. Costs a map of the excluded servers for each request that waits.

--- a/core/room/queue.go
+++ b/core/room/queue.go
@@ -41,8 +41,10 @@
 	turn    turn
 	start   int64
 	number  int64
-	woken   chan struct{}
-	left    bool
+	// except holds the hashes of the servers to which the request may not be sent.
+	except map[uint64]bool
+	woken  chan struct{}
+	left   bool
 	// passes: the request has waited for as long as it may, and no server was brittle.
 	passes bool
 }
@@ -61,6 +63,8 @@
 	Rank int
 	// MaxWait is the longest time that the request may wait.
 	MaxWait time.Duration
+	// Except holds the IDs of servers of the service to which the request may not be sent.
+	Except map[string]bool
 }
 
 func (limiter *Limiter) queue(service string) *queue {
@@ -90,7 +94,7 @@
 	defer limiter.mutex.Unlock()
 	queue := limiter.queue(request.Service)
 	turn := turn{request.Rank, request.Workspace}
-	ticket := &Ticket{service: request.Service, turn: turn, start: max(queue.now[request.Rank], queue.next[turn]), number: queue.last + 1, woken: make(chan struct{}, 1)}
+	ticket := &Ticket{service: request.Service, turn: turn, start: max(queue.now[request.Rank], queue.next[turn]), number: queue.last + 1, except: hashes(request.Except), woken: make(chan struct{}, 1)}
 	position, _ := slices.BinarySearchFunc(queue.waiting, ticket, (*Ticket).compare)
 	wait := limiter.expectedWait(request.Service, position, now)
 	if wait > request.MaxWait && limiter.isBrittleTime(request.Service, now) {
@@ -106,6 +110,14 @@
 	return ticket, wait
 }
 
+func hashes(ids map[string]bool) map[uint64]bool {
+	result := make(map[uint64]bool, len(ids))
+	for id := range ids {
+		result[fleet.ServerHash(id)] = true
+	}
+	return result
+}
+
 // unlikely is the expected wait of a host that has no share of any server.
 const unlikely = time.Hour
 
@@ -180,16 +192,30 @@
 	return limiter.holdTime(registered.Service)
 }
 
+// isFirst reports whether the request of a ticket is the next one for some server: those before it may not be sent to all.
 func (limiter *Limiter) isFirst(ticket *Ticket) bool {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
-	return limiter.isNext(ticket.service, ticket)
+	return slices.Contains(limiter.queue(ticket.service).firsts(), ticket)
+}
+
+// firsts returns the requests that may be the next one for a server: up to the first that may be sent to all.
+func (queue *queue) firsts() []*Ticket {
+	last := slices.IndexFunc(queue.waiting, func(ticket *Ticket) bool { return len(ticket.except) == 0 })
+	if last < 0 {
+		return queue.waiting
+	}
+	return queue.waiting[:last+1]
 }
 
-// isNext reports whether no other request of the service comes before that of the ticket.
-func (limiter *Limiter) isNext(service string, ticket *Ticket) bool {
+// isNext reports whether no other request of the service comes before that of the ticket at a server.
+func (limiter *Limiter) isNext(service string, server uint64, ticket *Ticket) bool {
 	known := limiter.queues[service]
-	return known == nil || len(known.waiting) == 0 || known.waiting[0] == ticket
+	if known == nil {
+		return true
+	}
+	next := slices.IndexFunc(known.waiting, func(other *Ticket) bool { return other == ticket || !other.except[server] })
+	return next < 0 || known.waiting[next] == ticket
 }
 
 // Leave removes a request from its queue that is not sent.
@@ -219,14 +245,16 @@
 	limiter.wake(ticket.service)
 }
 
-// wake lets the first request of a service look for room.
+// wake lets the requests of a service look for room that may be the next ones.
 func (limiter *Limiter) wake(service string) {
 	known := limiter.queues[service]
-	if known == nil || len(known.waiting) == 0 {
+	if known == nil {
 		return
 	}
-	select {
-	case known.waiting[0].woken <- struct{}{}:
-	default:
+	for _, ticket := range known.firsts() {
+		select {
+		case ticket.woken <- struct{}{}:
+		default:
+		}
 	}
 }
--- a/core/room/room.go
+++ b/core/room/room.go
@@ -308,7 +308,7 @@
 	known.id, known.service, known.slots = registered.ID, registered.Service, cmp.Or(known.slots, registered.Slots)
 	mayPass := ticket != nil && ticket.passes && !known.isBrittle(now)
 	if limiter.isLimited(known, now) && !mayPass {
-		if !limiter.hasRoom(key, known, now) || !limiter.isNext(registered.Service, ticket) {
+		if !limiter.hasRoom(key, known, now) || !limiter.isNext(registered.Service, key, ticket) {
 			return false
 		}
 	}
--- a/io/front/brittle.go
+++ b/io/front/brittle.go
@@ -83,6 +83,7 @@
 		}
 		ticket, wait := call.handler.options.Room.Join(room.Request{
 			Service: call.work.Service, Workspace: call.work.Workspace, Rank: rank, MaxWait: call.maxRoomWait(now),
+			Except: call.excluded(call.handler.options.Fleet.Members(call.work.Service, now)),
 		}, now)
 		if ticket == nil {
 			return &refusal{status: http.StatusServiceUnavailable, reason: steer.Brittle, retryAfter: wait}
