io/front: an attempt that reaches no server costs no further retry

Callers saw: while versions of the configuration came fast, streams broke off ("no_retry"), and requests were refused, though the retry budget of their service was meant for more. Cause: each decision on the next step of a request that has reached a server took a retry out of the budget, also if the attempt then ended before a server got the request: a new table, a wait for room, a connection that could not be opened. Class: a price that is paid when something is decided and not when it is done. Change: a request keeps its retry until an attempt reaches a server. With servers that refuse connections, up to three dials more for each retry (maxConnectFailures) cost nothing.

--- a/io/front/brittle.go
+++ b/io/front/brittle.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// retryRank puts a request that a server has turned away before those that were not sent yet, because
-	// each look for a server costs it a retry.
+	// retryRank puts a request that a server has turned away before those that were not sent yet: it has waited
+	// before, and a retry has been spent on it.
 	retryRank = -1
 	// roomWaitShare is the share of the time left that a request without an objective may wait for room.
 	roomWaitShare = 0.5
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -179,7 +179,18 @@
 	if call.ticket != nil && call.ticket.Passes() {
 		choose.Room = options.Room.Brittle()
 	}
-	return steer.Next(choose, &call.work, progress, options.RetryBudgets, members, now)
+	return steer.Next(choose, &call.work, progress, attemptBudget{call}, members, now)
+}
+
+// attemptBudget takes one retry for each attempt that reaches a server out of the retry budgets, however often the
+// next step is decided before.
+type attemptBudget struct{ call *call }
+
+// TryWithdraw implements steer.Budget.
+func (budget attemptBudget) TryWithdraw(service string) bool {
+	call := budget.call
+	call.hasRetry = call.hasRetry || call.handler.options.RetryBudgets.TryWithdraw(service)
+	return call.hasRetry
 }
 
 // countReached counts a server that may have received the request. The first one
@@ -189,6 +200,7 @@
 		call.handler.options.RetryBudgets.Deposit(call.work.Service)
 	}
 	call.reached++
+	call.hasRetry = false
 }
 
 // attempt sends the request to one server and relays the response. Before, the server has closed so
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -187,7 +187,9 @@
 	// mayHaveRun is the number of attempts of which it is not certain that they have not run.
 	mayHaveRun int
 	// reached is the number of backend servers that may have received the request.
-	reached  int
+	reached int
+	// hasRetry: a retry has been taken out of the budget, and no server has been reached since.
+	hasRetry bool
 	tried    map[string]bool
 	serverID string
 	// responseStarted: a part of a response has been written to the caller.
