io/front: a stream whose silent server was connected to late may be answered

Callers saw: a whole stream without a length or chunks was reset 2 s after its end when its server was silent, the store was away and the host, busy, had opened the connection for its question later than 10 ms after the end. A connection taken late shows nothing without registrations, so that only an answer could, as before. Fix: if the connection was late, the server is asked again until time is up. TestStreamOfASilentServerThatWasAskedLateIsWhole fails 2 of 2 times before. Other side: no verdict changes, there is only one more question.

--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -259,6 +259,9 @@
 	return evidence.ConnectedAt.Sub(evidence.EndedAt)+evidence.UnreadFor > MaxConnectTime
 }
 
+// ConnectedInTime reports whether no process that has started since can have taken the connection.
+func (evidence Evidence) ConnectedInTime() bool { return !evidence.isLate() }
+
 // doubt returns the reason why an answer does not show that the process runs.
 func (evidence Evidence) doubt() Case {
 	switch evidence.Outcome {
--- a/io/front/endcheck.go
+++ b/io/front/endcheck.go
@@ -47,6 +47,8 @@
 	lost bool
 	// closed: it closed such a connection before it was asked. Another process may take the next one.
 	closed bool
+	// silent: it left the newest connection open without an answer.
+	silent bool
 	err    error
 }
 
@@ -110,8 +112,12 @@
 			return
 		}
 		time.Sleep(min(settlePoll, left))
-		if !check.MaySettle() {
+		switch {
+		case !check.MaySettle():
 			check.run(earlier(time.Now().Add(ending.TimeLimit), until))
+		case check.silent && !check.ConnectedInTime():
+			// Time alone shows nothing on a connection that was taken late, but an answer may.
+			check.run(handler.beforeExit(until).Add(-lookTime))
 		}
 	}
 }
@@ -223,7 +229,7 @@
 		if check.Outcome == ending.SameID {
 			check.recordNamed()
 		}
-		if check.isSilent() {
+		if check.silent = check.isSilent(); check.silent {
 			conn.Discard()
 			check.Outcome = ending.Accepted
 			return false
--- a/io/front/silentstream_test.go
+++ b/io/front/silentstream_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"primrosegw/core/ending"
 	"primrosegw/core/table"
 )
 
@@ -47,6 +49,30 @@
 	}
 }
 
+// Guards against a whole stream that is broken off because its server was silent when it was asked, on a connection
+// that a busy host had opened late, though it answers before time is up.
+func TestStreamOfASilentServerThatWasAskedLateIsWhole(t *testing.T) {
+	harness := newHarness(t, withReports)
+	harness.copyLag.Store(int64(time.Minute))
+	var endedAt atomic.Int64
+	harness.whileDialing = func() {
+		if endedAt.Load() > 0 {
+			time.Sleep(2 * ending.MaxConnectTime)
+		}
+	}
+	harness.addServer("a", harness.withQuestion("/report", func(request *http.Request, conn net.Conn) {
+		time.Sleep(time.Until(time.UnixMilli(endedAt.Load()).Add(silentAfterEnd)))
+		respondWith(200, "1")(request, conn)
+	}, func(request *http.Request, conn net.Conn) {
+		endedAt.Store(time.Now().UnixMilli())
+		unframed(eventStream, events(1, 3))(request, conn)
+	}))
+	harness.startedAt("a", 1)
+	got := harness.post("/resume/", "x")
+	require.NoError(t, got.err, harness.log.String())
+	require.Equal(t, events(1, 3), got.body)
+}
+
 // Guards against a cut stream that looks complete because its process answers nothing while it ends.
 func TestStreamOfASilentProcessThatEndsIsNotPassedOn(t *testing.T) {
 	for name, change := range map[string]func(*table.Data){"report": withReports, "health": nil} {
