io/front: a silence within a late answer to another request loses no own one

Callers saw: 502 after 0.2 s with nearly all of their time left, when their server first sent, on their connection, a late answer to another request and fell silent within it. Cause: the rest of an answer that is dropped had 200 ms, after which the attempt ended, although the own answer followed. That limit was made for answers that are dropped only to keep their connection. Fix: what stands before the awaited answer has as long as that itself, half of the time left if the request can run again. The limits on its size and number stay (64 KiB, three), and so does the 200 ms where nothing follows. Evidence: TestSilenceWithinAForeignAnswerLosesNoOwnOne fails 2 of 2 cases on the code before. TestSilentServersLoseNoResponse now has such answers, and callers without an answer of a server (502) fail it as before. Other side: a server that sends 64 KiB slowly before an answer holds a request that can't run again until its deadline, in place of 0.2 s.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -26,7 +26,8 @@
 	maxForeignResponses = 3
 	// maxForeignBytes limits the size of a response body that is read and dropped.
 	maxForeignBytes = 64 << 10
-	// maxDiscardTime limits how long such a body may take, because the caller waits.
+	// maxDiscardTime limits how long the body of a dropped response may take only to keep its connection, because
+	// the caller waits. What stands before the awaited response has until the verdict on that is due.
 	maxDiscardTime = 200 * time.Millisecond
 	// maxBufferedBytes limits the size of a response that is neither a stream nor can be
 	// passed on while it is read. An attempt with a longer one fails.
@@ -189,7 +190,7 @@
 		if foreign >= maxForeignResponses {
 			return response, info, fault.New("front.await", pipe.Malformed, "too many responses to other requests")
 		}
-		if !exchange.discardBody(response) {
+		if !exchange.discardBody(response, call.verdictDue()) {
 			return response, info, fault.New("front.await", pipe.Lost, "incomplete or oversized response to another request")
 		}
 		exchange.conn.SetReadDeadline(deadline)
@@ -300,7 +301,7 @@
 // drainBody reads and drops a response that the caller does not get, so that the
 // connection can be reused. A long response is not worth that: the connection is closed.
 func (exchange *exchange) drainBody(response pipe.Response) {
-	if !exchange.discardBody(response) {
+	if !exchange.discardBody(response, time.Now().Add(maxDiscardTime)) {
 		exchange.conn.Discard()
 		return
 	}
@@ -308,12 +309,12 @@
 }
 
 // discardBody reads and drops the body of a response, and reports whether it ended
-// within maxForeignBytes and maxDiscardTime.
-func (exchange *exchange) discardBody(response pipe.Response) bool {
+// within maxForeignBytes and a time limit.
+func (exchange *exchange) discardBody(response pipe.Response, limit time.Time) bool {
 	if response.ContentLength > maxForeignBytes {
 		return false
 	}
-	exchange.conn.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	exchange.conn.SetReadDeadline(limit)
 	count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes+1))
 	exchange.recordBrokenFraming(err)
 	return err == nil && count <= maxForeignBytes
