io/front: a caller of a part of a body gets its refusal

Callers saw: a request whose body does not arrive whole within its time got no answer as long as the connection stayed open; the host held the connection. Cause: the read deadline was taken back before the refusal was sent, and net/http reads the rest of the body before it writes the head of a response. Class: a wait without a limit. Change: the deadline is taken back only when the body was read whole.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -271,7 +271,6 @@
 	controller := http.NewResponseController(call.writer)
 	// Errors mean that the writer has no deadlines, as in tests.
 	_ = controller.SetReadDeadline(call.work.Received.Add(cmp.Or(call.info.Timeout, defaultTimeout)))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	err := call.readWhole(body)
 	if memoryShortage(err) != "" {
 		return call.refuseBody(body)
@@ -282,6 +281,8 @@
 	if limit > 0 && int64(len(call.body)) > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_long"}
 	}
+	// The deadline of a body that was not read whole stays: net/http reads the rest before it sends a refusal.
+	_ = controller.SetReadDeadline(time.Time{})
 	return nil
 }
 
