core/reach: what is known of a path tells a cut from silence

Callers saw: nothing. The log of a host that counts as cut off from the backend servers, or that ends an attempt because its path is down, did not say whether another host had reached a server or all servers were just silent. Cause: host_cut_off had paths_down and sign_age_ms, attempt_ended the error only. No decision changes. Other side: four fields on lines that are written only at a cut.

--- a/io/front/exchange.go
+++ b/io/front/exchange.go
@@ -402,6 +402,7 @@
 	if result == work.Broken {
 		fields["fingerprint"], fields["parts"] = strconv.FormatUint(call.fingerprint(), 16), partIDs(call.work.Parts)
 	}
+	exchange.addEvidence(fields)
 	call.log(event.AttemptEnded(), fields)
 	return result
 }
--- a/io/front/path.go
+++ b/io/front/path.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"primrosegw/core/fleet"
 	"primrosegw/core/reach"
@@ -29,6 +30,8 @@
 	ended bool
 	// broken: the connection was closed, because the path is down.
 	broken bool
+	// evidence is what was known of the path then.
+	evidence reach.Evidence
 	// received is the number of bytes that had arrived at silentSince.
 	received    int64
 	silentSince time.Time
@@ -64,6 +67,7 @@
 	}
 	if paths.Breaks(watch.process, watch.silentSince, now) {
 		watch.ended, watch.broken = true, true
+		watch.evidence = paths.EvidenceOf(watch.process, now)
 		watch.exchange.conn.Close()
 		return
 	}
@@ -90,6 +94,17 @@
 	return watch.broken
 }
 
+// addEvidence adds to the line on an attempt whose path was found cut what that was found from.
+func (exchange *exchange) addEvidence(fields logrus.Fields) {
+	watch := exchange.watch
+	if watch == nil || !watch.isBroken() {
+		return
+	}
+	// The watch has ended, so that nothing changes its evidence.
+	fields["is_reached_elsewhere"], fields["tunnel_age_ms"] = watch.evidence.IsReachedElsewhere, watch.evidence.TunnelAgeMs
+	fields["refuted_age_ms"], fields["byte_age_ms"] = watch.evidence.RefutedAgeMs, watch.evidence.ByteAgeMs
+}
+
 // probePath opens a connection to a silent server and asks a question on it, which shows whether its path is
 // down, and keeps it for the next request. A failure says nothing new of the server: it may be down, and a request will tell.
 func (handler *Handler) probePath(address, process string, limit int) {
--- a/io/front/path_test.go
+++ b/io/front/path_test.go
@@ -67,6 +67,7 @@
 				harness.paths.RecordDirect(harness.processOf("a"), time.Now())
 			}
 			require.Contains(t, harness.log.String(), "the path to the server is down")
+			require.Contains(t, harness.log.String(), `"is_reached_elsewhere":true`)
 		})
 	}
 }
