--- a/core/table/current.go
+++ b/core/table/current.go
@@ -20,6 +20,8 @@
 type Current struct {
 	pointer atomic.Pointer[Table]
 	mutex   sync.Mutex
+	// adoptedAt is when the active table was adopted.
+	adoptedAt time.Time
 	// moves holds the latest changes of what routes of resumable streams lead to, in order of time.
 	moves []move
 	// replaced is closed when the next table is adopted; nil: nobody has asked for it.
@@ -48,6 +50,7 @@
 	if active != nil {
 		current.recordMoves(active, table, time.Now())
 	}
+	current.adoptedAt = time.Now()
 	current.pointer.Store(table)
 	if current.replaced != nil {
 		close(current.replaced)
@@ -71,6 +74,13 @@
 	return current.replaced
 }
 
+// AdoptedAt returns when the active table was adopted; zero if there is none.
+func (current *Current) AdoptedAt() time.Time {
+	current.mutex.Lock()
+	defer current.mutex.Unlock()
+	return current.adoptedAt
+}
+
 // PastServices returns the services to which requests for a host name and path led after since by tables
 // that have been replaced, where these led elsewhere. Only routes of resumable streams count.
 func (current *Current) PastServices(host, path string, since time.Time) []string {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -143,6 +143,8 @@
 	defer handler.inFlight.Add(-1)
 	call := &call{handler: handler, writer: writer, request: request, state: work.Unsent}
 	call.work.Received = time.Now()
+	call.begin()
+	defer call.end()
 	if handler.drain.Load() != nil {
 		writer.Header().Set("Connection", "close")
 	}
@@ -152,12 +154,14 @@
 	call.limitWrites(call.work.Received.Add(defaultTimeout))
 	if refusal := call.admit(); refusal != nil {
 		call.refuse(*refusal)
+		call.hasReturned = true
 		return
 	}
 	rank := call.work.Rank
 	handler.inFlightByRank[rank].Add(1)
 	defer handler.inFlightByRank[rank].Add(-1)
 	call.forward()
+	call.hasReturned = true
 }
 
 // call is the state of one request.
@@ -169,6 +173,12 @@
 	// has a deadline.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// conn is the caller's connection; nil if it is not watched.
+	conn *callerConn
+	// outcome is that of the request as it was counted; empty: it has none yet. hasReturned: the handler
+	// returns without a panic.
+	outcome     string
+	hasReturned bool
 
 	info RequestInfo
 	body []byte
@@ -240,6 +250,7 @@
 	}
 	call.info = info
 	call.work.ID = info.ID
+	call.conn.nameRequest(info.ID)
 	current := options.Table.Load()
 	if current == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no_table"}
@@ -251,6 +262,7 @@
 	if refusal := call.readBody(limit); refusal != nil {
 		return refusal
 	}
+	call.conn.recordWhole()
 	if refusal := call.matchRoute(); refusal != nil {
 		return refusal
 	}
@@ -274,7 +286,6 @@
 	controller := http.NewResponseController(call.writer)
 	// Errors mean that the writer has no deadlines, as in tests.
 	_ = controller.SetReadDeadline(call.work.Received.Add(cmp.Or(call.info.Timeout, defaultTimeout)))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	err := call.readWhole(body)
 	if memoryShortage(err) != "" {
 		return call.refuseBody(body)
@@ -285,6 +296,8 @@
 	if limit > 0 && int64(len(call.body)) > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_long"}
 	}
+	// The deadline of a body that was not read whole stays: net/http reads the rest before it sends a refusal.
+	_ = controller.SetReadDeadline(time.Time{})
 	return nil
 }
 
@@ -402,8 +415,12 @@
 	return errors.Is(context.Cause(call.request.Context()), context.Canceled)
 }
 
-// recordOutcome records the outcome of the request in the metrics.
+// recordOutcome records the outcome of the request in the metrics, unless it has one.
 func (call *call) recordOutcome(outcome string, firstEvent time.Duration) {
+	if call.outcome != "" {
+		return
+	}
+	call.outcome = outcome
 	call.handler.options.Meter.RecordForward(meter.ForwardResult{
 		Outcome: outcome, Kind: string(call.work.Route.Kind), Rank: call.work.Rank,
 		FirstEvent: firstEvent, Total: time.Since(call.work.Received),
--- a/io/front/heads.go
+++ b/io/front/heads.go
@@ -44,6 +44,8 @@
 	connections *Connections
 	// isStopping: the shutdown of a server has begun.
 	isStopping atomic.Bool
+	// handler reports connections that the host closes; nil: nobody does.
+	handler *Handler
 }
 
 // NewHeads returns a Heads with a budget, which asks times for the limits.
@@ -90,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	head := &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), times: listener.heads.times, place: place{connections: listener.heads.connections}}
+	head := &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), times: listener.heads.times, caller: listener.heads.newCallerConn(), place: place{connections: listener.heads.connections}}
 	head.place.connections.opened()
 	head.awaitHead()
 	return head, nil
@@ -115,6 +117,8 @@
 	net.Conn
 	hold  *budget.Hold
 	times func() HeadTimes
+	// caller tells why the connection is closed; nil if nobody wants to know.
+	caller *callerConn
 	// inHead: the bytes that are read belong to the head of a request. read is their number, and
 	// taken what they have taken from the budget.
 	inHead bool
@@ -132,13 +136,14 @@
 // Read implements net.Conn.
 func (conn *headConn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
-	if !conn.inHead {
-		return count, err
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && count == 0 && !conn.isLastLook {
+	if conn.inHead && errors.Is(err, os.ErrDeadlineExceeded) && count == 0 && !conn.isLastLook {
 		conn.lookAgain()
 		count, err = conn.Conn.Read(buffer)
 	}
+	conn.caller.recordRead(count, err)
+	if !conn.inHead {
+		return count, err
+	}
 	if conn.read == 0 && count > 0 {
 		conn.place.endIdle()
 		conn.limit(conn.times().Head)
@@ -176,6 +181,7 @@
 
 // refuse answers the request whose head is being read.
 func (conn *headConn) refuse() {
+	conn.caller.recordRefusedHead()
 	// Errors mean that the caller has gone.
 	_ = conn.SetDeadline(time.Now().Add(maxRefusedHeadTime))
 	_, _ = io.WriteString(conn.Conn, refusedHead)
@@ -186,6 +192,7 @@
 // endHead is called when the head of a request has been read and before its handler runs.
 func (conn *headConn) endHead() {
 	conn.place.endIdle()
+	conn.caller.recordHeadEnd()
 	conn.inHead = false
 	// An error shows at the next read.
 	_ = conn.Conn.SetReadDeadline(time.Time{})
@@ -193,6 +200,7 @@
 
 // beginHead is called when a request has ended and the connection stays open.
 func (conn *headConn) beginHead() {
+	conn.caller.recordIdle()
 	conn.hold.Give(conn.taken)
 	conn.read, conn.taken = 0, 0
 	conn.awaitHead()
@@ -232,6 +240,7 @@
 
 // Close implements net.Conn.
 func (conn *headConn) Close() error {
+	conn.caller.recordClosed()
 	conn.hold.Release()
 	conn.place.closed()
 	return conn.Conn.Close()
