io/front: a request whose body is arriving is refused before its host stops

Callers saw: the connection closed without an answer at the end of a planned stop, if a part of the body had not arrived. Cause: the host ends open requests 150 ms before it exits, but a handler that reads a body went on to wait for it, up to the request's timeout, and the exit cut it. Change: the end of the open requests ends these reads as well, and the request gets 503 "leaving". Other side: a body that would have arrived in the last 150 ms is refused, as requests that arrive then are.

--- a/io/front/drain.go
+++ b/io/front/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"primrosegw/core/admit"
@@ -55,6 +56,22 @@
 	}
 }
 
+// endReadsWhenStopping ends reads of the request's body when the host stops. The returned function ends that, and
+// returns when no deadline is set any more.
+func (call *call) endReadsWhenStopping(controller *http.ResponseController) (disown func()) {
+	done := make(chan struct{})
+	stop := context.AfterFunc(call.handler.stopping, func() {
+		defer close(done)
+		// An error means that the writer has no deadlines, as in tests.
+		_ = controller.SetReadDeadline(time.Now())
+	})
+	return func() {
+		if !stop() {
+			<-done
+		}
+	}
+}
+
 // drainingMs returns for how long the host has been draining, or -1 if it is not.
 func (handler *Handler) drainingMs(now time.Time) int64 {
 	drain := handler.drain.Load()
--- a/io/front/drain_test.go
+++ b/io/front/drain_test.go
@@ -1,6 +1,8 @@
 package front_test
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -55,3 +57,22 @@
 	require.Less(t, time.Since(began), 500*time.Millisecond)
 	require.NotContains(t, harness.log.String(), "server_suspended")
 }
+
+// Guards against a request that is cut without an answer because its body has not arrived when its host stops.
+func TestRequestWithAPartOfItsBodyIsRefusedBeforeItsHostStops(t *testing.T) {
+	harness := newHarness(t, nil)
+	conn, err := net.Dial("tcp4", harness.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	began := time.Now()
+	harness.handler.Drain(began.Add(500 * time.Millisecond))
+	_, err = io.WriteString(conn, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n\r\nbo")
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(began.Add(10*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.True(t, response.Close)
+	require.Less(t, time.Since(began), 500*time.Millisecond)
+	require.Empty(t, harness.requestsReceived())
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -271,11 +271,18 @@
 	controller := http.NewResponseController(call.writer)
 	// Errors mean that the writer has no deadlines, as in tests.
 	_ = controller.SetReadDeadline(call.work.Received.Add(cmp.Or(call.info.Timeout, defaultTimeout)))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	disown := call.endReadsWhenStopping(controller)
+	defer func() {
+		disown()
+		_ = controller.SetReadDeadline(time.Time{})
+	}()
 	err := call.readWhole(body)
 	if memoryShortage(err) != "" {
 		return call.refuseBody(body)
 	}
+	if err != nil && call.handler.stopping.Err() != nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "leaving", detail: err.Error()}
+	}
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: "body_unread", detail: err.Error()}
 	}
