io/daemon: a host that leaves answers the requests that it reads

Callers saw: "serve" closed connections on which a request was arriving when its drain time was over, and dropped requests that it read afterwards. Cause: http.Server.Shutdown, as in the gateway. Change: the callers' and the operators' addresses leave through io/leave. It gives up connections of HTTP/2, which Shutdown ends in order (GOAWAY), so that is called once the others have ended. There is no end of a grace here: a head may take its time limit, and 5 s at most. Other side: a caller who has connected and sends nothing holds a drain for 0.2 s, and 5 s with TLS, as its handshake looks like the beginning of a request; with Shutdown it was 5 s either way.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -255,22 +255,17 @@
 	for _, loop := range daemon.loops() {
 		group.Go(func() { loop(background) })
 	}
-	servers := []*http.Server{daemon.entryServer()}
-	listeners := []net.Listener{entry.GiveFirstHeadsTheirTime(daemon.entryListener, idleTimeout, daemon.keys.Entry())}
-	if daemon.adminListener != nil {
-		servers = append(servers, daemon.adminServer())
-		listeners = append(listeners, daemon.adminListener)
-	}
-	failed := make(chan error, len(servers))
-	for index, server := range servers {
-		group.Go(func() { failed <- daemon.serve(server, listeners[index]) })
+	endpoints := daemon.endpoints()
+	failed := make(chan error, len(endpoints))
+	for _, endpoint := range endpoints {
+		group.Go(func() { failed <- daemon.serve(endpoint.server, endpoint.listener) })
 	}
 	daemon.directory.taking.Store(true)
 	daemon.logger.Log(event.HostStarted(), logrus.Fields{
 		"entry_address": daemon.self.EntryAddress, "link_address": daemon.self.LinkAddress,
 		"admin_address": daemon.AdminAddress(), "failure_domain": daemon.self.FailureDomain,
 	})
-	err := daemon.wait(ctx, signals, servers, failed)
+	err := daemon.wait(ctx, signals, endpoints, failed)
 	stop()
 	daemon.close()
 	group.Wait()
@@ -293,17 +288,17 @@
 }
 
 // wait blocks until the host is told to leave, then lets its requests end.
-func (daemon *Daemon) wait(ctx context.Context, signals Signals, servers []*http.Server, failed <-chan error) error {
+func (daemon *Daemon) wait(ctx context.Context, signals Signals, endpoints []endpoint, failed <-chan error) error {
 	select {
 	case err := <-failed:
-		daemon.shut(servers)
+		shut(endpoints)
 		return err
 	case <-ctx.Done():
-		return daemon.abort(servers)
+		return daemon.abort(endpoints)
 	case <-signals.Abort:
-		return daemon.abort(servers)
+		return daemon.abort(endpoints)
 	case <-signals.Drain:
-		return daemon.drain(ctx, signals, servers)
+		return daemon.drain(ctx, signals, endpoints)
 	}
 }
 
--- a/io/daemon/drain.go
+++ b/io/daemon/drain.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,7 +20,7 @@
  3. It accepts no more connections and waits until every request has ended,
     those that other hosts sent it included.
 */
-func (daemon *Daemon) drain(ctx context.Context, signals Signals, servers []*http.Server) error {
+func (daemon *Daemon) drain(ctx context.Context, signals Signals, endpoints []endpoint) error {
 	daemon.logger.Log(event.HostDraining(), logrus.Fields{"drain_ms": daemon.drainTime().Milliseconds()})
 	daemon.members.Leave()
 	quiet := time.NewTimer(daemon.drainTime())
@@ -30,13 +28,13 @@
 	select {
 	case <-quiet.C:
 	case <-signals.Abort:
-		return daemon.abort(servers)
+		return daemon.abort(endpoints)
 	case <-ctx.Done():
-		return daemon.abort(servers)
+		return daemon.abort(endpoints)
 	}
 	finished := make(chan struct{})
 	go func() {
-		daemon.shut(servers)
+		shut(endpoints)
 		daemon.forwards.Wait()
 		close(finished)
 	}()
@@ -44,9 +42,9 @@
 	case <-finished:
 		return nil
 	case <-signals.Abort:
-		return daemon.abort(servers)
+		return daemon.abort(endpoints)
 	case <-ctx.Done():
-		return daemon.abort(servers)
+		return daemon.abort(endpoints)
 	}
 }
 
@@ -57,20 +55,11 @@
 	return max(ttl, time.Duration(daemon.settings.Limits.DrainMs)*time.Millisecond)
 }
 
-// shut stops accepting and waits for the requests in flight.
-func (daemon *Daemon) shut(servers []*http.Server) {
-	var group sync.WaitGroup
-	for _, server := range servers {
-		group.Go(func() { _ = server.Shutdown(context.Background()) })
-	}
-	group.Wait()
-}
-
 // abort ends the host at once.
-func (daemon *Daemon) abort(servers []*http.Server) error {
+func (daemon *Daemon) abort(endpoints []endpoint) error {
 	daemon.logger.Log(event.HostAborted(), logrus.Fields{})
-	for _, server := range servers {
-		_ = server.Close()
+	for _, endpoint := range endpoints {
+		_ = endpoint.server.Close()
 	}
 	return fault.New("daemon.run", Aborted, "the host was ended before its requests were")
 }
--- a/io/entry/firsthead.go
+++ b/io/entry/firsthead.go
@@ -75,18 +75,21 @@
 	return count, err
 }
 
+// NetConn returns the connection below.
+func (conn *firstHeadConn) NetConn() net.Conn { return conn.Conn }
+
 // CloseWrite ends the sending side, so that a caller reads a refusal before the connection is closed.
 func (conn *firstHeadConn) CloseWrite() error {
-	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
+	if inner, ok := conn.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
 	}
 	return nil
 }
 
 // SetLinger sets what Close does with bytes that have not been sent.
 func (conn *firstHeadConn) SetLinger(seconds int) error {
-	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
-		return tcp.SetLinger(seconds)
+	if inner, ok := conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return inner.SetLinger(seconds)
 	}
 	return errors.ErrUnsupported
 }
--- a/io/leave/leave.go
+++ b/io/leave/leave.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -54,12 +55,18 @@
 	return &Conns{refusal: refusal, changed: make(chan struct{}), open: make(map[*Conn]struct{})}
 }
 
-// Track is called with each change of the state of a connection (http.Server.ConnState).
+// Track is called with each change of the state of a connection (http.Server.ConnState). It gives up connections of
+// HTTP/2, which http.Server.Shutdown ends in order.
 func (conns *Conns) Track(conn net.Conn, state http.ConnState) {
 	found := find(conn)
 	if found == nil {
 		return
 	}
+	if carriesSeveral(conn) {
+		found.enter(answering)
+		conns.remove(found)
+		return
+	}
 	switch state {
 	case http.StateActive:
 		found.enter(answering)
@@ -70,6 +77,12 @@
 	}
 }
 
+// carriesSeveral reports whether a connection carries several requests at a time.
+func carriesSeveral(conn net.Conn) bool {
+	secured, ok := conn.(*tls.Conn)
+	return ok && secured.ConnectionState().NegotiatedProtocol == "h2"
+}
+
 // Handler returns a handler that tells callers in Leave that their connections will be closed.
 func (conns *Conns) Handler(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
