--- a/io/front/front.go
+++ b/io/front/front.go
@@ -145,9 +145,7 @@
 	call.work.Received = time.Now()
 	call.begin()
 	defer call.end()
-	if handler.drain.Load() != nil {
-		writer.Header().Set("Connection", "close")
-	}
+	call.announceClose()
 	writer.Header()["Date"] = nil
 	defer call.releaseMemory()
 	defer call.endContext()
@@ -286,10 +284,15 @@
 	controller := http.NewResponseController(call.writer)
 	// Errors mean that the writer has no deadlines, as in tests.
 	_ = controller.SetReadDeadline(call.work.Received.Add(cmp.Or(call.info.Timeout, defaultTimeout)))
+	disown := call.endReadsWhenStopping(controller)
 	err := call.readWhole(body)
+	disown()
 	if memoryShortage(err) != "" {
 		return call.refuseBody(body)
 	}
+	if err != nil && call.handler.stopping.Err() != nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "leaving", detail: err.Error()}
+	}
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: "body_unread", detail: err.Error()}
 	}
--- a/io/front/heads.go
+++ b/io/front/heads.go
@@ -6,10 +6,10 @@
 	"net"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"primrosegw/core/budget"
+	"primrosegw/io/leave"
 	"primrosegw/io/socket"
 )
 
@@ -42,15 +42,14 @@
 	times  func() HeadTimes
 	// connections limits the idle connections; nil: they are not limited.
 	connections *Connections
-	// isStopping: the shutdown of a server has begun.
-	isStopping atomic.Bool
 	// handler reports connections that the host closes; nil: nobody does.
 	handler *Handler
+	conns   *leave.Conns
 }
 
 // NewHeads returns a Heads with a budget, which asks times for the limits.
 func NewHeads(budget *budget.Budget, times func() HeadTimes) *Heads {
-	return &Heads{budget: budget, times: times}
+	return &Heads{budget: budget, times: times, conns: leave.New(refusedHead)}
 }
 
 // LimitIdle makes the connections count for a limit, which several Heads may share. It is called before Serve.
@@ -67,6 +66,7 @@
 // count the time before the first request of a connection as that of its head.
 func (heads *Heads) Serve(server *http.Server, listener net.Listener) error {
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		heads.conns.Track(conn, state)
 		switch state {
 		case http.StateActive:
 			conn.(*headConn).endHead()
@@ -77,8 +77,7 @@
 	server.ConnContext = connContext
 	server.Handler = heads.tellIdle(server.Handler)
 	server.DisableGeneralOptionsHandler = true
-	server.RegisterOnShutdown(func() { heads.isStopping.Store(true) })
-	return server.Serve(&headListener{Listener: listener, heads: heads})
+	return server.Serve(&headListener{Listener: heads.conns.Listen(listener), heads: heads})
 }
 
 type headListener struct {
@@ -221,23 +220,6 @@
 	return conn.Conn.SetReadDeadline(deadline)
 }
 
-// SetLinger sets what Close does with bytes that have not been sent.
-func (conn *headConn) SetLinger(seconds int) error {
-	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
-		return tcp.SetLinger(seconds)
-	}
-	return nil
-}
-
-// CloseWrite closes the sending side, which net/http does before it closes a connection on which
-// the caller still sends.
-func (conn *headConn) CloseWrite() error {
-	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
-	}
-	return nil
-}
-
 // Close implements net.Conn.
 func (conn *headConn) Close() error {
 	conn.caller.recordClosed()
--- a/io/front/keepalive.go
+++ b/io/front/keepalive.go
@@ -26,7 +26,7 @@
 	return keep.Handler(answerOptions(handler), keep.Options{
 		Limit: func(request *http.Request) time.Duration {
 			conn := connOf(request)
-			if heads.isStopping.Load() || conn.place.connections.isFull() {
+			if heads.conns.IsLeaving() || conn.place.connections.isFull() {
 				return 0
 			}
 			return conn.times().Idle
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -82,6 +82,7 @@
 		body = []byte("{}")
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	call.announceClose()
 	call.writer.WriteHeader(refusal.status)
 	// An error means that the caller has gone, so there is nobody to report it to.
 	_, _ = call.writer.Write(body)
