--- a/io/front/callerconn.go
+++ b/io/front/callerconn.go
@@ -66,7 +66,7 @@
 	// headBytes are the bytes of the head, or those of the next request that have arrived during one.
 	headBytes int64
 	// headEnded: net/http has read a head or failed to. isTimedOut: the time for the head or the idle limit has
-	// passed. hasCallerEnded: the caller has closed the connection. isRefused: the head does not fit into memory.
+	// passed. hasCallerEnded: the caller has closed the connection, which may show in a write. isRefused: the head does not fit into memory.
 	// isAnswered: net/http has answered the head.
 	headEnded, isTimedOut, hasCallerEnded, isRefused, isAnswered bool
 	// isWhole: the request was read with its body.
@@ -148,7 +148,11 @@
 	}
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	conn.isWriteExpired = conn.isWriteExpired || errors.Is(err, os.ErrDeadlineExceeded)
+	if err != nil && !conn.closed {
+		// net/http closes the connection after this, within the handler if the response has chunks.
+		conn.isWriteExpired = errors.Is(err, os.ErrDeadlineExceeded)
+		conn.hasCallerEnded = !conn.isWriteExpired
+	}
 	if conn.phase != readingHead || conn.isAnswered || conn.isRefused || conn.hasCallerEnded {
 		return
 	}
@@ -243,7 +247,7 @@
 	switch {
 	case conn.isWriteExpired:
 		return requestWriteDeadline
-	case conn.closed:
+	case conn.closed && !conn.hasCallerEnded:
 		return requestStop
 	}
 	return ""
@@ -286,6 +290,8 @@
 	switch {
 	case conn.phase != readingHead && conn.isWriteExpired:
 		return requestWriteDeadline
+	case conn.phase != readingHead && conn.hasCallerEnded:
+		return ""
 	case conn.phase == handlingRequest:
 		return requestStop
 	case conn.phase == endingResponse:
--- a/io/front/callerconn_test.go
+++ b/io/front/callerconn_test.go
@@ -163,6 +163,12 @@
 			<-arrived
 			_ = conn.Close()
 		}, times: limits, outcome: "caller_left", by: "handler"},
+		"caller left within a stream": {play: func(t *testing.T, host watchedHost, _ <-chan struct{}) {
+			conn := host.send(t, requestText("/stream/", "x")).(*net.TCPConn)
+			_, err := io.ReadFull(conn, make([]byte, 1000))
+			require.NoError(t, err)
+			resetConnection(nil, conn)
+		}, answer: streamWithoutEnd, times: limits, outcome: "caller_left", by: "handler"},
 		"stop": {play: func(t *testing.T, host watchedHost, arrived <-chan struct{}) {
 			host.send(t, requestText("/once/", "x"))
 			<-arrived
