io/front: each request has one outcome, and the host says which connections it closes

The host could not say whether it had read the request, nor who had closed the connection, as only requests that reach a handler were logged, and a panic or a head that net/http answers or drops had no outcome. Change: requests_read counts each request of which a whole head was read or a head was refused, and each has exactly one outcome in forwarded_requests; new are request_panic, request_stop, request_write_deadline, request_dropped, head_memory and head_invalid. When the host closes one, caller_connections_closed counts the reason, and request_cut or head_cut names it, the bytes read of the next request, ages, the request ID and the age of the table (table.Current.AdoptedAt). A connection that the host closed is no caller_left any more. explain takes request_cut for an outcome. Before, none of the reasons was in the log. Existing tests: the meter of the harness counts in place of discarding, and its codec panics on a header X-Panic; no check changes. Not seen: a next request that arrives in one segment with the one before.

--- a/core/event/gateway.go
+++ b/core/event/gateway.go
@@ -77,6 +77,8 @@
 		LinesDropped(),
 		LinesSuppressed(),
 		OutcomesSuppressed(),
+		RequestCut(),
+		HeadCut(),
 	}
 }
 
@@ -468,6 +470,16 @@
 	return Event{1966, "outcomes_suppressed", logrus.WarnLevel, "log", "Log lines on how requests ended are missing."}
 }
 
+// RequestCut reports that the host closes a caller's connection within a request.
+func RequestCut() Event {
+	return Event{1967, "request_cut", logrus.WarnLevel, "forward", "The host closes a caller's connection before the caller has the answer to its request."}
+}
+
+// HeadCut reports that the host closes a caller's connection on which a part of a request's head was read.
+func HeadCut() Event {
+	return Event{1968, "head_cut", logrus.InfoLevel, "forward", "The host closes a caller's connection on which a part of a request's head was read."}
+}
+
 // TunnelRefused reports that the host opened no tunnel to a backend server for another host.
 func TunnelRefused() Event {
 	return Event{1970, "tunnel_refused", logrus.WarnLevel, "relay", "No tunnel to a backend server was opened for another host."}
--- a/core/event/outcome.go
+++ b/core/event/outcome.go
@@ -12,7 +12,7 @@
 // EndsRequest reports whether a line of the event says how a request ended, or how many such lines are missing.
 func (event Event) EndsRequest() bool {
 	switch event.Number {
-	case RequestEnded().Number, RequestTurnedAway().Number, CallerLeft().Number, AnswerBroken().Number,
+	case RequestEnded().Number, RequestTurnedAway().Number, CallerLeft().Number, AnswerBroken().Number, RequestCut().Number,
 		RequestDone().Number, RequestRefused().Number, CallerGone().Number,
 		LinesDropped().Number, LinesSuppressed().Number, OutcomesSuppressed().Number:
 		return true
--- a/core/table/current.go
+++ b/core/table/current.go
@@ -20,6 +20,8 @@
 type Current struct {
 	pointer atomic.Pointer[Table]
 	mutex   sync.Mutex
+	// adoptedAt is when the active table was adopted.
+	adoptedAt time.Time
 	// moves holds the latest changes of what routes of resumable streams lead to, in order of time.
 	moves []move
 }
@@ -46,10 +48,18 @@
 	if active != nil {
 		current.recordMoves(active, table, time.Now())
 	}
+	current.adoptedAt = time.Now()
 	current.pointer.Store(table)
 	return true
 }
 
+// AdoptedAt returns when the active table was adopted; zero if there is none.
+func (current *Current) AdoptedAt() time.Time {
+	current.mutex.Lock()
+	defer current.mutex.Unlock()
+	return current.adoptedAt
+}
+
 // PastServices returns the services to which requests for a host name and path led after since by tables
 // that have been replaced, where these led elsewhere. Only routes of resumable streams count.
 func (current *Current) PastServices(host, path string, since time.Time) []string {
--- a/core/trail/trail.go
+++ b/core/trail/trail.go
@@ -131,7 +131,7 @@
 func affectsRequests(name string) bool {
 	return slices.Contains([]string{
 		"host_cut_off", "host_regained", "store_lost", "store_regained", "proof_lost", "proof_regained", "table_adopted", "table_rejected", "history_gone",
-		"gateway_started", "gateway_draining", "gateway_stopped", "lines_dropped", "quarantine_started", "quarantine_ended",
+		"gateway_started", "gateway_draining", "gateway_stopped", "lines_dropped", "outcomes_suppressed", "quarantine_started", "quarantine_ended",
 	}, name)
 }
 
@@ -146,6 +146,11 @@
 			return answeredByServer(line), true
 		case "answer_broken":
 			return fmt.Sprintf("The response was cut off after %v events: %s.", line.Fields["events"], lastFailedAttempt(lines)), true
+		case "request_cut":
+			// The outcome of a response that was cut off tells more.
+			if line.Fields["reason"] != "request_broken" {
+				return fmt.Sprintf("The host closed the client's connection before the client had its answer, after %v ms: %v.", line.Fields["after_ms"], line.Fields["reason"]), true
+			}
 		case "caller_left":
 			return fmt.Sprintf("The client disconnected after %v ms; the request was cancelled.", line.Fields["after_ms"]), true
 		}
--- a/core/trail/trail_test.go
+++ b/core/trail/trail_test.go
@@ -64,3 +64,16 @@
 	_, err = trail.Read(strings.NewReader(strings.Repeat("x", 2<<20)))
 	require.True(t, fault.Is(err, trail.Unreadable))
 }
+
+// Guards against a request that the host has cut and a report that says that its end is missing, or that it was answered.
+func TestRequestCutIsAnOutcome(t *testing.T) {
+	cut := trail.Line{Host: "host", Name: "request_cut", RequestID: "a", Fields: map[string]any{"reason": "request_stop", "after_ms": 40}}
+	report, err := trail.Explain([]trail.Line{{Host: "host", Name: "request_sent", RequestID: "a"}, cut}, "a")
+	require.NoError(t, err)
+	require.Contains(t, report.Outcome, "request_stop")
+	broken := trail.Line{Host: "host", Name: "answer_broken", RequestID: "a", Fields: map[string]any{"events": 3}}
+	cut.Fields["reason"] = "request_broken"
+	report, err = trail.Explain([]trail.Line{broken, cut}, "a")
+	require.NoError(t, err)
+	require.Contains(t, report.Outcome, "after 3 events")
+}
--- a/io/front/forward.go
+++ b/io/front/forward.go
@@ -355,7 +355,7 @@
 		"route": call.work.Route.Name, "server": call.serverID, "events": call.events.count, "error": refusal.reason,
 		"after_ms": now.Sub(call.work.Received).Milliseconds(), "framing": call.lastFraming, "case": call.lastEnd, "draining_ms": call.handler.drainingMs(now),
 	})
-	call.recordOutcome("broken", call.firstEventDelay)
+	call.recordOutcome(outcomeBroken, call.firstEventDelay)
 	call.abort()
 }
 
@@ -367,10 +367,13 @@
 
 // abandon ends a request whose caller has gone.
 func (call *call) abandon() {
+	if call.abandonOwn() {
+		panic(http.ErrAbortHandler)
+	}
 	total := time.Since(call.work.Received)
 	call.log(event.CallerLeft(), logrus.Fields{
 		"route": call.work.Route.Name, "server": call.serverID, "state": call.state, "after_ms": total.Milliseconds(), "events": call.events.count,
 	})
-	call.recordOutcome("caller_left", call.firstEventDelay)
+	call.recordOutcome(outcomeCallerLeft, call.firstEventDelay)
 	panic(http.ErrAbortHandler)
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -143,6 +143,8 @@
 	defer handler.inFlight.Add(-1)
 	call := &call{handler: handler, writer: writer, request: request, state: work.Unsent}
 	call.work.Received = time.Now()
+	call.begin()
+	defer call.end()
 	if handler.drain.Load() != nil {
 		writer.Header().Set("Connection", "close")
 	}
@@ -151,6 +153,7 @@
 	call.limitWrites(call.work.Received.Add(defaultTimeout))
 	if refusal := call.admit(); refusal != nil {
 		call.refuse(*refusal)
+		call.hasReturned = true
 		return
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), call.work.Deadline)
@@ -160,6 +163,7 @@
 	handler.inFlightByRank[rank].Add(1)
 	defer handler.inFlightByRank[rank].Add(-1)
 	call.forward()
+	call.hasReturned = true
 }
 
 // call is the state of one request.
@@ -168,6 +172,12 @@
 	writer  http.ResponseWriter
 	request *http.Request
 	ctx     context.Context
+	// conn is the caller's connection; nil if it is not watched.
+	conn *callerConn
+	// outcome is that of the request as it was counted; empty: it has none yet. hasReturned: the handler
+	// returns without a panic.
+	outcome     string
+	hasReturned bool
 
 	info RequestInfo
 	body []byte
@@ -237,6 +247,7 @@
 	}
 	call.info = info
 	call.work.ID = info.ID
+	call.conn.nameRequest(info.ID)
 	current := options.Table.Load()
 	if current == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no_table"}
@@ -248,6 +259,7 @@
 	if refusal := call.readBody(limit); refusal != nil {
 		return refusal
 	}
+	call.conn.recordWhole()
 	if refusal := call.matchRoute(); refusal != nil {
 		return refusal
 	}
@@ -373,8 +385,12 @@
 	return errors.Is(context.Cause(call.request.Context()), context.Canceled)
 }
 
-// recordOutcome records the outcome of the request in the metrics.
+// recordOutcome records the outcome of the request in the metrics, unless it has one.
 func (call *call) recordOutcome(outcome string, firstEvent time.Duration) {
+	if call.outcome != "" {
+		return
+	}
+	call.outcome = outcome
 	call.handler.options.Meter.RecordForward(meter.ForwardResult{
 		Outcome: outcome, Kind: string(call.work.Route.Kind), Rank: call.work.Rank,
 		FirstEvent: firstEvent, Total: time.Since(call.work.Received),
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -56,6 +57,9 @@
 }
 
 func (headerCodec) ForwardHeader(caller http.Header, info front.ForwardInfo) http.Header {
+	if caller.Get("X-Panic") != "" {
+		panic("a fault of the program")
+	}
 	header := caller.Clone()
 	header.Del("X-Key")
 	header.Set("X-Left-Ms", strconv.FormatInt(info.TimeLeft.Milliseconds(), 10))
@@ -101,11 +105,31 @@
 	header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 }
 
-type discardMeter struct{}
+// countingMeter counts requests by outcome, and counters by name and value of their tag.
+type countingMeter struct {
+	mutex    sync.Mutex
+	outcomes map[string]int
+	counters map[string]int
+}
 
-func (discardMeter) RecordForward(meter.ForwardResult) {}
+func (meter *countingMeter) RecordForward(result meter.ForwardResult) {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	meter.outcomes[result.Outcome]++
+}
 
-func (discardMeter) AddToCounter(string, string, string, int64) {}
+func (meter *countingMeter) AddToCounter(name, _, tagValue string, delta int64) {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	meter.counters[name+" "+tagValue] += int(delta)
+}
+
+// snapshot returns copies of the counts.
+func (meter *countingMeter) snapshot() (outcomes, counters map[string]int) {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	return maps.Clone(meter.outcomes), maps.Clone(meter.counters)
+}
 
 // harnessBudget is the memory for the requests and responses of a harness.
 const harnessBudget = 64 << 20
@@ -131,6 +155,7 @@
 	servers map[string]fleet.Server
 	server  *httptest.Server
 	log     *buffer.Buffer
+	meter   *countingMeter
 	// copyLag is how far the copy of the registrations lags behind the time before which no other one can be meant.
 	copyLag atomic.Int64
 	// now is the clock against which the proof expires. The proof was confirmed at 1.
@@ -170,7 +195,7 @@
 
 func newHarness(t *testing.T, change func(*table.Data)) *harness {
 	t.Helper()
-	harness := &harness{t: t, table: &table.Current{}, fleet: fleet.New(), proof: fresh.New(time.Minute), log: &buffer.Buffer{}, servers: map[string]fleet.Server{}, whileDialing: func() {}, trusted: map[string]bool{}}
+	harness := &harness{t: t, table: &table.Current{}, fleet: fleet.New(), proof: fresh.New(time.Minute), log: &buffer.Buffer{}, meter: &countingMeter{outcomes: map[string]int{}, counters: map[string]int{}}, servers: map[string]fleet.Server{}, whileDialing: func() {}, trusted: map[string]bool{}}
 	target := []table.Target{{Service: "engines", Weight: 1}}
 	route := func(name string, kind table.Kind, resumable bool) table.Route {
 		return table.Route{
@@ -201,7 +226,7 @@
 	harness.handler = front.New(front.Options{
 		Headers: headerCodec{}, Table: harness.table, Proof: harness.proof, Now: func() fresh.Instant { return fresh.Instant(harness.now.Load()) }, Fleet: harness.fleet,
 		Pool: pipe.New(pipe.Options{OnDial: func(string) { harness.whileDialing() }}), Paths: harness.paths, RetryBudgets: retry.NewBudgets(0.2, 10), CrashDetector: harness.crashes, Origins: origin.New(), AskOrigin: harness.askOrigin, Registrations: harness, VersionRecords: harness.records, Pacer: pacer.New("host"), Room: room.New("host"), Pick: pick.Options{TokensPerMs: 50},
-		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: discardMeter{}, Budget: harness.budget, TrustedServices: harness.trusted, Cuts: harness.cuts, TellCuts: func() {}, Steps: harness.steps, TellSteps: func() {},
+		ConnectionShare: func(limit int) int { return limit }, Logger: event.New(harness.log, "host", 4, nil), Meter: harness.meter, Budget: harness.budget, TrustedServices: harness.trusted, Cuts: harness.cuts, TellCuts: func() {}, Steps: harness.steps, TellSteps: func() {},
 	})
 	listener, err := front.Listen(t.Context(), "127.0.0.1:0")
 	require.NoError(t, err)
--- a/io/front/heads.go
+++ b/io/front/heads.go
@@ -28,6 +28,8 @@
 type Heads struct {
 	budget *budget.Budget
 	times  func() HeadTimes
+	// handler reports connections that the host closes; nil: nobody does.
+	handler *Handler
 }
 
 // NewHeads returns a Heads with a budget, which asks times for the limits.
@@ -68,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	head := &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), times: listener.heads.times}
+	head := &headConn{Conn: conn, hold: listener.heads.budget.Open(budget.Heads()), times: listener.heads.times, caller: listener.heads.newCallerConn()}
 	head.awaitHead()
 	return head, nil
 }
@@ -79,6 +81,8 @@
 	net.Conn
 	hold  *budget.Hold
 	times func() HeadTimes
+	// caller tells why the connection is closed; nil if nobody wants to know.
+	caller *callerConn
 	// inHead: the bytes that are read belong to the head of a request. read is their number, and
 	// taken what they have taken from the budget.
 	inHead bool
@@ -89,6 +93,7 @@
 // Read implements net.Conn.
 func (conn *headConn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
+	conn.caller.recordRead(count, err)
 	if !conn.inHead {
 		return count, err
 	}
@@ -109,6 +114,7 @@
 
 // refuse answers the request whose head is being read.
 func (conn *headConn) refuse() {
+	conn.caller.recordRefusedHead()
 	// Errors mean that the caller has gone.
 	_ = conn.SetDeadline(time.Now().Add(maxRefusedHeadTime))
 	_, _ = io.WriteString(conn.Conn, refusedHead)
@@ -118,6 +124,7 @@
 
 // endHead is called when the head of a request has been read and before its handler runs.
 func (conn *headConn) endHead() {
+	conn.caller.recordHeadEnd()
 	conn.inHead = false
 	// An error shows at the next read.
 	_ = conn.Conn.SetReadDeadline(time.Time{})
@@ -125,6 +132,7 @@
 
 // beginHead is called when a request has ended and the connection stays open.
 func (conn *headConn) beginHead() {
+	conn.caller.recordIdle()
 	conn.hold.Give(conn.taken)
 	conn.read, conn.taken = 0, 0
 	conn.awaitHead()
@@ -164,6 +172,7 @@
 
 // Close implements net.Conn.
 func (conn *headConn) Close() error {
+	conn.caller.recordClosed()
 	conn.hold.Release()
 	return conn.Conn.Close()
 }
--- a/io/front/linger.go
+++ b/io/front/linger.go
@@ -11,7 +11,7 @@
 // a response that has neither a length nor chunks. A server of a Handler needs it as its ConnContext;
 // Heads.Serve sets it.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return linger.ConnContext(ctx, conn)
+	return withCallerConn(linger.ConnContext(ctx, conn), conn)
 }
 
 // endsWithConnection reports whether the caller may take the end of its connection for that of the
