io/leave: an answer is sent before its connection is reset

Cause: closing a connection with unread bytes resets it, and the kernel drops what it has not sent. Change: a connection that is closed behind an answer, with unread bytes, is closed once the caller's kernel has all of the answer, after 0.5 s at the latest. Nothing more is read, so that the next request is still provably unread and may be repeated. Connections that are to be reset (SetLinger 0), and idle ones, are closed at once as before. Other side: such a connection takes its descriptor for up to 0.5 s more. Tried first: reading and dropping the next request, which mends the answer too and makes it look as if that request had been taken.

--- a/io/leave/conn.go
+++ b/io/leave/conn.go
@@ -25,7 +25,7 @@
 type Conn struct {
 	net.Conn
 	conns *Conns
-	// isClosed makes Close remove the connection once.
+	// isClosed makes Close end the connection once.
 	isClosed sync.Once
 
 	mutex sync.Mutex
@@ -34,6 +34,8 @@
 	since time.Time
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
+	// resets: closing the connection is to reset it.
+	resets bool
 }
 
 // find returns the Conn below a connection, nil if there is none.
@@ -173,6 +175,9 @@
 
 // SetLinger sets what Close does with bytes that have not been sent.
 func (conn *Conn) SetLinger(seconds int) error {
+	conn.mutex.Lock()
+	conn.resets = seconds == 0
+	conn.mutex.Unlock()
 	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
 		return tcp.SetLinger(seconds)
 	}
@@ -187,9 +192,40 @@
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. If the caller has sent its next request behind the one that was answered, closing resets
+// the connection, as that request is unread, and the kernel drops what it has not sent of the answer. So the answer
+// goes first.
 func (conn *Conn) Close() error {
-	err := conn.Conn.Close()
-	conn.isClosed.Do(func() { conn.conns.remove(conn) })
+	var err error
+	conn.isClosed.Do(func() {
+		if !conn.endsAnswer() || !hasUnread(conn.Conn) {
+			err = conn.end()
+			return
+		}
+		go func() {
+			conn.awaitSent()
+			// An error means that the caller has gone.
+			_ = conn.end()
+		}()
+	})
 	return err
 }
+
+// endsAnswer reports whether the connection is closed behind an answer and not to be reset.
+func (conn *Conn) endsAnswer() bool {
+	conn.mutex.Lock()
+	defer conn.mutex.Unlock()
+	return conn.phase == answering && !conn.resets
+}
+
+// awaitSent waits until the caller's kernel has all that was written.
+func (conn *Conn) awaitSent() {
+	for until := time.Now().Add(sendTime); hasUnsent(conn.Conn) && time.Now().Before(until); {
+		time.Sleep(sendPollInterval)
+	}
+}
+
+func (conn *Conn) end() error {
+	defer conn.conns.remove(conn)
+	return conn.Conn.Close()
+}
--- a/io/leave/leave.go
+++ b/io/leave/leave.go
@@ -19,6 +19,10 @@
 	// maxHeadTime is how long a head may arrive in Leave if the server sets no shorter limit. It ends TLS
 	// connections without a request, whose handshake looks like the beginning of a head.
 	maxHeadTime = 5 * time.Second
+	// sendTime limits how long an answer may take to a caller whose next request is not read, and sendPollInterval is
+	// how often that is looked at.
+	sendTime         = 500 * time.Millisecond
+	sendPollInterval = 5 * time.Millisecond
 	// refusalTime limits how long a refused request is read and dropped, so that its caller reads the refusal.
 	refusalTime = 50 * time.Millisecond
 	// maxRefusedBytes limits how much of it is.
--- a/io/leave/listener.go
+++ b/io/leave/listener.go
@@ -82,6 +82,14 @@
 	})
 }
 
+// hasUnsent reports whether the kernel has bytes of a connection that the peer has not acknowledged.
+func hasUnsent(conn net.Conn) bool {
+	return control(conn, func(descriptor int) bool {
+		info, err := unix.GetsockoptTCPInfo(descriptor, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err == nil && info.Unacked+info.Notsent_bytes > 0
+	})
+}
+
 // control calls look with the descriptor of a socket, and returns false if there is none.
 func control(socket any, look func(descriptor int) bool) bool {
 	owner, ok := socket.(syscall.Conn)
