io/relay: a host that can open no socket does not confirm that a server is down

Callers would see: 503, as a server is suspended that other requests reach. Cause: a host that dials a server for another one, and lacks a descriptor or a port for it, answers that it can't reach the server either. The other host then blames the server. Change: such a dial is answered with Refused, which confirms nothing. Evidence: TestHostWithoutSocketsConfirmsNothing failed before (unreachable in place of refused). Found by reading; its frequency is not measured, since it takes a helping host at the limit of its files.

--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -350,12 +350,16 @@
 	}
 }
 
-// dial connects to a backend server. It fails with Unreachable, or with Refused if the dialer does.
+// dial connects to a backend server. It fails with Unreachable, or with Refused if the dialer does or this host
+// can open no socket.
 func (server *Server) dial(ctx context.Context, address string) (stream, error) {
 	conn, err := server.options.Dial(ctx, address)
 	if fault.Is(err, Refused) {
 		return nil, err
 	}
+	if socket.IsLacking(err) {
+		return nil, fault.Wrap("relay.connect", Refused, err)
+	}
 	if err != nil {
 		return nil, fault.Wrap("relay.connect", Unreachable, err)
 	}
