io/keep: serve tells callers how long their connections are kept, too

Callers would see: at hosts of serve, a request on a connection that has been idle for 60 s gets the end of its connection, as on the platform. Cause: the same as there: the host closes idle connections at a limit that it does not tell. Change: the part of io/front that writes Keep-Alive becomes io/keep, which callers' and operators' servers of serve use with their limit of 60 s. The operators' server has this limit as its own now; before, net/http took that for a body, 20 s. Responses of HTTP/2 tell nothing, as the header is not allowed there; its GOAWAY frame serves the purpose. Evidence: TestCallersAreToldHowLongConnectionsAreKept failed before (no header). TestOnlyHTTP1IsTold; the cases of HTTP/1 stay in io/front. Measured: no more than these tests. Not changed: net/http reads no more after the limit of an idle connection there, so that a process that was paused across it may still close one on which a request has arrived.

--- a/io/daemon/system.go
+++ b/io/daemon/system.go
@@ -6,6 +6,7 @@
 
 	"primrosegw/core/spec"
 	"primrosegw/io/admin"
+	"primrosegw/io/keep"
 )
 
 // Operator implements admin.System. The document's operators may call. While no
@@ -60,9 +61,10 @@
 	})
 	limits := daemon.settings.Limits
 	return &http.Server{
-		Handler:           operators.Handler(),
+		Handler:           keep.Handler(operators.Handler(), keep.Options{Limit: func(*http.Request) time.Duration { return idleTimeout }}),
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMs) * time.Millisecond,
 		ReadTimeout:       time.Duration(limits.BodyTimeoutMs) * time.Millisecond,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
 	}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -4,12 +4,14 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"primrosegw/core/cell"
 	"primrosegw/core/event"
 	"primrosegw/core/limit"
 	"primrosegw/core/spec"
+	"primrosegw/io/keep"
 	"primrosegw/io/linger"
 	"primrosegw/io/meter"
 )
@@ -91,13 +93,21 @@
 // Server returns the callers' HTTP server with all bounds set.
 func (entry *Entry) Server() *http.Server {
 	limits := entry.options.Limits
-	return &http.Server{
-		Handler:           entry.Handler(),
+	var isStopping atomic.Bool
+	server := &http.Server{
+		Handler: keep.Handler(entry.Handler(), keep.Options{Limit: func(*http.Request) time.Duration {
+			if isStopping.Load() {
+				return 0
+			}
+			return limits.IdleTimeout
+		}}),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    headerSlack * limits.HeaderBytes,
 		ConnContext:       linger.ConnContext,
 	}
+	server.RegisterOnShutdown(func() { isStopping.Store(true) })
+	return server
 }
 
 // Handler returns the callers' HTTP interface.
