io/keep: a response does not wait for a body that is too long to be read

Cause: whether the connection may be kept was found out by reading up to 256 KiB of the body, also of one with a longer length, of which net/http reads nothing. Its caller may send nothing before it has the response. Change: the bytes that the handler has read are counted; if more than 256 KiB are left, the connection ends after the response.

--- a/io/keep/keep.go
+++ b/io/keep/keep.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,12 +38,29 @@
 			handler.ServeHTTP(writer, request)
 			return
 		}
-		teller := &teller{ResponseWriter: writer, request: request, options: options}
-		handler.ServeHTTP(teller, request)
+		body := &countedBody{ReadCloser: request.Body}
+		teller := &teller{ResponseWriter: writer, request: request, options: options, body: body}
+		// net/http looks at the type of the body of its own request.
+		counted := *request
+		counted.Body = body
+		handler.ServeHTTP(teller, &counted)
 		teller.tell()
 	})
 }
 
+// countedBody counts the bytes of a request's body that its handler reads.
+type countedBody struct {
+	io.ReadCloser
+	read atomic.Int64
+}
+
+// Read implements io.Reader.
+func (body *countedBody) Read(buffer []byte) (int, error) {
+	count, err := body.ReadCloser.Read(buffer)
+	body.read.Add(int64(count))
+	return count, err
+}
+
 // told returns for how long callers are told that an idle connection is kept, given its limit; 0: it is not kept.
 func told(limit time.Duration) time.Duration {
 	margin := min(maxMargin, time.Duration(float64(limit)*marginShare))
@@ -55,6 +73,7 @@
 	http.ResponseWriter
 	request *http.Request
 	options Options
+	body    *countedBody
 	isTold  bool
 }
 
@@ -125,6 +144,10 @@
 	if teller.request.Header.Get("Expect") != "" {
 		return false
 	}
+	if teller.request.ContentLength-teller.body.read.Load() > maxUnreadBody {
+		// The caller may send nothing before it has the response.
+		return false
+	}
 	_, err := io.CopyN(io.Discard, teller.request.Body, maxUnreadBody+1)
 	return err == io.EOF
 }
