io/leave: responses of a leaving host announce the end of their connections

Cause: only requests that were read after Leave had begun were told that their connection is closed. "serve" told all others, in its drain time too, that it keeps them for 57 s, as http.Server.Shutdown is called after Leave only; the gateway's directory, readiness and metrics did, too. Idle ones are closed when Leave begins. Change: the announcement is made when the head of a response is written, and from the beginning of the drain on (Announce).

--- a/io/daemon/drain.go
+++ b/io/daemon/drain.go
@@ -23,6 +23,9 @@
 func (daemon *Daemon) drain(ctx context.Context, signals Signals, endpoints []endpoint) error {
 	daemon.logger.Log(event.HostDraining(), logrus.Fields{"drain_ms": daemon.drainTime().Milliseconds()})
 	daemon.members.Leave()
+	for _, endpoint := range endpoints {
+		endpoint.conns.Announce()
+	}
 	quiet := time.NewTimer(daemon.drainTime())
 	defer quiet.Stop()
 	select {
--- a/io/front/leave.go
+++ b/io/front/leave.go
@@ -11,6 +11,9 @@
 // Handler returns a handler that tells callers in Leave that their connections will be closed.
 func (heads *Heads) Handler(handler http.Handler) http.Handler { return heads.conns.Handler(handler) }
 
+// Announce is leave.Conns.Announce for the server's connections.
+func (heads *Heads) Announce() { heads.conns.Announce() }
+
 // Leave is leave.Conns.Leave of the server's connections.
 func (heads *Heads) Leave(ctx context.Context) error { return heads.conns.Leave(ctx) }
 
--- a/io/leave/leave.go
+++ b/io/leave/leave.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -40,6 +41,8 @@
 type Conns struct {
 	// refusal is the response to a request that has not arrived whole when reading ends; empty: none.
 	refusal string
+	// isAnnounced: Announce has been called.
+	isAnnounced atomic.Bool
 
 	mutex     sync.Mutex
 	stage     stage
@@ -83,16 +86,59 @@
 	return ok && secured.ConnectionState().NegotiatedProtocol == "h2"
 }
 
-// Handler returns a handler that tells callers in Leave that their connections will be closed.
+// Handler returns a handler that tells callers after Announce and in Leave that their connections will be closed.
 func (conns *Conns) Handler(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if conns.IsLeaving() {
-			writer.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(writer, request)
+		announcer := &announcer{ResponseWriter: writer, conns: conns}
+		handler.ServeHTTP(announcer, request)
+		announcer.announce()
 	})
 }
 
+// announcer adds the announcement to a response when its head is written, as the host may have begun to leave since
+// the request was read.
+type announcer struct {
+	http.ResponseWriter
+	conns *Conns
+}
+
+func (announcer *announcer) announce() {
+	if announcer.conns.isAnnounced.Load() || announcer.conns.IsLeaving() {
+		announcer.Header().Set("Connection", "close")
+	}
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (announcer *announcer) Unwrap() http.ResponseWriter { return announcer.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (announcer *announcer) WriteHeader(status int) {
+	announcer.announce()
+	announcer.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (announcer *announcer) Write(part []byte) (int, error) {
+	announcer.announce()
+	return announcer.ResponseWriter.Write(part)
+}
+
+// Flush implements http.Flusher.
+func (announcer *announcer) Flush() {
+	// An error shows at the next write.
+	_ = announcer.FlushError()
+}
+
+// FlushError flushes like http.ResponseController.
+func (announcer *announcer) FlushError() error {
+	announcer.announce()
+	return http.NewResponseController(announcer.ResponseWriter).Flush()
+}
+
+// Announce makes all responses from now on tell their callers to use another connection next, so that few are idle
+// when Leave closes them.
+func (conns *Conns) Announce() { conns.isAnnounced.Store(true) }
+
 // Leave closes the listeners and each connection on which no request is arriving or being answered, and waits
 // until none is left. It fails with the error of the context if that ends before.
 func (conns *Conns) Leave(ctx context.Context) error {
