core/reach, io/dial: a handshake through another host and a silent server are no cut

Callers saw (played with fakes): an attempt at a sound server that is silent for a second ends if the first packet of one direct dial is lost meanwhile. Cause: another host's handshake counted as reaching the server, and a question without an answer as refuting the direct path. The kernel of a silent server accepts connections, so that neither says more than that it is silent. Change: a direct dial that is open and whose question gets no byte shows a cut only if another host has got a byte of a server before it began. A dial that fails shows it as before.

--- a/core/reach/evidence.go
+++ b/core/reach/evidence.go
@@ -21,7 +21,7 @@
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
 	evidence := Evidence{
-		TunnelAgeMs: ageMs(paths.lastTunnel, now), RefutedAgeMs: ageMs(paths.refutedAt, now), ByteAgeMs: ageMs(paths.lastByte, now),
+		TunnelAgeMs: ageMs(paths.lastTunnel, now), RefutedAgeMs: ageMs(later(paths.refuted.dialAt, paths.refuted.questionAt), now), ByteAgeMs: ageMs(paths.lastByte, now),
 		IsReachedElsewhere: !paths.cutOffSince.IsZero() && !paths.tunnelSince.IsZero(),
 	}
 	if found := paths.paths[process]; found != nil && !found.downSince.IsZero() {
--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -42,8 +42,10 @@
 	// lastTunnel is when another host last reached a server for this one, and tunnelSince when one first did
 	// after lastSign; zero if none has.
 	lastTunnel, tunnelSince time.Time
-	// refutedAt is when the last direct dial in the background began that got no byte.
-	refutedAt time.Time
+	// provenSince is the same as tunnelSince for a byte of a server.
+	provenSince time.Time
+	// refuted is what direct dials in the background have shown of any process.
+	refuted refutation
 	// lastByte is when the last byte arrived from any server.
 	lastByte time.Time
 	// probedAt is when the last probe of a silent path began.
@@ -56,10 +58,12 @@
 type path struct {
 	// downSince is when the path was found down; zero if it is not.
 	downSince time.Time
-	// dialedAt is when the last direct dial in the background was due, and refutedAt when the last one began
-	// that got no byte.
-	dialedAt, refutedAt time.Time
-	lastByte            time.Time
+	// dialedAt is when the last direct dial in the background was due, and refuted what they have shown.
+	dialedAt time.Time
+	refuted  refutation
+	// provenAt is when another host last got a byte of the process for this one.
+	provenAt time.Time
+	lastByte time.Time
 	// failedAt is when a dial last failed directly and through other hosts.
 	failedAt time.Time
 	// muteAt is when a question on a new direct connection, and through other hosts, last got no byte.
@@ -235,13 +239,38 @@
 	}
 }
 
-// RecordRefuted records that a direct dial to a process in the background, which began at a time, got no byte.
+// RecordProven records that another host got a byte of a process for this one.
+func (paths *Paths) RecordProven(process string, now time.Time) {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	paths.find(process, now).provenAt = now
+	if paths.provenSince.IsZero() {
+		paths.provenSince = now
+	}
+}
+
+// refutation is when the last direct dial began that failed, and the last one whose question got no byte.
+type refutation struct {
+	dialAt, questionAt time.Time
+}
+
+// RecordRefuted records that a direct dial to a process in the background, which began at a time, failed.
 func (paths *Paths) RecordRefuted(process string, began time.Time) {
+	paths.refute(process, func(known *refutation) { known.dialAt = later(known.dialAt, began) })
+}
+
+// RecordUnanswered records that the question on a direct dial to a process in the background, which began at a time,
+// got no byte.
+func (paths *Paths) RecordUnanswered(process string, began time.Time) {
+	paths.refute(process, func(known *refutation) { known.questionAt = later(known.questionAt, began) })
+}
+
+func (paths *Paths) refute(process string, record func(*refutation)) {
 	paths.mutex.Lock()
 	defer paths.mutex.Unlock()
-	paths.refutedAt = later(paths.refutedAt, began)
-	if refuted := paths.paths[process]; refuted != nil {
-		refuted.refutedAt = later(refuted.refutedAt, began)
+	record(&paths.refuted)
+	if found := paths.paths[process]; found != nil {
+		record(&found.refuted)
 	}
 }
 
@@ -307,7 +336,7 @@
 
 // recordSign records that a server has shown that this host reaches it. The caller holds the mutex.
 func (paths *Paths) recordSign(now time.Time) {
-	paths.lastSign, paths.tunnelSince = now, time.Time{}
+	paths.lastSign, paths.tunnelSince, paths.provenSince = now, time.Time{}, time.Time{}
 }
 
 // HasSignSince reports whether a server has shown since a time that this host reaches it.
@@ -385,14 +414,22 @@
 /*
 isCut reports whether a path, which may be nil, is shown to be cut, and its server not just silent since a time:
 another host has reached the server, or any server if this host is cut off, and a direct dial that began afterwards
-got no byte. Servers that fall silent together, or go on while a dial waits for them, leave no such sequence. The
+failed. If only its question got no byte, another host must have got one: the kernel of a silent server accepts
+connections. Servers that fall silent together, or go on while a dial waits for them, leave no such sequence. The
 caller holds the mutex.
 */
 func (paths *Paths) isCut(path *path, silentSince time.Time) bool {
-	if path != nil && !path.downSince.IsZero() && path.refutedAt.After(later(path.downSince, silentSince)) {
+	if path != nil && !path.downSince.IsZero() && path.refuted.shows(path.downSince, path.provenAt, silentSince) {
 		return true
 	}
-	return !paths.cutOffSince.IsZero() && !paths.tunnelSince.IsZero() && paths.refutedAt.After(later(paths.tunnelSince, silentSince))
+	return !paths.cutOffSince.IsZero() && paths.refuted.shows(paths.tunnelSince, paths.provenSince, silentSince)
+}
+
+// shows reports whether a path is cut, given when another host reached the server and when it got a byte, zero if
+// it did not, and since when the server is silent.
+func (refuted refutation) shows(reached, proven, silentSince time.Time) bool {
+	isAfter := func(at, evidence time.Time) bool { return !evidence.IsZero() && at.After(later(evidence, silentSince)) }
+	return isAfter(refuted.dialAt, reached) || isAfter(refuted.questionAt, proven)
 }
 
 // DueDials returns the processes to which a direct dial in the background is due: those whose paths are
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -317,8 +317,12 @@
 		race.drain()
 		return
 	}
+	paths, now := race.dialer.options.Paths, time.Now()
 	if used.isProven || !race.mustAsk {
-		race.dialer.options.Paths.RecordTunnel(time.Now())
+		paths.RecordTunnel(now)
+	}
+	if used.isProven {
+		paths.RecordProven(race.process, now)
 	}
 	if !race.directBegan {
 		return
@@ -408,7 +412,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialer.options.Timeout)
 	defer cancel()
 	began, paths := time.Now(), dialer.options.Paths
-	err := dialer.askDirect(ctx, process, address)
+	isOpen, err := dialer.askDirect(ctx, process, address)
 	now := time.Now()
 	switch {
 	case err == nil, errors.Is(err, ErrNoQuestion) && paths.CutOffFor(now) == 0:
@@ -416,21 +420,24 @@
 	case socket.IsLacking(err):
 	case errors.Is(err, ErrNoQuestion):
 		// That a host is no longer cut off takes a byte of a server.
+	case isOpen:
+		paths.RecordUnanswered(process, began)
 	default:
 		paths.RecordRefuted(process, began)
 	}
 }
 
-// askDirect opens a direct connection to a process and asks it a question, if there is one.
-func (dialer *Dialer) askDirect(ctx context.Context, process, address string) error {
+// askDirect opens a direct connection to a process and asks it a question, if there is one. It reports whether the
+// connection was open before an error.
+func (dialer *Dialer) askDirect(ctx context.Context, process, address string) (isOpen bool, err error) {
 	conn, err := dialer.options.Direct(ctx, address)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer conn.Close()
 	if dialer.options.Ask == nil {
-		return nil
+		return true, nil
 	}
 	_, err = dialer.options.Ask(ctx, conn, process)
-	return err
+	return true, err
 }
